Serve a short request over HTTP from caller to backend server

Cause: the whole path has to run before its parts are deepened.

A caller's request goes through the moleculer gateway, the deterministic request router and an undici connection to a backend server; the complete answer returns to the caller that asked. The router returns effects, the request service carries them out, so the router knows nothing of HTTP.

Ruled out: undici's request() for attempts, as it does not tell whether an attempt was handed to a connection before it failed, which decides whether 'not run' may be answered.

Before: no path.

--- /dev/null
+++ b/packages/node/src/backend-client.ts
@@ -0,0 +1,155 @@
+/** Sends attempts of short requests to backend servers over HTTP. */
+import { Agent, type Dispatcher } from 'undici'
+import type { BackendServerRecord, SendProgress } from '@comfreygrade/core'
+import type { AttemptFailureReason } from '@comfreygrade/routing'
+
+/** A backend server's complete answer. */
+export interface BackendAnswer {
+  readonly status: number
+  readonly contentType: string
+  readonly body: Buffer
+}
+
+/** How an attempt ended. */
+export type AttemptResult =
+  | { readonly kind: 'answered', readonly answer: BackendAnswer }
+  | { readonly kind: 'failed', readonly progress: SendProgress, readonly reason: AttemptFailureReason }
+
+/** One attempt to send. */
+export interface Attempt {
+  readonly backendServer: BackendServerRecord
+  readonly service: string
+  readonly headers: Readonly<Record<string, string>>
+  readonly body: Buffer
+  readonly timeoutMs: number
+}
+
+/** An attempt under way. */
+export interface PendingAttempt {
+  readonly result: Promise<AttemptResult>
+  /** Closes the connection; the result is then a failure. */
+  readonly abort: () => void
+}
+
+/** Limits of {@link BackendClient}. */
+export interface BackendClientOptions {
+  readonly maxAnswerBytes: number
+  readonly connectTimeoutMs: number
+}
+
+/** Header by which a backend server states that it did not run the work. */
+export const NOT_RUN_HEADER = 'comfreygrade-not-run'
+
+/** Keeps connections to backend servers and reports for each attempt whether it may have been sent. */
+export class BackendClient {
+  readonly #agent: Agent
+  readonly #options: BackendClientOptions
+
+  constructor (options: BackendClientOptions) {
+    this.#options = options
+    this.#agent = new Agent({
+      connect: { timeout: options.connectTimeoutMs },
+      // The router bounds connections per server; a second limit here would queue without a deadline.
+      connections: null,
+      pipelining: 1,
+      // Attempts have their own timeout.
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      keepAliveTimeout: 4_000
+    })
+  }
+
+  /** Starts an attempt. */
+  send (attempt: Attempt): PendingAttempt {
+    const handler = new AttemptHandler(this.#options.maxAnswerBytes)
+    const timer = setTimeout(() => { handler.abort('attempt_timeout') }, attempt.timeoutMs)
+    this.#agent.dispatch({
+      origin: attempt.backendServer.address,
+      path: `/${encodeURIComponent(attempt.service)}`,
+      method: 'POST',
+      headers: attempt.headers,
+      body: attempt.body
+    }, handler)
+    const result = handler.result.finally(() => { clearTimeout(timer) })
+    return { result, abort: () => { handler.abort('connection_lost') } }
+  }
+
+  /** Closes all connections. */
+  async close (): Promise<void> {
+    await this.#agent.destroy()
+  }
+}
+
+/** Collects one answer and remembers whether the request was handed to a connection. */
+class AttemptHandler implements Dispatcher.DispatchHandler {
+  readonly result: Promise<AttemptResult>
+  readonly #maxAnswerBytes: number
+  readonly #chunks: Buffer[] = []
+  #resolve: (result: AttemptResult) => void = () => {}
+  #controller: Dispatcher.DispatchController | undefined
+  #progress: SendProgress = 'not_sent'
+  #abortReason: AttemptFailureReason | undefined
+  #receivedBytes = 0
+  #status = 0
+  #contentType = ''
+  #isRejected = false
+
+  constructor (maxAnswerBytes: number) {
+    this.#maxAnswerBytes = maxAnswerBytes
+    this.result = new Promise(resolve => { this.#resolve = resolve })
+  }
+
+  abort (reason: AttemptFailureReason): void {
+    this.#abortReason ??= reason
+    this.#controller?.abort(new Error(reason))
+    this.#fail()
+  }
+
+  onRequestStart (controller: Dispatcher.DispatchController): void {
+    this.#controller = controller
+    if (this.#abortReason !== undefined) {
+      controller.abort(new Error(this.#abortReason))
+      return
+    }
+    this.#progress = 'maybe_sent'
+  }
+
+  onResponseStart (
+    _controller: Dispatcher.DispatchController,
+    status: number,
+    headers: Record<string, string | string[] | undefined>
+  ): void {
+    // Interim answers such as 100 carry no result.
+    if (status < 200) return
+    this.#status = status
+    this.#contentType = String(headers['content-type'] ?? 'application/octet-stream')
+    this.#isRejected = status === 503 && headers[NOT_RUN_HEADER] === 'true'
+  }
+
+  onResponseData (controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.#receivedBytes += chunk.length
+    if (this.#receivedBytes > this.#maxAnswerBytes) {
+      controller.abort(new Error('the answer is too large'))
+      return
+    }
+    this.#chunks.push(chunk)
+  }
+
+  onResponseEnd (): void {
+    if (this.#isRejected) {
+      this.#resolve({ kind: 'failed', progress: 'maybe_sent', reason: 'rejected' })
+      return
+    }
+    const body = this.#chunks.length === 1 ? this.#chunks[0] as Buffer : Buffer.concat(this.#chunks)
+    this.#resolve({ kind: 'answered', answer: { status: this.#status, contentType: this.#contentType, body } })
+  }
+
+  onResponseError (): void {
+    this.#fail()
+  }
+
+  #fail (): void {
+    const reason = this.#abortReason ?? (this.#progress === 'not_sent' ? 'connect_failed' : 'connection_lost')
+    this.#resolve({ kind: 'failed', progress: this.#progress, reason })
+  }
+}
--- /dev/null
+++ b/packages/node/src/http-api.ts
@@ -0,0 +1,270 @@
+/** HTTP front end: a moleculer broker without transporter, with `moleculer-web` as its gateway. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+import { ServiceBroker, type Context } from 'moleculer'
+import ApiGateway, { type GatewayResponse, type IncomingRequest } from 'moleculer-web'
+import { errorBody, errorTable, failure, type Failure, type Metrics } from '@comfreygrade/core'
+import type { Application } from './application.js'
+import { backendServerSchema, checkInput, pathIdentifierSchema } from './http-schemas.js'
+import { readRequest } from './http-requests.js'
+import { controlRoutes, type ControlRoute, type RouteInput } from './http-routes.js'
+
+/** Options of {@link HttpApi}. */
+export interface HttpApiOptions {
+  readonly application: Application
+  readonly metrics: Metrics
+  readonly nodeId: string
+  readonly host: string
+  readonly port: number
+  readonly maxBodyBytes: number
+  readonly maxHeaderBytes: number
+  readonly requestReceiveTimeoutMs: number
+}
+
+interface ActionParams {
+  readonly params: Record<string, string>
+  readonly query: Record<string, unknown>
+  readonly body: unknown
+}
+
+interface ActionMeta {
+  $statusCode?: number
+  $responseHeaders?: Record<string, string>
+}
+
+/** More headers than this are refused before anything else is read. */
+const MAX_HEADERS = 100
+const MAX_JSON_BYTES = 8 * 1024 * 1024
+const KEEP_ALIVE_TIMEOUT_MS = 65_000
+
+/** Serves callers, backend servers, workers and operators. */
+export class HttpApi {
+  readonly #options: HttpApiOptions
+  readonly #broker: ServiceBroker
+  #server: Server | undefined
+
+  constructor (options: HttpApiOptions) {
+    this.#options = options
+    this.#broker = new ServiceBroker({ nodeID: options.nodeId, logger: false, transporter: null })
+    this.#broker.createService({ name: 'control', actions: this.#controlActions() })
+    this.#broker.createService({ name: 'members', actions: this.#memberActions() })
+    this.#broker.createService(this.#gateway())
+  }
+
+  /** Opens the port. */
+  async start (): Promise<void> {
+    await this.#broker.start()
+  }
+
+  /** Closes the port after open requests have ended. */
+  async stop (): Promise<void> {
+    this.#server?.closeIdleConnections()
+    await this.#broker.stop()
+  }
+
+  #gateway () {
+    const { host, port, maxBodyBytes } = this.#options
+    const aliases = Object.fromEntries(controlRoutes.map(route => [route.alias, `control.${route.action}`]))
+    // The gateway calls its methods with the service as `this`.
+    const startServer = (handler: (req: IncomingMessage, res: ServerResponse) => void) => this.#createServer(handler)
+    return {
+      name: 'gateway',
+      mixins: [ApiGateway],
+      settings: {
+        ip: host,
+        port,
+        logRequest: null,
+        logResponse: null,
+        logRouteRegistration: null,
+        requestTimeout: this.#options.requestReceiveTimeoutMs,
+        onError: (_req: IncomingRequest, res: GatewayResponse, error: Error) => { this.#sendGatewayError(res, error) },
+        routes: [
+          {
+            path: '/v1/services',
+            mergeParams: false,
+            bodyParsers: { raw: { type: () => true, limit: maxBodyBytes } },
+            aliases: {
+              'POST /:service/requests': (req: IncomingRequest, res: GatewayResponse) => { this.#execute(req, res) }
+            }
+          },
+          {
+            path: '/v1',
+            mergeParams: false,
+            bodyParsers: { json: { type: () => true, limit: MAX_JSON_BYTES, strict: true } },
+            aliases: {
+              ...aliases,
+              'PUT /backend-servers/:id': 'members.announce',
+              'DELETE /backend-servers/:id': 'members.leave',
+              'GET /status': 'members.status',
+              'GET /health': 'members.health'
+            }
+          }
+        ]
+      },
+      methods: {
+        createServer (this: { server: Server, httpHandler: (req: IncomingMessage, res: ServerResponse) => void }) {
+          this.server = startServer(this.httpHandler)
+        }
+      }
+    }
+  }
+
+  #createServer (handler: (req: IncomingMessage, res: ServerResponse) => void): Server {
+    const { maxHeaderBytes, requestReceiveTimeoutMs } = this.#options
+    const server = createServer({
+      maxHeaderSize: maxHeaderBytes,
+      requestTimeout: requestReceiveTimeoutMs,
+      headersTimeout: requestReceiveTimeoutMs,
+      connectionsCheckingInterval: Math.min(1_000, requestReceiveTimeoutMs),
+      keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS
+    }, (req, res) => {
+      if (req.rawHeaders.length / 2 > MAX_HEADERS) {
+        const detail = `${req.rawHeaders.length / 2} headers, at most ${MAX_HEADERS} are allowed`
+        this.#sendFailure(res, failure('headers_too_large', detail))
+      } else {
+        handler(req, res)
+      }
+    })
+    // Bounded by `maxHeaderSize`; with a count limit Node.js would drop the rest without an error.
+    server.maxHeadersCount = 0
+    server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => { this.#sendClientError(error, socket) })
+    this.#server = server
+    return server
+  }
+
+  #controlActions () {
+    return Object.fromEntries(controlRoutes.map(route => [
+      route.action,
+      async (ctx: Context<ActionParams, ActionMeta>) => await this.#askControl(route, ctx)
+    ]))
+  }
+
+  async #askControl (route: ControlRoute, ctx: Context<ActionParams, ActionMeta>): Promise<unknown> {
+    const operation = route.toOperation(inputOf(ctx.params))
+    if (!operation.ok) return this.#fail(ctx, operation.failure)
+    const result = await this.#options.application.ask(operation.value)
+    if (!result.ok) return this.#fail(ctx, result.failure)
+    const answer = route.toAnswer(result.value)
+    ctx.meta.$statusCode = answer.status
+    return answer.body
+  }
+
+  #memberActions () {
+    const { application } = this.#options
+    return {
+      announce: (ctx: Context<ActionParams, ActionMeta>) => {
+        const id = checkInput(pathIdentifierSchema, ctx.params.params.id, 'path.id')
+        if (!id.ok) return this.#fail(ctx, id.failure)
+        const body = checkInput(backendServerSchema, ctx.params.body, 'body')
+        if (!body.ok) return this.#fail(ctx, body.failure)
+        return application.announceBackendServer({ ...body.value, backendServerId: id.value })
+      },
+      leave: (ctx: Context<ActionParams, ActionMeta>) => {
+        const problem = application.leaveBackendServer(ctx.params.params.id ?? '')
+        return problem === undefined ? { state: 'leaving' } : this.#fail(ctx, problem)
+      },
+      status: () => application.status(),
+      health: (ctx: Context<ActionParams, ActionMeta>) => {
+        const { state } = application.status()
+        ctx.meta.$statusCode = state === 'serving' ? 200 : 503
+        return { state }
+      }
+    }
+  }
+
+  async #execute (req: IncomingRequest, res: GatewayResponse): Promise<void> {
+    const { application } = this.#options
+    const rules = application.admission()
+    if (!rules.ok) { this.#sendFailure(res, rules.failure); return }
+    const body = bodyOf(req)
+    if (body.length > rules.value.maxRequestBodyBytes) {
+      const detail = `the body has ${body.length} bytes, at most ${rules.value.maxRequestBodyBytes} are allowed`
+      this.#sendFailure(res, failure('body_too_large', detail))
+      return
+    }
+    const spec = readRequest(req.$params.params.service, req.headers, rules.value, application.nowMs())
+    if (!spec.ok) { this.#sendFailure(res, spec.failure); return }
+    const result = await application.execute(spec.value, body, cancel => {
+      res.on('close', () => { if (!res.writableFinished) cancel() })
+    })
+    res.setHeader('comfreygrade-request-id', spec.value.requestId)
+    if (!result.ok) { this.#sendFailure(res, result.failure); return }
+    const { answer, attempts, claim } = result.value
+    res.writeHead(answer.status, {
+      'content-type': answer.contentType,
+      'content-length': answer.body.length,
+      'comfreygrade-attempts': attempts,
+      'comfreygrade-claim': claim
+    })
+    res.end(answer.body)
+  }
+
+  #fail (ctx: Context<ActionParams, ActionMeta>, cause: Failure): unknown {
+    this.#count(cause)
+    const body = errorBody(cause)
+    ctx.meta.$statusCode = errorTable[cause.kind].httpStatus
+    ctx.meta.$responseHeaders = retryHeaders(body.retryAfterMs)
+    return body
+  }
+
+  #sendFailure (res: ServerResponse, cause: Failure): void {
+    this.#count(cause)
+    if (res.headersSent || res.destroyed) return
+    const body = errorBody(cause)
+    const text = JSON.stringify(body)
+    res.writeHead(errorTable[cause.kind].httpStatus, {
+      'content-type': 'application/json; charset=utf-8',
+      'content-length': Buffer.byteLength(text),
+      ...retryHeaders(body.retryAfterMs)
+    })
+    res.end(text)
+  }
+
+  #sendGatewayError (res: ServerResponse, error: Error): void {
+    this.#sendFailure(res, gatewayFailure(error))
+  }
+
+  /** Answers what never became a request: oversized or malformed headers, or a sender that is too slow. */
+  #sendClientError (error: NodeJS.ErrnoException, socket: Socket): void {
+    if (!socket.writable) { socket.destroy(); return }
+    const cause = clientFailure(error)
+    this.#count(cause)
+    const text = JSON.stringify(errorBody(cause))
+    const status = errorTable[cause.kind].httpStatus
+    socket.end(`HTTP/1.1 ${status} ${cause.kind}\r\ncontent-type: application/json; charset=utf-8\r\n` +
+      `content-length: ${Buffer.byteLength(text)}\r\nconnection: close\r\n\r\n${text}`)
+  }
+
+  #count (cause: Failure): void {
+    this.#options.metrics.increment('refusal', { kind: cause.kind })
+  }
+}
+
+function inputOf (params: ActionParams): RouteInput {
+  return { params: params.params ?? {}, query: params.query ?? {}, body: params.body }
+}
+
+function bodyOf (req: IncomingRequest): Buffer {
+  const { body } = req as unknown as { body: unknown }
+  return Buffer.isBuffer(body) ? body : Buffer.alloc(0)
+}
+
+function retryHeaders (retryAfterMs: number): Record<string, string> {
+  return retryAfterMs === 0 ? {} : { 'retry-after': String(Math.ceil(retryAfterMs / 1000)) }
+}
+
+function gatewayFailure (error: Error): Failure {
+  const { code, type } = error as { code?: unknown, type?: unknown }
+  if (type === 'entity.too.large' || code === 413) return failure('body_too_large', 'the body is above the limit')
+  if (type === 'entity.parse.failed' || code === 400) return failure('invalid_request', 'the body is not valid JSON')
+  if (type === 'request.aborted') return failure('request_timeout', 'the body was not sent completely')
+  if (code === 404) return failure('not_found', 'no such endpoint')
+  if (code === 405) return failure('method_not_allowed', 'the endpoint has no such method')
+  return failure('internal_error', 'the node could not handle the request')
+}
+
+function clientFailure (error: NodeJS.ErrnoException): Failure {
+  if (error.code === 'HPE_HEADER_OVERFLOW') return failure('headers_too_large', 'the headers are above the limit')
+  if (error.code === 'ERR_HTTP_REQUEST_TIMEOUT') return failure('request_timeout', 'the request was not sent in time')
+  return failure('invalid_request', 'the request is not valid HTTP/1.1')
+}
--- /dev/null
+++ b/packages/node/src/peer-links.ts
@@ -0,0 +1,239 @@
+/** TCP links between nodes: each node dials every other one and listens for their links. */
+import { createConnection, createServer, type Server, type Socket } from 'node:net'
+import type { Clock, EventLog, Metrics } from '@comfreygrade/core'
+import { encodeFrame, FrameDecoder, type PeerMessage } from './peer-messages.js'
+import type { PeerNode } from './settings.js'
+
+/** Bytes that may wait on one link; more means that the peer does not read, and messages are dropped. */
+const MAX_BACKLOG_BYTES = 16 * 1024 * 1024
+
+/** Options of {@link PeerLinks}. */
+export interface PeerLinksOptions {
+  readonly nodeId: string
+  readonly host: string
+  readonly port: number
+  readonly peers: readonly PeerNode[]
+  readonly pingIntervalMs: number
+  readonly silenceMs: number
+  readonly redialMs: number
+  readonly clock: Clock
+  readonly metrics: Metrics
+  readonly log: EventLog
+  /** Sent first on every link that this node dials. */
+  readonly hello: () => PeerMessage
+  readonly onMessage: (fromNodeId: string, message: PeerMessage) => void
+  /** A dialled link is gone; requests that wait for answers on it end. */
+  readonly onDisconnect: (nodeId: string) => void
+}
+
+/** Keeps one outgoing and one incoming link with each peer, and replaces links that went silent. */
+export class PeerLinks {
+  readonly #options: PeerLinksOptions
+  readonly #outgoing = new Map<string, OutgoingLink>()
+  readonly #incoming = new Set<IncomingLink>()
+  readonly #server: Server
+  #timer: NodeJS.Timeout | undefined
+
+  constructor (options: PeerLinksOptions) {
+    this.#options = options
+    this.#server = createServer(socket => { this.#accept(socket) })
+    for (const peer of options.peers) {
+      if (peer.nodeId !== options.nodeId) this.#outgoing.set(peer.nodeId, new OutgoingLink(peer, options))
+    }
+  }
+
+  /** Listens and starts dialling. */
+  async start (): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once('error', reject)
+      this.#server.listen(this.#options.port, this.#options.host, resolve)
+    })
+    for (const link of this.#outgoing.values()) link.dial()
+    this.#timer = setInterval(() => { this.#checkLinks() }, this.#options.pingIntervalMs)
+  }
+
+  /**
+   * Sends a message, or drops it when the link is down.
+   *
+   * @returns whether the message was handed to the operating system
+   */
+  send (nodeId: string, message: PeerMessage): boolean {
+    return this.#outgoing.get(nodeId)?.send(message) ?? false
+  }
+
+  /** Sends one message to every peer whose link is up, encoding it once. */
+  broadcast (message: PeerMessage): void {
+    const frame = encodeFrame(message)
+    for (const link of this.#outgoing.values()) link.sendFrame(frame, message.kind)
+  }
+
+  /** IDs of the peers whose links are up. */
+  connectedNodeIds (): string[] {
+    return [...this.#outgoing.values()].filter(link => link.isConnected).map(link => link.nodeId)
+  }
+
+  /** Closes every link. */
+  async stop (): Promise<void> {
+    clearInterval(this.#timer)
+    for (const link of this.#outgoing.values()) link.stop()
+    for (const link of this.#incoming) link.close()
+    await new Promise<void>(resolve => { this.#server.close(() => { resolve() }) })
+  }
+
+  #accept (socket: Socket): void {
+    const link = new IncomingLink(socket, this.#options, () => { this.#incoming.delete(link) })
+    this.#incoming.add(link)
+  }
+
+  #checkLinks (): void {
+    for (const link of this.#outgoing.values()) link.check()
+    for (const link of this.#incoming) link.check()
+  }
+}
+
+/** A link that this node dialled; carries its messages, and pongs back. */
+class OutgoingLink {
+  readonly #peer: PeerNode
+  readonly #options: PeerLinksOptions
+  #socket: Socket | undefined
+  #isConnected = false
+  #heardAtMs = 0
+  #redialTimer: NodeJS.Timeout | undefined
+  #isStopped = false
+
+  constructor (peer: PeerNode, options: PeerLinksOptions) {
+    this.#peer = peer
+    this.#options = options
+  }
+
+  get nodeId (): string {
+    return this.#peer.nodeId
+  }
+
+  get isConnected (): boolean {
+    return this.#isConnected
+  }
+
+  dial (): void {
+    const socket = createConnection({ host: this.#peer.host, port: this.#peer.port, noDelay: true })
+    const decoder = new FrameDecoder()
+    this.#socket = socket
+    this.#heardAtMs = this.#options.clock.monotonicMs()
+    socket.on('connect', () => { this.#connected() })
+    socket.on('data', chunk => {
+      this.#heardAtMs = this.#options.clock.monotonicMs()
+      decodeOrClose(decoder, chunk, socket, this.#options.metrics)
+    })
+    // The 'close' event follows each error and does the work.
+    socket.on('error', () => {})
+    socket.on('close', () => { this.#closed(socket) })
+  }
+
+  send (message: PeerMessage): boolean {
+    return this.#isConnected && this.sendFrame(encodeFrame(message), message.kind)
+  }
+
+  sendFrame (frame: Buffer, kind: PeerMessage['kind']): boolean {
+    if (!this.#isConnected || this.#socket === undefined) return false
+    if (this.#socket.writableLength > MAX_BACKLOG_BYTES) {
+      this.#options.metrics.increment('peer.dropped', { message: kind })
+      return false
+    }
+    this.#socket.write(frame)
+    this.#options.metrics.increment('peer.sent_bytes', { message: kind }, frame.length)
+    return true
+  }
+
+  check (): void {
+    if (this.#socket === undefined) return
+    const silentMs = this.#options.clock.monotonicMs() - this.#heardAtMs
+    if (silentMs >= this.#options.silenceMs) {
+      this.#options.metrics.increment('peer.silent_link_closed', { peer: this.#peer.nodeId })
+      this.#socket.destroy()
+      return
+    }
+    this.send({ kind: 'ping' })
+  }
+
+  stop (): void {
+    this.#isStopped = true
+    clearTimeout(this.#redialTimer)
+    this.#socket?.destroy()
+  }
+
+  #connected (): void {
+    this.#isConnected = true
+    this.#options.log.info('peer link is up', { peerId: this.#peer.nodeId })
+    this.send(this.#options.hello())
+  }
+
+  #closed (socket: Socket): void {
+    if (this.#socket !== socket) return
+    this.#socket = undefined
+    if (this.#isConnected) {
+      this.#isConnected = false
+      this.#options.log.warn('peer link is down', { peerId: this.#peer.nodeId })
+      this.#options.onDisconnect(this.#peer.nodeId)
+    }
+    if (!this.#isStopped) this.#redialTimer = setTimeout(() => { this.dial() }, this.#options.redialMs)
+  }
+}
+
+/** A link that a peer dialled; only receives, and answers pings. */
+class IncomingLink {
+  readonly #socket: Socket
+  readonly #options: PeerLinksOptions
+  #peerId: string | undefined
+  #heardAtMs: number
+
+  constructor (socket: Socket, options: PeerLinksOptions, onClose: () => void) {
+    this.#socket = socket
+    this.#options = options
+    this.#heardAtMs = options.clock.monotonicMs()
+    const decoder = new FrameDecoder()
+    socket.setNoDelay(true)
+    socket.on('data', chunk => {
+      this.#heardAtMs = options.clock.monotonicMs()
+      options.metrics.increment('peer.received_bytes', {}, chunk.length)
+      for (const message of decodeOrClose(decoder, chunk, socket, options.metrics)) this.#receive(message)
+    })
+    socket.on('error', () => {})
+    socket.on('close', onClose)
+  }
+
+  check (): void {
+    if (this.#options.clock.monotonicMs() - this.#heardAtMs >= this.#options.silenceMs) this.close()
+  }
+
+  close (): void {
+    this.#socket.destroy()
+  }
+
+  #receive (message: PeerMessage): void {
+    if (message.kind === 'ping') {
+      this.#socket.write(encodeFrame({ kind: 'pong' }))
+      return
+    }
+    if (message.kind === 'hello') this.#identify(message.nodeId)
+    if (this.#peerId !== undefined) this.#options.onMessage(this.#peerId, message)
+  }
+
+  #identify (nodeId: string): void {
+    if (this.#options.peers.some(peer => peer.nodeId === nodeId)) {
+      this.#peerId = nodeId
+      return
+    }
+    this.#options.log.warn('link of an unknown node refused', { peerId: nodeId })
+    this.close()
+  }
+}
+
+function decodeOrClose (decoder: FrameDecoder, chunk: Buffer, socket: Socket, metrics: Metrics): PeerMessage[] {
+  try {
+    return decoder.push(chunk)
+  } catch {
+    metrics.increment('peer.malformed_frame')
+    socket.destroy()
+    return []
+  }
+}
--- /dev/null
+++ b/packages/node/src/peer-messages.ts
@@ -0,0 +1,130 @@
+/** Messages between nodes, and their framing: a 4-byte big-endian length, then one `cbor-x` value. */
+import { Encoder } from 'cbor-x'
+import type { BackendServerRecord, ConfigurationChange, ConfigurationDocument } from '@comfreygrade/core'
+import type { ConsensusMessage, VoterId } from '@comfreygrade/consensus'
+import type { ControlCommand, ControlOperation, ControlResult, Drain } from '@comfreygrade/control'
+
+/** Either the changes after `baseVersion` or a full copy. */
+export type FeedContent =
+  | { readonly kind: 'changes', readonly baseVersion: number, readonly changes: readonly ConfigurationChange[] }
+  | { readonly kind: 'full', readonly version: number, readonly document: ConfigurationDocument }
+
+/** A backend server record with the time since the sender heard it. */
+export interface AgedRecord {
+  readonly record: BackendServerRecord
+  readonly ageMs: number
+}
+
+/** In-flight requests of the sender by backend server. */
+export interface LoadEntry {
+  readonly backendServerId: string
+  readonly inFlight: number
+}
+
+/** Every message between nodes. */
+export type PeerMessage =
+  | {
+    readonly kind: 'hello'
+    readonly nodeId: string
+    /** Identity of the data folder; null on nodes without the role control. */
+    readonly diskId: string | null
+    readonly isInitialised: boolean
+  }
+  | { readonly kind: 'ping' }
+  | { readonly kind: 'pong' }
+  | {
+    readonly kind: 'raft'
+    readonly from: VoterId
+    readonly to: VoterId
+    readonly message: ConsensusMessage<ControlCommand>
+  }
+  | { readonly kind: 'control_request', readonly requestId: string, readonly operation: ControlOperation }
+  | {
+    readonly kind: 'control_response'
+    readonly requestId: string
+    readonly result: ControlResult
+    readonly leaderNodeId: string | null
+  }
+  /** `sentAtMs` is the sender's monotonic clock; the lease counts from it. */
+  | { readonly kind: 'feed_request', readonly version: number, readonly sentAtMs: number }
+  | {
+    readonly kind: 'feed'
+    readonly term: number
+    readonly leaderNodeId: string
+    readonly content: FeedContent
+    readonly drains: readonly Drain[]
+    /** Echo of `sentAtMs`; null when the leader sends a change without being asked, which renews no lease. */
+    readonly requestSentAtMs: number | null
+    readonly leaseMs: number
+  }
+  | { readonly kind: 'members', readonly records: readonly AgedRecord[] }
+  | { readonly kind: 'load', readonly entries: readonly LoadEntry[] }
+
+/** Bytes of the length prefix. */
+export const FRAME_HEADER_BYTES = 4
+/** A frame above this closes the link; snapshots travel in smaller chunks. */
+export const MAX_FRAME_BYTES = 32 * 1024 * 1024
+
+/** Shared structures would need state that both ends agree on, so each message is self-contained. */
+const codec = new Encoder({ useRecords: false, mapsAsObjects: true })
+
+/**
+ * Encodes a message as one frame.
+ *
+ * @example
+ * socket.write(encodeFrame({ kind: 'ping' }))
+ */
+export function encodeFrame (message: PeerMessage): Buffer {
+  const body = codec.encode(message)
+  const frame = Buffer.allocUnsafe(FRAME_HEADER_BYTES + body.length)
+  frame.writeUInt32BE(body.length, 0)
+  body.copy(frame, FRAME_HEADER_BYTES)
+  return frame
+}
+
+/** Splits a byte stream into messages. */
+export class FrameDecoder {
+  #chunks: Buffer[] = []
+  #bufferedBytes = 0
+
+  /**
+   * Takes received bytes and returns the messages that are complete.
+   *
+   * @throws RangeError for a frame above `MAX_FRAME_BYTES`, and the codec's error for a malformed body
+   */
+  push (chunk: Buffer): PeerMessage[] {
+    this.#chunks.push(chunk)
+    this.#bufferedBytes += chunk.length
+    const messages: PeerMessage[] = []
+    for (let body = this.#nextBody(); body !== undefined; body = this.#nextBody()) {
+      messages.push(codec.decode(body) as PeerMessage)
+    }
+    return messages
+  }
+
+  #nextBody (): Buffer | undefined {
+    if (this.#bufferedBytes < FRAME_HEADER_BYTES) return undefined
+    const lengthBytes = this.#peekLength()
+    if (lengthBytes > MAX_FRAME_BYTES) {
+      throw new RangeError(`a frame of ${lengthBytes} bytes is above the limit of ${MAX_FRAME_BYTES}`)
+    }
+    const frameBytes = FRAME_HEADER_BYTES + lengthBytes
+    if (this.#bufferedBytes < frameBytes) return undefined
+    const joined = this.#join()
+    this.#chunks = joined.length > frameBytes ? [joined.subarray(frameBytes)] : []
+    this.#bufferedBytes = joined.length - frameBytes
+    return joined.subarray(FRAME_HEADER_BYTES, frameBytes)
+  }
+
+  #peekLength (): number {
+    const first = this.#chunks[0]
+    if (first !== undefined && first.length >= FRAME_HEADER_BYTES) return first.readUInt32BE(0)
+    return this.#join().readUInt32BE(0)
+  }
+
+  #join (): Buffer {
+    const joined = this.#chunks.length === 1 ? this.#chunks[0] as Buffer : Buffer.concat(this.#chunks)
+    this.#chunks = [joined]
+    return joined
+  }
+}
--- /dev/null
+++ b/packages/node/src/roarr-event-log.ts
@@ -0,0 +1,28 @@
+import { ROARR, Roarr, type Logger } from 'roarr'
+import { EventLog } from '@comfreygrade/core'
+
+type LogFields = Readonly<Record<string, unknown>>
+
+/** Writes log lines as JSON on standard error through `roarr`. */
+export class RoarrEventLog extends EventLog {
+  readonly #logger: Logger
+
+  constructor (nodeId: string) {
+    super()
+    // Standard output carries only the `ready` line, so that a supervisor can parse it.
+    ROARR.write = line => { process.stderr.write(`${line}\n`) }
+    this.#logger = Roarr.child({ application: 'comfreygrade', nodeId })
+  }
+
+  override info (message: string, fields: LogFields = {}): void {
+    this.#logger.info(toJson(fields), message)
+  }
+
+  override warn (message: string, fields: LogFields = {}): void {
+    this.#logger.warn(toJson(fields), message)
+  }
+}
+
+function toJson (fields: LogFields): Record<string, never> {
+  return JSON.parse(JSON.stringify(fields)) as Record<string, never>
+}
--- /dev/null
+++ b/packages/node/src/system-clock.ts
@@ -0,0 +1,13 @@
+import { performance } from 'node:perf_hooks'
+import type { Clock } from '@comfreygrade/core'
+
+/** The clocks of the operating system. */
+export class SystemClock implements Clock {
+  monotonicMs (): number {
+    return performance.now()
+  }
+
+  wallMs (): number {
+    return Date.now()
+  }
+}
--- /dev/null
+++ b/packages/node/src/worker-client.ts
@@ -0,0 +1,46 @@
+/** Sends orders of the control leader to workers over HTTP. */
+import { Agent, request } from 'undici'
+import { z } from 'zod'
+import type { OrderResult, WorkerOrder } from '@comfreygrade/control'
+
+const answerSchema = z.object({
+  term: z.number(),
+  results: z.array(z.enum(['accepted', 'refused', 'stale_term', 'unknown_lease']))
+})
+
+/** Sends orders; an order without an answer may or may not have arrived. */
+export class WorkerClient {
+  readonly #agent: Agent
+  readonly #timeoutMs: number
+
+  constructor (timeoutMs: number) {
+    this.#timeoutMs = timeoutMs
+    this.#agent = new Agent({ connect: { timeout: timeoutMs }, keepAliveTimeout: 4_000 })
+  }
+
+  /**
+   * Sends orders to one worker.
+   *
+   * @returns one result per order, or undefined when no complete answer came in time
+   */
+  async send (address: string, term: number, orders: readonly WorkerOrder[]): Promise<OrderResult[] | undefined> {
+    try {
+      const response = await request(`${address}/v1/orders`, {
+        method: 'POST',
+        dispatcher: this.#agent,
+        headers: { 'content-type': 'application/json' },
+        body: JSON.stringify({ term, orders }),
+        signal: AbortSignal.timeout(this.#timeoutMs)
+      })
+      const answer = answerSchema.parse(await response.body.json())
+      return answer.results.length === orders.length ? answer.results : undefined
+    } catch {
+      return undefined
+    }
+  }
+
+  /** Closes all connections. */
+  async close (): Promise<void> {
+    await this.#agent.destroy()
+  }
+}
--- /dev/null
+++ b/packages/node/test/http-fixture.ts
@@ -0,0 +1,106 @@
+/** An entry node without control, for tests of the HTTP front end. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import {
+  CountingMetrics, defaultRules, fail, succeed, type BackendServerRecord, type Failure, type RequestSpec, type Result,
+  type Rules
+} from '@comfreygrade/core'
+import { BackendRegistry, RequestRouter } from '@comfreygrade/routing'
+import type { ControlOperation, ControlResult } from '@comfreygrade/control'
+import { Application, type BackendServerAnnouncement, type NodeStatus } from '../src/application.js'
+import { BackendClient } from '../src/backend-client.js'
+import { HttpApi } from '../src/http-api.js'
+import { RequestService, type RequestAnswer } from '../src/request-service.js'
+import { SystemClock } from '../src/system-clock.js'
+
+/** Connects the real request service to the front end and keeps what control would be asked. */
+export class EntryApplication extends Application {
+  readonly clock = new SystemClock()
+  readonly metrics = new CountingMetrics()
+  readonly registry = new BackendRegistry(10_000)
+  readonly backendClient = new BackendClient({ maxAnswerBytes: 1024 * 1024, connectTimeoutMs: 500 })
+  readonly asked: ControlOperation[] = []
+  isConfigurationStale = false
+  answerControl: (operation: ControlOperation) => ControlResult = () => fail('control_unavailable', 'no control leader')
+  readonly requests: RequestService
+
+  constructor (createRouter: (registry: BackendRegistry) => RequestRouter) {
+    super()
+    this.requests = new RequestService({
+      router: createRouter(this.registry),
+      backendClient: this.backendClient,
+      clock: this.clock,
+      metrics: this.metrics,
+      askControl: async operation => await this.ask(operation)
+    })
+  }
+
+  override admission (): Result<Rules> {
+    return this.isConfigurationStale ? fail('configuration_stale', 'the lease has run out') : succeed(defaultRules)
+  }
+
+  override nowMs (): number {
+    return this.clock.monotonicMs()
+  }
+
+  override async execute (
+    spec: RequestSpec, body: Buffer, onCancel: (cancel: () => void) => void
+  ): Promise<Result<RequestAnswer>> {
+    return await this.requests.execute(spec, body, onCancel)
+  }
+
+  override async ask (operation: ControlOperation): Promise<ControlResult> {
+    this.asked.push(operation)
+    return this.answerControl(operation)
+  }
+
+  override announceBackendServer (announcement: BackendServerAnnouncement) {
+    this.registry.announce({ ...announcement, state: 'active' }, this.nowMs())
+    return { heartbeatIntervalMs: 1000, expireAfterMs: 10_000 }
+  }
+
+  override leaveBackendServer (): Failure | undefined {
+    return undefined
+  }
+
+  override backendServers (): readonly BackendServerRecord[] {
+    return []
+  }
+
+  override status (): NodeStatus {
+    throw new Error('not used by these tests')
+  }
+}
+
+/** Listens on a free loopback port. */
+export async function listen (
+  handler: (req: IncomingMessage, res: ServerResponse) => void
+): Promise<Server & { port: number }> {
+  const server = createServer(handler)
+  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+  return Object.assign(server, { port: (server.address() as AddressInfo).port })
+}
+
+/** A free loopback port. */
+export async function freePort (): Promise<number> {
+  const server = await listen(() => {})
+  await new Promise(resolve => { server.close(resolve) })
+  return server.port
+}
+
+/** Starts the front end of an application and gives its base URL. */
+export async function startApi (application: EntryApplication): Promise<{ api: HttpApi, url: string }> {
+  const port = await freePort()
+  const api = new HttpApi({
+    application,
+    metrics: application.metrics,
+    nodeId: 'n1',
+    host: '127.0.0.1',
+    port,
+    maxBodyBytes: 2 * 1024 * 1024,
+    maxHeaderBytes: 8 * 1024,
+    requestReceiveTimeoutMs: 400
+  })
+  await api.start()
+  return { api, url: `http://127.0.0.1:${port}` }
+}
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -20,6 +20,11 @@
     return this.#open.size
   }
 
+  /** When the next `tick` is due, in monotonic milliseconds; undefined when nothing waits for time to pass. */
+  nextWakeAtMs (): number | undefined {
+    return undefined
+  }
+
   /** Handles one event and returns what the front end has to do, in order. */
   handle (event: RoutingEvent, nowMs: number): RoutingEffect[] {
     switch (event.kind) {
