--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -1,1 +1,2 @@
 export * from './decisions.js'
+export * from './settings.js'
--- /dev/null
+++ b/packages/placement/test/brute-force.ts
@@ -0,0 +1,67 @@
+/** A slow model of cells and guarantees that shares no code with the scheduler; used as a reference in tests. */
+import type { Configuration, Guarantee, Organisation, Rack, Worker } from '@comfreygrade/core'
+import { defaultRules } from '@comfreygrade/core'
+
+/** Workers of one test rack; positions start at 0. */
+export interface TestRack { readonly workers: number, readonly accelerators: number }
+
+export function testConfiguration (
+  racks: readonly TestRack[],
+  guarantees: ReadonlyArray<Partial<Guarantee>> = [],
+  organisations: ReadonlyArray<Partial<Organisation>> = [{}, { organisationId: 'o2' }]
+): Configuration {
+  const workers: Worker[] = racks.flatMap((rack, rackNumber) => Array.from({ length: rack.workers }, (_, position) => ({
+    workerId: `r${rackNumber}w${position}`,
+    rackId: `r${rackNumber}`,
+    rackPosition: position,
+    cores: 64,
+    memoryGb: 256,
+    acceleratorModel: 'gpu',
+    accelerators: rack.accelerators
+  })))
+  const rackRecords: Rack[] = racks.map((_, number) => ({ rackId: `r${number}`, region: 'salto', availabilityZone: 'a' }))
+  const organisationRecords = organisations.map(part => (
+    { organisationId: 'o1', quotaAccelerators: 1000, weight: 1, ...part }))
+  const guaranteeBase = { organisationId: 'o1', acceleratorModel: 'gpu', acceleratorsPerCell: 1, cells: 1 }
+  const guaranteeRecords = guarantees.map((part, number) => ({ guaranteeId: `g${number}`, ...guaranteeBase, ...part }))
+  return {
+    version: 1,
+    racks: new Map(rackRecords.map(rack => [rack.rackId, rack])),
+    workers: new Map(workers.map(worker => [worker.workerId, worker])),
+    organisations: new Map(organisationRecords.map(record => [record.organisationId, record])),
+    guarantees: new Map(guaranteeRecords.map(record => [record.guaranteeId, record])),
+    rules: defaultRules
+  }
+}
+
+/** Every cell of `size` accelerators as a list of accelerator names such as `r0w1#3`. */
+export function cellsOfSize (racks: readonly TestRack[], size: number): string[][] {
+  return racks.flatMap((rack, number) => {
+    const isPowerOfTwo = Number.isInteger(Math.log2(rack.accelerators))
+    const spans = isPowerOfTwo
+      ? [Array.from({ length: rack.workers * rack.accelerators }, (_, offset) =>
+          `r${number}w${Math.floor(offset / rack.accelerators)}#${offset % rack.accelerators}`)]
+      : Array.from({ length: rack.workers }, (_, worker) =>
+        Array.from({ length: rack.accelerators }, (_, offset) => `r${number}w${worker}#${offset}`))
+    return spans.flatMap(span => alignedBlocks(span, size))
+  })
+}
+
+function alignedBlocks (span: string[], size: number): string[][] {
+  const blocks: string[][] = []
+  for (let start = 0; start + size <= span.length; start += size) blocks.push(span.slice(start, start + size))
+  return blocks
+}
+
+/** Whether disjoint cells of the given sizes fit into the accelerators that are not taken, by trying everything. */
+export function fitsByTrying (
+  racks: readonly TestRack[], taken: ReadonlySet<string>, sizes: readonly number[]
+): boolean {
+  const [size, ...rest] = [...sizes].sort((left, right) => right - left)
+  if (size === undefined) return true
+  for (const cell of cellsOfSize(racks, size)) {
+    if (cell.some(accelerator => taken.has(accelerator))) continue
+    if (fitsByTrying(racks, new Set([...taken, ...cell]), rest)) return true
+  }
+  return false
+}
