--- a/packages/placement/src/occupancy.ts
+++ b/packages/placement/src/occupancy.ts
@@ -63,6 +63,7 @@
   readonly #rackListed: Uint16Array
   readonly #rackFree: Int32Array
   readonly #poolFree: Int32Array
+  readonly #poolListed: Int32Array
   readonly #modelListed: Int32Array
   readonly #buckets: Array<Array<Set<number>>>
 
@@ -72,6 +73,7 @@
     this.#rackListed = new Uint16Array(tree.racks.length * tree.levels)
     this.#rackFree = new Int32Array(tree.racks.length)
     this.#poolFree = new Int32Array(tree.pools.length)
+    this.#poolListed = new Int32Array(tree.pools.length * tree.levels)
     this.#modelListed = new Int32Array(tree.acceleratorModels.length * tree.levels)
     this.#buckets = tree.pools.map(() => Array.from({ length: RACK_BUCKETS + 1 }, () => new Set<number>()))
     for (const rack of tree.racks) {
@@ -111,6 +113,11 @@
     return Array.from(this.#modelListed.subarray(start, start + this.tree.levels))
   }
 
+  /** Listed free cells of a level in a pool. */
+  listedInPool (poolIndex: number, level: number): number {
+    return this.#poolListed[poolIndex * this.tree.levels + level]!
+  }
+
   /** Listed free cells of a level in a rack. */
   listedInRack (rackIndex: number, level: number): number {
     return this.#rackListed[rackIndex * this.tree.levels + level]!
@@ -217,6 +224,7 @@
     const rack = this.tree.racks[this.tree.rack[cell]!]!
     const modelIndex = this.tree.pools[rack.poolIndex]!.modelIndex
     this.#modelListed[modelIndex * this.tree.levels + level]! += change
+    this.#poolListed[rack.poolIndex * this.tree.levels + level]! += change
     this.#rackListed[rack.index * this.tree.levels + level]! += change
     this.#poolFree[rack.poolIndex]! += change * 2 ** level
     this.#moveRack(rack.index, change * 2 ** level)
--- /dev/null
+++ b/packages/placement/src/shapes.ts
@@ -0,0 +1,103 @@
+/** Shapes of gangs: which cells the tasks of a job need in each pool, and whether the inventory could hold them. */
+import type { Adjacency, JobSpec } from '@comfreygrade/core'
+import { type CellPool, type CellTree, levelFor, levelWithin } from './cells.js'
+
+/** A shape that jobs share. */
+export interface GangShape {
+  readonly key: string
+  readonly tasks: number
+  readonly adjacency: Adjacency
+  /** Pools that can hold a task, with the level of its cell. */
+  readonly options: ReadonlyArray<{ readonly pool: CellPool, readonly level: number }>
+  /** Fewest accelerators that the gang holds; 0 where no pool can hold a task. */
+  readonly accelerators: number
+  /** Whether the inventory holds the shape when all of it works and is free. */
+  readonly isPossible: boolean
+}
+
+/** Smallest level of a pool whose share covers a task, or undefined where a worker is too small. */
+export function taskLevel (spec: JobSpec, pool: CellPool): number | undefined {
+  const { acceleratorsPerWorker, coresPerWorker, memoryGbPerWorker } = pool
+  const forCores = Math.ceil(spec.coresPerTask * acceleratorsPerWorker / coresPerWorker)
+  const forMemory = Math.ceil(spec.memoryGbPerTask * acceleratorsPerWorker / memoryGbPerWorker)
+  const level = levelFor(Math.max(1, spec.acceleratorsPerTask, forCores, forMemory))
+  return level <= levelWithin(acceleratorsPerWorker) ? level : undefined
+}
+
+/** Shapes of one inventory; each is computed once. */
+export class ShapeTable {
+  readonly #tree: CellTree
+  readonly #shapes = new Map<string, GangShape>()
+
+  constructor (tree: CellTree) {
+    this.#tree = tree
+  }
+
+  /**
+   * The shape of a job.
+   *
+   * @example
+   * new ShapeTable(tree).of(spec).isPossible
+   */
+  of (spec: JobSpec): GangShape {
+    const key = `${spec.acceleratorModel}/${spec.tasks}x${spec.acceleratorsPerTask}/${spec.coresPerTask}/` +
+      `${spec.memoryGbPerTask}/${spec.adjacency}`
+    const known = this.#shapes.get(key)
+    if (known !== undefined) return known
+    const created = this.#create(key, spec)
+    this.#shapes.set(key, created)
+    return created
+  }
+
+  #create (key: string, spec: JobSpec): GangShape {
+    const options = this.#options(spec)
+    const smallest = options.reduce((least, option) => Math.min(least, 2 ** option.level), Infinity)
+    return {
+      key,
+      tasks: spec.tasks,
+      adjacency: spec.adjacency,
+      options,
+      accelerators: options.length === 0 ? 0 : smallest * spec.tasks,
+      isPossible: this.#isPossible(spec, options)
+    }
+  }
+
+  #options (spec: JobSpec): Array<{ pool: CellPool, level: number }> {
+    const options: Array<{ pool: CellPool, level: number }> = []
+    for (const pool of this.#tree.pools) {
+      if (pool.acceleratorModel !== spec.acceleratorModel) continue
+      const level = taskLevel(spec, pool)
+      if (level !== undefined) options.push({ pool, level })
+    }
+    return options
+  }
+
+  #isPossible (spec: JobSpec, options: GangShape['options']): boolean {
+    switch (spec.adjacency) {
+      case 'worker': return options.some(({ pool, level }) => workerCapacity(pool, level) >= spec.tasks)
+      case 'rack': return options.some(({ pool, level }) => this.#largestRack(pool, level) >= spec.tasks)
+      case 'none': return this.#totalCapacity(options) >= spec.tasks
+    }
+  }
+
+  #totalCapacity (options: GangShape['options']): number {
+    let total = 0
+    for (const { pool, level } of options) {
+      for (const rackIndex of pool.rackIndexes) total += this.#rackCapacity(rackIndex, level)
+    }
+    return total
+  }
+
+  #largestRack (pool: CellPool, level: number): number {
+    return pool.rackIndexes.reduce((most, rackIndex) => Math.max(most, this.#rackCapacity(rackIndex, level)), 0)
+  }
+
+  #rackCapacity (rackIndex: number, level: number): number {
+    const { workerIndexes, poolIndex } = this.#tree.racks[rackIndex]!
+    return workerIndexes.length * workerCapacity(this.#tree.pools[poolIndex]!, level)
+  }
+}
+
+function workerCapacity (pool: CellPool, level: number): number {
+  return Math.floor(pool.acceleratorsPerWorker / 2 ** level)
+}
