--- a/packages/routing/src/registry.ts
+++ b/packages/routing/src/registry.ts
@@ -83,6 +83,11 @@
     this.#membershipVersion++
   }
 
+  /** Whether a backend server is known, in whatever state. */
+  has (backendServerId: string): boolean {
+    return this.#servers.has(backendServerId)
+  }
+
   /** Whether a backend server may receive new work. */
   isServing (known: KnownServer, nowMs: number): boolean {
     return known.record.state === 'active' && !known.isDraining && this.#isFresh(known, nowMs)
