--- a/packages/routing/src/settings.ts
+++ b/packages/routing/src/settings.ts
@@ -66,6 +66,10 @@
   readonly rateWindowMs: number
   readonly minRetryAfterMs: number
   readonly maxRetryAfterMs: number
+  /** Interval at which the front end sends `loadReport` to its peers. */
+  readonly loadShareIntervalMs: number
+  /** Size of one load report that the front end passes as a hint. */
+  readonly loadShareMaxBytes: number
   /** A count reported by a peer loses half its weight in this time. */
   readonly peerLoadHalfLifeMs: number
   /** A peer that sent no report for this long no longer counts. */
@@ -116,6 +120,8 @@
   rateWindowMs: 200,
   minRetryAfterMs: 50,
   maxRetryAfterMs: 30_000,
+  loadShareIntervalMs: 500,
+  loadShareMaxBytes: 800,
   peerLoadHalfLifeMs: 500,
   peerForgetAfterMs: 3_000,
   maxLoadReportEntries: 512
