--- a/packages/consensus/src/index.ts
+++ b/packages/consensus/src/index.ts
@@ -1,1 +1,5 @@
 export * from './messages.js'
+export * from './settings.js'
+export { Replica } from './replica.js'
+export type { ReplicaOptions } from './state.js'
+export { includesVoter, sameVoter, voterKey, type VoterConfiguration } from './voters.js'
--- a/packages/consensus/src/messages.ts
+++ b/packages/consensus/src/messages.ts
@@ -9,7 +9,12 @@
 /** What a log entry carries. */
 export type EntryBody<Command> =
   | { readonly kind: 'command', readonly proposalId: string, readonly command: Command }
-  | { readonly kind: 'voters', readonly voters: readonly VoterId[] }
+  | {
+    readonly kind: 'voters'
+    readonly voters: readonly VoterId[]
+    /** The set that must agree as well while a replacement is under way; empty at other times. */
+    readonly outgoingVoters: readonly VoterId[]
+  }
   | { readonly kind: 'noop' }
 
 /** One entry of the log. */
@@ -33,6 +38,8 @@
   readonly lastTerm: number
   readonly logTimeMs: number
   readonly voters: readonly VoterId[]
+  /** As in a `voters` entry: not empty where the snapshot was taken during a replacement. */
+  readonly outgoingVoters: readonly VoterId[]
   readonly content: Uint8Array
 }
 
@@ -77,6 +84,26 @@
   | { readonly kind: 'snapshot_ack', readonly term: number, readonly lastIndex: number, readonly receivedBytes: number }
   | { readonly kind: 'transfer_leadership', readonly term: number }
 
+/**
+ * Why a proposal was rejected. All but `unknown` mean that it never takes effect.
+ *
+ * - `not_leader`: it was not appended.
+ * - `lost`: its entry was overwritten.
+ * - `unknown`: a snapshot replaced the log that held its entry, which may have been committed.
+ * - `queue_full`: too many entries wait for a commit.
+ * - `change_in_progress`: another replacement of a voter is under way.
+ * - `invalid_change`: the voter to remove is not in the set, or the one to add is already.
+ * - `learner_unreachable`: the new voter did not answer, and the old set stays in force.
+ */
+export type RejectionReason =
+  | 'not_leader'
+  | 'lost'
+  | 'unknown'
+  | 'queue_full'
+  | 'change_in_progress'
+  | 'invalid_change'
+  | 'learner_unreachable'
+
 /** Role of a replica. */
 export type ReplicaRole = 'follower' | 'pre_candidate' | 'candidate' | 'leader'
 
@@ -110,8 +137,7 @@
   | {
     readonly kind: 'proposal_rejected'
     readonly proposalId: string
-    /** `lost`: the entry was overwritten and never takes effect; `not_leader`: it was not appended. */
-    readonly reason: 'not_leader' | 'lost' | 'change_in_progress'
+    readonly reason: RejectionReason
     readonly leader: VoterId | null
   }
 
--- /dev/null
+++ b/packages/consensus/src/replacement.ts
@@ -0,0 +1,138 @@
+/** Replacement of one voter at a time. */
+import type { EntryBody, VoterId } from './messages.js'
+import type { Replication } from './replication.js'
+import type { EventOf } from './role.js'
+import type { ReplicaState } from './state.js'
+import { allVoters, includesVoter, isJoint, sameVoter } from './voters.js'
+
+interface PendingReplacement {
+  readonly proposalId: string
+  readonly remove: VoterId
+  readonly add: VoterId
+  /** `catching_up`: not in the log; `joint`: both sets decide; `aborting`: the old set alone is being restored. */
+  readonly stage: 'catching_up' | 'joint' | 'aborting'
+}
+
+/** A configuration entry to append, with the proposal that it stands for. */
+export interface ConfigurationEntry<Command> {
+  readonly body: Extract<EntryBody<Command>, { kind: 'voters' }>
+  readonly proposalId?: string
+}
+
+/**
+ * Stages of a replacement. The new voter first catches up without a vote (section 4.2.1 of the Raft thesis). An entry
+ * then brings both sets into force (section 4.3). Once it is committed and the new voter has synced it, a second entry
+ * ends the old set. Waiting for the new voter there guarantees that it votes if another voter is lost right after.
+ */
+export class Replacement<Command> {
+  readonly #state: ReplicaState<Command>
+  readonly #replication: Replication<Command>
+  #pending: PendingReplacement | null = null
+
+  constructor (state: ReplicaState<Command>, replication: Replication<Command>) {
+    this.#state = state
+    this.#replication = replication
+  }
+
+  /** Accepts or rejects a replacement. */
+  start (event: EventOf<Command, 'replace_voter'>): void {
+    const { configuration, configurationIndex, commitIndex } = this.#state
+    const { proposalId, remove, add } = event
+    if (this.#pending !== null || isJoint(configuration) || configurationIndex > commitIndex) {
+      return this.#state.reject(proposalId, 'change_in_progress')
+    }
+    if (!includesVoter(configuration.voters, remove) || includesVoter(configuration.voters, add)) {
+      return this.#state.reject(proposalId, 'invalid_change')
+    }
+    this.#pending = { proposalId, remove, add, stage: 'catching_up' }
+    this.#supplyMembers()
+    this.#replication.pump()
+  }
+
+  /** Configuration entry that is due now. */
+  nextEntry (hasCommittedInTerm: boolean): ConfigurationEntry<Command> | undefined {
+    const { configurationIndex, commitIndex, configuration } = this.#state
+    // A configuration may change only after the one before is committed by this leader (Ongaro, raft-dev, 2015).
+    if (!hasCommittedInTerm || configurationIndex > commitIndex) return undefined
+    if (isJoint(configuration)) return this.#endOfJoint()
+    return this.#startOfJoint()
+  }
+
+  #startOfJoint (): ConfigurationEntry<Command> | undefined {
+    const pending = this.#pending
+    if (pending?.stage !== 'catching_up' || !this.#hasCaughtUp(pending.add)) return undefined
+    this.#pending = { ...pending, stage: 'joint' }
+    const outgoingVoters = this.#state.configuration.voters
+    const voters = outgoingVoters.map(voter => sameVoter(voter, pending.remove) ? pending.add : voter)
+    return { body: { kind: 'voters', voters, outgoingVoters }, proposalId: pending.proposalId }
+  }
+
+  #hasCaughtUp (learner: VoterId): boolean {
+    const matchIndex = this.#replication.peer(learner)?.matchIndex ?? 0
+    return this.#state.log.lastIndex - matchIndex <= this.#state.settings.learnerMaxLagEntries
+  }
+
+  #endOfJoint (): ConfigurationEntry<Command> | undefined {
+    const { configuration, configurationIndex } = this.#state
+    const incoming = this.#incomingVoters()
+    if (incoming.every(voter => this.#holds(voter, configurationIndex))) {
+      return { body: { kind: 'voters', voters: configuration.voters, outgoingVoters: [] } }
+    }
+    if (!incoming.some(voter => this.#isSilent(voter))) return undefined
+    if (this.#pending !== null) this.#pending = { ...this.#pending, stage: 'aborting' }
+    return { body: { kind: 'voters', voters: configuration.outgoingVoters, outgoingVoters: [] } }
+  }
+
+  #incomingVoters (): VoterId[] {
+    const { voters, outgoingVoters } = this.#state.configuration
+    return voters.filter(voter => !includesVoter(outgoingVoters, voter))
+  }
+
+  #holds (voter: VoterId, index: number): boolean {
+    if (sameVoter(voter, this.#state.id)) return this.#state.durableIndex >= index
+    return (this.#replication.peer(voter)?.matchIndex ?? 0) >= index
+  }
+
+  #isSilent (voter: VoterId): boolean {
+    const peer = this.#replication.peer(voter)
+    return peer !== undefined && this.#state.nowMs - peer.contactMs >= this.#state.settings.learnerSilenceMs
+  }
+
+  /** Runs after a configuration entry was appended. */
+  appended (): void {
+    this.#supplyMembers()
+  }
+
+  /** Runs after a commit; ends a replacement whose last entry is committed. */
+  committed (): void {
+    const { configuration, configurationIndex, commitIndex } = this.#state
+    const pending = this.#pending
+    if (pending === null || pending.stage === 'catching_up') return
+    if (isJoint(configuration) || configurationIndex > commitIndex) return
+    this.#pending = null
+    if (pending.stage === 'aborting') this.#state.reject(pending.proposalId, 'learner_unreachable')
+  }
+
+  /** Ends a replacement whose new voter does not answer while it should catch up. */
+  checkSilence (): void {
+    const pending = this.#pending
+    if (pending?.stage !== 'catching_up' || !this.#isSilent(pending.add)) return
+    this.#end('learner_unreachable')
+    this.#supplyMembers()
+  }
+
+  /** Runs when this leader loses its role: a replacement that is not in the log has no effect. */
+  abandon (): void {
+    if (this.#pending?.stage === 'catching_up') this.#end('not_leader')
+  }
+
+  #end (reason: 'learner_unreachable' | 'not_leader'): void {
+    if (this.#pending !== null) this.#state.reject(this.#pending.proposalId, reason)
+    this.#pending = null
+  }
+
+  #supplyMembers (): void {
+    const learners = this.#pending?.stage === 'catching_up' ? [this.#pending.add] : []
+    this.#replication.setPeers([...allVoters(this.#state.configuration), ...learners])
+  }
+}
