--- a/packages/consensus/src/transfer.ts
+++ b/packages/consensus/src/transfer.ts
@@ -70,7 +70,12 @@
       .filter(peer => peer !== undefined)
       .filter(peer => nowMs - peer.contactMs < settings.checkQuorumMs)
       .reduce<PeerProgress | undefined>((best, peer) => {
-        return best === undefined || peer.matchIndex > best.matchIndex ? peer : best
+        return best === undefined || isBetterTarget(peer, best) ? peer : best
       }, undefined)
   }
 }
+
+function isBetterTarget (peer: PeerProgress, other: PeerProgress): boolean {
+  if (peer.matchIndex !== other.matchIndex) return peer.matchIndex > other.matchIndex
+  return peer.contactMs > other.contactMs
+}
