Add stand-in backend servers, workers and a relay

Ruled out: importing the order types of control (a user's worker knows only the messages; a test checks that the types agree), a periodic scan of tasks (one timer is set to the next lease end or run end), and dropping bytes in the relay (a TCP stream with a gap is damage, not a partition).

Before: no stand-ins.

Conclusion: the lease rules are in TaskTable without I/O, so they are tested with passed-in times. An ended task stays in the report until stopTasks names it, because a missing task counts as lost.

--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,1 +1,11 @@
-export {}
+export * from './backend-behaviour.js'
+export * from './backend-server.js'
+export * from './entry-client.js'
+export * from './loopback-server.js'
+export * from './orders.js'
+export * from './relay.js'
+export * from './run-times.js'
+export * from './system-clock.js'
+export * from './task-table.js'
+export * from './worker.js'
+export * from './worker-behaviour.js'
--- /dev/null
+++ b/packages/standins/src/main.ts
@@ -0,0 +1,78 @@
+/** Command that runs one stand-in until it is told to end (SIGTERM, SIGINT). */
+import meow from 'meow'
+import { backendBehaviour, backendBehaviourNames } from './backend-behaviour.js'
+import { StandInBackendServer } from './backend-server.js'
+import { FixedRunTime } from './run-times.js'
+import { StandInWorker } from './worker.js'
+import { workerBehaviour, workerBehaviourNames } from './worker-behaviour.js'
+
+const cli = meow(`
+  Usage
+    $ node main.js --kind backend-server|worker --id ID --entry URL [--entry URL ...]
+
+  Options
+    --port        port on 127.0.0.1; 0 takes a free one (0)
+    --region, --zone, --rack  where the stand-in is located; the rack is only printed
+    --slots       slots of a backend server, accelerators of a worker (8)
+    --service     service of a backend server; repeatable (charge)
+    --service-ms  service time of a request where it names none (5)
+    --run-ms      run time of a task (1000)
+    --behaviour   backend server: serve, reject, fail_fast, freeze, answer_late, cut_after_executing
+                  worker: work, refuse, fail
+`, {
+  importMeta: import.meta,
+  allowUnknownFlags: false,
+  flags: {
+    kind: { type: 'string', choices: ['backend-server', 'worker'], isRequired: true },
+    id: { type: 'string', isRequired: true },
+    port: { type: 'number', default: 0 },
+    entry: { type: 'string', isMultiple: true, isRequired: true },
+    region: { type: 'string', default: 'montevideo' },
+    zone: { type: 'string', default: 'montevideo-a' },
+    rack: { type: 'string', default: '' },
+    slots: { type: 'number', default: 8 },
+    service: { type: 'string', isMultiple: true, default: ['charge'] },
+    serviceMs: { type: 'number', default: 5 },
+    runMs: { type: 'number', default: 1_000 },
+    behaviour: { type: 'string' }
+  }
+})
+
+/** What every stand-in of this command offers. */
+interface StandIn {
+  readonly address: string
+  start (): Promise<void>
+  stop (): Promise<void>
+}
+
+function choose<T extends string> (name: string, names: readonly T[]): T {
+  const chosen = names.find(candidate => candidate === name)
+  if (chosen !== undefined) return chosen
+  console.error(`--behaviour ${name} is not known; allowed: ${names.join(', ')}`)
+  process.exit(2)
+}
+
+function createBackendServer (): StandIn {
+  const { id, entry, port, region, zone, slots, service, serviceMs, behaviour } = cli.flags
+  const server = new StandInBackendServer({
+    backendServerId: id, entries: entry, port, region, availabilityZone: zone, slots, services: service, serviceMs
+  })
+  if (behaviour !== undefined) server.behave(backendBehaviour(choose(behaviour, backendBehaviourNames)))
+  return server
+}
+
+function createWorker (): StandIn {
+  const { id, entry, port, slots, runMs, behaviour } = cli.flags
+  const runTimes = new FixedRunTime(runMs)
+  const worker = new StandInWorker({ workerId: id, entries: entry, port, accelerators: slots, runTimes })
+  if (behaviour !== undefined) worker.behave(workerBehaviour(choose(behaviour, workerBehaviourNames)))
+  return worker
+}
+
+const { kind, id, region, zone, rack } = cli.flags
+const standIn = kind === 'worker' ? createWorker() : createBackendServer()
+await standIn.start()
+console.log(JSON.stringify({ event: 'ready', kind, id, region, zone, rack, address: standIn.address }))
+for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+  process.once(signal, () => { standIn.stop().catch(() => { process.exitCode = 1 }) })
+}
--- /dev/null
+++ b/packages/standins/src/relay.ts
@@ -0,0 +1,146 @@
+/** A TCP relay on loopback that can fall silent, for tests of partitions and of connections that die unnoticed. */
+import { type AddressInfo, connect, createServer, type Server, type Socket } from 'node:net'
+import { LOOPBACK_HOST } from './loopback-server.js'
+
+/** Which bytes are held back. */
+export type BlockedDirection = 'to_target' | 'to_client' | 'both'
+
+/** Forwards TCP connections to a target port until told to hold bytes back. */
+export class Relay {
+  readonly #server: Server
+  readonly #connections = new Set<RelayedConnection>()
+  #blocked: BlockedDirection | undefined
+  #port = 0
+
+  /**
+   * @example
+   * const relay = new Relay(8080)
+   * const port = await relay.start()
+   * relay.block('both')
+   * relay.restore()
+   * await relay.stop()
+   */
+  constructor (targetPort: number) {
+    this.#server = createServer({ allowHalfOpen: true }, client => this.#accept(client, targetPort))
+  }
+
+  /** Port that clients connect to; valid after `start`. */
+  get port (): number {
+    return this.#port
+  }
+
+  /** Connections that are open at present. */
+  get openConnections (): number {
+    return this.#connections.size
+  }
+
+  /** Opens a port, a free one by default, and returns its number. */
+  async start (port = 0): Promise<number> {
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once('error', reject)
+      this.#server.listen(port, LOOPBACK_HOST, resolve)
+    })
+    this.#port = (this.#server.address() as AddressInfo).port
+    return this.#port
+  }
+
+  /** Holds bytes and closures back, on open connections and new ones. No end notices anything but silence. */
+  block (direction: BlockedDirection): void {
+    this.#blocked = direction
+    for (const connection of this.#connections) connection.block(direction)
+  }
+
+  /** Forwards again; bytes that were held back are delivered, as TCP does after a partition. */
+  restore (): void {
+    this.#blocked = undefined
+    for (const connection of this.#connections) connection.restore()
+  }
+
+  /** Makes the open connections silent for good, while new ones work. */
+  silenceOpenConnections (): void {
+    for (const connection of this.#connections) connection.silence()
+  }
+
+  /** Closes the port and every connection. */
+  async stop (): Promise<void> {
+    const closed = new Promise<void>(resolve => this.#server.close(() => resolve()))
+    for (const connection of this.#connections) connection.destroy()
+    await closed
+  }
+
+  #accept (client: Socket, targetPort: number): void {
+    const target = connect({ port: targetPort, host: LOOPBACK_HOST, allowHalfOpen: true })
+    const connection = new RelayedConnection(client, target, () => this.#connections.delete(connection))
+    this.#connections.add(connection)
+    if (this.#blocked !== undefined) connection.block(this.#blocked)
+  }
+}
+
+/** One client connection and its connection to the target. */
+class RelayedConnection {
+  readonly #toTarget: OneWay
+  readonly #toClient: OneWay
+  #isSilenced = false
+
+  constructor (client: Socket, target: Socket, closed: () => void) {
+    this.#toTarget = new OneWay(client, target)
+    this.#toClient = new OneWay(target, client)
+    client.on('close', closed)
+  }
+
+  block (direction: BlockedDirection): void {
+    this.#toTarget.setBlocked(direction !== 'to_client')
+    this.#toClient.setBlocked(direction !== 'to_target')
+  }
+
+  restore (): void {
+    if (this.#isSilenced) return
+    this.#toTarget.setBlocked(false)
+    this.#toClient.setBlocked(false)
+  }
+
+  silence (): void {
+    this.block('both')
+    this.#isSilenced = true
+  }
+
+  destroy (): void {
+    this.#toTarget.destroy()
+    this.#toClient.destroy()
+  }
+}
+
+/** Copies bytes, the end and the loss of one socket to another, with backpressure. */
+class OneWay {
+  readonly #from: Socket
+  readonly #to: Socket
+  #isBlocked = false
+  #isLost = false
+
+  constructor (from: Socket, to: Socket) {
+    this.#from = from
+    this.#to = to
+    from.on('data', chunk => { if (!to.write(chunk)) from.pause() })
+    from.on('end', () => to.end())
+    from.on('close', () => this.#lose())
+    from.on('error', () => from.destroy())
+    to.on('drain', () => { if (!this.#isBlocked) from.resume() })
+  }
+
+  /** Reading stops while blocked, so the bytes stay with the sender as in a network that loses packets. */
+  setBlocked (isBlocked: boolean): void {
+    this.#isBlocked = isBlocked
+    if (isBlocked) this.#from.pause()
+    else this.#from.resume()
+    if (!isBlocked && this.#isLost) this.#to.destroy()
+  }
+
+  destroy (): void {
+    this.#from.destroy()
+  }
+
+  #lose (): void {
+    this.#isLost = true
+    if (!this.#isBlocked) this.#to.destroySoon()
+  }
+}
--- /dev/null
+++ b/packages/standins/src/system-clock.ts
@@ -0,0 +1,18 @@
+import { performance } from 'node:perf_hooks'
+import type { Clock } from '@comfreygrade/core'
+
+/**
+ * The clock of this process. All stand-ins of one process share its monotonic origin, so their records compare.
+ *
+ * @example
+ * const sentAtMs = new SystemClock().monotonicMs()
+ */
+export class SystemClock implements Clock {
+  monotonicMs (): number {
+    return performance.now()
+  }
+
+  wallMs (): number {
+    return Date.now()
+  }
+}
--- /dev/null
+++ b/packages/standins/test/worker.test.ts
@@ -0,0 +1,73 @@
+import test from 'ava'
+import { request } from 'undici'
+import { FailEverything, FixedRunTime, type OrderKind, RefusePrepare, StandInWorker } from '../src/index.js'
+import { FakeEntry, until } from './fake-entry.js'
+
+async function send (worker: StandInWorker, ...kinds: OrderKind[]) {
+  const orders = kinds.map(kind => ({
+    kind, jobId: 'j-1', taskIndex: 0, leaseId: 1, firstAccelerator: 0, acceleratorCount: 8, leaseMs: 300
+  }))
+  const answer = await request(`${worker.address}/v1/orders`, {
+    method: 'POST', body: JSON.stringify({ term: 1, orders }), signal: AbortSignal.timeout(500)
+  })
+  return await answer.body.json() as { results: string[] }
+}
+
+async function started (runMs: number): Promise<{ entry: FakeEntry, worker: StandInWorker }> {
+  const entry = new FakeEntry()
+  await entry.start()
+  const worker = new StandInWorker({ entries: [entry.address], runTimes: new FixedRunTime(runMs) })
+  await worker.start()
+  return { entry, worker }
+}
+
+async function stop ({ entry, worker }: { entry: FakeEntry, worker: StandInWorker }): Promise<void> {
+  await worker.stop()
+  await entry.stop()
+}
+
+test('heartbeats renew a lease, so a task that runs longer than its lease completes', async t => {
+  const pair = await started(600)
+  await send(pair.worker, 'prepare', 'start')
+  await until(() => pair.worker.runs[0]?.endedMs !== undefined)
+  t.is(pair.worker.runs[0]?.state, 'completed')
+  await stop(pair)
+})
+
+test('a task is stopped once the entry node is gone, so an unreachable worker frees its cell by itself', async t => {
+  const { entry, worker } = await started(5_000)
+  await send(worker, 'prepare', 'start')
+  await entry.stop()
+  await until(() => worker.runs[0]?.endedMs !== undefined)
+  t.like(worker.runs[0], { state: 'stopped', isLeaseLost: true })
+  await worker.kill()
+})
+
+test('a frozen worker answers no order and stops its task on thawing, so its gang can run elsewhere', async t => {
+  const pair = await started(5_000)
+  await send(pair.worker, 'prepare', 'start')
+  pair.worker.freeze()
+  await t.throwsAsync(send(pair.worker, 'stop'), { any: true, name: 'TimeoutError' })
+  pair.worker.thaw()
+  t.like(pair.worker.runs[0], { state: 'stopped', isLeaseLost: true })
+  await stop(pair)
+})
+
+test('a failure is reported at once, so the gang does not wait for the next heartbeat', async t => {
+  const pair = await started(5_000)
+  pair.entry.leaseMs = 60_000
+  pair.worker.behave(new FailEverything())
+  await send(pair.worker, 'prepare', 'start')
+  const hasFailure = () => JSON.stringify(pair.entry.announcements.at(-1)).includes('"failed"')
+  await until(hasFailure)
+  t.true(hasFailure())
+  await stop(pair)
+})
+
+test('a worker that refuses holds nothing, so the leader must requeue the gang', async t => {
+  const pair = await started(5_000)
+  pair.worker.behave(new RefusePrepare())
+  t.deepEqual((await send(pair.worker, 'prepare')).results, ['refused'])
+  t.is(pair.worker.runs.length, 0)
+  await stop(pair)
+})
