Add the operators' command line

Cause: operators have no way to check, apply and inspect but raw HTTP, where a lost answer or a racing change is easily misread.

Ruled out: using the types of control and placement in the client (a client is written from the HTTP page alone; a test checks that the types agree), trying the next node for every call (a non-repeatable request without a key goes to one node, once), and stopping at the first error of a file.

Before: no command line.

Conclusion: a single node is asked twice where a call is safe to repeat, so a lost answer of config apply is recovered within the command.

--- /dev/null
+++ b/packages/cli/src/command-line.ts
@@ -0,0 +1,143 @@
+/** Reads the command line, runs the command it names and reports problems. */
+import { readFile } from 'node:fs/promises'
+import meow from 'meow'
+import { ClientError } from './client-error.js'
+import { Command, type CommandContext, type CommandOptions } from './command.js'
+import * as configuration from './configuration-commands.js'
+import { type ExitReason, exitReasonOf } from './exit.js'
+import * as fleet from './fleet-commands.js'
+import * as jobs from './job-commands.js'
+import { NodeClient } from './node-client.js'
+import { JsonOutput, type Output, type Streams, TextOutput } from './output.js'
+import * as requests from './request-commands.js'
+
+/** Address where no `--node` is given. */
+const DEFAULT_NODE = 'http://127.0.0.1:8080'
+
+const commands: readonly Command[] = [
+  new configuration.ConfigCheckCommand(),
+  new configuration.ConfigDiffCommand(),
+  new configuration.ConfigApplyCommand(),
+  new configuration.ConfigShowCommand(),
+  new configuration.ConfigStatusCommand(),
+  new fleet.FleetCommand(),
+  new fleet.QueueCommand(),
+  new fleet.GuaranteesCommand(),
+  new jobs.JobsCommand(),
+  new jobs.JobSubmitCommand(),
+  new jobs.JobShowCommand(),
+  new jobs.JobCancelCommand(),
+  new jobs.JobExplainCommand(),
+  new jobs.JobWatchCommand(),
+  new requests.RequestCommand(),
+  new requests.ClaimCommand(),
+  new fleet.DrainCommand(),
+  new fleet.UndrainCommand(),
+  new fleet.StatusCommand()
+]
+
+/**
+ * Runs one command line.
+ *
+ * @returns why the process ends; `exitCodes` gives the code
+ * @example
+ * await runCommandLine(['config', 'status', '--json'], streams) // 'done'
+ */
+export async function runCommandLine (argv: readonly string[], streams: Streams): Promise<ExitReason> {
+  const { input, flags } = parse(argv)
+  const output = flags.json ? new JsonOutput(streams) : new TextOutput(streams)
+  const usageProblem = checkNumbers(flags)
+  const command = findCommand(input)
+  if (command === undefined || usageProblem !== undefined) return reportUsage(output, input, usageProblem)
+  const client = new NodeClient(flags.node, flags.timeoutMs)
+  try {
+    const values = input.slice(command.words.length)
+    return await command.run(toContext(client, output, streams, flags, values))
+  } catch (error) {
+    if (!(error instanceof ClientError)) throw error
+    output.problem({ problem: error.problem }, error.message)
+    return exitReasonOf(error.problem)
+  } finally {
+    await client.close()
+  }
+}
+
+function parse (argv: readonly string[]) {
+  return meow(helpText(), {
+    importMeta: import.meta,
+    argv,
+    allowUnknownFlags: false,
+    flags: {
+      node: { type: 'string', isMultiple: true, default: [DEFAULT_NODE] },
+      json: { type: 'boolean', default: false },
+      timeoutMs: { type: 'number', default: 10_000 },
+      phase: { type: 'string' },
+      organisation: { type: 'string' },
+      limit: { type: 'number' },
+      key: { type: 'string' },
+      nonRepeatable: { type: 'boolean', default: false },
+      deadlineMs: { type: 'number' },
+      requestClass: { type: 'string' },
+      contentType: { type: 'string' },
+      intervalMs: { type: 'number', default: 1_000 },
+      withNode: { type: 'boolean', default: false }
+    }
+  })
+}
+
+type Flags = ReturnType<typeof parse>['flags']
+
+function helpText (): string {
+  const width = Math.max(...commands.map(command => command.usage.length))
+  const lines = commands.map(({ usage, summary }) => `    ${usage.padEnd(width)}  ${summary}`)
+  return `
+  Usage
+    $ comfreygrade COMMAND [options]
+
+  Commands
+${lines.join('\n')}
+
+  Options
+    --node URL         a node; repeatable, the next is tried when one cannot be reached (${DEFAULT_NODE})
+    --json             JSON for programs instead of tables; problems go to stderr as JSON too
+    --timeout-ms N     time for one attempt at one node (10000)
+    --organisation ID  of "request"; filter of "jobs"
+    --phase P, --limit N                      filters of "jobs"
+    --non-repeatable, --key UUID              of "request"; a key is made where none is given
+    --deadline-ms N, --request-class C, --content-type T  of "request"
+    --interval-ms N    of "job watch" (1000)
+
+  Exit codes
+    0 done, 1 refused, 2 usage or invalid file, 3 conflict, 4 no node could be reached
+`
+}
+
+function findCommand (input: readonly string[]): Command | undefined {
+  return commands.find(({ words, parameters }) => (
+    input.length === words.length + parameters.length && words.every((word, index) => input[index] === word)))
+}
+
+function checkNumbers (flags: Flags): string | undefined {
+  const { timeoutMs, intervalMs, deadlineMs, limit } = flags
+  const numbers = {
+    '--timeout-ms': timeoutMs, '--interval-ms': intervalMs, '--deadline-ms': deadlineMs, '--limit': limit
+  }
+  const isWrong = (value: number | undefined) => value !== undefined && !(Number.isInteger(value) && value > 0)
+  const wrong = Object.entries(numbers).filter(([, value]) => isWrong(value))
+  if (wrong.length === 0) return undefined
+  return wrong.map(([name, value]) => `${name}: found ${value}, allowed a whole number of at least 1`).join('\n')
+}
+
+function reportUsage (output: Output, input: readonly string[], problem: string | undefined): ExitReason {
+  const usages = commands.map(command => command.usage)
+  const text = problem ?? `found "${input.join(' ')}", allowed one of:\n  ${usages.join('\n  ')}`
+  output.problem({ usage: text }, text)
+  return 'usage'
+}
+
+function toContext (
+  client: NodeClient, output: Output, streams: Streams, flags: Flags, values: readonly string[]
+): CommandContext {
+  const options: CommandOptions = flags
+  return { client, output, streams, options, values, readFile: async file => await readFile(file, 'utf8') }
+}
--- /dev/null
+++ b/packages/cli/src/configuration-commands.ts
@@ -0,0 +1,197 @@
+/** `config check|diff|apply|show|status`. */
+import {
+  type Configuration, type ConfigurationChange, type ConfigurationDocument, diffDocument,
+  fromDocument, type Upsert
+} from '@comfreygrade/core'
+import { stringify } from 'yaml'
+import type { ChangeAnswer } from './answers.js'
+import { ClientError } from './client-error.js'
+import { Command, type CommandContext, readInput } from './command.js'
+import { readConfigurationFile } from './configuration-file.js'
+import { type ExitReason, exitReasonOf } from './exit.js'
+import type { NodeClient } from './node-client.js'
+import { renderTable } from './tables.js'
+
+/** `config check FILE`: the checks that need no node; with `--with-node` also those that do. */
+export class ConfigCheckCommand extends Command {
+  override readonly words = ['config', 'check']
+  override readonly parameters = ['FILE']
+  override readonly summary = 'check a configuration file; --with-node also asks a node whether it would be accepted'
+
+  override async run (context: CommandContext): Promise<ExitReason> {
+    const document = await readDocument(context)
+    if (document === undefined) return 'usage'
+    if (context.options.withNode) await dryRun(context.client, await changeTo(context.client, document))
+    const counts = countRecords(document)
+    context.output.show({ isValid: true, ...counts }, () => `${context.values[0]} is valid: ${describeCounts(counts)}`)
+    return 'done'
+  }
+}
+
+/** `config diff FILE`: what `apply` would change, and whether it would be accepted. */
+export class ConfigDiffCommand extends Command {
+  override readonly words = ['config', 'diff']
+  override readonly parameters = ['FILE']
+  override readonly summary = 'show what apply would change and whether it would be accepted'
+
+  override async run (context: CommandContext): Promise<ExitReason> {
+    const document = await readDocument(context)
+    if (document === undefined) return 'usage'
+    const current = await currentConfiguration(context.client)
+    const change = diffDocument(current, document)
+    context.output.show({ change }, () => renderChange(current, change))
+    if (!isEmptyChange(change)) await dryRun(context.client, change)
+    return 'done'
+  }
+}
+
+/** `config apply FILE`. */
+export class ConfigApplyCommand extends Command {
+  override readonly words = ['config', 'apply']
+  override readonly parameters = ['FILE']
+  override readonly summary = 'put a configuration file in force'
+
+  override async run (context: CommandContext): Promise<ExitReason> {
+    const document = await readDocument(context)
+    if (document === undefined) return 'usage'
+    try {
+      const result = await applyDocument(context.client, document)
+      context.output.show(result, () => describeApplied(result))
+      return 'done'
+    } catch (error) {
+      return await reportConflict(context, document, error)
+    }
+  }
+}
+
+/** `config show`. */
+export class ConfigShowCommand extends Command {
+  override readonly words = ['config', 'show']
+  override readonly summary = 'print the configuration in force as YAML that apply accepts'
+
+  override async run ({ client, output }: CommandContext): Promise<ExitReason> {
+    const answer = await client.configuration()
+    output.show(answer, () => `# version ${answer.version}\n${stringify(answer.document).trimEnd()}`)
+    return 'done'
+  }
+}
+
+/** `config status`. */
+export class ConfigStatusCommand extends Command {
+  override readonly words = ['config', 'status']
+  override readonly summary = 'show on which nodes the configuration is in force'
+
+  override async run ({ client, output }: CommandContext): Promise<ExitReason> {
+    const status = await client.configurationStatus()
+    output.show(status, () => {
+      const rows = status.nodes.map(node => [node.nodeId, node.acknowledgedVersion, node.hasLease ? 'yes' : 'no'])
+      const place = status.isInForceEverywhere ? 'everywhere' : 'not everywhere yet'
+      return `version ${status.version}, in force ${place}\n${renderTable(['node', 'acknowledged', 'lease'], rows)}`
+    })
+    return 'done'
+  }
+}
+
+/** Result of {@link applyDocument}. */
+export interface ApplyResult {
+  readonly version: number
+  readonly changedRecords: number
+}
+
+/**
+ * Puts a document in force: computes the change against what is in force and sends it. The transport sends the same
+ * change again where an answer is lost, and the node then gives the same answer.
+ *
+ * @example
+ * await applyDocument(client, document) // { version: 4, changedRecords: 2 }
+ */
+export async function applyDocument (client: NodeClient, document: ConfigurationDocument): Promise<ApplyResult> {
+  const change = await changeTo(client, document)
+  if (isEmptyChange(change)) return { version: change.baseVersion, changedRecords: 0 }
+  const { version } = await client.applyChange(change)
+  return { version, changedRecords: countChanges(change) }
+}
+
+async function readDocument (context: CommandContext): Promise<ConfigurationDocument | undefined> {
+  return await readInput(context, context.values[0] ?? '', readConfigurationFile)
+}
+
+async function currentConfiguration (client: NodeClient): Promise<Configuration> {
+  const { version, document } = await client.configuration()
+  return fromDocument(document, version)
+}
+
+async function changeTo (client: NodeClient, document: ConfigurationDocument): Promise<ConfigurationChange> {
+  return diffDocument(await currentConfiguration(client), document)
+}
+
+async function dryRun (client: NodeClient, change: ConfigurationChange): Promise<ChangeAnswer> {
+  return await client.applyChange(change, true)
+}
+
+/** Somebody else's change is in force, so it is shown next to what the file would change in it. */
+async function reportConflict (
+  { client, output }: CommandContext, document: ConfigurationDocument, error: unknown
+): Promise<ExitReason> {
+  if (!(error instanceof ClientError) || exitReasonOf(error.problem) !== 'conflict') throw error
+  const current = await currentConfiguration(client)
+  const change = diffDocument(current, document)
+  output.problem({ problem: error.problem, versionInForce: current.version, change },
+    `${error.message}\nversion ${current.version} is in force; the file differs from it in:\n${renderChange(current, change)}`)
+  return 'conflict'
+}
+
+function isEmptyChange (change: ConfigurationChange): boolean {
+  return countChanges(change) === 0
+}
+
+function countChanges ({ upserts, removes }: ConfigurationChange): number {
+  return upserts.length + removes.length
+}
+
+function describeApplied ({ version, changedRecords }: ApplyResult): string {
+  if (changedRecords === 0) return `nothing to change, version ${version} is in force`
+  return `version ${version} accepted, ${changedRecords} records changed`
+}
+
+function countRecords (document: ConfigurationDocument): Record<string, number> {
+  const { racks, workers, organisations, guarantees } = document
+  return {
+    racks: racks.length, workers: workers.length, organisations: organisations.length, guarantees: guarantees.length
+  }
+}
+
+function describeCounts (counts: Readonly<Record<string, number>>): string {
+  return Object.entries(counts).map(([name, count]) => `${count} ${name}`).join(', ')
+}
+
+function renderChange (current: Configuration, change: ConfigurationChange): string {
+  if (isEmptyChange(change)) return `no difference from version ${current.version}`
+  const removed = change.removes.map(({ kind, id }) => ['remove', kind, id, ''])
+  const written = change.upserts.map(upsert => describeUpsert(current, upsert))
+  return renderTable(['change', 'kind', 'id', 'fields'], [...removed, ...written])
+}
+
+function describeUpsert (current: Configuration, upsert: Upsert): string[] {
+  const { id, existing } = findExisting(current, upsert)
+  const fields = Object.entries(upsert.record)
+    .filter(([name, value]) => existing === undefined || Reflect.get(existing, name) !== value)
+    .map(([name, value]) => existing === undefined ? `${name}=${value}` : `${name}: ${Reflect.get(existing, name)} -> ${value}`)
+  return [existing === undefined ? 'add' : 'replace', upsert.kind, id, fields.join(', ')]
+}
+
+function findExisting (current: Configuration, upsert: Upsert): { id: string, existing: object | undefined } {
+  switch (upsert.kind) {
+    case 'rack': return { id: upsert.record.rackId, existing: current.racks.get(upsert.record.rackId) }
+    case 'worker': return { id: upsert.record.workerId, existing: current.workers.get(upsert.record.workerId) }
+    case 'organisation': {
+      const { organisationId } = upsert.record
+      return { id: organisationId, existing: current.organisations.get(organisationId) }
+    }
+    case 'guarantee': {
+      const { guaranteeId } = upsert.record
+      return { id: guaranteeId, existing: current.guarantees.get(guaranteeId) }
+    }
+    case 'rules': return { id: 'rules', existing: current.rules }
+  }
+}
--- /dev/null
+++ b/packages/cli/src/fleet-commands.ts
@@ -0,0 +1,115 @@
+/** `fleet`, `queue`, `guarantees`, `drain`, `undrain` and `status`. */
+import { type DrainKind, drainKinds, type FleetAnswer, type GuaranteeAnswer } from './answers.js'
+import { Command, type CommandContext } from './command.js'
+import type { ExitReason } from './exit.js'
+import { renderJobs } from './job-commands.js'
+import { renderFields, renderSections, renderTable } from './tables.js'
+
+/** `fleet`. */
+export class FleetCommand extends Command {
+  override readonly words = ['fleet']
+  override readonly summary = 'show totals, workers, backend servers and drains'
+
+  override async run ({ client, output }: CommandContext): Promise<ExitReason> {
+    const fleet = await client.fleet()
+    output.show(fleet, () => renderFleet(fleet))
+    return 'done'
+  }
+}
+
+/** `queue`. */
+export class QueueCommand extends Command {
+  override readonly words = ['queue']
+  override readonly summary = 'list waiting jobs in the order in which they are considered'
+
+  override async run ({ client, output }: CommandContext): Promise<ExitReason> {
+    const answer = await client.queue()
+    output.show(answer, () => renderJobs(answer.jobs, answer.total))
+    return 'done'
+  }
+}
+
+/** `guarantees`. */
+export class GuaranteesCommand extends Command {
+  override readonly words = ['guarantees']
+  override readonly summary = 'show what each guarantee holds, lends and misses'
+
+  override async run ({ client, output }: CommandContext): Promise<ExitReason> {
+    const guarantees = await client.guarantees()
+    output.show({ guarantees }, () => renderGuarantees(guarantees))
+    return 'done'
+  }
+}
+
+/** `status`. */
+export class StatusCommand extends Command {
+  override readonly words = ['status']
+  override readonly summary = 'show the status and counters of the node that answers'
+
+  override async run ({ client, output }: CommandContext): Promise<ExitReason> {
+    const status = await client.status()
+    output.show(status, () => renderFields(status))
+    return 'done'
+  }
+}
+
+/** Commands that take a kind and an ID of a part. */
+abstract class DrainPartCommand extends Command {
+  override readonly parameters = ['KIND', 'ID']
+
+  override async run (context: CommandContext): Promise<ExitReason> {
+    const [kind = '', id = ''] = context.values
+    const drainKind = drainKinds.find(candidate => candidate === kind)
+    if (drainKind === undefined) {
+      context.output.problem({ found: kind, allowed: drainKinds }, `KIND ${kind}: allowed ${drainKinds.join(', ')}`)
+      return 'usage'
+    }
+    await this.apply(context, drainKind, id)
+    return 'done'
+  }
+
+  protected abstract apply (context: CommandContext, kind: DrainKind, id: string): Promise<void>
+}
+
+/** `drain KIND ID`. */
+export class DrainCommand extends DrainPartCommand {
+  override readonly words = ['drain']
+  override readonly summary = `give a part no new work; KIND is ${drainKinds.join(', ')}`
+
+  protected override async apply ({ client, output }: CommandContext, kind: DrainKind, id: string): Promise<void> {
+    await client.drain({ kind, id })
+    output.show({ kind, id, isDraining: true }, () => `${kind} ${id} gets no new work`)
+  }
+}
+
+/** `undrain KIND ID`. */
+export class UndrainCommand extends DrainPartCommand {
+  override readonly words = ['undrain']
+  override readonly summary = 'end a drain'
+
+  protected override async apply ({ client, output }: CommandContext, kind: DrainKind, id: string): Promise<void> {
+    await client.undrain({ kind, id })
+    output.show({ kind, id, isDraining: false }, () => `${kind} ${id} gets work again`)
+  }
+}
+
+function renderFleet ({ report, workers, drains, backendServers }: FleetAnswer): string {
+  const { guarantees: _guarantees, ...totals } = report
+  const workerRows = workers.map(({ workerId, state, tasks, address }) => [workerId, state, tasks, address])
+  const serverRows = backendServers.map(server => (
+    [server.backendServerId, server.state, server.availabilityZone, server.services.join(', '), server.slots, server.address]))
+  return renderSections([
+    ['Totals', renderFields(totals)],
+    ['Workers', renderTable(['worker', 'state', 'tasks', 'address'], workerRows)],
+    ['Backend servers', renderTable(['backend server', 'state', 'zone', 'services', 'slots', 'address'], serverRows)],
+    ['Drains', renderTable(['kind', 'id'], drains.map(({ kind, id }) => [kind, id]))]
+  ])
+}
+
+function renderGuarantees (guarantees: readonly GuaranteeAnswer[]): string {
+  const head = ['guarantee', 'organisation', 'cell', 'cells', 'in use', 'lent accelerators', 'missing cells']
+  return renderTable(head, guarantees.map(guarantee => [
+    guarantee.guaranteeId, guarantee.organisationId, `${guarantee.acceleratorsPerCell} ${guarantee.acceleratorModel}`,
+    guarantee.cells, guarantee.cellsInUse, guarantee.lentAccelerators, guarantee.missingCells
+  ]))
+}
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,1 +1,12 @@
-export {}
+export * from './answers.js'
+export * from './client-error.js'
+export * from './command-line.js'
+export { applyDocument, type ApplyResult } from './configuration-commands.js'
+export * from './configuration-file.js'
+export * from './exit.js'
+export * from './job-file.js'
+export * from './node-client.js'
+export * from './node-transport.js'
+export * from './output.js'
+export * from './uuid-v7.js'
+export * from './yaml-file.js'
--- /dev/null
+++ b/packages/cli/src/node-transport.ts
@@ -0,0 +1,107 @@
+/** Sends HTTP requests to one of several nodes. */
+import { Agent, type Dispatcher, request } from 'undici'
+import { ClientError, type ClientProblem, parseErrorBody } from './client-error.js'
+
+/** One call to a node. */
+export interface NodeCall {
+  readonly method: 'GET' | 'POST' | 'DELETE'
+  readonly path: string
+  readonly headers?: Readonly<Record<string, string>>
+  readonly body?: string | Buffer
+  /** Whether a second execution of the same call changes nothing. */
+  readonly isSafeToRepeat: boolean
+}
+
+/** A complete answer of a node. */
+export interface NodeAnswer {
+  readonly status: number
+  readonly headers: Readonly<Record<string, string>>
+  readonly body: Buffer
+}
+
+type Attempt =
+  | { readonly kind: 'answered', readonly answer: NodeAnswer }
+  | { readonly kind: 'failed', readonly problem: ClientProblem & { kind: 'unreachable' } }
+
+/** Errors that arise before any byte of a request is sent. */
+const NOT_SENT_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT', 'ENOTFOUND'])
+
+/**
+ * Tries nodes in the order given, as long as a call is safe to repeat.
+ *
+ * @example
+ * const transport = new NodeTransport(['http://127.0.0.1:8080'], 5_000)
+ * await transport.call({ method: 'GET', path: '/v1/status', isSafeToRepeat: true })
+ */
+export class NodeTransport {
+  readonly #nodes: readonly string[]
+  readonly #timeoutMs: number
+  readonly #agent: Agent
+
+  constructor (nodes: readonly string[], timeoutMs: number) {
+    this.#nodes = nodes.map(node => node.replace(/\/+$/, ''))
+    this.#timeoutMs = timeoutMs
+    this.#agent = new Agent({ connect: { timeout: timeoutMs } })
+  }
+
+  /** Gives the first complete answer; throws a {@link ClientError} where no node gave one. */
+  async call (call: NodeCall): Promise<NodeAnswer> {
+    let problem: ClientProblem & { kind: 'unreachable' } | undefined
+    for (const node of this.#targets(call)) {
+      const attempt = await this.#attempt(node, call)
+      if (attempt.kind === 'answered') return attempt.answer
+      problem = worse(problem, attempt.problem)
+    }
+    throw new ClientError(problem ?? { kind: 'unreachable', progress: 'not_sent', detail: 'no node is given' })
+  }
+
+  /** Closes the connections. */
+  async close (): Promise<void> {
+    await this.#agent.destroy()
+  }
+
+  /** A single node is asked twice, since a lost answer is as likely as a lost node. */
+  #targets ({ isSafeToRepeat }: NodeCall): readonly string[] {
+    if (!isSafeToRepeat) return this.#nodes.slice(0, 1)
+    return this.#nodes.length === 1 ? [...this.#nodes, ...this.#nodes] : this.#nodes
+  }
+
+  async #attempt (node: string, { method, path, headers, body }: NodeCall): Promise<Attempt> {
+    try {
+      const signal = AbortSignal.timeout(this.#timeoutMs)
+      const response = await request(node + path, { method, headers, body, signal, dispatcher: this.#agent })
+      return { kind: 'answered', answer: await readAnswer(response) }
+    } catch (error) {
+      return { kind: 'failed', problem: toProblem(node, error) }
+    }
+  }
+}
+
+/** Reads a refusal out of an answer; undefined where it is not one. */
+export function findRefusal (answer: NodeAnswer): ClientProblem | undefined {
+  if (answer.status < 400) return undefined
+  const body = parseErrorBody(answer.body.toString('utf8'))
+  return body === undefined ? undefined : { kind: 'refused', status: answer.status, body }
+}
+
+async function readAnswer (response: Dispatcher.ResponseData): Promise<NodeAnswer> {
+  const headers = Object.entries(response.headers).map(([name, value]) => [name, String(value)])
+  const body = Buffer.from(await response.body.arrayBuffer())
+  return { status: response.statusCode, headers: Object.fromEntries(headers), body }
+}
+
+function toProblem (node: string, error: unknown): ClientProblem & { kind: 'unreachable' } {
+  const { code, message } = error as { code?: unknown, message?: string }
+  const progress = NOT_SENT_CODES.has(String(code)) ? 'not_sent' : 'maybe_sent'
+  return { kind: 'unreachable', progress, detail: `${node}: ${message ?? String(error)}` }
+}
+
+function worse (
+  earlier: ClientProblem & { kind: 'unreachable' } | undefined,
+  later: ClientProblem & { kind: 'unreachable' }
+): ClientProblem & { kind: 'unreachable' } {
+  if (earlier === undefined) return later
+  const progress = earlier.progress === 'maybe_sent' ? 'maybe_sent' : later.progress
+  const detail = earlier.detail === later.detail ? later.detail : `${earlier.detail}; ${later.detail}`
+  return { kind: 'unreachable', progress, detail }
+}
--- /dev/null
+++ b/packages/cli/src/yaml-file.ts
@@ -0,0 +1,139 @@
+/** Reads a YAML (or JSON) file against a schema and reports every error at once. */
+import { isMap, isNode, isScalar, LineCounter, parseDocument, type Document } from 'yaml'
+import { z } from 'zod'
+
+/** One error in a file. */
+export interface FileProblem {
+  readonly file: string
+  readonly line: number
+  /** Path of the field, for example `workers[3].cores`; empty for syntax. */
+  readonly field: string
+  readonly found: string
+  readonly allowed: string
+}
+
+/** Position of a value in a document. */
+export type FieldPath = ReadonlyArray<string | number>
+
+/** What a check finds wrong with one field. */
+export interface FieldProblem {
+  readonly path: FieldPath
+  readonly found: string
+  readonly allowed: string
+}
+
+/** A valid value, or all that is wrong with the file. */
+export type FileReading<T> =
+  | { readonly kind: 'valid', readonly value: T }
+  | { readonly kind: 'invalid', readonly problems: readonly FileProblem[] }
+
+/** Longest piece of a found value that is shown. */
+const MAX_FOUND_CHARACTERS = 80
+
+/**
+ * Checks a text against a schema, then by `check`, which sees only values that have the right shape.
+ *
+ * @example
+ * readYaml('jobs.yaml', text, jobSchema, () => [])
+ */
+export function readYaml<T> (
+  file: string, text: string, schema: z.ZodType<T>, check: (value: T) => readonly FieldProblem[]
+): FileReading<T> {
+  const lineCounter = new LineCounter()
+  const document = parseDocument(text, { lineCounter })
+  if (document.errors.length > 0) return { kind: 'invalid', problems: syntaxProblems(file, text, document) }
+  const data: unknown = document.toJS()
+  const parsed = schema.safeParse(data)
+  const found = parsed.success ? check(parsed.data) : parsed.error.issues.flatMap(issue => explain(issue, data, schema))
+  const problems = found.map(({ path, ...problem }) => (
+    { file, line: lineOf(document, lineCounter, path), field: formatPath(path), ...problem }))
+  if (parsed.success && problems.length === 0) return { kind: 'valid', value: parsed.data }
+  return { kind: 'invalid', problems: problems.sort((left, right) => left.line - right.line) }
+}
+
+/**
+ * Gives a problem as one line.
+ *
+ * @example
+ * formatFileProblem(problem) // 'a.yaml:7: rules.maxGangTasks: found 65, allowed at most 64'
+ */
+export function formatFileProblem ({ file, line, field, found, allowed }: FileProblem): string {
+  return `${file}:${line}: ${field === '' ? '' : `${field}: `}found ${found}, allowed ${allowed}`
+}
+
+function syntaxProblems (file: string, text: string, document: Document): FileProblem[] {
+  const lines = text.split('\n')
+  return document.errors.map(error => {
+    const line = error.linePos?.[0].line ?? 1
+    const allowed = `valid YAML (${error.message.split('\n')[0]?.replace(/ at line \d+, column \d+:?$/, '') ?? ''})`
+    return { file, line, field: '', found: describe(lines[line - 1]), allowed }
+  })
+}
+
+type Issue = z.core.$ZodIssue
+
+function explain (issue: Issue, data: unknown, schema: z.ZodType): FieldProblem[] {
+  const path = issue.path.map(step => typeof step === 'symbol' ? String(step) : step)
+  if (issue.code === 'unrecognized_keys') {
+    const allowed = `the fields ${knownFields(schema, path).join(', ')}`
+    return issue.keys.map(key => ({ path: [...path, key], found: 'a field that does not exist', allowed }))
+  }
+  return [{ path, found: describe(valueAt(data, path)), allowed: describeAllowed(issue) }]
+}
+
+function describeAllowed (issue: Issue): string {
+  switch (issue.code) {
+    case 'invalid_type': return issue.expected === 'int' ? 'a whole number' : `a value of type ${issue.expected}`
+    case 'too_small': return `at least ${issue.minimum}`
+    case 'too_big': return `at most ${issue.maximum}`
+    case 'invalid_format': return `text that matches ${issue.pattern ?? issue.format}`
+    case 'invalid_value': return issue.values.map(String).join(' | ')
+    default: return issue.message
+  }
+}
+
+/** Follows a path through object and array schemas to the fields that are allowed there. */
+function knownFields (schema: z.ZodType, path: FieldPath): string[] {
+  let current: unknown = schema
+  for (const step of path) {
+    if (current instanceof z.ZodArray) current = current.element
+    else if (current instanceof z.ZodObject) current = (current.shape as Record<string, unknown>)[step]
+  }
+  return current instanceof z.ZodObject ? Object.keys(current.shape) : []
+}
+
+function valueAt (data: unknown, path: FieldPath): unknown {
+  let value = data
+  for (const step of path) value = (value as Record<string | number, unknown> | null | undefined)?.[step]
+  return value
+}
+
+function describe (value: unknown): string {
+  if (value === undefined) return 'nothing'
+  const text = typeof value === 'string' ? `"${value}"` : JSON.stringify(value)
+  return text.length <= MAX_FOUND_CHARACTERS ? text : `${text.slice(0, MAX_FOUND_CHARACTERS)}…`
+}
+
+function formatPath (path: FieldPath): string {
+  return path.map(step => typeof step === 'number' ? `[${step}]` : `.${step}`).join('').replace(/^\./, '')
+}
+
+/** A field that is missing has no line of its own, so the nearest enclosing value gives it. */
+function lineOf (document: Document, lineCounter: LineCounter, path: FieldPath): number {
+  for (let depth = path.length; depth >= 0; depth--) {
+    const offset = offsetOf(document, path.slice(0, depth))
+    if (offset !== undefined) return lineCounter.linePos(offset).line
+  }
+  return 1
+}
+
+function offsetOf (document: Document, path: FieldPath): number | undefined {
+  const key = path.at(-1)
+  const parent = path.length === 0 ? undefined : document.getIn(path.slice(0, -1), true)
+  if (isMap(parent)) {
+    const pair = parent.items.find(item => isScalar(item.key) && item.key.value === key)
+    return isNode(pair?.key) ? pair.key.range?.[0] : undefined
+  }
+  const node = path.length === 0 ? document.contents : document.getIn(path, true)
+  return isNode(node) ? node.range?.[0] : undefined
+}
--- /dev/null
+++ b/packages/cli/test/files.test.ts
@@ -0,0 +1,68 @@
+import test from 'ava'
+import { formatFileProblem, readConfigurationFile, readJobFile } from '../src/index.js'
+
+const rules = 'rules: { maxGangTasks: 64, reclaimWithinMs: 3000, maxRequestBodyBytes: 1, defaultDeadlineMs: 1, maxDeadlineMs: 2 }'
+
+const worker = (id: string, rack: string, position: number) =>
+  `  - { workerId: ${id}, rackId: ${rack}, rackPosition: ${position}, cores: 64, memoryGb: 256, acceleratorModel: gpu, accelerators: 8 }`
+
+function problemsOf (text: string): string[] {
+  const reading = readConfigurationFile('f.yaml', text)
+  return reading.kind === 'valid' ? [] : reading.problems.map(formatFileProblem)
+}
+
+test('every schema error is reported at once with its line, so that an operator mends a file in one go', t => {
+  const text = `racks: []
+workers:
+  - workerId: w1
+    rackId: r1
+    rackPosition: 0.5
+    cores: many
+    memoryGb: 0
+    acceleratorModel: gpu
+    accelerators: 8
+    colour: red
+organisations: []
+guarantees: []
+`
+  t.deepEqual(problemsOf(text), [
+    'f.yaml:1: rules: found nothing, allowed a value of type object',
+    'f.yaml:5: workers[0].rackPosition: found 0.5, allowed a whole number',
+    'f.yaml:6: workers[0].cores: found "many", allowed a value of type number',
+    'f.yaml:7: workers[0].memoryGb: found 0, allowed at least 1',
+    'f.yaml:10: workers[0].colour: found a field that does not exist, allowed the fields ' +
+      'workerId, rackId, rackPosition, cores, memoryGb, acceleratorModel, accelerators'
+  ])
+})
+
+test('duplicates and broken references are all found, since the node reports only the first', t => {
+  const text = `racks:
+  - { rackId: r1, region: a, availabilityZone: b }
+workers:
+${worker('w1', 'r1', 0)}
+${worker('w1', 'r9', 1)}
+${worker('w2', 'r1', 0)}
+organisations: []
+guarantees:
+  - { guaranteeId: g, organisationId: o, acceleratorModel: gpu, acceleratorsPerCell: 8, cells: 1 }
+${rules}
+`
+  t.deepEqual(problemsOf(text), [
+    'f.yaml:5: workers[1].workerId: found w1 again, allowed one; workers[0] has it',
+    'f.yaml:5: workers[1].rackId: found "r9", allowed a rackId of racks',
+    'f.yaml:6: workers[2].rackPosition: found 0 of rack r1 again, allowed one; workers[0] has it',
+    'f.yaml:9: guarantees[0].organisationId: found "o", allowed an organisationId of organisations'
+  ])
+})
+
+test('a syntax error names its line, so that a file is never half read', t => {
+  const [problem] = problemsOf('racks: []\nworkers: [\n')
+  t.regex(problem ?? '', /^f\.yaml:\d: found .*allowed valid YAML/)
+})
+
+test('a job without an ID gets one, so that sending it again creates no second job', t => {
+  const text = `{ organisationId: o, jobClass: nightly, tasks: 2, acceleratorModel: gpu, acceleratorsPerTask: 8, coresPerTask: 1,
+    memoryGbPerTask: 1, adjacency: rack, declaredRunMs: 1000, priority: normal, preemption: repeat }`
+  const reading = readJobFile('job.yaml', text)
+  t.regex(reading.kind === 'valid' ? reading.value.jobId : '', /^nightly-[0-9a-f]{12}$/)
+})
