Add the replicated control state

Cause: the control nodes need one deterministic state behind the log for configuration, jobs, claims, workers and drains.

Before: types of commands only.

--- /dev/null
+++ b/packages/control/src/canonical.ts
@@ -0,0 +1,34 @@
+/** One text for equal content, whatever the order in which a client wrote its fields. */
+import { createHash } from 'node:crypto'
+
+/**
+ * Gives JSON with sorted field names; fields that are undefined are left out.
+ *
+ * @example
+ * canonicalJson({ b: 1, a: 2 }) // '{"a":2,"b":1}'
+ */
+export function canonicalJson (value: unknown): string {
+  return JSON.stringify(value, (_key, inner: unknown) => isPlainObject(inner) ? sortFields(inner) : inner)
+}
+
+/** Bytes of a digest made by `contentDigest`: 128 bits of SHA-256. */
+export const DIGEST_BYTES = 16
+
+/**
+ * Gives a digest of the canonical JSON of a value.
+ *
+ * @example
+ * contentDigest({ a: 1 }).length // 16
+ */
+export function contentDigest (value: unknown): Uint8Array {
+  return createHash('sha256').update(canonicalJson(value)).digest().subarray(0, DIGEST_BYTES)
+}
+
+function isPlainObject (value: unknown): value is object {
+  return typeof value === 'object' && value !== null && !Array.isArray(value)
+}
+
+function sortFields (value: object): object {
+  const entries = Object.entries(value)
+  return Object.fromEntries(entries.sort(([left], [right]) => left < right ? -1 : 1))
+}
--- /dev/null
+++ b/packages/control/src/claims.ts
@@ -0,0 +1,228 @@
+/** Claims of non-repeatable requests: each key is granted at most once, ever. */
+import { type Failure, failure } from '@comfreygrade/core'
+import { Fifo } from './fifo.js'
+import { type IdempotencyKey, parseIdempotencyKey } from './idempotency-key.js'
+import { done, refuse } from './refusals.js'
+import type { CommandResult, ControlCommand } from './commands.js'
+import type { ClaimState, ClaimView, RecordedAnswer } from './operations.js'
+import type { ControlStateSettings } from './settings.js'
+
+/** A claim as it is kept; records are replaced, never changed, so a snapshot may share them. */
+export interface ClaimRecord extends ClaimView {
+  readonly digest: string
+  readonly claimedLogMs: number
+  /** Log index of the last settlement; 0 while pending. Orders recorded answers by age. */
+  readonly settledIndex: number
+}
+
+type ClaimCommand = Extract<ControlCommand, { kind: 'claim_request' }>
+type SettleCommand = Extract<ControlCommand, { kind: 'settle_claim' }>
+
+/** Claims due in the same period are forgotten together; a claim is kept up to this much longer than it must be. */
+const FORGET_PERIOD_MS = 10_000
+
+/** All claims within their retention. */
+export class ClaimTable {
+  readonly #settings: ControlStateSettings
+  readonly #claims = new Map<string, ClaimRecord>()
+  readonly #countByOrganisation = new Map<string, number>()
+  readonly #dueByPeriod = new Map<number, string[]>()
+  readonly #answersByAge = new Fifo<string>()
+  #answerBytes = 0
+  #nextPeriod = 0
+
+  constructor (settings: ControlStateSettings) {
+    this.#settings = settings
+  }
+
+  get size (): number {
+    return this.#claims.size
+  }
+
+  /** Total bytes of recorded answers. */
+  get answerBytes (): number {
+    return this.#answerBytes
+  }
+
+  /** Gives a claim by organisation and key, in either spelling of the UUID. */
+  get (organisationId: string, key: string): ClaimRecord | undefined {
+    return this.#claims.get(claimId(organisationId, key.toLowerCase()))
+  }
+
+  /** All claims in the order of their commits. */
+  records (): ClaimRecord[] {
+    return [...this.#claims.values()]
+  }
+
+  /** Says why a key cannot be claimed at `logTimeMs`; undefined when it can. */
+  checkKey (text: string, logTimeMs: number): Failure | undefined {
+    const key = parseIdempotencyKey(text)
+    return key === undefined
+      ? failure('key_invalid', notAKey(text))
+      : this.#checkAge(key, logTimeMs)
+  }
+
+  /** Grants a new claim, or gives the existing one with `granted: false`. */
+  claim (command: ClaimCommand, logTimeMs: number): CommandResult {
+    const key = parseIdempotencyKey(command.key)
+    if (key === undefined) return refuse('key_invalid', notAKey(command.key))
+    const existing = this.#claims.get(claimId(command.organisationId, key.text))
+    if (existing !== undefined) return repeated(existing, command.digest)
+    const problem = this.#checkAge(key, logTimeMs) ?? this.#checkRoom(command.organisationId)
+    if (problem !== undefined) return { kind: 'refused', failure: problem }
+    const record: ClaimRecord = {
+      organisationId: command.organisationId,
+      key: key.text,
+      digest: command.digest,
+      state: 'pending',
+      answer: null,
+      claimedLogMs: logTimeMs,
+      settledIndex: 0
+    }
+    this.#add(record, key.issuedMs)
+    return { kind: 'claimed', granted: true, claim: toClaimView(record) }
+  }
+
+  /** Records how a claim ended. `unknown` may still become known; `completed` and `not_run` are final. */
+  settle (command: SettleCommand, index: number): CommandResult {
+    const record = this.get(command.organisationId, command.key)
+    if (record === undefined) return refuse('not_found', `claim ${command.key} does not exist`)
+    if (record.state === command.state || (isFinal(record.state) && command.state === 'unknown')) return done
+    if (isFinal(record.state)) {
+      return refuse('invalid_request', `claim ${record.key} is settled as ${record.state}, not ${command.state}`)
+    }
+    const answer = command.state === 'completed' ? this.#recordable(command.answer) : null
+    const settled: ClaimRecord = { ...record, state: command.state, answer, settledIndex: index }
+    this.#claims.set(claimId(record.organisationId, record.key), settled)
+    if (answer !== null) this.#countAnswer(settled, answer)
+    return done
+  }
+
+  /** Forgets every claim whose retention ended; each claim is touched once. */
+  forget (logTimeMs: number): void {
+    const endPeriod = Math.floor(logTimeMs / FORGET_PERIOD_MS)
+    if (this.#dueByPeriod.size === 0) this.#nextPeriod = endPeriod
+    for (; this.#nextPeriod < endPeriod; this.#nextPeriod += 1) this.#forgetPeriod(this.#nextPeriod)
+  }
+
+  /** Puts back records of a snapshot, given in the order of their commits. */
+  restore (records: readonly ClaimRecord[]): void {
+    for (const record of records) {
+      const key = parseIdempotencyKey(record.key)
+      if (key === undefined) throw new Error(`snapshot holds the invalid idempotency key ${record.key}`)
+      this.#add(record, key.issuedMs)
+    }
+    const answered = records.filter(record => record.answer !== null)
+    for (const record of answered.sort((left, right) => left.settledIndex - right.settledIndex)) {
+      if (record.answer !== null) this.#countAnswer(record, record.answer)
+    }
+  }
+
+  #checkAge (key: IdempotencyKey, logTimeMs: number): Failure | undefined {
+    const { claimRetentionMs, claimMaxAheadMs } = this.#settings
+    // At the end of retention a claim may be forgotten, so from then on the key must never be granted again.
+    if (key.issuedMs + claimRetentionMs <= logTimeMs) {
+      return failure('key_expired', `idempotency key ${key.text} is ${logTimeMs - key.issuedMs} ms old, below ${claimRetentionMs} ms is allowed`)
+    }
+    if (key.issuedMs > logTimeMs + claimMaxAheadMs) {
+      return failure('key_invalid', `idempotency key ${key.text} was issued ${key.issuedMs - logTimeMs} ms in the future, ${claimMaxAheadMs} ms are allowed`)
+    }
+    return undefined
+  }
+
+  #checkRoom (organisationId: string): Failure | undefined {
+    const { maxClaims, maxClaimsPerOrganisation } = this.#settings
+    const count = this.#countByOrganisation.get(organisationId) ?? 0
+    if (count >= maxClaimsPerOrganisation) {
+      return failure('quota_exceeded', `organisation ${organisationId} has ${count} claims, ${maxClaimsPerOrganisation} are allowed`)
+    }
+    if (this.#claims.size >= maxClaims) {
+      return failure('queue_full', `${this.#claims.size} claims are kept, ${maxClaims} are allowed`)
+    }
+    return undefined
+  }
+
+  #add (record: ClaimRecord, issuedMs: number): void {
+    const id = claimId(record.organisationId, record.key)
+    this.#claims.set(id, record)
+    this.#addCount(record.organisationId, 1)
+    const dueMs = Math.max(record.claimedLogMs, issuedMs) + this.#settings.claimRetentionMs
+    const period = Math.floor(dueMs / FORGET_PERIOD_MS)
+    const due = this.#dueByPeriod.get(period)
+    if (due === undefined) this.#dueByPeriod.set(period, [id])
+    else due.push(id)
+    this.#nextPeriod = Math.min(this.#nextPeriod === 0 ? period : this.#nextPeriod, period)
+  }
+
+  #forgetPeriod (period: number): void {
+    const due = this.#dueByPeriod.get(period)
+    if (due === undefined) return
+    this.#dueByPeriod.delete(period)
+    for (const id of due) this.#remove(id)
+  }
+
+  #remove (id: string): void {
+    const record = this.#claims.get(id)
+    if (record === undefined) return
+    this.#claims.delete(id)
+    this.#addCount(record.organisationId, -1)
+    if (record.answer !== null) this.#answerBytes -= record.answer.body.length
+  }
+
+  #addCount (organisationId: string, change: number): void {
+    const count = (this.#countByOrganisation.get(organisationId) ?? 0) + change
+    if (count === 0) this.#countByOrganisation.delete(organisationId)
+    else this.#countByOrganisation.set(organisationId, count)
+  }
+
+  #recordable (answer: RecordedAnswer | null): RecordedAnswer | null {
+    return answer !== null && answer.body.length <= this.#settings.claimAnswerMaxBytes ? answer : null
+  }
+
+  #countAnswer (record: ClaimRecord, answer: RecordedAnswer): void {
+    this.#answerBytes += answer.body.length
+    this.#answersByAge.push(claimId(record.organisationId, record.key))
+    this.#dropOldAnswers()
+  }
+
+  /** Removes answers above the total, and entries at the front whose claim was forgotten. */
+  #dropOldAnswers (): void {
+    for (let id = this.#answersByAge.peek(); id !== undefined; id = this.#answersByAge.peek()) {
+      const record = this.#claims.get(id)
+      const answer = record?.answer ?? null
+      if (answer !== null && this.#answerBytes <= this.#settings.claimAnswersTotalMaxBytes) return
+      this.#answersByAge.shift()
+      if (record === undefined || answer === null) continue
+      this.#claims.set(id, { ...record, answer: null })
+      this.#answerBytes -= answer.body.length
+    }
+  }
+}
+
+/**
+ * Gives what callers may see of a claim.
+ *
+ * @example
+ * toClaimView(record).state // 'pending'
+ */
+export function toClaimView ({ organisationId, key, state, answer }: ClaimRecord): ClaimView {
+  return { organisationId, key, state, answer }
+}
+
+function claimId (organisationId: string, key: string): string {
+  return `${organisationId}/${key}`
+}
+
+function notAKey (text: string): string {
+  return `idempotency key ${text} is not a UUID of version 7`
+}
+
+function isFinal (state: ClaimState): boolean {
+  return state === 'completed' || state === 'not_run'
+}
+
+function repeated (existing: ClaimRecord, digest: string): CommandResult {
+  return existing.digest === digest
+    ? { kind: 'claimed', granted: false, claim: toClaimView(existing) }
+    : refuse('key_reused', `idempotency key ${existing.key} was used for a request with other content`)
+}
--- a/packages/control/src/commands.ts
+++ b/packages/control/src/commands.ts
@@ -2,6 +2,9 @@
 import type { ConfigurationChange, Failure, JobOutcome, JobSpec, Placement, WorkerState } from '@comfreygrade/core'
 import type { ClaimState, ClaimView, Drain, RecordedAnswer } from './operations.js'
 
+/** What follows when every task of a stopping job is released. */
+export type StopGoal = 'requeue' | JobOutcome
+
 /** Every change of the control state. The result of a decision is recorded, never its inputs. */
 export type ControlCommand =
   | { readonly kind: 'apply_configuration', readonly change: ConfigurationChange }
@@ -9,9 +12,24 @@
   | { readonly kind: 'place_job', readonly jobId: string, readonly placement: Placement }
   | { readonly kind: 'start_job', readonly jobId: string, readonly leaseId: number }
   | { readonly kind: 'job_running', readonly jobId: string, readonly leaseId: number }
-  | { readonly kind: 'stop_job', readonly jobId: string, readonly reason: string, readonly isCheckpoint: boolean, readonly then: 'requeue' | JobOutcome }
-  | { readonly kind: 'requeue_job', readonly jobId: string, readonly reason: string }
-  | { readonly kind: 'end_job', readonly jobId: string, readonly outcome: JobOutcome, readonly reason: string }
+  /** Releases every task of a placement; a requeue may later become an outcome, never the other way. */
+  | {
+    readonly kind: 'stop_job'
+    readonly jobId: string
+    readonly leaseId: number
+    readonly reason: string
+    readonly isCheckpoint: boolean
+    readonly then: StopGoal
+  }
+  | { readonly kind: 'requeue_job', readonly jobId: string, readonly leaseId: number, readonly reason: string }
+  /** `leaseId` is 0 for a job without a placement. */
+  | {
+    readonly kind: 'end_job'
+    readonly jobId: string
+    readonly leaseId: number
+    readonly outcome: JobOutcome
+    readonly reason: string
+  }
   | { readonly kind: 'worker_state', readonly workerId: string, readonly state: WorkerState, readonly incarnation: number, readonly address: string }
   | { readonly kind: 'set_drain', readonly drain: Drain, readonly isDraining: boolean }
   | { readonly kind: 'claim_request', readonly organisationId: string, readonly key: string, readonly digest: string }
--- /dev/null
+++ b/packages/control/src/drains.ts
@@ -0,0 +1,43 @@
+/** Drains that operators asked for. */
+import { done, refuse } from './refusals.js'
+import type { CommandResult } from './commands.js'
+import type { Drain, DrainKind } from './operations.js'
+
+/** The set of drains in force. */
+export class DrainSet {
+  readonly #maxDrains: number
+  readonly #drains = new Map<string, Drain>()
+
+  constructor (maxDrains: number) {
+    this.#maxDrains = maxDrains
+  }
+
+  has (kind: DrainKind, id: string): boolean {
+    return this.#drains.has(drainKey(kind, id))
+  }
+
+  list (): Drain[] {
+    return [...this.#drains.values()]
+  }
+
+  set ({ kind, id }: Drain, isDraining: boolean): CommandResult {
+    const key = drainKey(kind, id)
+    if (!isDraining) {
+      this.#drains.delete(key)
+      return done
+    }
+    if (this.#drains.size >= this.#maxDrains && !this.#drains.has(key)) {
+      return refuse('queue_full', `${this.#drains.size} drains are in force, ${this.#maxDrains} are allowed`)
+    }
+    this.#drains.set(key, { kind, id })
+    return done
+  }
+
+  restore (drains: readonly Drain[]): void {
+    for (const drain of drains) this.#drains.set(drainKey(drain.kind, drain.id), drain)
+  }
+}
+
+function drainKey (kind: DrainKind, id: string): string {
+  return `${kind}/${id}`
+}
--- /dev/null
+++ b/packages/control/src/refusals.ts
@@ -0,0 +1,16 @@
+/** Results of commands. */
+import { type ErrorKind, failure } from '@comfreygrade/core'
+import type { CommandResult } from './commands.js'
+
+/** The result of a command that took effect, or had taken effect before. */
+export const done: CommandResult = { kind: 'done' }
+
+/**
+ * Gives the result of a command whose precondition does not hold.
+ *
+ * @example
+ * refuse('not_found', 'job j1 does not exist')
+ */
+export function refuse (kind: ErrorKind, detail: string): CommandResult {
+  return { kind: 'refused', failure: failure(kind, detail) }
+}
--- /dev/null
+++ b/packages/control/src/state.ts
@@ -0,0 +1,269 @@
+/** The replicated state of the control nodes. */
+import type { Configuration, ConfigurationChange, JobPhase, Placement } from '@comfreygrade/core'
+import { ClaimTable, type ClaimRecord } from './claims.js'
+import { ConfigurationHistory, type ChangeCheck, type ConfigurationSnapshot } from './configuration-history.js'
+import { DrainSet } from './drains.js'
+import { JobTable, type JobRecord, type LogPosition } from './jobs.js'
+import { done, refuse } from './refusals.js'
+import { WorkerTable, type WorkerRecord } from './workers.js'
+import type { CommandResult, ControlCommand } from './commands.js'
+import type { HeldCell } from './held-cells.js'
+import type { Drain, DrainKind } from './operations.js'
+import type { GuaranteeValidator } from './ports.js'
+import type { ControlStateSettings } from './settings.js'
+
+/** The whole state as plain data; adapters encode it. Records are shared with the state and never change. */
+export interface ControlSnapshot {
+  readonly formatVersion: 1
+  readonly lastIndex: number
+  readonly logTimeMs: number
+  readonly configuration: ConfigurationSnapshot
+  /** In the order of their submission. */
+  readonly jobs: readonly JobRecord[]
+  /** In the order of their commits. */
+  readonly claims: readonly ClaimRecord[]
+  readonly workers: readonly WorkerRecord[]
+  readonly drains: readonly Drain[]
+}
+
+/** What a state needs besides its commands; the same on every replica. */
+export interface ControlStateOptions {
+  readonly settings: ControlStateSettings
+  readonly validator: GuaranteeValidator
+}
+
+/**
+ * Deterministic state machine behind the log: the same commands at the same positions give the same state and results.
+ * A command whose precondition does not hold is refused and changes nothing but log time.
+ *
+ * @example
+ * const state = new ControlState({ settings: defaultControlStateSettings, validator })
+ * state.apply({ kind: 'submit_job', spec }, 1, 1_000) // { kind: 'done' }
+ */
+export class ControlState {
+  readonly #history: ConfigurationHistory
+  readonly #jobs: JobTable
+  readonly #claims: ClaimTable
+  readonly #workers = new WorkerTable()
+  readonly #drains: DrainSet
+  #lastIndex = 0
+  #logTimeMs = 0
+
+  constructor ({ settings, validator }: ControlStateOptions) {
+    this.#history = new ConfigurationHistory(settings, validator)
+    this.#jobs = new JobTable(settings)
+    this.#claims = new ClaimTable(settings)
+    this.#drains = new DrainSet(settings.maxDrains)
+  }
+
+  /**
+   * Builds the state that a snapshot was taken of.
+   *
+   * @example
+   * const copy = ControlState.restore(state.snapshot(), options)
+   */
+  static restore (snapshot: ControlSnapshot, options: ControlStateOptions): ControlState {
+    const state = new ControlState(options)
+    state.#lastIndex = snapshot.lastIndex
+    state.#logTimeMs = snapshot.logTimeMs
+    state.#history.restore(snapshot.configuration)
+    state.#jobs.restore(snapshot.jobs)
+    state.#claims.restore(snapshot.claims)
+    state.#workers.restore(snapshot.workers)
+    state.#drains.restore(snapshot.drains)
+    return state
+  }
+
+  /** Applies the command of one log entry. Entries are given once each, in the order of the log. */
+  apply (command: ControlCommand, index: number, logTimeMs: number): CommandResult {
+    if (index <= this.#lastIndex) throw new RangeError(`entry ${index} is applied after entry ${this.#lastIndex}`)
+    this.#lastIndex = index
+    this.#logTimeMs = Math.max(this.#logTimeMs, logTimeMs)
+    this.#claims.forget(this.#logTimeMs)
+    const result = this.#apply(command, { index, logTimeMs: this.#logTimeMs })
+    this.#jobs.forget(this.#logTimeMs)
+    return result
+  }
+
+  /** Gives the state as plain data. */
+  snapshot (): ControlSnapshot {
+    return {
+      formatVersion: 1,
+      lastIndex: this.#lastIndex,
+      logTimeMs: this.#logTimeMs,
+      configuration: this.#history.snapshot(),
+      jobs: [...this.#jobs.records()],
+      claims: this.#claims.records(),
+      workers: [...this.#workers.records()],
+      drains: this.#drains.list()
+    }
+  }
+
+  get lastIndex (): number {
+    return this.#lastIndex
+  }
+
+  get logTimeMs (): number {
+    return this.#logTimeMs
+  }
+
+  /** Inventory and rules in force. */
+  get configuration (): Configuration {
+    return this.#history.current
+  }
+
+  /** Changes after `version`; undefined when a full copy is needed. */
+  changesSince (version: number): ConfigurationChange[] | undefined {
+    return this.#history.changesSince(version)
+  }
+
+  /** Finds out what a change would do, without applying it. */
+  checkChange (change: ConfigurationChange): ChangeCheck {
+    return this.#history.check(change)
+  }
+
+  job (jobId: string): JobRecord | undefined {
+    return this.#jobs.get(jobId)
+  }
+
+  /** All jobs in the order of their submission, ended ones included while they are kept. */
+  jobs (): IterableIterator<JobRecord> {
+    return this.#jobs.records()
+  }
+
+  jobIdsInPhase (phase: JobPhase): ReadonlySet<string> {
+    return this.#jobs.idsInPhase(phase)
+  }
+
+  claim (organisationId: string, key: string): ClaimRecord | undefined {
+    return this.#claims.get(organisationId, key)
+  }
+
+  /** Says why a key could not be claimed now; undefined when it could. */
+  checkKey (key: string): ReturnType<ClaimTable['checkKey']> {
+    return this.#claims.checkKey(key, this.#logTimeMs)
+  }
+
+  get claimCount (): number {
+    return this.#claims.size
+  }
+
+  worker (workerId: string): WorkerRecord | undefined {
+    return this.#workers.get(workerId)
+  }
+
+  workers (): IterableIterator<WorkerRecord> {
+    return this.#workers.records()
+  }
+
+  /** Cells held on a worker by placed jobs. */
+  cellsOn (workerId: string): readonly HeldCell[] {
+    return this.#jobs.cells.on(workerId)
+  }
+
+  drains (): Drain[] {
+    return this.#drains.list()
+  }
+
+  isDrained (kind: DrainKind, id: string): boolean {
+    return this.#drains.has(kind, id)
+  }
+
+  #apply (command: ControlCommand, at: LogPosition): CommandResult {
+    switch (command.kind) {
+      case 'apply_configuration': return this.#applyConfiguration(command.change)
+      case 'submit_job': return this.#submit(command, at)
+      case 'place_job': return this.#place(command, at)
+      case 'start_job': return this.#jobs.start(command, at)
+      case 'job_running': return this.#jobs.running(command, at)
+      case 'stop_job': return this.#jobs.stop(command, at)
+      case 'requeue_job': return this.#released(command.jobId, () => this.#jobs.requeue(command, at))
+      case 'end_job': return this.#released(command.jobId, () => this.#jobs.end(command, at))
+      case 'worker_state': return this.#changeWorker(command)
+      case 'set_drain': return this.#setDrain(command)
+      case 'claim_request': return this.#claim(command, at)
+      case 'settle_claim': return this.#claims.settle(command, at.index)
+      case 'clock': return done
+    }
+  }
+
+  #applyConfiguration (change: ConfigurationChange): CommandResult {
+    const result = this.#history.apply(change)
+    if (!result.ok) return { kind: 'refused', failure: result.failure }
+    if (result.value === 'repeated') return done
+    for (const { kind, id } of change.removes) {
+      if (kind === 'worker') this.#forgetRemovedWorker(id)
+    }
+    return done
+  }
+
+  #submit ({ spec }: Extract<ControlCommand, { kind: 'submit_job' }>, at: LogPosition): CommandResult {
+    const { organisations, rules } = this.configuration
+    const isKnown = this.#jobs.get(spec.jobId) !== undefined
+    if (!isKnown && !organisations.has(spec.organisationId)) return refuseOrganisation(spec.organisationId)
+    if (!isKnown && (spec.tasks < 1 || spec.tasks > rules.maxGangTasks)) {
+      return refuse('impossible_shape', `the gang has ${spec.tasks} tasks, 1 to ${rules.maxGangTasks} are allowed`)
+    }
+    return this.#jobs.submit(spec, at)
+  }
+
+  #place (command: Extract<ControlCommand, { kind: 'place_job' }>, at: LogPosition): CommandResult {
+    const problem = this.#findWorkerProblem(command.placement)
+    return problem === undefined ? this.#jobs.place(command, at) : refuse('invalid_request', problem)
+  }
+
+  #findWorkerProblem ({ tasks }: Placement): string | undefined {
+    for (const { workerId, firstAccelerator, acceleratorCount } of tasks) {
+      const worker = this.configuration.workers.get(workerId)
+      if (worker === undefined) return `worker ${workerId} is not in the inventory`
+      const state = this.#workers.get(workerId)?.state ?? 'lost'
+      if (state !== 'active') return `worker ${workerId} is ${state}`
+      if (this.#drains.has('worker', workerId)) return `worker ${workerId} is drained`
+      if (firstAccelerator < 0 || acceleratorCount < 0 || firstAccelerator + acceleratorCount > worker.accelerators) {
+        return `accelerators ${firstAccelerator} to ${firstAccelerator + acceleratorCount - 1} of worker ${workerId} do not exist`
+      }
+    }
+    return undefined
+  }
+
+  #changeWorker (command: Extract<ControlCommand, { kind: 'worker_state' }>): CommandResult {
+    const { workerId } = command
+    const isListed = this.configuration.workers.has(workerId) || this.#workers.get(workerId) !== undefined
+    return isListed ? this.#workers.apply(command) : refuse('not_found', `worker ${workerId} is not in the inventory`)
+  }
+
+  #setDrain ({ drain, isDraining }: Extract<ControlCommand, { kind: 'set_drain' }>): CommandResult {
+    if (isDraining && drain.kind === 'worker' && !this.configuration.workers.has(drain.id)) {
+      return refuse('not_found', `worker ${drain.id} is not in the inventory`)
+    }
+    return this.#drains.set(drain, isDraining)
+  }
+
+  #claim (command: Extract<ControlCommand, { kind: 'claim_request' }>, at: LogPosition): CommandResult {
+    const isKnown = this.#claims.get(command.organisationId, command.key) !== undefined
+    return isKnown || this.configuration.organisations.has(command.organisationId)
+      ? this.#claims.claim(command, at.logTimeMs)
+      : refuseOrganisation(command.organisationId)
+  }
+
+  /** Runs a command that may release a job's cells, and forgets removed workers that held only these. */
+  #released (jobId: string, apply: () => CommandResult): CommandResult {
+    const tasks = this.#jobs.get(jobId)?.placement?.tasks ?? []
+    const result = apply()
+    for (const { workerId } of tasks) {
+      if (!this.configuration.workers.has(workerId)) this.#forgetRemovedWorker(workerId)
+    }
+    return result
+  }
+
+  #forgetRemovedWorker (workerId: string): void {
+    if (this.#jobs.cells.on(workerId).length > 0) return
+    if (this.configuration.workers.has(workerId)) return
+    this.#workers.remove(workerId)
+    this.#drains.set({ kind: 'worker', id: workerId }, false)
+  }
+}
+
+function refuseOrganisation (organisationId: string): CommandResult {
+  return refuse('unknown_organisation', `organisation ${organisationId} is not in the inventory`)
+}
