Add the adapters of a node: links, settings, HTTP endpoints, clients

Cause: the decision packages need their ports carried out: TCP links with silence detection between nodes, checked settings, every HTTP endpoint, and clients for backend servers, workers and the control leader.

A configuration lease counts from when the node asked, not from when the answer arrived, because a delayed answer would otherwise outlast what the leader counts on.

Ruled out: leases pushed by the leader, as the receipt time of a delayed message cannot be bounded.

Before: one thin path.

--- a/packages/node/src/control-client.ts
+++ b/packages/node/src/control-client.ts
@@ -51,10 +51,10 @@
     const deadlineMs = this.#options.clock.monotonicMs() + timeoutMs
     for (;;) {
       const reply = await this.#askOnce(operation, deadlineMs)
-      if (reply.kind === 'answered' && !isLeaderLost(reply.result)) return reply.result
+      if (reply.kind === 'answered') return reply.result
       const isSafe = reply.kind !== 'unknown' || repeatableKinds.has(operation.kind)
       const remainingMs = deadlineMs - this.#options.clock.monotonicMs()
-      if (!isSafe) return fail('outcome_unknown', `the control leader did not answer: ${detailOf(reply)}`)
+      if (!isSafe) return fail('outcome_unknown', `the control leader did not answer: ${reply.detail}`)
       if (remainingMs <= LEADER_RETRY_MS) return giveUp(reply)
       this.#options.metrics.increment('retry', { reason: reply.kind === 'unknown' ? 'leader_silent' : 'leader_unknown' })
       await pause(LEADER_RETRY_MS)
@@ -63,7 +63,7 @@
 
   /** Takes a leader's answer. */
   receive (message: Extract<PeerMessage, { kind: 'control_response' }>): void {
-    this.#pending.get(message.requestId)?.finish({ kind: 'answered', result: message.result })
+    this.#pending.get(message.requestId)?.finish(classify(message.result))
   }
 
   /** Ends everything that waits for a node whose link is gone. */
@@ -99,17 +99,17 @@
   }
 }
 
-function isLeaderLost (result: ControlResult): boolean {
-  return !result.ok && result.failure.kind === 'not_leader'
+/** A node that does not lead took nothing; a leader that lost its role cannot tell. */
+function classify (result: ControlResult): Reply {
+  if (result.ok) return { kind: 'answered', result }
+  const { kind, detail } = result.failure
+  if (kind === 'not_leader') return { kind: 'not_taken', detail }
+  if (kind === 'outcome_unknown') return { kind: 'unknown', detail }
+  return { kind: 'answered', result }
 }
 
-function detailOf (reply: Reply): string {
-  return reply.kind === 'answered' ? 'it has lost its role' : reply.detail
-}
-
-function giveUp (reply: Reply): ControlResult {
-  if (reply.kind === 'unknown') return fail('outcome_unknown', detailOf(reply))
-  return fail('control_unavailable', detailOf(reply))
+function giveUp (reply: Exclude<Reply, { kind: 'answered' }>): ControlResult {
+  return fail(reply.kind === 'unknown' ? 'outcome_unknown' : 'control_unavailable', reply.detail)
 }
 
 async function withTimeout (result: Promise<ControlResult>, timeoutMs: number): Promise<Reply> {
@@ -117,7 +117,7 @@
     const timer = setTimeout(() => { resolve({ kind: 'unknown', detail: 'no answer in time' }) }, timeoutMs)
     result.then(value => {
       clearTimeout(timer)
-      resolve({ kind: 'answered', result: value })
+      resolve(classify(value))
     })
   })
 }
--- a/packages/node/src/peer-messages.ts
+++ b/packages/node/src/peer-messages.ts
@@ -1,34 +1,25 @@
 /** Messages between nodes, and their framing: a 4-byte big-endian length, then one `cbor-x` value. */
 import { Encoder } from 'cbor-x'
-import type { BackendServerRecord, ConfigurationChange, ConfigurationDocument } from '@comfreygrade/core'
+import type { ConfigurationChange, ConfigurationDocument } from '@comfreygrade/core'
 import type { ConsensusMessage, VoterId } from '@comfreygrade/consensus'
 import type { ControlCommand, ControlOperation, ControlResult, Drain } from '@comfreygrade/control'
+import type { AgedRecord, LoadReport } from '@comfreygrade/routing'
+import type { ControlPeer } from './voter-bootstrap.js'
 
 /** Either the changes after `baseVersion` or a full copy. */
 export type FeedContent =
   | { readonly kind: 'changes', readonly baseVersion: number, readonly changes: readonly ConfigurationChange[] }
   | { readonly kind: 'full', readonly version: number, readonly document: ConfigurationDocument }
 
-/** A backend server record with the time since the sender heard it. */
-export interface AgedRecord {
-  readonly record: BackendServerRecord
-  readonly ageMs: number
-}
-
-/** In-flight requests of the sender by backend server. */
-export interface LoadEntry {
-  readonly backendServerId: string
-  readonly inFlight: number
-}
-
 /** Every message between nodes. */
 export type PeerMessage =
   | {
     readonly kind: 'hello'
     readonly nodeId: string
-    /** Identity of the data folder; null on nodes without the role control. */
-    readonly diskId: string | null
-    readonly isInitialised: boolean
+    /** Null on nodes without the role control. */
+    readonly control: ControlPeer | null
+    /** Set on the first message of a link; the receiver answers with the backend servers that it knows. */
+    readonly isFirst: boolean
   }
   | { readonly kind: 'ping' }
   | { readonly kind: 'pong' }
@@ -43,7 +34,6 @@
     readonly kind: 'control_response'
     readonly requestId: string
     readonly result: ControlResult
-    readonly leaderNodeId: string | null
   }
   /** `sentAtMs` is the sender's monotonic clock; the lease counts from it. */
   | { readonly kind: 'feed_request', readonly version: number, readonly sentAtMs: number }
@@ -58,7 +48,7 @@
     readonly leaseMs: number
   }
   | { readonly kind: 'members', readonly records: readonly AgedRecord[] }
-  | { readonly kind: 'load', readonly entries: readonly LoadEntry[] }
+  | { readonly kind: 'load', readonly report: LoadReport }
 
 /** Bytes of the length prefix. */
 export const FRAME_HEADER_BYTES = 4
--- /dev/null
+++ b/packages/node/src/replica-runner.ts
@@ -0,0 +1,83 @@
+/** Drives one consensus replica: timers, disk and effects, one event at a time. */
+import type { Clock } from '@comfreygrade/core'
+import type { LogStorage, Replica, ReplicaEffect, ReplicaEvent } from '@comfreygrade/consensus'
+
+/** What a replica's effects are turned into. */
+export interface ReplicaHandlers<Command> {
+  readonly send: (effect: Extract<ReplicaEffect<Command>, { kind: 'send' }>) => void
+  readonly apply: (effect: Extract<ReplicaEffect<Command>, { kind: 'apply' }>) => void
+  readonly restore: (effect: Extract<ReplicaEffect<Command>, { kind: 'restore' }>) => void
+  readonly roleChanged: (effect: Extract<ReplicaEffect<Command>, { kind: 'role_changed' }>) => void
+  readonly proposalRejected: (effect: Extract<ReplicaEffect<Command>, { kind: 'proposal_rejected' }>) => void
+  /** The disk failed; the process must end without acknowledging anything more. */
+  readonly storageFailed: (error: unknown) => void
+}
+
+/** Runs a replica on the event loop. */
+export class ReplicaRunner<Command> {
+  readonly replica: Replica<Command>
+  readonly #storage: LogStorage<Command>
+  readonly #clock: Clock
+  readonly #handlers: ReplicaHandlers<Command>
+  readonly #queue: Array<ReplicaEvent<Command>> = []
+  #isRunning = false
+  #isStopped = false
+  #timer: NodeJS.Timeout | undefined
+
+  constructor (
+    replica: Replica<Command>,
+    storage: LogStorage<Command>,
+    clock: Clock,
+    handlers: ReplicaHandlers<Command>
+  ) {
+    this.replica = replica
+    this.#storage = storage
+    this.#clock = clock
+    this.#handlers = handlers
+  }
+
+  /** Handles an event; events raised while another is handled wait for its end. */
+  step (event: ReplicaEvent<Command>): void {
+    if (this.#isStopped) return
+    this.#queue.push(event)
+    if (this.#isRunning) return
+    this.#isRunning = true
+    for (let next = this.#queue.shift(); next !== undefined; next = this.#queue.shift()) {
+      const effects = this.replica.step(next, this.#clock.monotonicMs())
+      for (const effect of effects) this.#carryOut(effect)
+    }
+    this.#isRunning = false
+    this.#schedule()
+  }
+
+  /** Stops timers and ignores everything that follows. */
+  stop (): void {
+    this.#isStopped = true
+    clearTimeout(this.#timer)
+  }
+
+  #carryOut (effect: ReplicaEffect<Command>): void {
+    switch (effect.kind) {
+      case 'send': this.#handlers.send(effect); break
+      case 'persist': this.#persist(effect); break
+      case 'apply': this.#handlers.apply(effect); break
+      case 'restore': this.#handlers.restore(effect); break
+      case 'role_changed': this.#handlers.roleChanged(effect); break
+      case 'proposal_rejected': this.#handlers.proposalRejected(effect); break
+    }
+  }
+
+  #persist (effect: Extract<ReplicaEffect<Command>, { kind: 'persist' }>): void {
+    this.#storage.persist(effect).then(
+      () => { this.step({ kind: 'persisted', persistId: effect.persistId }) },
+      (error: unknown) => { this.#handlers.storageFailed(error) }
+    )
+  }
+
+  #schedule (): void {
+    clearTimeout(this.#timer)
+    if (this.#isStopped) return
+    const delayMs = Math.max(0, this.replica.nextWakeAtMs() - this.#clock.monotonicMs())
+    this.#timer = setTimeout(() => { this.step({ kind: 'tick' }) }, delayMs)
+  }
+}
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -37,7 +37,6 @@
   heartbeatIntervalMs: z.int().min(50).max(60_000).default(1_000),
   backendExpireAfterMs: z.int().min(100).max(600_000).default(3_500),
   memberSpreadIntervalMs: z.int().min(10).max(10_000).default(200),
-  loadShareIntervalMs: z.int().min(10).max(10_000).default(250),
   feedIntervalMs: z.int().min(10).max(10_000).default(500),
   configurationLeaseMs: z.int().min(100).max(60_000).default(5_000),
   peerPingIntervalMs: z.int().min(10).max(10_000).default(500),
--- a/packages/node/test/http-fixture.ts
+++ b/packages/node/test/http-fixture.ts
@@ -2,10 +2,10 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import {
-  CountingMetrics, defaultRules, fail, succeed, type BackendServerRecord, type Failure, type RequestSpec, type Result,
-  type Rules
+  CountingMetrics, defaultRules, fail, Random, succeed, type BackendServerRecord, type Failure, type RequestSpec,
+  type Result, type Rules
 } from '@comfreygrade/core'
-import { BackendRegistry, RequestRouter } from '@comfreygrade/routing'
+import { BackendRegistry, defaultRoutingSettings, LocalityPolicy, RequestRouter } from '@comfreygrade/routing'
 import type { ControlOperation, ControlResult } from '@comfreygrade/control'
 import { Application, type BackendServerAnnouncement, type NodeStatus } from '../src/application.js'
 import { BackendClient } from '../src/backend-client.js'
@@ -24,10 +24,19 @@
   answerControl: (operation: ControlOperation) => ControlResult = () => fail('control_unavailable', 'no control leader')
   readonly requests: RequestService
 
-  constructor (createRouter: (registry: BackendRegistry) => RequestRouter) {
+  constructor () {
     super()
+    const router = new RequestRouter({
+      settings: defaultRoutingSettings,
+      registry: this.registry,
+      policy: new LocalityPolicy(defaultRoutingSettings.randomChoices),
+      random: new Random(1),
+      metrics: this.metrics,
+      location: { region: 'r', availabilityZone: 'z' }
+    })
+    router.setOrganisations(new Map([['o1', 1]]))
     this.requests = new RequestService({
-      router: createRouter(this.registry),
+      router,
       backendClient: this.backendClient,
       clock: this.clock,
       metrics: this.metrics,
--- a/packages/node/test/short-requests.test.ts
+++ b/packages/node/test/short-requests.test.ts
@@ -1,6 +1,5 @@
 import test from 'ava'
 import { request } from 'undici'
-import { RequestRouter } from '@comfreygrade/routing'
 import { EntryApplication, listen, startApi } from './http-fixture.js'
 
 test('a short request reaches a backend server and its whole answer comes back to the same caller', async t => {
@@ -13,7 +12,7 @@
       setTimeout(() => { res.end(`answer to ${text}`) }, 200 - Number(text) * 10)
     })
   })
-  const application = new EntryApplication(registry => new RequestRouter(registry))
+  const application = new EntryApplication()
   const { api, url } = await startApi(application)
   t.teardown(async () => {
     await api.stop()
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -93,11 +93,6 @@
     this.#budgets.keepOnly(weights)
   }
 
-  /** When the next `tick` is due, in monotonic milliseconds; undefined when nothing waits for time to pass. */
-  nextWakeAtMs (): number | undefined {
-    return undefined
-  }
-
   /** Handles one event and returns what the front end has to do, in order. */
   handle (event: RoutingEvent, nowMs: number): RoutingEffect[] {
     this.#effects = []
