Add the control leader

Cause: decisions of the scheduler have to become committed commands and orders to workers, without two workers ever holding one cell.

Ruled out: orders that extend a worker's lease, because a delayed order would extend it beyond what the leader waits for; a task missing from a report as proof of its release, because the report may be older than the task; renewing leases without proof of leadership, because a leader that was frozen could renew one that its successor already counts down.

Before: no leader.

--- /dev/null
+++ b/packages/control/src/deadline-queue.ts
@@ -0,0 +1,126 @@
+/** One deadline per key, in a binary heap. */
+
+interface Entry {
+  readonly key: string
+  readonly atMs: number
+}
+
+/**
+ * Keyed deadlines. A later deadline for a key costs constant time: its entry in the heap is moved when it comes up, so
+ * that thousands of lease renewals a second do not reorder the heap.
+ *
+ * @example
+ * const queue = new DeadlineQueue()
+ * queue.set('w1', 500)
+ * queue.takeDue(600) // ['w1']
+ */
+export class DeadlineQueue {
+  readonly #deadlines = new Map<string, number>()
+  /** Time of the earliest heap entry of each key. */
+  readonly #queuedAt = new Map<string, number>()
+  readonly #heap: Entry[] = []
+
+  /** Sets or moves the deadline of a key. */
+  set (key: string, atMs: number): void {
+    this.#deadlines.set(key, atMs)
+    const queuedAtMs = this.#queuedAt.get(key)
+    if (queuedAtMs === undefined || atMs < queuedAtMs) this.#push({ key, atMs })
+  }
+
+  delete (key: string): void {
+    this.#deadlines.delete(key)
+  }
+
+  get (key: string): number | undefined {
+    return this.#deadlines.get(key)
+  }
+
+  /** Time of the earliest deadline, or one shortly before it; undefined when there is none. */
+  nextAtMs (): number | undefined {
+    this.#dropStale()
+    return this.#heap[0]?.atMs
+  }
+
+  /** Removes and gives the keys whose deadline is not after `nowMs`. */
+  takeDue (nowMs: number): string[] {
+    const due: string[] = []
+    for (let entry = this.#heap[0]; entry !== undefined && entry.atMs <= nowMs; entry = this.#heap[0]) {
+      this.#pop()
+      if (this.#queuedAt.get(entry.key) !== entry.atMs) continue
+      this.#queuedAt.delete(entry.key)
+      const atMs = this.#deadlines.get(entry.key)
+      if (atMs === undefined) continue
+      if (atMs > nowMs) {
+        this.#push({ key: entry.key, atMs })
+        continue
+      }
+      this.#deadlines.delete(entry.key)
+      due.push(entry.key)
+    }
+    return due
+  }
+
+  #dropStale (): void {
+    for (let entry = this.#heap[0]; entry !== undefined; entry = this.#heap[0]) {
+      const isQueued = this.#queuedAt.get(entry.key) === entry.atMs
+      const atMs = this.#deadlines.get(entry.key)
+      if (isQueued && atMs === entry.atMs) return
+      this.#pop()
+      if (!isQueued) continue
+      this.#queuedAt.delete(entry.key)
+      if (atMs !== undefined) this.#push({ key: entry.key, atMs })
+    }
+  }
+
+  #push (entry: Entry): void {
+    this.#queuedAt.set(entry.key, entry.atMs)
+    const heap = this.#heap
+    let position = heap.length
+    heap.push(entry)
+    while (position > 0) {
+      const parentPosition = (position - 1) >> 1
+      const parent = heap[parentPosition]
+      if (parent === undefined || parent.atMs <= entry.atMs) break
+      heap[position] = parent
+      position = parentPosition
+    }
+    heap[position] = entry
+  }
+
+  #pop (): void {
+    const last = this.#heap.pop()
+    if (last === undefined || this.#heap.length === 0) return
+    this.#sink(last)
+  }
+
+  #sink (entry: Entry): void {
+    const heap = this.#heap
+    let position = 0
+    for (let child = this.#smallerChild(position); child !== undefined; child = this.#smallerChild(position)) {
+      const childEntry = heap[child]
+      if (childEntry === undefined || childEntry.atMs >= entry.atMs) break
+      heap[position] = childEntry
+      position = child
+    }
+    heap[position] = entry
+  }
+
+  #smallerChild (position: number): number | undefined {
+    const left = position * 2 + 1
+    const leftEntry = this.#heap[left]
+    const rightEntry = this.#heap[left + 1]
+    if (leftEntry === undefined) return undefined
+    return rightEntry !== undefined && rightEntry.atMs < leftEntry.atMs ? left + 1 : left
+  }
+}
+
+/**
+ * Gives the earliest of several times, of which any may be absent.
+ *
+ * @example
+ * earliest([undefined, 7, 5]) // 5
+ */
+export function earliest (times: ReadonlyArray<number | undefined>): number | undefined {
+  const present = times.filter(time => time !== undefined)
+  return present.length === 0 ? undefined : Math.min(...present)
+}
--- /dev/null
+++ b/packages/control/src/leader-context.ts
@@ -0,0 +1,21 @@
+/** What the parts of the control leader share. */
+import type { EventLog, Metrics } from '@comfreygrade/core'
+import type { OrderOutbox } from './order-outbox.js'
+import type { JobScheduler } from './ports.js'
+import type { Proposals } from './proposals.js'
+import type { ControlSettings } from './settings.js'
+import type { ControlState } from './state.js'
+import type { WorkerLeases } from './worker-leases.js'
+
+/** Collaborators of one leader for one term. */
+export interface LeaderContext {
+  readonly term: number
+  readonly state: ControlState
+  readonly scheduler: JobScheduler
+  readonly settings: ControlSettings
+  readonly metrics: Metrics
+  readonly log: EventLog
+  readonly proposals: Proposals
+  readonly outbox: OrderOutbox
+  readonly leases: WorkerLeases
+}
--- /dev/null
+++ b/packages/control/src/operation-service.ts
@@ -0,0 +1,287 @@
+/** Operations of entry VMs: reads are answered from the state, writes when their command is applied. */
+import { fail, failure, succeed, type Failure, type JobExplanation, type JobSpec } from '@comfreygrade/core'
+import { toClaimView } from './claims.js'
+import { isSameSpec, toJobView, type JobRecord } from './jobs.js'
+import type { CommandResult, ControlCommand } from './commands.js'
+import type { ControlAnswer, ControlOperation, ControlResult, WorkerView } from './operations.js'
+import type { ControlEffect } from './orders.js'
+import type { LeaderContext } from './leader-context.js'
+import type { Proposal, WriteOperation } from './proposals.js'
+import type { Scheduling } from './scheduling.js'
+import type { WorkerService } from './worker-service.js'
+
+type OperationOf<Kind extends ControlOperation['kind']> = Extract<ControlOperation, { kind: Kind }>
+
+/** What an operation leads to at once: an answer, a command to commit, or an answer that comes later. */
+type Step =
+  | { readonly kind: 'answer', readonly answer: ControlAnswer }
+  | { readonly kind: 'refuse', readonly failure: Failure }
+  | { readonly kind: 'propose', readonly command: ControlCommand }
+  | { readonly kind: 'later' }
+
+/** A decision that is refused because the job moved on is taken anew this often. */
+const MAX_ATTEMPTS = 4
+
+/** Answers operations under this leader. */
+export class OperationService {
+  readonly #context: LeaderContext
+  readonly #scheduling: Scheduling
+  readonly #workers: WorkerService
+  readonly #effects: ControlEffect[]
+
+  constructor (context: LeaderContext, scheduling: Scheduling, workers: WorkerService, effects: ControlEffect[]) {
+    this.#context = context
+    this.#scheduling = scheduling
+    this.#workers = workers
+    this.#effects = effects
+  }
+
+  /** Answers an operation, or proposes its command. */
+  handle (requestId: string, operation: ControlOperation, nowMs: number, attempt = 1): void {
+    const step = this.#decide(requestId, operation, nowMs)
+    switch (step.kind) {
+      case 'answer': this.reply(requestId, succeed(step.answer)); break
+      case 'refuse': this.reply(requestId, { ok: false, failure: step.failure }); break
+      case 'propose': {
+        const purpose = { kind: 'operation' as const, requestId, operation: operation as WriteOperation, attempt }
+        this.#context.proposals.propose(step.command, purpose, nowMs)
+        break
+      }
+      case 'later': break
+    }
+  }
+
+  /** Answers an operation whose command was applied. */
+  applied ({ purpose, command }: Proposal, result: CommandResult, nowMs: number): void {
+    if (purpose.kind !== 'operation') return
+    const { requestId, operation, attempt } = purpose
+    if (result.kind === 'refused') {
+      if (command.kind === 'submit_job') this.#forgetUnsubmitted(command.spec, nowMs)
+      const isOvertaken = result.failure.kind === 'stale_term' && operation.kind === 'cancel_job'
+      if (!isOvertaken) this.reply(requestId, { ok: false, failure: result.failure })
+      else if (attempt < MAX_ATTEMPTS) this.handle(requestId, operation, nowMs, attempt + 1)
+      else this.reply(requestId, fail('control_unavailable', `the job changed during ${attempt} attempts to cancel it`))
+      return
+    }
+    this.reply(requestId, succeed(this.#answerOf(operation, result)))
+  }
+
+  /**
+   * Answers an operation whose command was rejected. A claim may have been granted to nobody's knowledge, so it is not
+   * repeated; every other operation may be sent again as it is.
+   */
+  rejected ({ purpose, command }: Proposal, isCertain: boolean, nowMs: number): void {
+    if (purpose.kind !== 'operation') return
+    if (command.kind === 'submit_job') this.#forgetUnsubmitted(command.spec, nowMs)
+    const isUnknownClaim = purpose.operation.kind === 'claim_request' && !isCertain
+    const cause = isUnknownClaim
+      ? failure('outcome_unknown', 'leadership changed before the claim was known to be committed')
+      : failure('control_unavailable', 'leadership changed before the change was known to be committed; send it again')
+    this.reply(purpose.requestId, { ok: false, failure: cause })
+  }
+
+  reply (requestId: string, result: ControlResult): void {
+    if (!result.ok) this.#context.metrics.increment('refusal', { kind: result.failure.kind })
+    this.#effects.push({ kind: 'reply', requestId, result })
+  }
+
+  #decide (requestId: string, operation: ControlOperation, nowMs: number): Step {
+    switch (operation.kind) {
+      case 'submit_job': return this.#submit(operation.spec, nowMs)
+      case 'cancel_job': return this.#cancel(operation.jobId)
+      case 'get_job': return this.#getJob(operation.jobId)
+      case 'list_jobs': return this.#listJobs(operation)
+      case 'explain_job': return this.#explain(operation.jobId, nowMs)
+      case 'report_worker': return this.#report(requestId, operation, nowMs)
+      case 'leave_worker': return this.#leave(operation.workerId)
+      case 'apply_change': return this.#applyChange(operation)
+      case 'get_configuration': return answer(this.#configuration())
+      case 'get_configuration_status': return answer(this.#configurationStatus())
+      case 'get_fleet': return answer(this.#fleet())
+      case 'drain': return propose({ kind: 'set_drain', drain: operation.drain, isDraining: true })
+      case 'undrain': return propose({ kind: 'set_drain', drain: operation.drain, isDraining: false })
+      case 'claim_request': return this.#claim(operation)
+      case 'settle_claim': return propose({ ...operation })
+      case 'get_claim': return this.#getClaim(operation)
+    }
+  }
+
+  /** A shape that no inventory could hold is refused here, so that it never enters the log. */
+  #submit (spec: JobSpec, nowMs: number): Step {
+    const existing = this.#context.state.job(spec.jobId)
+    if (existing !== undefined) {
+      return isSameSpec(existing.spec, spec)
+        ? answer({ kind: 'job', job: toJobView(existing) })
+        : refuse(failure('job_exists', `job ${spec.jobId} exists with other content`))
+    }
+    if (!this.#context.state.configuration.organisations.has(spec.organisationId)) {
+      return refuse(failure('unknown_organisation', `organisation ${spec.organisationId} is not in the inventory`))
+    }
+    const problem = this.#scheduling.submit(spec, nowMs)
+    return problem === undefined ? propose({ kind: 'submit_job', spec }) : refuse(problem)
+  }
+
+  #cancel (jobId: string): Step {
+    const job = this.#context.state.job(jobId)
+    if (job === undefined) return refuse(failure('not_found', `job ${jobId} does not exist`))
+    const isLeaving = job.phase === 'stopping' && job.stop?.then !== 'requeue'
+    if (job.phase === 'ended' || isLeaving) return answer({ kind: 'job', job: toJobView(job) })
+    const { leaseId } = job
+    const reason = 'cancelled by the caller'
+    return job.phase === 'waiting'
+      ? propose({ kind: 'end_job', jobId, leaseId, outcome: 'cancelled', reason })
+      : propose({ kind: 'stop_job', jobId, leaseId, reason, isCheckpoint: false, then: 'cancelled' })
+  }
+
+  #getJob (jobId: string): Step {
+    const job = this.#context.state.job(jobId)
+    return job === undefined
+      ? refuse(failure('not_found', `job ${jobId} does not exist`))
+      : answer({ kind: 'job', job: toJobView(job) })
+  }
+
+  #listJobs ({ phase, organisationId, limit }: OperationOf<'list_jobs'>): Step {
+    const jobs: JobRecord[] = []
+    let total = 0
+    for (const job of this.#jobsIn(phase)) {
+      if (organisationId !== undefined && job.spec.organisationId !== organisationId) continue
+      total += 1
+      if (jobs.length < limit) jobs.push(job)
+    }
+    return answer({ kind: 'jobs', jobs: jobs.map(toJobView), total })
+  }
+
+  * #jobsIn (phase: JobRecord['phase'] | undefined): IterableIterator<JobRecord> {
+    const { state } = this.#context
+    if (phase === undefined) {
+      yield * state.jobs()
+      return
+    }
+    for (const jobId of state.jobIdsInPhase(phase)) {
+      const job = state.job(jobId)
+      if (job !== undefined) yield job
+    }
+  }
+
+  #explain (jobId: string, nowMs: number): Step {
+    const job = this.#context.state.job(jobId)
+    if (job === undefined) return refuse(failure('not_found', `job ${jobId} does not exist`))
+    const explanation = job.phase === 'ended' ? explainEnded(job) : this.#context.scheduler.explain(jobId, nowMs)
+    return answer({ kind: 'explanation', explanation })
+  }
+
+  #report (requestId: string, { report }: OperationOf<'report_worker'>, nowMs: number): Step {
+    const problem = this.#workers.observe(report, nowMs)
+    if (problem !== undefined) return refuse(problem)
+    const lease = this.#workers.answer(requestId, report, nowMs)
+    return lease === undefined ? { kind: 'later' } : answer(lease)
+  }
+
+  #leave (workerId: string): Step {
+    const worker = this.#context.state.worker(workerId)
+    if (worker === undefined) return refuse(failure('not_found', `worker ${workerId} is not known`))
+    return worker.state === 'draining'
+      ? answer({ kind: 'done' })
+      : propose({ kind: 'worker_state', ...worker, state: 'draining' })
+  }
+
+  #applyChange ({ change, isDryRun }: OperationOf<'apply_change'>): Step {
+    const checked = this.#context.state.checkChange(change)
+    if (checked.kind === 'refused') return refuse(checked.failure)
+    if (isDryRun || checked.kind === 'repeated') {
+      return answer({ kind: 'configuration_accepted', version: change.version, isDryRun })
+    }
+    return propose({ kind: 'apply_configuration', change })
+  }
+
+  #configuration (): ControlAnswer {
+    const { version, document } = this.#context.state.configurationDocument()
+    return { kind: 'configuration', version, document }
+  }
+
+  /** The node adapter adds what entry VMs acknowledged. */
+  #configurationStatus (): ControlAnswer {
+    const { version } = this.#context.state.configuration
+    return { kind: 'configuration_status', status: { version, isInForceEverywhere: false, nodes: [] } }
+  }
+
+  /** The node adapter adds the backend servers. */
+  #fleet (): ControlAnswer {
+    const report = this.#context.scheduler.report()
+    const quarantined = new Set(report.quarantinedWorkerIds)
+    const workers = [...this.#context.state.workers()].map((record): WorkerView => ({
+      workerId: record.workerId,
+      state: record.state === 'active' ? this.#activeState(record.workerId, quarantined) : record.state,
+      address: record.address,
+      tasks: this.#context.state.cellsOn(record.workerId).length
+    }))
+    return { kind: 'fleet', report, workers, drains: this.#context.state.drains(), backendServers: [] }
+  }
+
+  #activeState (workerId: string, quarantined: ReadonlySet<string>): WorkerView['state'] {
+    if (this.#context.state.isDrained('worker', workerId)) return 'draining'
+    return quarantined.has(workerId) ? 'quarantined' : 'active'
+  }
+
+  #claim (operation: OperationOf<'claim_request'>): Step {
+    const { organisationId, key, digest } = operation
+    const existing = this.#context.state.claim(organisationId, key)
+    if (existing === undefined) {
+      const problem = this.#context.state.checkKey(key)
+      return problem === undefined ? propose({ ...operation }) : refuse(problem)
+    }
+    return existing.digest === digest
+      ? answer({ kind: 'claim', granted: false, claim: toClaimView(existing) })
+      : refuse(failure('key_reused', `idempotency key ${key} was used for a request with other content`))
+  }
+
+  #getClaim ({ organisationId, key }: OperationOf<'get_claim'>): Step {
+    const claim = this.#context.state.claim(organisationId, key)
+    if (claim !== undefined) return answer({ kind: 'claim', granted: false, claim: toClaimView(claim) })
+    return refuse(this.#context.state.checkKey(key) ?? failure('not_found', `claim ${key} does not exist`))
+  }
+
+  #answerOf (operation: WriteOperation, result: CommandResult): ControlAnswer {
+    switch (operation.kind) {
+      case 'submit_job': return this.#jobAnswer(operation.spec.jobId)
+      case 'cancel_job': return this.#jobAnswer(operation.jobId)
+      case 'apply_change': return { kind: 'configuration_accepted', version: operation.change.version, isDryRun: false }
+      case 'claim_request':
+        return result.kind === 'claimed'
+          ? { kind: 'claim', granted: result.granted, claim: result.claim }
+          : { kind: 'done' }
+      default: return { kind: 'done' }
+    }
+  }
+
+  #jobAnswer (jobId: string): ControlAnswer {
+    const job = this.#context.state.job(jobId)
+    return job === undefined ? { kind: 'done' } : { kind: 'job', job: toJobView(job) }
+  }
+
+  #forgetUnsubmitted ({ jobId }: JobSpec, nowMs: number): void {
+    if (this.#context.state.job(jobId) === undefined) this.#scheduling.left(jobId, false, nowMs)
+  }
+}
+
+function answer (value: ControlAnswer): Step {
+  return { kind: 'answer', answer: value }
+}
+
+function refuse (cause: Failure): Step {
+  return { kind: 'refuse', failure: cause }
+}
+
+function propose (command: ControlCommand): Step {
+  return { kind: 'propose', command }
+}
+
+function explainEnded ({ spec, outcome, detail }: JobRecord): JobExplanation {
+  return {
+    jobId: spec.jobId,
+    state: outcome === 'refused' ? 'refused' : 'unknown',
+    reason: `the job ended as ${outcome ?? 'unknown'}: ${detail}`,
+    queuePosition: 0,
+    blockedByJobIds: []
+  }
+}
--- a/packages/control/src/state.ts
+++ b/packages/control/src/state.ts
@@ -1,5 +1,7 @@
 /** The replicated state of the control nodes. */
-import type { Configuration, ConfigurationChange, JobPhase, Placement } from '@comfreygrade/core'
+import {
+  toDocument, type Configuration, type ConfigurationChange, type ConfigurationDocument, type JobPhase, type Placement
+} from '@comfreygrade/core'
 import { ClaimTable, type ClaimRecord } from './claims.js'
 import { ConfigurationHistory, type ChangeCheck, type ConfigurationSnapshot } from './configuration-history.js'
 import { DrainSet } from './drains.js'
@@ -112,6 +114,11 @@
     return this.#history.current
   }
 
+  /** Inventory and rules as the document that operators edit. */
+  configurationDocument (): { version: number, document: ConfigurationDocument } {
+    return { version: this.configuration.version, document: toDocument(this.configuration) }
+  }
+
   /** Changes after `version`; undefined when a full copy is needed. */
   changesSince (version: number): ConfigurationChange[] | undefined {
     return this.#history.changesSince(version)
