--- /dev/null
+++ b/packages/standins/src/demo-settings.ts
@@ -0,0 +1,78 @@
+/** Settings files of the demo's nodes (section 4.5 of the design page). */
+import { mkdir, writeFile } from 'node:fs/promises'
+import { createServer, type AddressInfo } from 'node:net'
+import { join } from 'node:path'
+import { stringify } from 'yaml'
+import { LOOPBACK_HOST } from './loopback-server.js'
+
+/** What a node of the demo does. */
+export type NodeRole = 'entry' | 'control'
+
+/** One node of the demo. */
+export interface DemoNode {
+  readonly nodeId: string
+  readonly region: string
+  readonly roles: readonly NodeRole[]
+  readonly httpPort: number
+  readonly peerPort: number
+  readonly settingsFile: string
+  /** Base URL of the HTTP API. */
+  readonly address: string
+}
+
+const LAYOUT: ReadonlyArray<{ nodeId: string, region: string, roles: readonly NodeRole[] }> = [
+  { nodeId: 'montevideo-1', region: 'montevideo', roles: ['entry', 'control'] },
+  { nodeId: 'salto-1', region: 'salto', roles: ['entry', 'control'] },
+  { nodeId: 'maldonado-1', region: 'maldonado', roles: ['entry', 'control'] },
+  { nodeId: 'montevideo-2', region: 'montevideo', roles: ['entry'] },
+  { nodeId: 'salto-2', region: 'salto', roles: ['entry'] }
+]
+
+/**
+ * Writes one settings file a node into a folder.
+ *
+ * @example
+ * const nodes = await writeDemoSettings(await mkdtemp(join(tmpdir(), 'comfreygrade-demo-')))
+ */
+export async function writeDemoSettings (folder: string): Promise<DemoNode[]> {
+  const ports = await findFreePorts(LAYOUT.length * 2)
+  const nodes = LAYOUT.map((node, index) => toDemoNode(folder, node, ports[index * 2] ?? 0, ports[index * 2 + 1] ?? 0))
+  for (const node of nodes) await writeSettings(folder, node, nodes)
+  return nodes
+}
+
+function toDemoNode (folder: string, node: typeof LAYOUT[number], httpPort: number, peerPort: number): DemoNode {
+  const settingsFile = join(folder, `${node.nodeId}.yaml`)
+  return { ...node, httpPort, peerPort, settingsFile, address: `http://${LOOPBACK_HOST}:${httpPort}` }
+}
+
+async function writeSettings (folder: string, node: DemoNode, nodes: readonly DemoNode[]): Promise<void> {
+  const dataFolder = join(folder, node.nodeId)
+  await mkdir(dataFolder)
+  const settings = {
+    node: {
+      nodeId: node.nodeId, region: node.region, availabilityZone: `${node.region}-a`, roles: node.roles, dataFolder
+    },
+    http: { host: LOOPBACK_HOST, port: node.httpPort },
+    peers: { host: LOOPBACK_HOST, port: node.peerPort, nodes: nodes.map(toPeer) }
+  }
+  await writeFile(node.settingsFile, stringify(settings))
+}
+
+function toPeer ({ nodeId, peerPort, address, region, roles }: DemoNode) {
+  return { nodeId, host: LOOPBACK_HOST, port: peerPort, httpAddress: address, region, roles }
+}
+
+/** Another process may take a port before its node opens it; the node then fails to start and the demo says so. */
+async function findFreePorts (count: number): Promise<number[]> {
+  const servers = await Promise.all(Array.from({ length: count }, openAnyPort))
+  const ports = servers.map(server => (server.address() as AddressInfo).port)
+  await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))))
+  return ports
+}
+
+async function openAnyPort () {
+  const server = createServer()
+  await new Promise<void>(resolve => server.listen(0, LOOPBACK_HOST, resolve))
+  return server
+}
--- /dev/null
+++ b/packages/standins/test/node-process.test.ts
@@ -0,0 +1,54 @@
+import { mkdtemp, readFile, writeFile } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import test from 'ava'
+import { parse } from 'yaml'
+import { NodeProcess } from '../src/index.js'
+import { writeDemoSettings } from '../src/demo-settings.js'
+
+async function temporaryFolder (): Promise<string> {
+  return await mkdtemp(join(tmpdir(), 'comfreygrade-test-'))
+}
+
+async function start (script: string): Promise<NodeProcess> {
+  const file = join(await temporaryFolder(), 'script.mjs')
+  await writeFile(file, script)
+  return new NodeProcess('n1', file, [])
+}
+
+test('a process is ready at its ready line and ends by its own ID, so that no other process is touched', async t => {
+  const process = await start(`
+    console.error('starting'); console.log('{"event":"ready"}')
+    const timer = setInterval(() => {}, 1000)
+    globalThis.process.on('SIGTERM', () => clearInterval(timer))
+  `)
+  await process.ready(10_000)
+  t.deepEqual(await process.stop(10_000), { code: 0, signal: null })
+})
+
+test('a process that ends before it is ready fails with its log lines kept, so that the cause can be shown', async t => {
+  const process = await start('console.error("{\\"message\\":\\"port in use\\"}"); globalThis.process.exitCode = 1')
+  await t.throwsAsync(process.ready(10_000), { message: /ended with code 1/ })
+  t.deepEqual(process.logLines, ['{"message":"port in use"}'])
+})
+
+test('a process that does not end is killed after the limit and reported, so that nothing is left running', async t => {
+  const process = await start(`
+    globalThis.process.on('SIGTERM', () => {}); setInterval(() => {}, 1000); console.log('{"event":"ready"}')
+  `)
+  await process.ready(10_000)
+  await t.throwsAsync(process.stop(50), { message: /did not end within 50 ms/ })
+  t.deepEqual(await process.kill(), { code: null, signal: 'SIGKILL' })
+})
+
+test('every node of the demo is told of all nodes with its own ports, so that the control nodes find each other', async t => {
+  const nodes = await writeDemoSettings(await temporaryFolder())
+  const settings = await Promise.all(nodes.map(async node => parse(await readFile(node.settingsFile, 'utf8'))))
+  t.is(new Set(nodes.flatMap(node => [node.httpPort, node.peerPort])).size, 10)
+  t.is(settings.filter(({ node }) => node.roles.includes('control')).length, 3)
+  for (const [index, { node, http, peers }] of settings.entries()) {
+    const self = peers.nodes.find((peer: { nodeId: string }) => peer.nodeId === node.nodeId)
+    t.like(self, { port: peers.port, httpAddress: `http://${http.host}:${http.port}` })
+    t.deepEqual(peers.nodes, settings[(index + 1) % 5].peers.nodes)
+  }
+})
