--- /dev/null
+++ b/packages/bench/src/format-figures.ts
@@ -0,0 +1,58 @@
+/** Files of figures, and the comparison of a run with an earlier one. */
+import { readFile, writeFile } from 'node:fs/promises'
+import type { BenchTable } from './format.js'
+
+/** Figures of one run. */
+export interface Figures {
+  readonly nodeVersion: string
+  readonly seeds: readonly number[]
+  readonly isQuick: boolean
+  readonly tables: readonly BenchTable[]
+}
+
+/** Writes figures as JSON. */
+export async function writeFigures (file: string, figures: Figures): Promise<void> {
+  await writeFile(file, `${JSON.stringify(figures, null, 2)}\n`)
+}
+
+/** Reads figures that `writeFigures` wrote. */
+export async function readFigures (file: string): Promise<Figures> {
+  const figures = JSON.parse(await readFile(file, 'utf8')) as Partial<Figures>
+  if (!Array.isArray(figures.tables)) throw new TypeError(`${file} holds no figures: "tables" is missing`)
+  return figures as Figures
+}
+
+/**
+ * Shows each figure next to the earlier one of the same title, row name and column. Rows and columns that the earlier
+ * run did not have are marked `new`.
+ *
+ * @example
+ * compareTables(earlier.tables, tables).map(formatTable)
+ */
+export function compareTables (earlier: readonly BenchTable[], current: readonly BenchTable[]): BenchTable[] {
+  return current.map(table => compareTable(earlier.find(({ title }) => title === table.title), table))
+}
+
+function compareTable (earlier: BenchTable | undefined, current: BenchTable): BenchTable {
+  const rows = current.rows.map(row => {
+    const earlierRow = earlier?.rows.find(([name]) => name === row[0])
+    const compare = (cell: string, index: number) => compareCell(findCell(earlier, earlierRow, current, index), cell)
+    return row.map((cell, index) => index === 0 ? cell : compare(cell, index))
+  })
+  return { title: `${current.title} (against the earlier run)`, columns: current.columns, rows }
+}
+
+function findCell (
+  earlier: BenchTable | undefined, earlierRow: readonly string[] | undefined, current: BenchTable, index: number
+): string | undefined {
+  const earlierIndex = earlier?.columns.indexOf(current.columns[index] ?? '') ?? -1
+  return earlierIndex === -1 ? undefined : earlierRow?.[earlierIndex]
+}
+
+function compareCell (earlier: string | undefined, current: string): string {
+  if (earlier === undefined) return `${current} (new)`
+  const [before, after] = [Number(earlier), Number(current)]
+  if (Number.isNaN(before) || Number.isNaN(after) || before === 0) return `${current} (was ${earlier})`
+  const changePercent = (after - before) / before * 100
+  return `${current} (${changePercent >= 0 ? '+' : ''}${changePercent.toFixed(1)} %)`
+}
--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,1 +1,3 @@
-export {}
+export * from './format.js'
+export * from './format-figures.js'
+export * from './load-run.js'
--- /dev/null
+++ b/packages/bench/src/load-run.ts
@@ -0,0 +1,192 @@
+/** Seeded load of short requests and its measurement. */
+import type { Random } from '@comfreygrade/core'
+import { build, type Histogram } from 'hdr-histogram-js'
+import { Agent, request } from 'undici'
+
+/** How a request ended. */
+export type LoadOutcome = 'answered' | 'refused' | 'failed'
+
+/** Bounds of a run; whichever is reached first ends it. */
+export interface LoadBounds {
+  readonly requests: number
+  readonly durationMs: number
+}
+
+/** Where requests are sent. */
+export abstract class LoadTarget {
+  /** Sends request number `index`. */
+  abstract send (index: number): Promise<LoadOutcome>
+  /** Closes the connections. */
+  abstract close (): Promise<void>
+}
+
+/** What an HTTP target sends. */
+export interface HttpTargetSettings {
+  /** URLs, used in turn. */
+  readonly urls: readonly string[]
+  readonly organisations: readonly string[]
+  readonly body: Buffer
+  readonly timeoutMs: number
+  readonly connectionsPerUrl: number
+}
+
+/** Sends short requests by HTTP; entry nodes and backend servers get the same headers and body. */
+export class HttpLoadTarget extends LoadTarget {
+  readonly #settings: HttpTargetSettings
+  readonly #agent: Agent
+
+  /**
+   * @example
+   * const target = new HttpLoadTarget({ urls: ['http://127.0.0.1:9000/charge'], organisations: ['o1'],
+   *   body: Buffer.alloc(128), timeoutMs: 10_000, connectionsPerUrl: 64 })
+   */
+  constructor (settings: HttpTargetSettings) {
+    super()
+    this.#settings = settings
+    this.#agent = new Agent({ connections: settings.connectionsPerUrl })
+  }
+
+  override async send (index: number): Promise<LoadOutcome> {
+    const { urls, organisations, body, timeoutMs } = this.#settings
+    try {
+      const response = await request(urls[index % urls.length] ?? '', {
+        method: 'POST',
+        headers: {
+          'content-type': 'application/octet-stream',
+          'comfreygrade-organisation': organisations[index % organisations.length] ?? '',
+          'comfreygrade-repeatable': 'idempotent',
+          'comfreygrade-deadline-ms': String(timeoutMs)
+        },
+        body,
+        dispatcher: this.#agent,
+        signal: AbortSignal.timeout(timeoutMs)
+      })
+      await response.body.dump()
+      return response.statusCode < 400 ? 'answered' : 'refused'
+    } catch {
+      return 'failed'
+    }
+  }
+
+  override async close (): Promise<void> {
+    await this.#agent.destroy()
+  }
+}
+
+/** Counts and latencies of one target. */
+export class LoadMeasurement {
+  readonly counts: Record<LoadOutcome, number> = { answered: 0, refused: 0, failed: 0 }
+  readonly #latencyUs: Histogram = build({ numberOfSignificantValueDigits: 3 })
+  #elapsedMs = 0
+
+  /** Notes one request; only answered ones count for the latency. */
+  record (outcome: LoadOutcome, latencyMs: number): void {
+    this.counts[outcome]++
+    if (outcome === 'answered') this.#latencyUs.recordValue(Math.max(1, Math.round(latencyMs * 1_000)))
+  }
+
+  /** Adds the time of a run. */
+  addElapsed (elapsedMs: number): void {
+    this.#elapsedMs += elapsedMs
+  }
+
+  /** Answered requests a second. */
+  get answeredPerSecond (): number {
+    return this.#elapsedMs === 0 ? 0 : this.counts.answered / this.#elapsedMs * 1_000
+  }
+
+  /** Latency in milliseconds below which `percentile` per cent of the answers arrived. */
+  latencyMs (percentile: number): number {
+    return this.#latencyUs.getValueAtPercentile(percentile) / 1_000
+  }
+}
+
+/** When requests are sent. */
+export abstract class LoadPattern {
+  /** Sends requests until a bound is reached and all answers have arrived. */
+  async run (target: LoadTarget, bounds: LoadBounds, measurement: LoadMeasurement): Promise<void> {
+    const startedMs = performance.now()
+    await this.sendAll(target, { requests: bounds.requests, endsMs: startedMs + bounds.durationMs }, measurement)
+    measurement.addElapsed(performance.now() - startedMs)
+  }
+
+  protected abstract sendAll (
+    target: LoadTarget, bounds: { requests: number, endsMs: number }, measurement: LoadMeasurement
+  ): Promise<void>
+}
+
+/**
+ * A fixed number of callers, each of which sends its next request when the last one has been answered.
+ *
+ * @example
+ * await new ClosedLoop(16).run(target, { requests: 1_000, durationMs: 10_000 }, measurement)
+ */
+export class ClosedLoop extends LoadPattern {
+  readonly #callers: number
+
+  constructor (callers: number) {
+    super()
+    this.#callers = callers
+  }
+
+  protected override async sendAll (
+    target: LoadTarget, { requests, endsMs }: { requests: number, endsMs: number }, measurement: LoadMeasurement
+  ): Promise<void> {
+    let next = 0
+    const callInTurn = async () => {
+      while (next < requests && performance.now() < endsMs) {
+        await measure(target, next++, performance.now(), measurement)
+      }
+    }
+    await Promise.all(Array.from({ length: this.#callers }, callInTurn))
+  }
+}
+
+/**
+ * Requests at random times (a Poisson process), whatever becomes of the earlier ones. Latency counts from the planned
+ * time, so a slow system cannot hide the requests that it delays (coordinated omission).
+ *
+ * @example
+ * await new OpenLoop(500, new Random(1)).run(target, { requests: 1_000, durationMs: 10_000 }, measurement)
+ */
+export class OpenLoop extends LoadPattern {
+  readonly #ratePerSecond: number
+  readonly #random: Random
+
+  constructor (ratePerSecond: number, random: Random) {
+    super()
+    this.#ratePerSecond = ratePerSecond
+    this.#random = random
+  }
+
+  protected override async sendAll (
+    target: LoadTarget, { requests, endsMs }: { requests: number, endsMs: number }, measurement: LoadMeasurement
+  ): Promise<void> {
+    const sent: Array<Promise<void>> = []
+    let plannedMs = performance.now()
+    for (let index = 0; index < requests; index++) {
+      plannedMs += this.#nextGapMs()
+      if (plannedMs >= endsMs) break
+      await sleepUntil(plannedMs)
+      sent.push(measure(target, index, plannedMs, measurement))
+    }
+    await Promise.all(sent)
+  }
+
+  #nextGapMs (): number {
+    return -Math.log(1 - this.#random.nextFloat()) * 1_000 / this.#ratePerSecond
+  }
+}
+
+async function measure (
+  target: LoadTarget, index: number, fromMs: number, measurement: LoadMeasurement
+): Promise<void> {
+  const outcome = await target.send(index)
+  measurement.record(outcome, performance.now() - fromMs)
+}
+
+/** Timers have a resolution of one millisecond, so requests that are due within it are sent together. */
+async function sleepUntil (atMs: number): Promise<void> {
+  const waitMs = atMs - performance.now()
+  if (waitMs >= 1) await new Promise(resolve => setTimeout(resolve, waitMs))
+}
--- /dev/null
+++ b/packages/bench/src/main.ts
@@ -0,0 +1,80 @@
+/** `npm run bench -- [placement|routing|consensus|control|all]`: runs benchmarks of the decision packages. */
+import { existsSync } from 'node:fs'
+import meow from 'meow'
+import { type BenchTable, formatTable } from './format.js'
+import { compareTables, readFigures, writeFigures } from './format-figures.js'
+
+/** Benchmarks by name; each is a module `NAME-bench.js` next to this one. */
+const NAMES = ['placement', 'routing', 'consensus', 'control'] as const
+
+type BenchName = typeof NAMES[number]
+
+/** What each benchmark module exports. */
+interface BenchModule {
+  run (options: { seeds: readonly number[], quick: boolean }): Promise<BenchTable[]>
+}
+
+const DEFAULT_SEEDS = [1, 2, 3]
+
+const cli = meow(`
+  Usage
+    $ npm run bench -- [${NAMES.join('|')}|all]
+
+  Options
+    --seed N        seed; repeatable (${DEFAULT_SEEDS.join(', ')})
+    --quick         smaller sizes, to see that the benchmarks run
+    --out FILE      write the figures as JSON
+    --compare FILE  compare with figures that --out wrote
+`, {
+  importMeta: import.meta,
+  allowUnknownFlags: false,
+  flags: {
+    seed: { type: 'number', isMultiple: true, default: DEFAULT_SEEDS },
+    quick: { type: 'boolean', default: false },
+    out: { type: 'string' },
+    compare: { type: 'string' }
+  }
+})
+
+function chooseNames (input: readonly string[]): readonly BenchName[] | undefined {
+  if (input.length === 0 || input.includes('all')) return NAMES.filter(hasModule)
+  const chosen = NAMES.filter(name => input.includes(name))
+  return chosen.length === input.length ? chosen : undefined
+}
+
+function moduleUrl (name: BenchName): URL {
+  return new URL(`./${name}-bench.js`, import.meta.url)
+}
+
+function hasModule (name: BenchName): boolean {
+  if (existsSync(moduleUrl(name))) return true
+  console.error(`${name}: there is no ${name}-bench.js, skipped`)
+  return false
+}
+
+async function runBench (name: BenchName): Promise<BenchTable[]> {
+  const bench = await import(moduleUrl(name).href) as BenchModule
+  const tables = await bench.run({ seeds: cli.flags.seed, quick: cli.flags.quick })
+  for (const table of tables) console.log(`${formatTable(table)}\n`)
+  return tables
+}
+
+async function runAll (names: readonly BenchName[]): Promise<void> {
+  const { seed, quick, out, compare } = cli.flags
+  // Read before the run: an unreadable file must not cost a whole run.
+  const earlier = compare === undefined ? undefined : await readFigures(compare)
+  const tables: BenchTable[] = []
+  for (const name of names) tables.push(...await runBench(name))
+  if (out !== undefined) await writeFigures(out, { nodeVersion: process.version, seeds: seed, isQuick: quick, tables })
+  if (earlier === undefined) return
+  if (earlier.isQuick !== quick) console.error('one of the two runs is a quick one; their figures do not compare')
+  for (const table of compareTables(earlier.tables, tables)) console.log(`${formatTable(table)}\n`)
+}
+
+const names = chooseNames(cli.input)
+if (names === undefined) {
+  console.error(`found ${cli.input.join(' ')}, allowed ${NAMES.join(', ')} or all`)
+  process.exitCode = 2
+} else {
+  await runAll(names)
+}
--- /dev/null
+++ b/packages/bench/test/format.test.ts
@@ -0,0 +1,19 @@
+import test from 'ava'
+import { type BenchTable, compareTables, formatTable } from '../src/index.js'
+
+const earlier: BenchTable = { title: 'T', columns: ['name', 'ms', 'state'], rows: [['a', '10', 'ok'], ['b', '0', 'ok']] }
+
+test('figures are aligned by column, so that rows can be read against each other', t => {
+  t.is(formatTable(earlier), 'T\nname  ms  state\n----  --  -----\na     10     ok\nb      0     ok')
+})
+
+test('a comparison matches rows and columns by name, so that a new row shifts no figure', t => {
+  const current: BenchTable = {
+    title: 'T', columns: ['name', 'state', 'ms'], rows: [['c', 'ok', '1'], ['b', 'ok', '2'], ['a', 'late', '15']]
+  }
+  t.deepEqual(compareTables([earlier], [current])[0]?.rows, [
+    ['c', 'ok (new)', '1 (new)'],
+    ['b', 'ok (was ok)', '2 (was 0)'],
+    ['a', 'late (was ok)', '15 (+50.0 %)']
+  ])
+})
