Run the control role on nodes and hold worker leases as control relies on

Cause: the control leader, the replicated log and the gang scheduler existed apart. The node now runs them on its event loop, answers operations of every entry VM, feeds configurations under leases and replaces a voter whose node returns with another disk.

The stand-in worker extended a lease by each order. The control leader counts only renewals by reports, so a delayed order would have let a task run after its cell was given away. It now holds one lease for all its tasks, renewed only by answers to reports, and refuses orders for an earlier start.

--- /dev/null
+++ b/packages/node/src/main.ts
@@ -0,0 +1,75 @@
+#!/usr/bin/env node
+/** Process of a node: reads the settings, starts the parts, ends gracefully on SIGTERM and SIGINT. */
+import { readFile } from 'node:fs/promises'
+import meow from 'meow'
+import { defaultControlSettings } from '@comfreygrade/control'
+import { defaultReplicaSettings } from '@comfreygrade/consensus'
+import { defaultPlacementSettings } from '@comfreygrade/placement'
+import { defaultRoutingSettings } from '@comfreygrade/routing'
+import { startNode } from './start-node.js'
+import { formatProblem, parseSettings, type Settings } from './settings.js'
+
+/** Exit code for wrong usage or wrong settings. */
+const EXIT_SETTINGS = 2
+/** Exit code for a failure of the disk or of the start. */
+const EXIT_FAILURE = 1
+
+const cli = meow(`
+  Usage
+    $ comfreygrade-node --settings FILE
+
+  Options
+    --settings FILE  YAML file with the settings of this node
+    --check          check the settings and exit
+    --help           show this text
+    --version        show the version
+`, {
+  importMeta: import.meta,
+  flags: {
+    settings: { type: 'string', isRequired: true },
+    check: { type: 'boolean', default: false }
+  }
+})
+
+const defaults = {
+  routing: defaultRoutingSettings,
+  placement: defaultPlacementSettings,
+  consensus: defaultReplicaSettings,
+  control: defaultControlSettings
+}
+
+async function readSettings (file: string): Promise<Settings | undefined> {
+  const text = await readFile(file, 'utf8').catch((error: NodeJS.ErrnoException) => {
+    console.error(`${file}: cannot be read: ${error.message}`)
+  })
+  if (text === undefined) return undefined
+  const result = parseSettings(text, defaults)
+  if (result.ok) return result.settings
+  for (const problem of result.problems) console.error(formatProblem(file, problem))
+  return undefined
+}
+
+async function run (settings: Settings): Promise<void> {
+  const node = await startNode(settings, error => {
+    console.error(JSON.stringify({ event: 'storage_failed', detail: String(error) }))
+    process.exit(EXIT_FAILURE)
+  })
+  const stop = (): void => {
+    node.stop().then(() => { process.exit(0) }, () => { process.exit(EXIT_FAILURE) })
+  }
+  process.once('SIGTERM', stop)
+  process.once('SIGINT', stop)
+  console.log(JSON.stringify({ event: 'ready', nodeId: settings.node.nodeId, http: settings.http }))
+}
+
+const settings = await readSettings(cli.flags.settings)
+if (settings === undefined) {
+  process.exitCode = EXIT_SETTINGS
+} else if (cli.flags.check) {
+  console.log(`${cli.flags.settings}: settings are valid`)
+} else {
+  await run(settings).catch((error: unknown) => {
+    console.error(JSON.stringify({ event: 'start_failed', detail: String(error) }))
+    process.exit(EXIT_FAILURE)
+  })
+}
--- /dev/null
+++ b/packages/node/src/node.ts
@@ -0,0 +1,343 @@
+/** Wires the parts of a node together and owns its life: start, serving, graceful shutdown. */
+import {
+  fail, failure, succeed, type BackendServerRecord, type Clock, type Configuration, type EventLog, type Failure,
+  type Random, type RequestSpec, type Result, type Rules
+} from '@comfreygrade/core'
+import type { ControlOperation, ControlResult, Drain } from '@comfreygrade/control'
+import { BackendRegistry, LocalityPolicy, RequestRouter, type RoutingSettings } from '@comfreygrade/routing'
+import { Application, type BackendServerAnnouncement, type HeartbeatTerms, type NodeStatus } from './application.js'
+import { BackendClient } from './backend-client.js'
+import { ConfigurationReplica } from './configuration-replica.js'
+import { ControlClient } from './control-client.js'
+import type { ControlService } from './control-service.js'
+import { HttpApi } from './http-api.js'
+import { MemberSpread } from './member-spread.js'
+import { PeerLinks } from './peer-links.js'
+import type { PeerMessage } from './peer-messages.js'
+import { RequestService, type RequestAnswer } from './request-service.js'
+import type { Settings } from './settings.js'
+import type { StatsdMetrics } from './statsd-metrics.js'
+
+/** Creates the control role with the connections of its node. */
+export type ControlFactory = (connections: {
+  readonly send: (nodeId: string, message: PeerMessage) => boolean
+  readonly feedLocal: (feed: Extract<PeerMessage, { kind: 'feed' }>) => void
+}) => ControlService
+
+/** Options of {@link Node}. */
+export interface NodeOptions {
+  readonly settings: Settings
+  readonly routingSettings: RoutingSettings
+  readonly clock: Clock
+  readonly random: Random
+  readonly metrics: StatsdMetrics
+  readonly log: EventLog
+  /** Absent on nodes without the role control. */
+  readonly createControl?: ControlFactory
+}
+
+/** How often a node says `hello` again, so that a control node hears of a peer's first start or new disk. */
+const HELLO_INTERVAL_MS = 1_000
+/** How often a shutdown looks whether all requests have ended. */
+const DRAIN_CHECK_MS = 20
+/** Time for peers to hear that leadership was handed over. */
+const STEP_DOWN_MS = 200
+
+/** One process of the system. */
+export class Node extends Application {
+  readonly #options: NodeOptions
+  readonly #configuration: ConfigurationReplica
+  readonly #registry: BackendRegistry
+  readonly #router: RequestRouter
+  readonly #requests: RequestService
+  readonly #backendClient: BackendClient
+  readonly #links: PeerLinks
+  readonly #control: ControlService | undefined
+  readonly #controlClient: ControlClient
+  readonly #members: MemberSpread
+  readonly #http: HttpApi
+  readonly #startedAtMs: number
+  #state: NodeStatus['state'] = 'starting'
+  #feedTimer: NodeJS.Timeout | undefined
+  #helloTimer: NodeJS.Timeout | undefined
+
+  constructor (options: NodeOptions) {
+    super()
+    const { settings, clock, metrics, log } = options
+    const { node, timing, limits } = settings
+    this.#options = options
+    this.#startedAtMs = clock.monotonicMs()
+    this.#configuration = new ConfigurationReplica(clock, log)
+    this.#configuration.onChange((configuration, drains) => { this.#configurationChanged(configuration, drains) })
+    this.#registry = new BackendRegistry(timing.backendExpireAfterMs)
+    this.#router = this.#createRouter()
+    this.#links = this.#createLinks()
+    this.#control = options.createControl?.({
+      send: (nodeId, message) => this.#links.send(nodeId, message),
+      feedLocal: feed => { this.#configuration.receive(feed) }
+    })
+    this.#controlClient = new ControlClient({
+      nodeId: node.nodeId,
+      timeoutMs: timing.controlTimeoutMs,
+      clock,
+      metrics,
+      leaderNodeId: () => this.#leaderNodeId(),
+      send: (nodeId, message) => this.#links.send(nodeId, message),
+      askLocal: async operation => await this.#askLocal(operation)
+    })
+    this.#backendClient = new BackendClient({ maxAnswerBytes: limits.maxAnswerBytes, connectTimeoutMs: 1_000 })
+    this.#requests = new RequestService({
+      router: this.#router,
+      backendClient: this.#backendClient,
+      clock,
+      metrics,
+      askControl: async (operation, timeoutMs) => await this.#controlClient.ask(operation, timeoutMs)
+    })
+    this.#members = this.#createMembers()
+    this.#http = new HttpApi({
+      application: this,
+      metrics,
+      nodeId: node.nodeId,
+      host: settings.http.host,
+      port: settings.http.port,
+      maxBodyBytes: limits.maxBodyBytes,
+      maxHeaderBytes: limits.maxHeaderBytes,
+      requestReceiveTimeoutMs: limits.requestReceiveTimeoutMs
+    })
+  }
+
+  /** Connects to the other nodes and opens the HTTP port. */
+  async start (): Promise<void> {
+    const { timing } = this.#options.settings
+    await this.#links.start()
+    this.#members.start()
+    this.#feedTimer = setInterval(() => { this.#requestFeed() }, timing.feedIntervalMs)
+    this.#helloTimer = setInterval(() => { this.#links.broadcast(this.#hello()) }, HELLO_INTERVAL_MS)
+    await this.#http.start()
+    this.#state = 'serving'
+    this.#options.log.info('node is serving', { http: this.#options.settings.http })
+  }
+
+  /** Takes no new work, lets open requests end within the limit, and closes everything. */
+  async stop (): Promise<void> {
+    if (this.#state === 'stopping') return
+    this.#state = 'stopping'
+    this.#options.log.info('graceful shutdown started', { openRequests: this.#requests.openRequests })
+    this.#requests.dispatchEvent({ kind: 'drain_started' })
+    await this.#awaitOpenRequests()
+    this.#control?.stepDown()
+    await pause(STEP_DOWN_MS)
+    await this.#close()
+    this.#options.log.info('graceful shutdown ended', { openRequests: this.#requests.openRequests })
+    await this.#options.metrics.close()
+  }
+
+  override admission (): Result<Rules> {
+    if (this.#state === 'stopping') return fail('shutting_down', 'this node is shutting down')
+    if (this.#state === 'drained') return fail('shutting_down', 'an operator drains this node')
+    if (!this.#configuration.hasLease) {
+      return fail('configuration_stale', 'this node has no lease on the configuration in force')
+    }
+    return succeed(this.#configuration.configuration.rules)
+  }
+
+  override nowMs (): number {
+    return this.#options.clock.monotonicMs()
+  }
+
+  override async execute (
+    spec: RequestSpec, body: Buffer, onCancel: (cancel: () => void) => void
+  ): Promise<Result<RequestAnswer>> {
+    return await this.#requests.execute(spec, body, onCancel)
+  }
+
+  override async ask (operation: ControlOperation): Promise<ControlResult> {
+    const result = await this.#controlClient.ask(operation)
+    if (!result.ok || result.value.kind !== 'fleet') return result
+    return { ok: true, value: { ...result.value, backendServers: this.backendServers() } }
+  }
+
+  override announceBackendServer (announcement: BackendServerAnnouncement): HeartbeatTerms {
+    const { heartbeatIntervalMs, backendExpireAfterMs } = this.#options.settings.timing
+    this.#members.announce({ ...announcement, state: 'active' })
+    return { heartbeatIntervalMs, expireAfterMs: backendExpireAfterMs }
+  }
+
+  override leaveBackendServer (backendServerId: string): Failure | undefined {
+    const record = this.backendServers().find(known => known.backendServerId === backendServerId)
+    if (record === undefined) return failure('not_found', `backend server ${backendServerId} is not known here`)
+    this.#members.announce({ ...record, sequence: record.sequence + 1, state: 'leaving' })
+    return undefined
+  }
+
+  override backendServers (): readonly BackendServerRecord[] {
+    return this.#registry.all(this.nowMs())
+  }
+
+  override status (): NodeStatus {
+    const { node } = this.#options.settings
+    const replica = this.#control?.replica ?? null
+    const processor = process.cpuUsage()
+    return {
+      nodeId: node.nodeId,
+      region: node.region,
+      availabilityZone: node.availabilityZone,
+      roles: node.roles,
+      state: this.#state,
+      configurationVersion: this.#configuration.configuration.version,
+      hasConfigurationLease: this.#configuration.hasLease,
+      leaderNodeId: this.#leaderNodeId(),
+      replica: replica === null
+        ? null
+        : { role: replica.role, term: replica.term, commitIndex: replica.commitIndex },
+      connectedNodeIds: this.#links.connectedNodeIds(),
+      openRequests: this.#requests.openRequests,
+      backendServers: this.backendServers().length,
+      uptimeMs: this.nowMs() - this.#startedAtMs,
+      residentMemoryBytes: process.memoryUsage.rss(),
+      processorTimeMs: (processor.user + processor.system) / 1000,
+      counters: this.#options.metrics.snapshot()
+    }
+  }
+
+  #createRouter (): RequestRouter {
+    const { settings, routingSettings, random, metrics } = this.#options
+    const { region, availabilityZone } = settings.node
+    return new RequestRouter({
+      settings: routingSettings,
+      registry: this.#registry,
+      policy: new LocalityPolicy(routingSettings.randomChoices),
+      random,
+      metrics,
+      location: { region, availabilityZone }
+    })
+  }
+
+  #createLinks (): PeerLinks {
+    const { settings, clock, metrics, log } = this.#options
+    const { node, peers, timing } = settings
+    return new PeerLinks({
+      nodeId: node.nodeId,
+      host: peers.host,
+      port: peers.port,
+      peers: peers.nodes,
+      pingIntervalMs: timing.peerPingIntervalMs,
+      silenceMs: timing.peerSilenceMs,
+      redialMs: timing.peerRedialMs,
+      clock,
+      metrics,
+      log,
+      hello: () => this.#hello(true),
+      onMessage: (fromNodeId, message) => { this.#receive(fromNodeId, message) },
+      onDisconnect: nodeId => { this.#controlClient.disconnected(nodeId) }
+    })
+  }
+
+  #createMembers (): MemberSpread {
+    const { settings, routingSettings, clock } = this.#options
+    return new MemberSpread({
+      registry: this.#registry,
+      router: this.#router,
+      clock,
+      memberIntervalMs: settings.timing.memberSpreadIntervalMs,
+      loadIntervalMs: routingSettings.loadShareIntervalMs,
+      maxLoadBytes: routingSettings.loadShareMaxBytes,
+      broadcast: message => { this.#links.broadcast(message) }
+    })
+  }
+
+  #receive (fromNodeId: string, message: PeerMessage): void {
+    switch (message.kind) {
+      case 'hello': this.#receiveHello(fromNodeId, message); break
+      case 'raft': this.#control?.receiveRaft(message); break
+      case 'control_request': this.#answerPeer(fromNodeId, message); break
+      case 'control_response': this.#controlClient.receive(message); break
+      case 'feed_request': this.#answerFeed(fromNodeId, message); break
+      case 'feed': this.#configuration.receive(message); break
+      case 'members':
+      case 'load': this.#members.receive(fromNodeId, message); break
+    }
+  }
+
+  #receiveHello (fromNodeId: string, message: Extract<PeerMessage, { kind: 'hello' }>): void {
+    if (message.control !== null) this.#control?.receiveHello(message.control)
+    if (message.isFirst) this.#members.catchUp(reply => { this.#links.send(fromNodeId, reply) })
+  }
+
+  async #answerPeer (fromNodeId: string, message: Extract<PeerMessage, { kind: 'control_request' }>): Promise<void> {
+    const { requestId, operation } = message
+    const result = await this.#askLocal(operation)
+    this.#links.send(fromNodeId, { kind: 'control_response', requestId, result })
+  }
+
+  async #askLocal (operation: ControlOperation): Promise<ControlResult> {
+    if (this.#control === undefined) return fail('not_leader', 'this node has no control role')
+    return await this.#control.ask(operation)
+  }
+
+  #answerFeed (fromNodeId: string, message: Extract<PeerMessage, { kind: 'feed_request' }>): void {
+    const feed = this.#control?.answerFeed(fromNodeId, message)
+    if (feed !== undefined) this.#links.send(fromNodeId, feed)
+  }
+
+  /** Asks the known leader, or every control node when the lease was not renewed. */
+  #requestFeed (): void {
+    const { node, peers } = this.#options.settings
+    const message = {
+      kind: 'feed_request' as const,
+      version: this.#configuration.configuration.version,
+      sentAtMs: this.nowMs()
+    }
+    const leader = this.#configuration.hasLease ? this.#leaderNodeId() : null
+    const targets = peers.nodes.filter(peer => leader === null ? peer.roles.includes('control') : peer.nodeId === leader)
+    for (const { nodeId } of targets) {
+      if (nodeId !== node.nodeId) {
+        this.#links.send(nodeId, message)
+        continue
+      }
+      const feed = this.#control?.answerFeed(nodeId, message)
+      if (feed !== undefined) this.#configuration.receive(feed)
+    }
+  }
+
+  /** The replica hears of a new leader first; other nodes learn it from the feed. */
+  #leaderNodeId (): string | null {
+    return this.#control?.leaderNodeId ?? this.#configuration.leaderNodeId
+  }
+
+  #hello (isFirst = false): PeerMessage {
+    const { nodeId } = this.#options.settings.node
+    return { kind: 'hello', nodeId, control: this.#control?.controlPeer ?? null, isFirst }
+  }
+
+  #configurationChanged (configuration: Configuration, drains: readonly Drain[]): void {
+    const weights = [...configuration.organisations].map(([id, organisation]) => [id, organisation.weight] as const)
+    this.#router.setOrganisations(new Map(weights))
+    this.#registry.setDraining(new Set(drains.filter(drain => drain.kind === 'backend-server').map(drain => drain.id)))
+    const { nodeId } = this.#options.settings.node
+    const isDrained = drains.some(drain => drain.kind === 'vm' && drain.id === nodeId)
+    if (this.#state === 'serving' && isDrained) this.#state = 'drained'
+    else if (this.#state === 'drained' && !isDrained) this.#state = 'serving'
+  }
+
+  async #awaitOpenRequests (): Promise<void> {
+    const limitMs = this.nowMs() + this.#options.settings.limits.shutdownLimitMs
+    while (this.#requests.openRequests > 0 && this.nowMs() < limitMs) await pause(DRAIN_CHECK_MS)
+    await Promise.race([this.#requests.settled(), pause(Math.max(0, limitMs - this.nowMs()))])
+  }
+
+  async #close (): Promise<void> {
+    clearInterval(this.#feedTimer)
+    clearInterval(this.#helloTimer)
+    this.#members.stop()
+    this.#requests.close()
+    await this.#http.stop()
+    await this.#control?.stop()
+    await this.#links.stop()
+    await this.#backendClient.close()
+  }
+}
+
+async function pause (durationMs: number): Promise<void> {
+  await new Promise<void>(resolve => { setTimeout(resolve, durationMs) })
+}
--- a/packages/standins/src/orders.ts
+++ b/packages/standins/src/orders.ts
@@ -11,6 +11,9 @@
   readonly leaseId: number
   readonly firstAccelerator: number
   readonly acceleratorCount: number
+  /** Start of the worker that the order is meant for; a later one refuses it. */
+  readonly incarnation: number
+  /** Length of the worker's lease; only the answer to a heartbeat renews it. */
   readonly leaseMs: number
 }
 
--- a/packages/standins/src/task-table.ts
+++ b/packages/standins/src/task-table.ts
@@ -18,7 +18,6 @@
 }
 
 type HeldTask = { -readonly [Key in keyof TaskRun]: TaskRun[Key] } & {
-  leaseEndsMs: number
   plannedEnd: { state: 'completed' | 'failed', atMs: number } | undefined
 }
 
@@ -35,10 +34,14 @@
   readonly #tasks = new Map<string, HeldTask>()
   readonly #history: HeldTask[] = []
   readonly #highestEndedLease = new Map<string, number>()
+  readonly #incarnation: number
   #behaviour: WorkerBehaviour
   #highestTerm = 0
+  /** One lease covers all tasks of the worker; only answers to heartbeats renew it. */
+  #leaseEndsMs = -Infinity
 
-  constructor (accelerators: number, runTimes: RunTimes, behaviour: WorkerBehaviour) {
+  constructor (accelerators: number, runTimes: RunTimes, behaviour: WorkerBehaviour, incarnation: number) {
+    this.#incarnation = incarnation
     this.#accelerators = accelerators
     this.#runTimes = runTimes
     this.#behaviour = behaviour
@@ -76,14 +79,13 @@
   /**
    * Takes a heartbeat answer.
    *
-   * @param reported tasks of the report that the answer belongs to; only they are renewed
-   * @param sentMs when that report was sent
+   * @param sentMs when the report that it answers was sent
    */
-  renew (reported: readonly TaskLease[], answer: WorkerLeaseAnswer, sentMs: number, nowMs: number): void {
+  renew (answer: WorkerLeaseAnswer, sentMs: number, nowMs: number): void {
     this.advance(nowMs)
     if (answer.term < this.#highestTerm) return
     this.#highestTerm = answer.term
-    for (const lease of reported) this.#extend(lease, sentMs + answer.leaseMs)
+    this.#leaseEndsMs = Math.max(this.#leaseEndsMs, sentMs + answer.leaseMs)
     for (const lease of answer.stopTasks) this.#forget(lease, nowMs)
   }
 
@@ -101,7 +103,7 @@
 
   /** When `advance` has something to do next; undefined while nothing is held. */
   nextDueMs (): number | undefined {
-    const dueMs = [...this.#tasks.values()].filter(isHolding).map(nextDueMsOf)
+    const dueMs = [...this.#tasks.values()].filter(isHolding).map(task => this.#nextDueMsOf(task))
     return dueMs.length === 0 ? undefined : Math.min(...dueMs)
   }
 
@@ -111,6 +113,8 @@
   }
 
   #handleOrder (order: WorkerOrder, nowMs: number): OrderResult {
+    if (order.incarnation !== this.#incarnation) return 'refused'
+    if (order.kind !== 'stop' && nowMs >= this.#leaseEndsMs) return 'refused'
     if (order.kind === 'prepare') return this.#prepare(order, nowMs)
     const task = this.#find(order)
     if (task === undefined) return this.#handleUnknown(order)
@@ -146,7 +150,6 @@
       endedMs: undefined,
       isLeaseLost: false,
       isThrottled: false,
-      leaseEndsMs: nowMs + order.leaseMs,
       plannedEnd: undefined
     }
     this.#tasks.set(leaseKey(order), task)
@@ -172,10 +175,11 @@
     return 'accepted'
   }
 
-  /** A stop that overtakes its prepare must win, so the lease is remembered as ended. */
+  /** A stop that overtakes its prepare must win, so the lease is remembered as ended; nothing runs under it. */
   #handleUnknown (order: WorkerOrder): OrderResult {
-    if (order.kind === 'stop') this.#rememberEnded(order)
-    return 'unknown_lease'
+    if (order.kind !== 'stop') return 'unknown_lease'
+    this.#rememberEnded(order)
+    return 'accepted'
   }
 
   #isCellFree (order: WorkerOrder): boolean {
@@ -189,11 +193,6 @@
     return this.#tasks.get(leaseKey(lease))
   }
 
-  #extend (lease: TaskLease, leaseEndsMs: number): void {
-    const task = this.#find(lease)
-    if (task !== undefined) task.leaseEndsMs = Math.max(task.leaseEndsMs, leaseEndsMs)
-  }
-
   #forget (lease: TaskLease, nowMs: number): void {
     const task = this.#find(lease)
     if (task === undefined) return
@@ -202,9 +201,9 @@
   }
 
   #advanceTask (task: HeldTask, nowMs: number): boolean {
-    if (!isHolding(task) || nextDueMsOf(task) > nowMs) return false
+    if (!isHolding(task) || this.#nextDueMsOf(task) > nowMs) return false
     const planned = task.plannedEnd
-    if (planned !== undefined && planned.atMs <= Math.min(nowMs, task.leaseEndsMs)) {
+    if (planned !== undefined && planned.atMs <= Math.min(nowMs, this.#leaseEndsMs)) {
       this.#end(task, planned.state, nowMs)
     } else {
       task.isLeaseLost = true
@@ -220,6 +219,10 @@
     this.#rememberEnded(task)
   }
 
+  #nextDueMsOf (task: HeldTask): number {
+    return Math.min(this.#leaseEndsMs, task.plannedEnd?.atMs ?? Infinity)
+  }
+
   #rememberEnded (lease: TaskLease): void {
     const key = taskKey(lease)
     this.#highestEndedLease.set(key, Math.max(lease.leaseId, this.#highestEndedLease.get(key) ?? -1))
@@ -239,10 +242,6 @@
   return task.state === 'prepared' || task.state === 'running'
 }
 
-function nextDueMsOf (task: HeldTask): number {
-  return Math.min(task.leaseEndsMs, task.plannedEnd?.atMs ?? Infinity)
-}
-
 function taskKey ({ jobId, taskIndex }: TaskLease): string {
   return `${jobId}/${taskIndex}`
 }
--- a/packages/standins/src/worker.ts
+++ b/packages/standins/src/worker.ts
@@ -41,13 +41,13 @@
 export class StandInWorker {
   readonly #settings: WorkerSettings
   readonly #clock: Clock
+  readonly #incarnation: number
   readonly #table: TaskTable
   readonly #server = new LoopbackServer(async (request, response) => { await this.#handle(request, response) })
   readonly #entries: EntryClient
   readonly #heartbeat = new Heartbeat(async () => { await this.#announce() }, () => this.#heartbeatIntervalMs)
   #heartbeatIntervalMs: number
   #timer: NodeJS.Timeout | undefined
-  #incarnation = 0
   #sequence = 0
   #acceptedHeartbeats = 0
   #isFrozen = false
@@ -64,7 +64,9 @@
     this.#settings = { ...DEFAULT_SETTINGS, ...settings }
     this.#clock = clock
     this.#heartbeatIntervalMs = this.#settings.maxHeartbeatIntervalMs
-    this.#table = new TaskTable(this.#settings.accelerators, this.#settings.runTimes, new WorkNormally())
+    this.#incarnation = clock.wallMs()
+    const { accelerators, runTimes } = this.#settings
+    this.#table = new TaskTable(accelerators, runTimes, new WorkNormally(), this.#incarnation)
     this.#entries = new EntryClient(this.#settings.entries, this.#settings.heartbeatTimeoutMs)
   }
 
@@ -91,7 +93,6 @@
   /** Opens the port and announces the worker. */
   async start (): Promise<void> {
     await this.#server.listen(this.#settings.port)
-    this.#incarnation = this.#clock.wallMs()
     if (this.#settings.entries.length > 0) this.#heartbeat.start()
   }
 
@@ -143,7 +144,7 @@
     if (this.#isFrozen || answer.kind !== 'answered' || answer.status >= 300) return
     this.#acceptedHeartbeats++
     const lease = answer.body as WorkerLeaseAnswer
-    this.#table.renew(tasks, lease, sentMs, this.#clock.monotonicMs())
+    this.#table.renew(lease, sentMs, this.#clock.monotonicMs())
     this.#heartbeatIntervalMs = Math.min(this.#settings.maxHeartbeatIntervalMs, lease.leaseMs / HEARTBEATS_PER_LEASE)
     this.#schedule()
   }
--- a/packages/standins/test/task-table.test.ts
+++ b/packages/standins/test/task-table.test.ts
@@ -4,7 +4,8 @@
 import type { WorkerOrder as ControlOrder } from '@comfreygrade/control'
 
 function order (kind: OrderKind, leaseId = 1, firstAccelerator = 0): WorkerOrder {
-  return { kind, jobId: 'job-1', taskIndex: 0, leaseId, firstAccelerator, acceleratorCount: 4, leaseMs: 100 }
+  const cell = { firstAccelerator, acceleratorCount: 4 }
+  return { kind, jobId: 'job-1', taskIndex: 0, leaseId, ...cell, incarnation: 7, leaseMs: 100 }
 }
 
 function batch (term: number, ...orders: ControlOrder[]): ControlBatch {
@@ -12,9 +13,21 @@
 }
 
 function createTable (runMs = 1_000): TaskTable {
-  return new TaskTable(8, new FixedRunTime(runMs), new WorkNormally())
+  const table = new TaskTable(8, new FixedRunTime(runMs), new WorkNormally(), 7)
+  table.renew({ term: 0, leaseMs: 100, stopTasks: [] }, 0, 0)
+  return table
 }
 
+test('an order without a valid lease is refused, so that a cell that was given up is not held again', t => {
+  const table = createTable()
+  t.deepEqual(table.handle(batch(1, order('prepare')), 100).results, ['refused'])
+})
+
+test('an order for an earlier start of the worker is refused, as that one gave up its tasks', t => {
+  const table = createTable()
+  t.deepEqual(table.handle(batch(1, { ...order('prepare'), incarnation: 6 }), 0).results, ['refused'])
+})
+
 test('an order of an older term changes nothing, so a replaced leader cannot start a task', t => {
   const table = createTable()
   table.handle(batch(5, order('prepare')), 0)
@@ -33,14 +46,14 @@
 test('a renewal counts from when the report was sent, so a slow answer does not lengthen the lease', t => {
   const table = createTable()
   table.handle(batch(1, order('prepare'), order('start')), 0)
-  table.renew(table.report(), { term: 1, leaseMs: 100, stopTasks: [] }, 50, 90)
+  table.renew({ term: 1, leaseMs: 100, stopTasks: [] }, 50, 90)
   t.is(table.nextDueMs(), 150)
 })
 
 test('a heartbeat answer of an older term renews nothing, so a replaced leader cannot keep tasks alive', t => {
   const table = createTable()
   table.handle(batch(3, order('prepare')), 0)
-  table.renew(table.report(), { term: 2, leaseMs: 1_000, stopTasks: [] }, 10, 10)
+  table.renew({ term: 2, leaseMs: 1_000, stopTasks: [] }, 10, 10)
   t.is(table.nextDueMs(), 100)
 })
 
@@ -61,7 +74,7 @@
 
 test('a prepare that arrives after its stop is refused, so a released cell is not held again', t => {
   const table = createTable()
-  t.deepEqual(table.handle(batch(1, order('stop')), 0).results, ['unknown_lease'])
+  t.deepEqual(table.handle(batch(1, order('stop')), 0).results, ['accepted'])
   t.deepEqual(table.handle(batch(1, order('prepare')), 1).results, ['refused'])
   t.deepEqual(table.handle(batch(1, order('prepare', 2)), 2).results, ['accepted'])
 })
@@ -78,9 +91,9 @@
   const table = createTable(50)
   table.handle(batch(1, order('prepare'), order('start')), 0)
   table.advance(60)
-  table.renew(table.report(), { term: 1, leaseMs: 100, stopTasks: [] }, 60, 60)
+  table.renew({ term: 1, leaseMs: 100, stopTasks: [] }, 60, 60)
   t.is(table.report()[0]?.state, 'completed')
   const stopTasks = [{ jobId: 'job-1', taskIndex: 0, leaseId: 1 }]
-  table.renew(table.report(), { term: 1, leaseMs: 100, stopTasks }, 70, 70)
+  table.renew({ term: 1, leaseMs: 100, stopTasks }, 70, 70)
   t.deepEqual(table.report(), [])
 })
