--- a/packages/cli/src/tables.ts
+++ b/packages/cli/src/tables.ts
@@ -39,5 +39,6 @@
 function flatten (prefix: string, value: unknown): Cell[][] {
   if (value === null || typeof value !== 'object') return [[prefix, String(value ?? '-')]]
   if (Array.isArray(value) && value.every(item => typeof item !== 'object')) return [[prefix, value.join(', ')]]
+  if (Object.keys(value).length === 0) return [[prefix, '-']]
   return Object.entries(value).flatMap(([key, item]) => flatten(prefix === '' ? key : `${prefix}.${key}`, item))
 }
--- a/packages/standins/src/demo.ts
+++ b/packages/standins/src/demo.ts
@@ -138,6 +138,10 @@
 }
 
 const demo = await Demo.create()
+for (const signal of ['SIGINT', 'SIGTERM'] as const) {
+  // Without this the nodes would outlive a demo that is interrupted.
+  process.once(signal, () => { demo.abandon().finally(() => process.exit(1)) })
+}
 try {
   await demo.run()
   await demo.stop()
