Print ready only when signals are handled

Its script printed the ready line before it handled SIGTERM, so a fast reader could end it in between; the stand-ins' command did the same.

Ruled out: a fault of NodeProcess (the signal was sent after the ready line, as intended), and a delay in the test.

Conclusion: a process that is told to end at its ready line ends gracefully.

--- a/packages/standins/src/main.ts
+++ b/packages/standins/src/main.ts
@@ -72,7 +72,8 @@
 const { kind, id, region, zone, rack } = cli.flags
 const standIn = kind === 'worker' ? createWorker() : createBackendServer()
 await standIn.start()
-console.log(JSON.stringify({ event: 'ready', kind, id, region, zone, rack, address: standIn.address }))
 for (const signal of ['SIGTERM', 'SIGINT'] as const) {
   process.once(signal, () => { standIn.stop().catch(() => { process.exitCode = 1 }) })
 }
+// Printed last: whoever reads it may send a signal at once.
+console.log(JSON.stringify({ event: 'ready', kind, id, region, zone, rack, address: standIn.address }))
--- a/packages/standins/test/node-process.test.ts
+++ b/packages/standins/test/node-process.test.ts
@@ -20,9 +20,9 @@
 
 test('a process is ready at its ready line and ends by its own ID, so that no other process is touched', async t => {
   const process = await start(t, `
-    console.error('starting'); console.log('{"event":"ready"}')
     const timer = setInterval(() => {}, 1000)
     globalThis.process.on('SIGTERM', () => clearInterval(timer))
+    console.log('{"event":"ready"}')
   `)
   await process.ready(10_000)
   t.deepEqual(await process.stop(10_000), { code: 0, signal: null })
