Tell a removed voter about its removal, and hand over when the leader is removed

Cause: a replaced voter that still ran kept asking for pre-votes for good, because it never received the entry that removed it; a replaced leader left the others to wait for an election timeout.

Ruled out: harm to the term, which pre-vote and the check for a recent leader prevent.

Before: endless pre-votes.

--- a/packages/consensus/src/leader.ts
+++ b/packages/consensus/src/leader.ts
@@ -119,7 +119,7 @@
       this.#replication.pump()
     }
     this.#transfer.proceed()
-    return this.#isRemoved() ? { kind: 'follow', leader: null } : undefined
+    return this.#isRemoved() ? this.#leave() : undefined
   }
 
   /** Only entries of the current term are committed by counting (section 5.4.2). */
@@ -151,6 +151,11 @@
     return this.#quorumContactMs() + this.state.settings.checkQuorumMs
   }
 
+  #leave (): RoleResult {
+    this.#transfer.sendNow()
+    return { kind: 'follow', leader: null }
+  }
+
   /** A leader that is replaced leads until the new set is committed (section 4.2.2 of the thesis). */
   #isRemoved (): boolean {
     const { configuration, configurationIndex, commitIndex, id } = this.state
--- a/packages/consensus/src/replacement.ts
+++ b/packages/consensus/src/replacement.ts
@@ -28,6 +28,8 @@
   readonly #state: ReplicaState<Command>
   readonly #replication: Replication<Command>
   #pending: PendingReplacement | null = null
+  /** Supplied until the entry that ends the replacement is committed, so that the voter removed learns of it. */
+  #leaving: readonly VoterId[] = []
 
   constructor (state: ReplicaState<Command>, replication: Replication<Command>) {
     this.#state = state
@@ -75,12 +77,15 @@
   #endOfJoint (): ConfigurationEntry<Command> | undefined {
     const { configuration, configurationIndex } = this.#state
     const incoming = this.#incomingVoters()
-    if (incoming.every(voter => this.#holds(voter, configurationIndex))) {
-      return { body: { kind: 'voters', voters: configuration.voters, outgoingVoters: [] } }
-    }
+    if (incoming.every(voter => this.#holds(voter, configurationIndex))) return this.#endWith(configuration.voters)
     if (!incoming.some(voter => this.#isSilent(voter))) return undefined
     if (this.#pending !== null) this.#pending = { ...this.#pending, stage: 'aborting' }
-    return { body: { kind: 'voters', voters: configuration.outgoingVoters, outgoingVoters: [] } }
+    return this.#endWith(configuration.outgoingVoters)
+  }
+
+  #endWith (voters: readonly VoterId[]): ConfigurationEntry<Command> {
+    this.#leaving = allVoters(this.#state.configuration).filter(voter => !includesVoter(voters, voter))
+    return { body: { kind: 'voters', voters, outgoingVoters: [] } }
   }
 
   #incomingVoters (): VoterId[] {
@@ -106,11 +111,12 @@
   /** Runs after a commit; ends a replacement whose last entry is committed. */
   committed (): void {
     const { configuration, configurationIndex, commitIndex } = this.#state
-    const pending = this.#pending
-    if (pending === null || pending.stage === 'catching_up') return
     if (isJoint(configuration) || configurationIndex > commitIndex) return
-    this.#pending = null
-    if (pending.stage === 'aborting') this.#state.reject(pending.proposalId, 'learner_unreachable')
+    if (this.#pending?.stage === 'aborting') this.#end('learner_unreachable')
+    if (this.#pending?.stage === 'joint') this.#pending = null
+    if (this.#leaving.length === 0) return
+    this.#leaving = []
+    this.#supplyMembers()
   }
 
   /** Ends a replacement whose new voter does not answer while it should catch up. */
@@ -133,6 +139,6 @@
 
   #supplyMembers (): void {
     const learners = this.#pending?.stage === 'catching_up' ? [this.#pending.add] : []
-    this.#replication.setPeers([...allVoters(this.#state.configuration), ...learners])
+    this.#replication.setPeers([...allVoters(this.#state.configuration), ...learners, ...this.#leaving])
   }
 }
--- a/packages/consensus/src/transfer.ts
+++ b/packages/consensus/src/transfer.ts
@@ -54,8 +54,18 @@
     if (this.#target === null || this.#isSent) return
     if (this.#state.nowMs >= this.#deadlineMs) return this.#giveUp()
     if (this.#replication.peer(this.#target)?.matchIndex !== this.#state.log.lastIndex) return
+    this.#send(this.#target)
+  }
+
+  /** Tells the best voter to campaign, if it has everything, without waiting for it. */
+  sendNow (): void {
+    const target = this.#bestTarget()
+    if (target?.matchIndex === this.#state.log.lastIndex) this.#send(target.id)
+  }
+
+  #send (target: VoterId): void {
     this.#isSent = true
-    this.#state.send(this.#target, { kind: 'transfer_leadership', term: this.#state.term })
+    this.#state.send(target, { kind: 'transfer_leadership', term: this.#state.term })
   }
 
   #giveUp (): void {
--- a/packages/consensus/test/replica.test.ts
+++ b/packages/consensus/test/replica.test.ts
@@ -160,6 +160,23 @@
   t.is(simulation.history.rejections.get('change'), 'learner_unreachable')
 })
 
+test('a working leader can be replaced, hands over at once and does not disturb the new set', t => {
+  const simulation = started()
+  const removed = simulation.leader
+  const add = { nodeId: 'new', diskId: 'd0' }
+  simulation.addNode(add)
+  simulation.requestReplacement('change', removed?.id as VoterId, add)
+  const isDone = () => simulation.leader !== undefined && simulation.leader !== removed
+  t.true(simulation.runUntil(isDone, 1_000))
+  simulation.run(500)
+  const { term } = simulation.leading
+  simulation.run(10_000)
+  t.is(simulation.leading.term, term)
+  t.deepEqual(simulation.leading.voters.map(({ nodeId }) => nodeId).includes('new'), true)
+  t.is(removed?.replica?.role, 'follower')
+  t.is(removed?.replica?.nextWakeAtMs(), Infinity)
+})
+
 test('a leader that steps down hands over within 500 ms and loses nothing, so a shutdown is not an outage', t => {
   const simulation = started()
   const old = simulation.leaderNumber
--- a/packages/consensus/test/simulation.ts
+++ b/packages/consensus/test/simulation.ts
@@ -188,6 +188,12 @@
     this.#schedule(400, () => this.#requestReplacement())
   }
 
+  /** Starts a further replica with an empty disk. */
+  addNode (id: VoterId): void {
+    this.nodes.push(new Node(id, new FakeDisk(Replica.emptyLog<string>()), this.#random))
+    this.start(this.nodes.length - 1)
+  }
+
   /** Asks the leader for a replacement. */
   requestReplacement (proposalId: string, remove: VoterId, add: VoterId): void {
     const leader = this.leader
