Complete the demo: log time starts from the wall clock, log lines are written

Cause: the first run of the whole system refused every idempotency key as issued 56 years in the future, because log time started at 0 while keys carry wall time; and no log line was written, because roarr decides at its import whether it writes at all.

Ruled out: comparing keys with the wall clock of each replica, as replicas would then decide differently.

Before: the demo failed at the first claim.

--- a/packages/node/src/control-service.ts
+++ b/packages/node/src/control-service.ts
@@ -166,7 +166,10 @@
 
   #run (recovered: RecoveredLog<ControlCommand>): void {
     const { self, replicaSettings, random, clock, storage, storageFailed } = this.#options
-    const replica = new Replica<ControlCommand>({ id: self, settings: replicaSettings, recovered, random })
+    // Keys of claims carry wall time, so the first leader starts log time from it; later ones go on from the log.
+    const originLogTimeMs = Math.floor(clock.wallMs())
+    const settings = replicaSettings
+    const replica = new Replica<ControlCommand>({ id: self, settings, recovered, random, originLogTimeMs })
     this.#runner = new ReplicaRunner(replica, storage, clock, {
       send: effect => { this.#sendRaft(effect) },
       apply: effect => { this.#apply(effect) },
--- a/packages/node/src/roarr-event-log.ts
+++ b/packages/node/src/roarr-event-log.ts
@@ -1,3 +1,4 @@
+import './roarr-environment.js'
 import { ROARR, Roarr, type Logger } from 'roarr'
 import { EventLog } from '@comfreygrade/core'
 
