--- a/packages/cli/src/answers.ts
+++ b/packages/cli/src/answers.ts
@@ -106,7 +106,24 @@
 }
 
 /** Answer of `GET /v1/status`: values by name, nested objects allowed. */
-export type StatusAnswer = Readonly<Record<string, unknown>>
+export interface StatusAnswer {
+  readonly nodeId: string
+  readonly region: string
+  readonly availabilityZone: string
+  readonly roles: readonly string[]
+  readonly state: 'starting' | 'serving' | 'drained' | 'stopping'
+  readonly configurationVersion: number
+  readonly hasConfigurationLease: boolean
+  readonly leaderNodeId: string | null
+  readonly replica: { readonly role: string, readonly term: number, readonly commitIndex: number } | null
+  readonly connectedNodeIds: readonly string[]
+  readonly openRequests: number
+  readonly backendServers: number
+  readonly uptimeMs: number
+  readonly residentMemoryBytes: number
+  readonly processorTimeMs: number
+  readonly counters: Readonly<Record<string, number>>
+}
 
 /** Answer to a short request: the backend server's answer and what the system adds in headers. */
 export interface ShortRequestAnswer {
--- a/packages/node/src/control-service.ts
+++ b/packages/node/src/control-service.ts
@@ -2,7 +2,7 @@
 import { randomUUID } from 'node:crypto'
 import { fail, toDocument, type Clock, type EventLog, type Metrics, type Random } from '@comfreygrade/core'
 import {
-  Replica, type LogStorage, type RecoveredLog, type ReplicaEffect, type ReplicaSettings, type VoterId
+  Replica, type EntryBody, type LogStorage, type RecoveredLog, type ReplicaEffect, type ReplicaSettings, type VoterId
 } from '@comfreygrade/consensus'
 import {
   ControlLeader, ControlState, defaultControlStateSettings, type ConfigurationStatus, type ControlCommand,
@@ -188,6 +188,7 @@
 
   #apply (effect: Extract<ReplicaEffect<ControlCommand>, { kind: 'apply' }>): void {
     for (const entry of effect.entries) {
+      if (entry.body.kind === 'voters') this.#votersCommitted(entry.body)
       this.#appliedIndex = entry.index
       this.#appliedTerm = entry.term
       if (entry.body.kind === 'command') {
@@ -201,6 +202,11 @@
     this.#snapshotIfDue(effect)
   }
 
+  #votersCommitted ({ voters, outgoingVoters }: Extract<EntryBody<ControlCommand>, { kind: 'voters' }>): void {
+    if (outgoingVoters.length > 0) return
+    this.#options.log.info('voter set in force', { voters: voters.map(voter => `${voter.nodeId}/${voter.diskId}`) })
+  }
+
   #proposalRejected (effect: Extract<ReplicaEffect<ControlCommand>, { kind: 'proposal_rejected' }>): void {
     const { proposalId, reason } = effect
     this.#options.metrics.increment('consensus.proposal_rejected', { reason })
