Report unusable benchmark arguments as usage errors

Cause: a named benchmark that does not exist, or a comparison file that cannot be read, ended in a stack trace.

Ruled out: skipping a named benchmark silently (a script would take it for run).

Before: exit code 1 with a stack trace. After: one line and exit code 2; "all" still takes the benchmarks that exist.

Conclusion: usage errors of the benchmarks are told before any run.

--- a/packages/bench/src/format-figures.ts
+++ b/packages/bench/src/format-figures.ts
@@ -15,11 +15,14 @@
   await writeFile(file, `${JSON.stringify(figures, null, 2)}\n`)
 }
 
-/** Reads figures that `writeFigures` wrote. */
-export async function readFigures (file: string): Promise<Figures> {
-  const figures = JSON.parse(await readFile(file, 'utf8')) as Partial<Figures>
-  if (!Array.isArray(figures.tables)) throw new TypeError(`${file} holds no figures: "tables" is missing`)
-  return figures as Figures
+/** Reads figures that `writeFigures` wrote; undefined where the file is missing or holds none. */
+export async function readFigures (file: string): Promise<Figures | undefined> {
+  try {
+    const figures = JSON.parse(await readFile(file, 'utf8')) as Partial<Figures>
+    return Array.isArray(figures.tables) ? figures as Figures : undefined
+  } catch {
+    return undefined
+  }
 }
 
 /**
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -2,7 +2,7 @@
 import { existsSync } from 'node:fs'
 import meow from 'meow'
 import { type BenchTable, formatTable } from './format.js'
-import { compareTables, readFigures, writeFigures } from './format-figures.js'
+import { compareTables, type Figures, readFigures, writeFigures } from './format-figures.js'
 
 /** Benchmarks by name; each is a module `NAME-bench.js` next to this one. */
 const NAMES = ['placement', 'routing', 'consensus', 'control'] as const
@@ -36,9 +36,10 @@
   }
 })
 
+/** Undefined where a name is unknown or was asked for and does not exist; `all` takes what exists. */
 function chooseNames (input: readonly string[]): readonly BenchName[] | undefined {
   if (input.length === 0 || input.includes('all')) return NAMES.filter(hasModule)
-  const chosen = NAMES.filter(name => input.includes(name))
+  const chosen = NAMES.filter(name => input.includes(name) && hasModule(name))
   return chosen.length === input.length ? chosen : undefined
 }
 
@@ -48,7 +49,7 @@
 
 function hasModule (name: BenchName): boolean {
   if (existsSync(moduleUrl(name))) return true
-  console.error(`${name}: there is no ${name}-bench.js, skipped`)
+  console.error(`${name}: there is no ${name}-bench.js`)
   return false
 }
 
@@ -59,10 +60,8 @@
   return tables
 }
 
-async function runAll (names: readonly BenchName[]): Promise<void> {
-  const { seed, quick, out, compare } = cli.flags
-  // Read before the run: an unreadable file must not cost a whole run.
-  const earlier = compare === undefined ? undefined : await readFigures(compare)
+async function runAll (names: readonly BenchName[], earlier: Figures | undefined): Promise<void> {
+  const { seed, quick, out } = cli.flags
   const tables: BenchTable[] = []
   for (const name of names) tables.push(...await runBench(name))
   if (out !== undefined) await writeFigures(out, { nodeVersion: process.version, seeds: seed, isQuick: quick, tables })
@@ -71,10 +70,16 @@
   for (const table of compareTables(earlier.tables, tables)) console.log(`${formatTable(table)}\n`)
 }
 
+const { compare } = cli.flags
 const names = chooseNames(cli.input)
+// Read before the run: an unreadable file must not cost a whole run.
+const earlier = compare === undefined ? undefined : await readFigures(compare)
 if (names === undefined) {
   console.error(`found ${cli.input.join(' ')}, allowed ${NAMES.join(', ')} or all`)
   process.exitCode = 2
+} else if (compare !== undefined && earlier === undefined) {
+  console.error(`--compare: found ${compare}, allowed a file that --out wrote`)
+  process.exitCode = 2
 } else {
-  await runAll(names)
+  await runAll(names, earlier)
 }
