Test the gang life cycle against recorded executions

Ruled out: reading the execution from the control state, because a fault there would hide itself; the record is written by the fake workers alone.

Before: no tests of control. After: the leader is replaced after each of the steps of a life cycle, random faults run under a fixed seed, and each checker is shown to fail on one mutation.

--- /dev/null
+++ b/packages/control/test/execution-checks.ts
@@ -0,0 +1,81 @@
+/** Checks of what the workers recorded. Each gives one sentence per violation. */
+import type { JobRecord } from '../src/index.js'
+import type { Execution, ExecutionRecord } from './fake-worker.js'
+
+/** Accelerators that two tasks used at the same time. */
+export function findSharedCells ({ executions }: ExecutionRecord): string[] {
+  return pairs(executions)
+    .filter(([left, right]) => left.workerId === right.workerId && isTogether(left, right) && shareCells(left, right))
+    .map(([left, right]) => `${name(left)} and ${name(right)} share accelerators of ${left.workerId}`)
+}
+
+/** Tasks that ran although some task of their gang was never held before. */
+export function findPartialGangs ({ executions, holds }: ExecutionRecord, jobs: readonly JobRecord[]): string[] {
+  return executions.filter(execution => {
+    const tasks = jobs.find(({ spec }) => spec.jobId === execution.jobId)?.spec.tasks ?? 0
+    const held = holds.filter(hold => hold.leaseId === execution.leaseId && hold.atMs <= execution.startMs)
+    return new Set(held.map(({ taskIndex }) => taskIndex)).size < tasks
+  }).map(execution => `${name(execution)} ran before its whole gang was held`)
+}
+
+/** Jobs that ran under two leases at the same time. */
+export function findDoubleRuns ({ executions }: ExecutionRecord): string[] {
+  return pairs(executions)
+    .filter(([left, right]) => left.jobId === right.jobId && left.leaseId !== right.leaseId && isTogether(left, right))
+    .map(([left, right]) => `${name(left)} and ${name(right)} ran at the same time`)
+}
+
+/** Jobs that may run once and ran under two leases. */
+export function findRepeatedRuns ({ executions }: ExecutionRecord, jobs: readonly JobRecord[]): string[] {
+  return jobs
+    .filter(({ spec }) => spec.preemption === 'none')
+    .filter(({ spec }) => new Set(executions.filter(run => run.jobId === spec.jobId).map(run => run.leaseId)).size > 1)
+    .map(({ spec }) => `${spec.jobId} may run once and ran under two leases`)
+}
+
+/** Jobs whose recorded end differs from what the workers did. */
+export function findUntrueEnds ({ executions }: ExecutionRecord, jobs: readonly JobRecord[], nowMs: number): string[] {
+  const problems: string[] = []
+  for (const { spec, phase, outcome } of jobs) {
+    const runs = executions.filter(run => run.jobId === spec.jobId)
+    const completed = new Map<number, number>()
+    for (const run of runs.filter(({ isCompleted }) => isCompleted)) {
+      completed.set(run.leaseId, (completed.get(run.leaseId) ?? 0) + 1)
+    }
+    if (phase !== 'ended') problems.push(`${spec.jobId} is still ${phase}`)
+    else if (runs.some(({ endMs }) => endMs > nowMs)) problems.push(`${spec.jobId} ended and still runs`)
+    else if (outcome === 'completed' && ![...completed.values()].includes(spec.tasks)) {
+      problems.push(`${spec.jobId} is recorded as completed and no whole gang completed`)
+    }
+  }
+  return problems
+}
+
+/** All of the checks above. */
+export function findViolations (record: ExecutionRecord, jobs: readonly JobRecord[], nowMs: number): string[] {
+  return [
+    ...findSharedCells(record),
+    ...findPartialGangs(record, jobs),
+    ...findDoubleRuns(record),
+    ...findRepeatedRuns(record, jobs),
+    ...findUntrueEnds(record, jobs, nowMs)
+  ]
+}
+
+function pairs (executions: readonly Execution[]): Array<[Execution, Execution]> {
+  return executions.flatMap((left, position) =>
+    executions.slice(position + 1).map((right): [Execution, Execution] => [left, right]))
+}
+
+function isTogether (left: Execution, right: Execution): boolean {
+  return left.startMs < right.endMs && right.startMs < left.endMs
+}
+
+function shareCells (left: Execution, right: Execution): boolean {
+  return left.firstAccelerator < right.firstAccelerator + right.acceleratorCount &&
+    right.firstAccelerator < left.firstAccelerator + left.acceleratorCount
+}
+
+function name ({ jobId, leaseId, taskIndex }: Execution): string {
+  return `task ${taskIndex} of ${jobId} (lease ${leaseId})`
+}
--- /dev/null
+++ b/packages/control/test/fake-worker.ts
@@ -0,0 +1,204 @@
+/** A worker at the port, which keeps its own record of what it ran and when. */
+import type { TaskReport, TaskState, WorkerReport } from '@comfreygrade/core'
+import type { ControlAnswer, OrderResult, WorkerOrder } from '../src/index.js'
+
+/** One run of a task on a worker; `endMs` is infinite while it runs. */
+export interface Execution {
+  readonly jobId: string
+  readonly leaseId: number
+  readonly taskIndex: number
+  readonly workerId: string
+  readonly firstAccelerator: number
+  readonly acceleratorCount: number
+  readonly startMs: number
+  endMs: number
+  isCompleted: boolean
+}
+
+/** A cell that a worker agreed to hold. */
+export interface Hold {
+  readonly jobId: string
+  readonly leaseId: number
+  readonly taskIndex: number
+  readonly atMs: number
+}
+
+/** What really happened, written by the workers alone. */
+export class ExecutionRecord {
+  readonly executions: Execution[] = []
+  readonly holds: Hold[] = []
+}
+
+export type Behaviour = 'works' | 'refuses' | 'fails' | 'ignores_stop'
+type Lease = Extract<ControlAnswer, { kind: 'worker_lease' }>
+
+interface WorkerTask {
+  readonly order: WorkerOrder
+  state: TaskState
+  execution: Execution | undefined
+}
+
+export class FakeWorker {
+  readonly workerId: string
+  behaviour: Behaviour = 'works'
+  isDead = false
+  isFrozen = false
+  /** Nothing reaches it and nothing that it sends arrives, while its tasks go on. */
+  isCutOff = false
+  runMs = 400
+  readonly #record: ExecutionRecord
+  /** Rate of its clock against the leader's: a slow clock keeps a lease longer. */
+  readonly #rate: number
+  readonly #tasks = new Map<string, WorkerTask>()
+  readonly #refusedLeases = new Set<string>()
+  #incarnation = 1
+  #sequence = 0
+  #highestTerm = 0
+  #leaseEndMs = Number.NEGATIVE_INFINITY
+
+  constructor (workerId: string, rate: number, record: ExecutionRecord) {
+    this.workerId = workerId
+    this.#rate = rate
+    this.#record = record
+  }
+
+  get isReachable (): boolean {
+    return !this.isDead && !this.isFrozen
+  }
+
+  /** Lets time pass: tasks complete, and all are given up when the lease ends. */
+  advance (nowMs: number): void {
+    if (!this.isReachable) return
+    for (const task of this.#tasks.values()) {
+      const doneMs = (task.execution?.startMs ?? 0) + this.runMs
+      if (task.state !== 'running' || doneMs > Math.min(nowMs, this.#leaseEndMs)) continue
+      this.#end(task, 'completed', doneMs)
+    }
+    if (nowMs < this.#leaseEndMs) return
+    for (const [key, task] of this.#tasks) {
+      if (task.state !== 'running' && task.state !== 'prepared') continue
+      this.#end(task, 'stopped', this.#leaseEndMs)
+      this.#tasks.delete(key)
+      this.#refusedLeases.add(key)
+    }
+  }
+
+  /** Stops everything without notice. */
+  die (nowMs: number): void {
+    this.advance(nowMs)
+    this.isDead = true
+    for (const task of this.#tasks.values()) this.#end(task, 'stopped', nowMs)
+    this.#tasks.clear()
+  }
+
+  /** Starts a new process that remembers nothing. */
+  restart (nowMs: number): void {
+    this.die(nowMs)
+    this.isDead = false
+    this.isFrozen = false
+    this.#incarnation += 1
+    this.#sequence = 0
+    this.#highestTerm = 0
+    this.#leaseEndMs = Number.NEGATIVE_INFINITY
+    this.#refusedLeases.clear()
+  }
+
+  /** Stops the clock of its tasks; the process keeps what it held. */
+  freeze (nowMs: number): void {
+    this.advance(nowMs)
+    this.isFrozen = true
+    for (const { execution } of this.#tasks.values()) {
+      if (execution !== undefined) execution.endMs = Math.min(execution.endMs, nowMs)
+    }
+  }
+
+  /** Goes on where the lease still holds, and otherwise gives up before anything runs. */
+  resume (nowMs: number): void {
+    if (!this.isFrozen) return
+    this.isFrozen = false
+    for (const task of this.#tasks.values()) {
+      if (task.state === 'running' && nowMs < this.#leaseEndMs) this.#run(task, nowMs)
+    }
+    this.advance(nowMs)
+  }
+
+  report (nowMs: number): WorkerReport {
+    this.advance(nowMs)
+    this.#sequence += 1
+    const tasks: TaskReport[] = [...this.#tasks.values()].map(({ order, state }) =>
+      ({ jobId: order.jobId, taskIndex: order.taskIndex, leaseId: order.leaseId, state }))
+    const { workerId } = this
+    return { workerId, incarnation: this.#incarnation, sequence: this.#sequence, address: `http://${workerId}`, tasks }
+  }
+
+  renew (lease: Lease, report: WorkerReport, sentMs: number, nowMs: number): void {
+    this.advance(nowMs)
+    if (!this.isReachable || report.incarnation !== this.#incarnation || lease.term < this.#highestTerm) return
+    this.#highestTerm = lease.term
+    this.#leaseEndMs = Math.max(this.#leaseEndMs, sentMs + lease.leaseMs / this.#rate)
+    for (const task of lease.stopTasks) this.#stop(`${task.leaseId}/${task.taskIndex}`, nowMs)
+  }
+
+  receive (term: number, orders: readonly WorkerOrder[], nowMs: number): OrderResult[] {
+    this.advance(nowMs)
+    if (term < this.#highestTerm) return orders.map(() => 'stale_term')
+    this.#highestTerm = term
+    return orders.map(order => this.#obey(order, nowMs))
+  }
+
+  #obey (order: WorkerOrder, nowMs: number): OrderResult {
+    const key = `${order.leaseId}/${order.taskIndex}`
+    if (order.incarnation !== this.#incarnation) return 'refused'
+    if (order.kind === 'stop') return this.#stop(key, nowMs)
+    if (nowMs >= this.#leaseEndMs) return 'refused'
+    const task = this.#tasks.get(key)
+    if (order.kind === 'prepare') return task === undefined ? this.#prepare(key, order, nowMs) : 'accepted'
+    if (task === undefined) return 'unknown_lease'
+    if (order.kind === 'start' && task.state === 'prepared') this.#start(task, nowMs)
+    if (order.kind === 'checkpoint') this.#end(task, 'stopped', nowMs)
+    return 'accepted'
+  }
+
+  /** Overlapping cells are not refused here, so that a cell given out twice shows in the record. */
+  #prepare (key: string, order: WorkerOrder, nowMs: number): OrderResult {
+    if (this.behaviour === 'refuses' || this.#refusedLeases.has(key)) return 'refused'
+    const { jobId, leaseId, taskIndex } = order
+    this.#tasks.set(key, { order, state: 'prepared', execution: undefined })
+    this.#record.holds.push({ jobId, leaseId, taskIndex, atMs: nowMs })
+    return 'accepted'
+  }
+
+  #start (task: WorkerTask, nowMs: number): void {
+    task.state = 'running'
+    this.#run(task, nowMs)
+    if (this.behaviour === 'fails') this.#end(task, 'failed', nowMs)
+  }
+
+  #run (task: WorkerTask, nowMs: number): void {
+    const { jobId, leaseId, taskIndex, firstAccelerator, acceleratorCount } = task.order
+    const { workerId } = this
+    const endMs = Number.POSITIVE_INFINITY
+    task.execution = {
+      jobId, leaseId, taskIndex, workerId, firstAccelerator, acceleratorCount, startMs: nowMs, endMs, isCompleted: false
+    }
+    this.#record.executions.push(task.execution)
+  }
+
+  #stop (key: string, nowMs: number): OrderResult {
+    const task = this.#tasks.get(key)
+    this.#refusedLeases.add(key)
+    if (task === undefined) return 'unknown_lease'
+    if (this.behaviour === 'ignores_stop') return 'accepted'
+    this.#end(task, 'stopped', nowMs)
+    this.#tasks.delete(key)
+    return 'accepted'
+  }
+
+  #end (task: WorkerTask, state: TaskState, nowMs: number): void {
+    if (task.state !== 'running' && task.state !== 'prepared') return
+    task.state = state
+    if (task.execution === undefined) return
+    task.execution.endMs = Math.min(task.execution.endMs, nowMs)
+    task.execution.isCompleted = state === 'completed'
+  }
+}
--- /dev/null
+++ b/packages/control/test/gang-life-cycle.test.ts
@@ -0,0 +1,251 @@
+import test from 'ava'
+import fc from 'fast-check'
+import type { TaskState } from '@comfreygrade/core'
+import type { ControlSettings } from '../src/index.js'
+import {
+  findDoubleRuns, findPartialGangs, findRepeatedRuns, findSharedCells, findUntrueEnds, findViolations
+} from './execution-checks.js'
+import type { Behaviour } from './fake-worker.js'
+import { job, Simulation, type Message, type SimulationOptions } from './simulation.js'
+
+function violations (simulation: Simulation): string[] {
+  return findViolations(simulation.record, [...simulation.state.jobs()], simulation.nowMs)
+}
+
+/** Workers have leases, and the jobs are asked for; nothing is committed yet. */
+function prepared (options?: SimulationOptions): Simulation {
+  const simulation = new Simulation(options)
+  simulation.run(200)
+  simulation.ask({ kind: 'submit_job', spec: job('gang', { tasks: 3 }) })
+  simulation.ask({ kind: 'submit_job', spec: job('once', { preemption: 'none' }) })
+  return simulation
+}
+
+/** Steps of the life cycle with a report of every worker whenever nothing else is on its way. */
+function takeSteps (simulation: Simulation, count: number): number {
+  let taken = 0
+  for (let idle = 0; taken < count && idle < 30; taken += 1) {
+    if (simulation.step()) continue
+    idle += 1
+    simulation.advance(50)
+    for (const worker of simulation.workers) simulation.sendReport(worker)
+  }
+  return taken
+}
+
+test('a gang that nothing disturbs runs whole and ends as completed', t => {
+  const simulation = prepared()
+  simulation.heal()
+  t.deepEqual(violations(simulation), [])
+  t.deepEqual([...simulation.state.jobs()].map(({ outcome }) => outcome), ['completed', 'completed'])
+  t.is(simulation.record.executions.length, 5)
+})
+
+for (const kept of [0, 1, 99]) {
+  for (const fate of ['dropped', 'late', 'to the former leader'] as const) {
+    test(`a leader replaced after any step loses no job and splits no gang: ${kept} proposals kept, messages ${fate}`, t => {
+      const total = takeSteps(prepared(), Number.POSITIVE_INFINITY)
+      t.true(total > 60, `${total} steps`)
+      for (let steps = 0; steps < total; steps += 1) {
+        const simulation = prepared()
+        takeSteps(simulation, steps)
+        const late = simulation.messages.splice(0)
+        simulation.replaceLeader(kept)
+        if (fate !== 'dropped') simulation.messages.push(...late)
+        if (fate === 'to the former leader') late.forEach(() => simulation.deliver(0, false, true))
+        simulation.heal()
+        t.deepEqual(violations(simulation), [], `replaced after ${steps} steps`)
+      }
+    })
+  }
+}
+
+test('a leader replaced twice in a row after any step loses no job and splits no gang', t => {
+  const total = takeSteps(prepared(), Number.POSITIVE_INFINITY)
+  for (let steps = 0; steps < total; steps += 1) {
+    const simulation = prepared()
+    takeSteps(simulation, steps)
+    simulation.replaceLeader(1)
+    takeSteps(simulation, 7)
+    simulation.replaceLeader(0)
+    simulation.heal()
+    t.deepEqual(violations(simulation), [], `replaced after ${steps} steps`)
+  }
+})
+
+type Action = readonly [
+  kind: 'commit' | 'deliver' | 'double' | 'drop' | 'former' | 'advance' | 'report' | 'die' | 'restart' | 'freeze' |
+  'resume' | 'cut' | 'rejoin' | 'refuse' | 'fail' | 'work' | 'replace' | 'submit' | 'cancel' | 'reclaim' | 'drain' | 'run',
+  value: number
+]
+
+const kinds: ReadonlyArray<readonly [Action[0], number]> = [
+  ['commit', 30], ['deliver', 30], ['double', 6], ['drop', 4], ['former', 6], ['advance', 12], ['report', 16], ['die', 1],
+  ['restart', 2], ['freeze', 3], ['resume', 3], ['cut', 3], ['rejoin', 3], ['refuse', 1], ['fail', 1], ['work', 2], ['replace', 3], ['submit', 6],
+  ['cancel', 2], ['reclaim', 3], ['drain', 1], ['run', 8]
+]
+
+const actions = fc.array(fc.tuple(
+  fc.oneof(...kinds.map(([kind, weight]) => ({ weight, arbitrary: fc.constant(kind) }))),
+  fc.nat(999)
+), { minLength: 80, maxLength: 160 })
+
+function act (simulation: Simulation, [kind, value]: Action): void {
+  const worker = simulation.workers[value % simulation.workers.length]
+  const position = simulation.messages.length === 0 ? 0 : value % simulation.messages.length
+  const jobId = `j${value % 6}`
+  if (worker === undefined) return
+  switch (kind) {
+    case 'commit': simulation.commit(); break
+    case 'deliver': simulation.deliver(position); break
+    case 'double': simulation.deliver(position, true); break
+    case 'drop': simulation.drop(position); break
+    case 'former': simulation.deliver(position, false, true); break
+    case 'advance': simulation.advance(value); break
+    case 'report': simulation.sendReport(worker); break
+    case 'die': worker.die(simulation.nowMs); break
+    case 'restart': worker.restart(simulation.nowMs); break
+    case 'freeze': worker.freeze(simulation.nowMs); break
+    case 'resume': worker.resume(simulation.nowMs); break
+    case 'cut': worker.isCutOff = true; break
+    case 'rejoin': worker.isCutOff = false; break
+    case 'refuse': worker.behaviour = 'refuses'; break
+    case 'fail': worker.behaviour = 'fails'; break
+    case 'work': worker.behaviour = 'works'; break
+    case 'replace': simulation.replaceLeader(value % 4); break
+    case 'submit': simulation.ask({ kind: 'submit_job', spec: randomJob(jobId, value) }); break
+    case 'cancel': simulation.ask({ kind: 'cancel_job', jobId }); break
+    case 'reclaim': simulation.scheduler.extra.push({ kind: 'reclaim', jobId, method: value % 2 === 0 ? 'checkpoint' : 'stop', forJobId: 'other', reason: 'lent' }); break
+    case 'drain': simulation.ask({ kind: value % 2 === 0 ? 'drain' : 'undrain', drain: { kind: 'worker', id: worker.workerId } }); break
+    case 'run': simulation.run(200); break
+  }
+}
+
+function randomJob (jobId: string, value: number) {
+  const preemption = (['none', 'repeat', 'checkpoint'] as const)[value % 3]
+  return job(jobId, { preemption, tasks: 1 + value % 3, acceleratorsPerTask: value % 2 === 0 ? 2 : 4 })
+}
+
+function play (list: readonly Action[], options?: SimulationOptions): Simulation {
+  const simulation = new Simulation(options)
+  simulation.workers.forEach((worker, position) => { worker.runMs = 400 + 700 * position })
+  simulation.run(200)
+  for (const action of list) act(simulation, action)
+  for (const worker of simulation.workers) {
+    simulation.ask({ kind: 'undrain', drain: { kind: 'worker', id: worker.workerId } })
+  }
+  simulation.heal()
+  return simulation
+}
+
+test('lost, late, doubled and reordered messages, failing workers and new leaders never split or double a gang', t => {
+  fc.assert(fc.property(actions, list => {
+    const simulation = play(list)
+    const found = violations(simulation)
+    if (found.length > 0) throw new Error(found.join('\n'))
+  }), { seed: 20_261_204, numRuns: 300 })
+  t.pass()
+})
+
+test('the checker of doubled runs notices a leader that does not wait for the end of a lease', t => {
+  t.deepEqual(findDoubleRuns(runWithCutOffWorker({}).record), [])
+  t.not(findDoubleRuns(runWithCutOffWorker({ settings: { clockRateBound: -0.9 } }).record).length, 0)
+})
+
+/** A gang runs on a worker with a slow clock that is cut off, and is started again without it. */
+function runWithCutOffWorker (options: SimulationOptions): Simulation {
+  const simulation = new Simulation({ ...options, workers: 4 })
+  for (const worker of simulation.workers) worker.runMs = 5_000
+  simulation.run(200)
+  simulation.ask({ kind: 'submit_job', spec: job('gang', { tasks: 2 }) })
+  simulation.run(300)
+  simulation.worker('w1').isCutOff = true
+  simulation.run(3_000)
+  return simulation
+}
+
+test('the checker of doubled runs notices a frozen leader that renews leases which its successor counts down', t => {
+  t.deepEqual(findDoubleRuns(runWithFrozenLeader({}).record), [])
+  t.not(findDoubleRuns(runWithFrozenLeader({ leadershipValidMs: 60_000 }).record).length, 0)
+})
+
+/** The former leader wakes up after its successor started, and gets the reports of one worker. */
+function runWithFrozenLeader (settings: Partial<ControlSettings>): Simulation {
+  const simulation = new Simulation({ settings, workers: 4 })
+  for (const worker of simulation.workers) worker.runMs = 5_000
+  simulation.run(200)
+  simulation.ask({ kind: 'submit_job', spec: job('gang', { tasks: 2 }) })
+  simulation.run(300)
+  simulation.replaceLeader()
+  for (let round = 0; round < 20; round += 1) {
+    simulation.sendReport(simulation.worker('w1'))
+    simulation.deliver(simulation.messages.length - 1, false, true)
+    for (let position = 0; position < simulation.messages.length; position += 1) {
+      if (simulation.messages[position]?.kind === 'lease') simulation.deliver(position)
+    }
+    simulation.worker('w1').isCutOff = true
+    simulation.run(100)
+    simulation.worker('w1').isCutOff = false
+  }
+  return simulation
+}
+
+test('the checker of shared cells notices a worker that goes on after it confirmed a stop', t => {
+  const run = (behaviour: Behaviour): Simulation => {
+    const simulation = new Simulation({ workers: 2 })
+    simulation.run(200)
+    for (const worker of simulation.workers) Object.assign(worker, { behaviour, runMs: 2_000 })
+    simulation.ask({ kind: 'submit_job', spec: job('first') })
+    simulation.run(200)
+    simulation.ask({ kind: 'cancel_job', jobId: 'first' })
+    simulation.ask({ kind: 'submit_job', spec: job('second') })
+    simulation.run(1_000)
+    return simulation
+  }
+  t.deepEqual(findSharedCells(run('works').record), [])
+  t.not(findSharedCells(run('ignores_stop').record).length, 0)
+})
+
+test('the checker of partial gangs notices a refused preparation that is passed on as accepted', t => {
+  const run = (tamper: (message: Message) => Message): string[] => {
+    const simulation = new Simulation({ tamper })
+    simulation.run(200)
+    simulation.worker('w1').behaviour = 'refuses'
+    simulation.ask({ kind: 'submit_job', spec: job('gang', { tasks: 3 }) })
+    simulation.run(400)
+    return findPartialGangs(simulation.record, [...simulation.state.jobs()])
+  }
+  t.deepEqual(run(message => message), [])
+  t.not(run(message => message.kind === 'answer' ? { ...message, results: message.results.map(() => 'accepted') } : message).length, 0)
+})
+
+test('the checker of repeated runs notices a job that starts again', t => {
+  const run = (preemption: 'none' | 'repeat'): string[] => {
+    const simulation = new Simulation()
+    simulation.run(200)
+    simulation.ask({ kind: 'submit_job', spec: job('charge', { preemption }) })
+    simulation.run(200)
+    simulation.worker('w0').restart(simulation.nowMs)
+    simulation.heal()
+    const jobs = [...simulation.state.jobs()].map(record => ({ ...record, spec: job('charge', { preemption: 'none' }) }))
+    return findRepeatedRuns(simulation.record, jobs)
+  }
+  t.deepEqual(run('none'), [])
+  t.not(run('repeat').length, 0)
+})
+
+test('the checker of ends notices a gang that is taken as completed while it runs', t => {
+  const run = (state: TaskState): string[] => {
+    const tamper = (message: Message): Message => message.kind === 'report'
+      ? { ...message, report: { ...message.report, tasks: message.report.tasks.map(task => ({ ...task, state: task.state === 'running' ? state : task.state })) } }
+      : message
+    const simulation = new Simulation({ tamper })
+    simulation.workers.forEach(worker => { worker.runMs = 900 })
+    simulation.run(200)
+    simulation.ask({ kind: 'submit_job', spec: job('gang') })
+    simulation.heal()
+    return findUntrueEnds(simulation.record, [...simulation.state.jobs()], simulation.nowMs)
+  }
+  t.deepEqual(run('running'), [])
+  t.not(run('completed').length, 0)
+})
--- /dev/null
+++ b/packages/control/test/simulation.ts
@@ -0,0 +1,299 @@
+/** One control group and its workers under a manual clock; a test decides what is delivered, lost, doubled or late. */
+import {
+  defaultRules, diffDocument, emptyConfiguration, NullEventLog, NullMetrics,
+  type ConfigurationDocument, type JobSpec, type WorkerReport
+} from '@comfreygrade/core'
+import {
+  ControlLeader, ControlState, defaultControlSettings, defaultControlStateSettings,
+  type ControlCommand, type ControlEffect, type ControlEvent, type ControlOperation, type ControlResult,
+  type ControlSettings, type OrderResult
+} from '../src/index.js'
+import { FakeScheduler, FakeValidator } from './fake-scheduler.js'
+import { ExecutionRecord, FakeWorker } from './fake-worker.js'
+
+/** Short times, so that a run covers many leases. */
+export const testSettings: ControlSettings = {
+  ...defaultControlSettings,
+  leaseMs: 1_000,
+  leadershipValidMs: 50,
+  prepareTimeoutMs: 300,
+  orderTimeoutMs: 100,
+  orderRetryMs: 20,
+  maxOrderRetryMs: 100,
+  proposalRetryMs: 30,
+  minPassIntervalMs: 5,
+  idlePassIntervalMs: 100,
+  workerHoldMs: 50,
+  maxWorkerHoldMs: 200
+}
+
+export const stateOptions = { settings: defaultControlStateSettings, validator: new FakeValidator() }
+/** Voters elect no leader for longer than a committed proposal proves leadership. */
+const ELECTION_MS = testSettings.leadershipValidMs + 1
+const REPORT_INTERVAL_MS = 100
+const ACCELERATORS = 4
+
+type SendOrders = Extract<ControlEffect, { kind: 'send_orders' }>
+
+/** Something on its way between the leader and a worker. */
+export type Message =
+  | { readonly kind: 'orders', readonly effect: SendOrders }
+  | {
+    readonly kind: 'answer'
+    readonly workerId: string
+    readonly orderId: string
+    readonly results: readonly OrderResult[]
+  }
+  | { readonly kind: 'report', readonly report: WorkerReport, readonly sentMs: number }
+  | { readonly kind: 'lease', readonly report: WorkerReport, readonly sentMs: number, readonly result: ControlResult }
+
+export interface SimulationOptions {
+  readonly settings?: Partial<ControlSettings>
+  readonly workers?: number
+  /** Changes messages on the way, to show that a checker notices. */
+  readonly tamper?: (message: Message) => Message
+}
+
+export function job (jobId: string, changes: Partial<JobSpec> = {}): JobSpec {
+  return {
+    jobId,
+    organisationId: 'o1',
+    jobClass: 'nightly',
+    tasks: 2,
+    acceleratorModel: 'gpu',
+    acceleratorsPerTask: 4,
+    coresPerTask: 1,
+    memoryGbPerTask: 1,
+    adjacency: 'none',
+    declaredRunMs: 400,
+    priority: 'normal',
+    preemption: 'repeat',
+    ...changes
+  }
+}
+
+export function inventory (workers: number): ConfigurationDocument {
+  return {
+    racks: [{ rackId: 'r1', region: 'salto', availabilityZone: 'salto-a' }],
+    workers: Array.from({ length: workers }, (_, position) => ({
+      workerId: `w${position}`,
+      rackId: 'r1',
+      rackPosition: position,
+      cores: 64,
+      memoryGb: 256,
+      acceleratorModel: 'gpu',
+      accelerators: ACCELERATORS
+    })),
+    organisations: [{ organisationId: 'o1', quotaAccelerators: 100, weight: 1 }],
+    guarantees: [],
+    rules: { ...defaultRules, reclaimWithinMs: 600 }
+  }
+}
+
+export class Simulation {
+  readonly state = new ControlState(stateOptions)
+  readonly record = new ExecutionRecord()
+  readonly workers: FakeWorker[]
+  readonly replies = new Map<string, ControlResult>()
+  readonly committed: ControlCommand[] = []
+  readonly messages: Message[] = []
+  proposals: Array<{ readonly proposalId: string, readonly command: ControlCommand }> = []
+  scheduler = new FakeScheduler()
+  leader: ControlLeader
+  /** The leader before, which does not know yet that it was replaced. */
+  formerLeader: ControlLeader | undefined
+  nowMs = 0
+  readonly #settings: ControlSettings
+  readonly #tamper: (message: Message) => Message
+  readonly #reports = new Map<string, { readonly report: WorkerReport, readonly sentMs: number }>()
+  #term = 1
+  #index = 0
+  #requests = 0
+
+  constructor ({ settings = {}, workers = 3, tamper = message => message }: SimulationOptions = {}) {
+    this.#settings = { ...testSettings, ...settings }
+    this.#tamper = tamper
+    const rates = [1, 0.991, 1.009]
+    this.workers = inventory(workers).workers.map(({ workerId }, position) =>
+      new FakeWorker(workerId, rates[position % rates.length] ?? 1, this.record))
+    this.#apply({ kind: 'apply_configuration', change: diffDocument(emptyConfiguration(), inventory(workers)) })
+    this.leader = this.#newLeader()
+    this.feed({ kind: 'tick' })
+  }
+
+  worker (workerId: string): FakeWorker {
+    const worker = this.workers.find(candidate => candidate.workerId === workerId)
+    if (worker === undefined) throw new Error(`no worker ${workerId}`)
+    return worker
+  }
+
+  /** Gives the leader an event and takes in its effects. */
+  feed (event: ControlEvent, leader = this.leader): void {
+    const effects = leader.handle(event, this.nowMs)
+    // What a former leader proposes is never committed; its orders and answers still arrive.
+    this.#perform(effects, leader === this.leader)
+  }
+
+  ask (operation: ControlOperation): string {
+    this.#requests += 1
+    const requestId = `q${this.#requests}`
+    this.feed({ kind: 'operation', requestId, operation })
+    return requestId
+  }
+
+  commit (): void {
+    const proposal = this.proposals.shift()
+    if (proposal === undefined) return
+    const { command, proposalId } = proposal
+    const result = this.#apply(command)
+    this.feed({ kind: 'applied', proposalId, index: this.#index, command, result })
+  }
+
+  /** Delivers a message; with `isKept` it stays on its way and arrives again. */
+  deliver (position: number, isKept = false, isToFormer = false): void {
+    const message = this.messages[position]
+    if (message === undefined) return
+    if (!isKept) this.messages.splice(position, 1)
+    if (this.#isCutOff(message)) return
+    const leader = isToFormer ? this.formerLeader ?? this.leader : this.leader
+    switch (message.kind) {
+      case 'orders': this.#deliverOrders(message.effect); break
+      case 'answer': this.feed({ kind: 'orders_answered', orderId: message.orderId, results: message.results }, leader); break
+      case 'report': this.#deliverReport(message, leader); break
+      case 'lease': this.#deliverLease(message); break
+    }
+  }
+
+  drop (position: number): void {
+    this.messages.splice(position, 1)
+  }
+
+  sendReport (worker: FakeWorker): void {
+    if (!worker.isReachable) return
+    this.#send({ kind: 'report', report: worker.report(this.nowMs), sentMs: this.nowMs })
+  }
+
+  /** Lets time pass, with every wake of the leader and every end of a lease at its time. */
+  advance (elapsedMs: number): void {
+    const endMs = this.nowMs + elapsedMs
+    while (this.nowMs < endMs) {
+      const wakeMs = Math.max(this.leader.nextWakeAtMs(), this.nowMs + 1)
+      this.nowMs = Math.min(endMs, wakeMs)
+      for (const worker of this.workers) worker.advance(this.nowMs)
+      this.feed({ kind: 'tick' })
+    }
+  }
+
+  /** Elects a new leader: the first `keptProposals` in flight are still committed, the others are lost. */
+  replaceLeader (keptProposals = 0): void {
+    for (const { command } of this.proposals.splice(0, keptProposals)) this.#apply(command)
+    this.proposals = []
+    this.#advanceWithoutLeader(ELECTION_MS)
+    this.formerLeader = this.leader
+    this.#term += 1
+    this.scheduler = new FakeScheduler()
+    this.leader = this.#newLeader()
+    this.feed({ kind: 'tick' })
+  }
+
+  #advanceWithoutLeader (elapsedMs: number): void {
+    this.nowMs += elapsedMs
+    for (const worker of this.workers) worker.advance(this.nowMs)
+  }
+
+  /** Takes one step in the order in which things were sent; false when nothing is on its way. */
+  step (): boolean {
+    if (this.proposals.length > 0) this.commit()
+    else if (this.messages.length > 0) this.deliver(0)
+    else return false
+    return true
+  }
+
+  /** Works without faults for a time, with regular reports. */
+  run (durationMs: number): void {
+    const endMs = this.nowMs + durationMs
+    for (let reportMs = this.nowMs; this.nowMs < endMs; reportMs += REPORT_INTERVAL_MS) {
+      for (const worker of this.workers) this.sendReport(worker)
+      while (this.step());
+      this.advance(REPORT_INTERVAL_MS / 2)
+      while (this.step());
+      this.advance(REPORT_INTERVAL_MS / 2)
+    }
+  }
+
+  /** Ends all faults and runs until every job has ended or `limitMs` have passed. */
+  heal (limitMs = 60_000): void {
+    this.formerLeader = undefined
+    for (const worker of this.workers) {
+      worker.behaviour = 'works'
+      worker.isCutOff = false
+      worker.resume(this.nowMs)
+      if (worker.isDead) worker.restart(this.nowMs)
+    }
+    const endMs = this.nowMs + limitMs
+    this.run(500)
+    while (this.nowMs < endMs && [...this.state.jobs()].some(({ phase }) => phase !== 'ended')) this.run(500)
+  }
+
+  #apply (command: ControlCommand): ReturnType<ControlState['apply']> {
+    this.#index += 1
+    this.committed.push(command)
+    return this.state.apply(command, this.#index, this.nowMs)
+  }
+
+  #newLeader (): ControlLeader {
+    return new ControlLeader({
+      term: this.#term,
+      state: this.state,
+      scheduler: this.scheduler,
+      settings: this.#settings,
+      metrics: new NullMetrics(),
+      log: new NullEventLog()
+    })
+  }
+
+  #perform (effects: readonly ControlEffect[], isLeading: boolean): void {
+    for (const effect of effects) {
+      if (effect.kind === 'send_orders') this.#send({ kind: 'orders', effect })
+      else if (effect.kind === 'reply') this.#reply(effect.requestId, effect.result)
+      else if (isLeading) this.proposals.push(effect)
+    }
+  }
+
+  #send (message: Message): void {
+    this.messages.push(this.#tamper(message))
+  }
+
+  #reply (requestId: string, result: ControlResult): void {
+    const waiting = this.#reports.get(requestId)
+    this.#reports.delete(requestId)
+    if (waiting === undefined) this.replies.set(requestId, result)
+    else this.#send({ kind: 'lease', ...waiting, result })
+  }
+
+  #isCutOff (message: Message): boolean {
+    switch (message.kind) {
+      case 'orders': return this.worker(message.effect.workerId).isCutOff
+      case 'answer': return this.worker(message.workerId).isCutOff
+      default: return this.worker(message.report.workerId).isCutOff
+    }
+  }
+
+  #deliverOrders ({ orderId, workerId, term, orders }: SendOrders): void {
+    const worker = this.worker(workerId)
+    if (!worker.isReachable) return
+    this.#send({ kind: 'answer', workerId, orderId, results: worker.receive(term, orders, this.nowMs) })
+  }
+
+  #deliverReport ({ report, sentMs }: Extract<Message, { kind: 'report' }>, leader: ControlLeader): void {
+    this.#requests += 1
+    const requestId = `r${this.#requests}`
+    this.#reports.set(requestId, { report, sentMs })
+    this.feed({ kind: 'operation', requestId, operation: { kind: 'report_worker', report } }, leader)
+  }
+
+  #deliverLease ({ report, sentMs, result }: Extract<Message, { kind: 'lease' }>): void {
+    if (!result.ok || result.value.kind !== 'worker_lease') return
+    this.worker(report.workerId).renew(result.value, report, sentMs, this.nowMs)
+  }
+}
