Admit a new voter only after it has answered, and test commits more closely

Cause: with at most 64 entries in the log a learner that never answered counted as caught up, so both sets decided with a voter that does not exist until the leader gave up after 10 s. Nothing was lost, but the log depended on it.

Ruled out: the lag bound itself; the index of the current voter set must be on the learner's disk as well.

Before: the added check in the focused test failed.

--- a/packages/consensus/src/replacement.ts
+++ b/packages/consensus/src/replacement.ts
@@ -69,9 +69,11 @@
     return { body: { kind: 'voters', voters, outgoingVoters }, proposalId: pending.proposalId }
   }
 
+  /** A learner must have answered: with a short log the lag alone would admit one that does not exist. */
   #hasCaughtUp (learner: VoterId): boolean {
     const matchIndex = this.#replication.peer(learner)?.matchIndex ?? 0
-    return this.#state.log.lastIndex - matchIndex <= this.#state.settings.learnerMaxLagEntries
+    const { log, configurationIndex, settings } = this.#state
+    return matchIndex >= configurationIndex && log.lastIndex - matchIndex <= settings.learnerMaxLagEntries
   }
 
   #endOfJoint (): ConfigurationEntry<Command> | undefined {
--- a/packages/consensus/test/replica.test.ts
+++ b/packages/consensus/test/replica.test.ts
@@ -19,6 +19,33 @@
   return { kind: 'vote_request', term, isPreVote: false, lastIndex: 1, lastTerm: 1, isTransfer: false }
 }
 
+function persistIds (effects: Array<ReplicaEffect<string>>): number[] {
+  return effects.filter(effect => effect.kind === 'persist').map(effect => effect.persistId)
+}
+
+/** Replica `a` as leader of term 3 by the votes of `b`, with the entry of its term given to the disk. */
+function leading (recovered: RecoveredLog<string>): { leader: Replica<string>, unsynced: number[] } {
+  const leader = replicaOf(a, recovered)
+  leader.step({ kind: 'tick' }, 0)
+  leader.step({ kind: 'tick' }, 2_000)
+  const preVote = { kind: 'vote_response', term: 3, isPreVote: true, granted: true } as const
+  const campaign = leader.step({ kind: 'message', from: b, message: preVote }, 2_010)
+  leader.step({ kind: 'persisted', persistId: persistIds(campaign).at(-1) ?? 0 }, 2_020)
+  const won = leader.step({ kind: 'message', from: b, message: { ...preVote, isPreVote: false } }, 2_030)
+  return { leader, unsynced: persistIds(won) }
+}
+
+function acknowledgement (matchIndex: number): ConsensusMessage<string> {
+  return { kind: 'append_response', term: 3, success: true, matchIndex, round: 1 }
+}
+
+/** The log of a voter that received an entry of term 2 and did not learn whether it was committed. */
+function logOfTermTwo (): RecoveredLog<string> {
+  const { entries } = Replica.initialLog<string>([a, b, c])
+  const old = { index: 2, term: 2, logTimeMs: 5, body: { kind: 'command', proposalId: 'old', command: 'x' } } as const
+  return { hardState: { term: 2, votedFor: null }, snapshot: null, entries: [...entries, old] }
+}
+
 /** Three replicas with a leader. */
 function started (options: Partial<SimulationOptions> = {}): Simulation {
   const simulation = new Simulation({ seed: 11, replicas: 3, ...options })
@@ -128,7 +155,9 @@
   const { voters } = simulation.leading
   simulation.requestReplacement('first', lost, { nodeId: 'absent', diskId: 'd9' })
   simulation.requestReplacement('second', lost, { nodeId: 'other', diskId: 'd9' })
-  simulation.run(2_000)
+  simulation.run(500)
+  t.deepEqual(simulation.leading.configuration.outgoingVoters, [], 'the new voter has not caught up')
+  simulation.run(1_500)
   simulation.requestReplacement('third', lost, lost)
   simulation.run(200)
   t.deepEqual([...simulation.history.rejections], [
@@ -230,9 +259,8 @@
   voter.step({ kind: 'tick' }, 0)
   const effects = voter.step({ kind: 'message', from: b, message: voteRequest(2) }, 700)
   t.deepEqual(sent(effects), [])
-  const persists = effects.filter(effect => effect.kind === 'persist')
-  const hardState = persists.at(-1)?.hardState ?? { term: 0, votedFor: null }
-  const [answer] = sent(voter.step({ kind: 'persisted', persistId: persists.at(-1)?.persistId ?? 0 }, 710))
+  const hardState = effects.findLast(effect => effect.kind === 'persist')?.hardState ?? { term: 0, votedFor: null }
+  const [answer] = sent(voter.step({ kind: 'persisted', persistId: persistIds(effects).at(-1) ?? 0 }, 710))
   t.like(answer, { kind: 'vote_response', granted: true, term: 2 })
 
   const restarted = replicaOf(a, { ...Replica.initialLog<string>([a, b, c]), hardState })
@@ -257,15 +285,33 @@
   } as const
   const first = follower.step({ kind: 'message', from: b, message: request }, 0)
   t.deepEqual(sent(first), [])
-  const persistIds = first.filter(effect => effect.kind === 'persist').map(effect => effect.persistId)
-  const early = sent(follower.step({ kind: 'persisted', persistId: persistIds[0] ?? 0 }, 5))
+  const [firstId, lastId] = persistIds(first)
+  const early = sent(follower.step({ kind: 'persisted', persistId: firstId ?? 0 }, 5))
   t.deepEqual(early, [])
   const repeated = sent(follower.step({ kind: 'message', from: b, message: { ...request, round: 2 } }, 6))
   t.like(repeated[0], { success: true, matchIndex: 1 }, 'a repeat before the sync acknowledges only what is synced')
-  const late = sent(follower.step({ kind: 'persisted', persistId: persistIds.at(-1) ?? 0 }, 10))
+  const late = sent(follower.step({ kind: 'persisted', persistId: lastId ?? 0 }, 10))
   t.like(late[0], { kind: 'append_response', success: true, matchIndex: 2 })
 })
 
+test('the entry of a leader counts only once its own disk has it, so a commit is on a majority of disks', t => {
+  const { leader, unsynced } = leading(logOfTermTwo())
+  t.is(leader.role, 'leader')
+  leader.step({ kind: 'message', from: b, message: acknowledgement(3) }, 2_050)
+  t.is(leader.commitIndex, 0)
+  leader.step({ kind: 'persisted', persistId: unsynced.at(-1) ?? 0 }, 2_060)
+  t.is(leader.commitIndex, 3)
+})
+
+test('an entry of an earlier term is not committed by counting, as a later leader could still overwrite it', t => {
+  const { leader, unsynced } = leading(logOfTermTwo())
+  leader.step({ kind: 'persisted', persistId: unsynced.at(-1) ?? 0 }, 2_040)
+  leader.step({ kind: 'message', from: b, message: acknowledgement(2) }, 2_050)
+  t.is(leader.commitIndex, 0)
+  leader.step({ kind: 'message', from: b, message: acknowledgement(3) }, 2_060)
+  t.is(leader.commitIndex, 3)
+})
+
 test('a replica with an empty disk neither campaigns nor votes, so it cannot stand in for its former self', t => {
   const empty = replicaOf({ nodeId: 'a', diskId: 'd1' }, Replica.emptyLog())
   t.deepEqual(empty.step({ kind: 'tick' }, 0), [])
