--- a/packages/routing/src/settings.ts
+++ b/packages/routing/src/settings.ts
@@ -58,10 +58,8 @@
   readonly unknownServiceTimeMs: number
   /** Service time that weight 1 earns in one round of deficit round robin. */
   readonly quantumMs: number
-  /** CoDel: acceptable queue delay; Infinity switches it off. */
-  readonly codelTargetMs: number
-  /** CoDel: time above the target before the first refusal. */
-  readonly codelIntervalMs: number
+  /** Waiting work is not started when less than this many times its usual service time is left. */
+  readonly startMarginFactor: number
   /** Window over which the rate of a busy queue is measured. */
   readonly rateWindowMs: number
   readonly minRetryAfterMs: number
@@ -70,8 +68,12 @@
   readonly loadShareIntervalMs: number
   /** Size of one load report that the front end passes as a hint. */
   readonly loadShareMaxBytes: number
-  /** A count reported by a peer loses half its weight in this time. */
+  /** Servers in other regions are used up to this share of their limit, so that they keep room for nearer callers. */
+  readonly crossRegionMaxLoad: number
+  /** A count of short work reported by a peer loses half its weight in this time. */
   readonly peerLoadHalfLifeMs: number
+  /** The same for long work. */
+  readonly peerLongLoadHalfLifeMs: number
   /** A peer that sent no report for this long no longer counts. */
   readonly peerForgetAfterMs: number
   /** Entries of one load report, sent or taken. */
@@ -108,21 +110,22 @@
   ejectionMaxShare: 0.5,
   failureLoadRequests: 1,
   failureLoadHalfLifeMs: 1_000,
-  reservedShortSlots: 2,
+  reservedShortSlots: 3,
   longClassFactor: 5,
   longClassMinMs: 100,
   longClassHysteresis: 0.7,
   maxRequestClasses: 1_000,
   unknownServiceTimeMs: 20,
   quantumMs: 20,
-  codelTargetMs: 100,
-  codelIntervalMs: 500,
   rateWindowMs: 200,
+  startMarginFactor: 2,
   minRetryAfterMs: 50,
   maxRetryAfterMs: 30_000,
   loadShareIntervalMs: 500,
   loadShareMaxBytes: 800,
+  crossRegionMaxLoad: 0.8,
   peerLoadHalfLifeMs: 500,
+  peerLongLoadHalfLifeMs: 2_000,
   peerForgetAfterMs: 3_000,
   maxLoadReportEntries: 512
 }
