Test syncs of names, truncation and repeated failures of the file log

Cause: faults put into a scratch copy (a trial) were not caught: a rename that was not synced, a torn record that was not truncated, and a failure that was forgotten after one error.

Ruled out: a fault of the file log or the replica; both behave as they should.

The fake disk may now keep names of new files and lose renames.

--- a/packages/consensus/test/replica.test.ts
+++ b/packages/consensus/test/replica.test.ts
@@ -312,6 +312,32 @@
   t.is(leader.commitIndex, 3)
 })
 
+test('an installed snapshot is acknowledged only after its sync, so the leader does not count a log that may be lost', t => {
+  const follower = replicaOf(a)
+  const position = { lastIndex: 9, lastTerm: 2, logTimeMs: 5, voters: [a, b, c], outgoingVoters: [] }
+  const message = {
+    kind: 'snapshot_chunk', term: 2, snapshot: position, offsetBytes: 0, totalBytes: 1, chunk: new Uint8Array(1)
+  } as const
+  const effects = follower.step({ kind: 'message', from: b, message }, 0)
+  t.true(effects.some(effect => effect.kind === 'restore'))
+  t.deepEqual(sent(effects), [])
+  t.deepEqual(sent(follower.step({ kind: 'message', from: b, message }, 5)), [], 'nor after a repeat')
+  const done = sent(follower.step({ kind: 'persisted', persistId: persistIds(effects).at(-1) ?? 0 }, 10))
+  t.like(done[0], { kind: 'snapshot_ack', lastIndex: 9, receivedBytes: 1 })
+})
+
+test('an overwritten change of the voter set is forgotten, so no replica counts votes in a set that never was', t => {
+  const follower = replicaOf(a)
+  const joint = { kind: 'voters', voters: [a, b, { nodeId: 'd', diskId: 'd0' }], outgoingVoters: [a, b, c] } as const
+  const request = { kind: 'append_request', previousIndex: 1, previousTerm: 1, commitIndex: 1, round: 1 } as const
+  const change = { index: 2, term: 2, logTimeMs: 5, body: joint }
+  follower.step({ kind: 'message', from: b, message: { ...request, term: 2, entries: [change] } }, 0)
+  t.is(follower.configuration.outgoingVoters.length, 3)
+  const noop = { index: 2, term: 3, logTimeMs: 5, body: { kind: 'noop' } } as const
+  follower.step({ kind: 'message', from: c, message: { ...request, term: 3, entries: [noop] } }, 10)
+  t.deepEqual(follower.configuration, { voters: [a, b, c], outgoingVoters: [] })
+})
+
 test('a replica with an empty disk neither campaigns nor votes, so it cannot stand in for its former self', t => {
   const empty = replicaOf({ nodeId: 'a', diskId: 'd1' }, Replica.emptyLog())
   t.deepEqual(empty.step({ kind: 'tick' }, 0), [])
--- a/packages/node/test/file-log.test.ts
+++ b/packages/node/test/file-log.test.ts
@@ -29,10 +29,14 @@
   synced: Uint8Array
 }
 
+/** What a crash loses: nothing of what was written, what is not synced, or renames that are not synced. */
+type Loss = 'none' | 'unsynced' | 'renames'
+
 /** Files in memory that remember what is synced, and fail at a chosen step. */
 class FakeFiles extends LogFiles {
   readonly names = new Map<string, StoredFile>()
   durableNames = new Map<string, StoredFile>()
+  readonly #created = new Map<string, StoredFile>()
   steps: string[] = []
   failAtStep = Infinity
   failure: Error = new Error('the process ended')
@@ -42,26 +46,35 @@
     this.steps.push(name)
   }
 
-  /** The next step of this kind fails. */
+  /** The next step of this kind fails; the ones after it would succeed. */
   failNext (name: string, code: string): void {
     const original = this.step.bind(this)
     this.step = next => {
-      if (next === name) throw Object.assign(new Error(code), { code })
-      original(next)
+      if (next !== name) return original(next)
+      this.step = original
+      throw Object.assign(new Error(code), { code })
     }
   }
 
-  /** What a new process finds: after a power failure only what is synced, otherwise everything. */
-  restarted (isPowerFailure: boolean): FakeFiles {
+  /**
+   * What a new process finds. A power failure loses what is not synced, but names of new files may survive it while
+   * renames do not.
+   */
+  restarted (loss: Loss): FakeFiles {
     const next = new FakeFiles()
-    for (const [path, file] of isPowerFailure ? this.durableNames : this.names) {
-      const content = isPowerFailure ? file.synced : file.written
+    const names = { none: this.names, unsynced: this.durableNames, renames: this.#namesWithoutRenames() }[loss]
+    for (const [path, file] of names) {
+      const content = loss === 'none' ? file.written : file.synced
       next.names.set(path, { written: content, synced: content })
     }
     next.durableNames = new Map(next.names)
     return next
   }
 
+  #namesWithoutRenames (): Map<string, StoredFile> {
+    return new Map([...this.durableNames, ...this.#created])
+  }
+
   content (pattern: RegExp): StoredFile {
     const found = [...this.names].filter(([path]) => pattern.test(path)).sort().at(-1)
     if (found === undefined) throw new Error(`no file matches ${String(pattern)}`)
@@ -81,6 +94,7 @@
   override async open (path: string): Promise<LogFile> {
     if (!this.names.has(path)) this.step('create')
     const file = this.names.get(path) ?? { written: new Uint8Array(), synced: new Uint8Array() }
+    if (!this.names.has(path)) this.#created.set(path, file)
     this.names.set(path, file)
     return new FakeFile(this, file)
   }
@@ -99,6 +113,7 @@
   override async syncFolder (): Promise<void> {
     this.step('sync folder')
     this.durableNames = new Map(this.names)
+    this.#created.clear()
   }
 }
 
@@ -175,16 +190,17 @@
 })
 
 test('a last record cut at any byte is dropped and its place is used again, so a crash while writing is harmless', async t => {
-  const files = await threeRecords()
-  const { written } = files.content(/segment/)
-  const withTwo = new FakeFiles()
-  const log = await opened(withTwo)
+  const files = new FakeFiles()
+  const log = await opened(files)
   for (const index of [1, 2]) await log.persist(batch(entry(index)))
-  const keptBytes = withTwo.content(/segment/).written.byteLength
+  const keptBytes = files.content(/segment/).written.byteLength
+  await log.persist(batch(entry(3)))
+  const { written } = files.content(/segment/)
   for (let length = keptBytes; length < written.byteLength; length++) {
-    const torn = files.restarted(false)
+    const torn = files.restarted('none')
     torn.content(/segment/).written = written.slice(0, length)
     const reopened = await opened(torn)
+    t.is(torn.content(/segment/).written.byteLength, keptBytes)
     await reopened.persist(batch(entry(3, 2)))
     t.deepEqual(await recoveredIndexes(torn), [1, 2, 3], `cut at byte ${length}`)
   }
@@ -195,7 +211,7 @@
   const { written } = files.content(/segment/)
   const recordBytes = written.byteLength / 3
   for (let offset = written.byteLength - Math.floor(recordBytes / 2); offset < written.byteLength; offset++) {
-    const damaged = files.restarted(false)
+    const damaged = files.restarted('none')
     damaged.content(/segment/).written = written.map((byte, position) => position === offset ? byte ^ 0xff : byte)
     t.deepEqual(await recoveredIndexes(damaged), [1, 2], `byte ${offset}`)
   }
@@ -205,7 +221,7 @@
   const files = await threeRecords()
   const { written } = files.content(/segment/)
   for (let offset = 0; offset < written.byteLength * 0.6; offset++) {
-    const damaged = files.restarted(false)
+    const damaged = files.restarted('none')
     damaged.content(/segment/).written = written.map((byte, position) => position === offset ? byte ^ 0xff : byte)
     const error = await t.throwsAsync(recoveredIndexes(damaged), { instanceOf: FileLogError })
     t.like(error, { kind: 'damaged_record' }, `byte ${offset}`)
@@ -236,7 +252,7 @@
     t.like(await joined, { kind })
     t.like(await t.throwsAsync(log.persist(batch(entry(6)))), { kind })
     t.like(await t.throwsAsync(log.saveSnapshot(snapshotAt(2))), { kind })
-    t.deepEqual(await recoveredIndexes(files.restarted(true)), [1, 2, 3])
+    t.deepEqual(await recoveredIndexes(files.restarted('unsynced')), [1, 2, 3])
   })
 }
 
@@ -258,8 +274,8 @@
     files.steps = []
     files.failAtStep = step
     const isDone = await operation(log).then(() => true, () => false)
-    for (const isPowerFailure of [true, false]) {
-      await check(files.restarted(isPowerFailure), `${step} steps, power failure: ${String(isPowerFailure)}`)
+    for (const loss of ['none', 'unsynced', 'renames'] as const) {
+      await check(files.restarted(loss), `${step} steps, lost: ${loss}`)
     }
     if (isDone) return step
   }
@@ -320,7 +336,7 @@
   const files = new FakeFiles()
   files.failNext('rename', 'EIO')
   await t.throwsAsync(readOrCreateDiskId(folder, files), { instanceOf: FileLogError })
-  t.is((await readOrCreateDiskId(folder, files.restarted(false))).length, 36)
+  t.is((await readOrCreateDiskId(folder, files.restarted('none'))).length, 36)
 })
 
 test('a folder counts as initialised only with a log, so an interrupted first start can be repeated', async t => {
