Bound uncommitted entries and the kept tail in bytes

Cause: both were bounded by number only. With recorded answers of tens of kilobytes 20,000 uncommitted entries exceed the 256 MB of a node.

Ruled out: a smaller number of entries, which would limit short commands.

Before: no bound in bytes.

--- a/packages/consensus/src/leader.ts
+++ b/packages/consensus/src/leader.ts
@@ -73,7 +73,8 @@
 
   #isFull (): boolean {
     const { log, commitIndex, settings } = this.state
-    return log.lastIndex - commitIndex >= settings.maxUncommittedEntries
+    if (log.lastIndex - commitIndex >= settings.maxUncommittedEntries) return true
+    return log.sizeAfterBytes(commitIndex) >= settings.maxUncommittedBytes
   }
 
   #appendCommand (body: Extract<EntryBody<Command>, { kind: 'command' }>): void {
--- a/packages/consensus/src/log.ts
+++ b/packages/consensus/src/log.ts
@@ -2,7 +2,7 @@
 import { estimateEntryBytes } from './entry-size.js'
 import type { LogEntry, RecoveredLog, Snapshot } from './messages.js'
 
-/** Bounds of a part of the log that goes into one message. */
+/** Bounds of a part of the log. */
 export interface SliceLimits {
   readonly maxEntries: number
   readonly maxBytes: number
@@ -11,7 +11,9 @@
 /** Entries after a snapshot or after the tail kept behind it (sections 5.3 and 7 of the Raft paper). */
 export class ReplicatedLog<Command> {
   #entries: Array<LogEntry<Command>> = []
-  #sizesBytes: number[] = []
+  /** Estimated bytes of all entries up to each entry in memory, so that the size of a part is one subtraction. */
+  #totalsBytes: number[] = []
+  #baseTotalBytes = 0
   #baseIndex = 0
   #baseTerm = 0
   #baseLogTimeMs = 0
@@ -56,6 +58,15 @@
     return this.#entries[index - this.#baseIndex - 1]?.logTimeMs
   }
 
+  /** Estimated size of the entries after `index`. */
+  sizeAfterBytes (index: number): number {
+    return this.#totalAtBytes(this.lastIndex) - this.#totalAtBytes(index)
+  }
+
+  #totalAtBytes (index: number): number {
+    return this.#totalsBytes[index - this.#baseIndex - 1] ?? this.#baseTotalBytes
+  }
+
   /** Whether a log that ends at this position holds everything that this one may have committed (section 5.4.1). */
   isCoveredBy (lastIndex: number, lastTerm: number): boolean {
     if (lastTerm !== this.lastTerm) return lastTerm > this.lastTerm
@@ -68,8 +79,9 @@
       if (entry.index !== this.lastIndex + 1) {
         throw new Error(`entry ${entry.index} does not follow the last index ${this.lastIndex}`)
       }
+      const totalBytes = this.#totalAtBytes(this.lastIndex) + estimateEntryBytes(entry)
       this.#entries.push(entry)
-      this.#sizesBytes.push(estimateEntryBytes(entry))
+      this.#totalsBytes.push(totalBytes)
     }
   }
 
@@ -77,7 +89,7 @@
   truncateFrom (index: number): void {
     const kept = Math.max(0, index - this.#baseIndex - 1)
     this.#entries.length = Math.min(this.#entries.length, kept)
-    this.#sizesBytes.length = this.#entries.length
+    this.#totalsBytes.length = this.#entries.length
   }
 
   /** Entries from `first` to `last`, both included. */
@@ -87,16 +99,11 @@
 
   /** Entries from `first` on within the limits; at least one, so that a large entry is not stuck. */
   slice (first: number, limits: SliceLimits): { entries: Array<LogEntry<Command>>, sizeBytes: number } {
-    const start = first - this.#baseIndex - 1
-    let end = start
-    let sizeBytes = 0
-    while (end < this.#entries.length && end - start < limits.maxEntries) {
-      const nextBytes = this.#sizesBytes[end] ?? 0
-      if (end > start && sizeBytes + nextBytes > limits.maxBytes) break
-      sizeBytes += nextBytes
-      end++
-    }
-    return { entries: this.#entries.slice(start, end), sizeBytes }
+    const startBytes = this.#totalAtBytes(first - 1)
+    const latest = Math.min(this.lastIndex, first + limits.maxEntries - 1)
+    let last = first
+    while (last < latest && this.#totalAtBytes(last + 1) - startBytes <= limits.maxBytes) last++
+    return { entries: this.range(first, last), sizeBytes: this.#totalAtBytes(last) - startBytes }
   }
 
   /** Where the leader should go back to after a mismatch: before the conflicting term (section 5.3). */
@@ -108,24 +115,33 @@
     return index
   }
 
-  /** Keeps a snapshot of the state machine and drops all but `keepEntries` of the entries that it covers. */
-  compact (snapshot: Snapshot, keepEntries: number): void {
+  /** Keeps a snapshot of the state machine and drops all but a tail of the entries that it covers. */
+  compact (snapshot: Snapshot, tail: SliceLimits): void {
     if (snapshot.lastIndex <= (this.#snapshot?.lastIndex ?? 0)) return
     this.#snapshot = snapshot
-    const newBase = snapshot.lastIndex - keepEntries
-    if (newBase <= this.#baseIndex) return
+    const newBase = this.#tailStart(snapshot.lastIndex, tail)
+    const dropped = newBase - this.#baseIndex
     this.#baseTerm = this.termAt(newBase) ?? snapshot.lastTerm
     this.#baseLogTimeMs = this.logTimeAt(newBase) ?? snapshot.logTimeMs
-    this.#entries = this.#entries.slice(newBase - this.#baseIndex)
-    this.#sizesBytes = this.#sizesBytes.slice(newBase - this.#baseIndex)
+    this.#baseTotalBytes = this.#totalAtBytes(newBase)
+    this.#entries = this.#entries.slice(dropped)
+    this.#totalsBytes = this.#totalsBytes.slice(dropped)
     this.#baseIndex = newBase
   }
 
+  #tailStart (lastIndex: number, tail: SliceLimits): number {
+    const endBytes = this.#totalAtBytes(lastIndex)
+    let start = Math.max(this.#baseIndex, lastIndex - tail.maxEntries)
+    while (start < lastIndex && endBytes - this.#totalAtBytes(start) > tail.maxBytes) start++
+    return start
+  }
+
   /** Replaces the whole log by a snapshot. */
   replaceBy (snapshot: Snapshot): void {
     this.#snapshot = snapshot
     this.#entries = []
-    this.#sizesBytes = []
+    this.#totalsBytes = []
+    this.#baseTotalBytes = 0
     this.#baseIndex = snapshot.lastIndex
     this.#baseTerm = snapshot.lastTerm
     this.#baseLogTimeMs = snapshot.logTimeMs
--- a/packages/consensus/src/messages.ts
+++ b/packages/consensus/src/messages.ts
@@ -81,6 +81,7 @@
     readonly totalBytes: number
     readonly chunk: Uint8Array
   }
+  /** `receivedBytes` equals the total only once the snapshot is durable. */
   | { readonly kind: 'snapshot_ack', readonly term: number, readonly lastIndex: number, readonly receivedBytes: number }
   | { readonly kind: 'transfer_leadership', readonly term: number }
 
@@ -119,7 +120,10 @@
   | { readonly kind: 'snapshot_saved', readonly snapshot: Snapshot }
   | { readonly kind: 'step_down' }
 
-/** What a replica asks its adapters to do. Effects must be carried out in order. */
+/**
+ * What a replica asks its adapters to do. Effects are started in order; a `persist` need not be finished before the
+ * effects behind it.
+ */
 export type ReplicaEffect<Command> =
   | { readonly kind: 'send', readonly to: VoterId, readonly message: ConsensusMessage<Command> }
   | {
--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -39,7 +39,8 @@
    * What a voter of the first set writes to its empty disk; it must be the same on all of them.
    *
    * @example
-   * await storage.persist({ kind: 'persist', persistId: 0, ...Replica.initialLog<MyCommand>(voters) })
+   * const { hardState, entries } = Replica.initialLog<MyCommand>(voters)
+   * await storage.persist({ kind: 'persist', persistId: 0, hardState, entries })
    */
   static initialLog<Command> (voters: readonly VoterId[]): RecoveredLog<Command> & { readonly snapshot: null } {
     const body = { kind: 'voters', voters, outgoingVoters: [] } as const
@@ -86,14 +87,23 @@
     return this.#state.log.lastIndex
   }
 
-  /** Monotonic time at which the next `tick` is due; `Infinity` where none is. */
+  /** Estimated size of the log after the latest snapshot, for the decision when to take the next. */
+  get bytesAfterSnapshot (): number {
+    return this.#state.log.sizeAfterBytes(this.#state.log.snapshot?.lastIndex ?? 0)
+  }
+
+  /** Monotonic time at which the next `tick` is due; `Infinity` where none is, as for a replica without a vote. */
   nextWakeAtMs (): number {
     return this.#isStarted ? this.#current.nextWakeAtMs() : this.#state.nowMs
   }
 
   /**
    * Whether this replica leads and a majority took it for the leader within `leaseMs`, so that no other replica can
-   * have committed anything that this one does not know.
+   * have committed anything that this one does not know. It holds only for a clock that goes on while the process
+   * stands still.
+   *
+   * @example
+   * if (replica.hasQuorumLease(clock.monotonicMs())) answerFromState()
    */
   hasQuorumLease (nowMs: number): boolean {
     return this.#current.hasQuorumLease(nowMs)
--- a/packages/consensus/src/settings.ts
+++ b/packages/consensus/src/settings.ts
@@ -25,13 +25,15 @@
   /** Bounds of what is sent to one replica and not yet answered. */
   readonly maxInflightAppends: number
   readonly maxInflightBytes: number
-  /** Proposals beyond this number of uncommitted entries are rejected. */
+  /** Proposals are rejected while this much waits for a commit. */
   readonly maxUncommittedEntries: number
+  readonly maxUncommittedBytes: number
   /** Size of one piece of a snapshot, and when it is sent again. */
   readonly snapshotChunkBytes: number
   readonly snapshotResendMs: number
-  /** Entries kept behind a snapshot for replicas that are a little behind. */
+  /** What is kept of the log behind a snapshot for replicas that are a little behind. */
   readonly keepTailEntries: number
+  readonly keepTailBytes: number
   /** A new voter has caught up when it is at most this many entries behind. */
   readonly learnerMaxLagEntries: number
   /** A replacement ends without effect when the new voter is silent for this long. */
@@ -62,15 +64,22 @@
   maxInflightAppends: 32,
   maxInflightBytes: 4_194_304,
   maxUncommittedEntries: 20_000,
+  maxUncommittedBytes: 33_554_432,
   snapshotChunkBytes: 262_144,
   snapshotResendMs: 1_000,
   keepTailEntries: 2_000,
+  keepTailBytes: 8_388_608,
   learnerMaxLagEntries: 64,
   learnerSilenceMs: 10_000,
   transferTimeoutMs: 1_000
 }
 
-/** Throws a `RangeError` for settings under which an old leader could answer beside a new one. */
+/**
+ * Throws a `RangeError` for settings under which an old leader could answer beside a new one.
+ *
+ * @example
+ * checkSettings({ ...defaultReplicaSettings, leaseMs: 700 }) // throws
+ */
 export function checkSettings (settings: ReplicaSettings): void {
   const latestMs = settings.electionMinMs * (1 - settings.clockRateBound)
   const slowest = 1 + settings.clockRateBound
--- a/packages/consensus/src/state.ts
+++ b/packages/consensus/src/state.ts
@@ -228,7 +228,8 @@
   /** Drops the part of the log that a saved snapshot covers. */
   compact (snapshot: Snapshot): void {
     if (snapshot.lastIndex > this.#commitIndex) throw new RangeError('a snapshot covers committed entries only')
-    this.log.compact(snapshot, this.settings.keepTailEntries)
+    const { keepTailEntries, keepTailBytes } = this.settings
+    this.log.compact(snapshot, { maxEntries: keepTailEntries, maxBytes: keepTailBytes })
     this.#membership.compact(this.log.baseIndex)
   }
 
--- a/packages/consensus/src/voters.ts
+++ b/packages/consensus/src/voters.ts
@@ -10,17 +10,32 @@
   readonly outgoingVoters: readonly VoterId[]
 }
 
-/** Key of a voter for maps. */
+/**
+ * Key of a voter for maps.
+ *
+ * @example
+ * voterKey({ nodeId: 'salto-1', diskId: '4f1c' }) // 'salto-1/4f1c'
+ */
 export function voterKey (voter: VoterId): string {
   return `${voter.nodeId}/${voter.diskId}`
 }
 
-/** Whether both are the same node with the same disk. */
+/**
+ * Whether both are the same node with the same disk.
+ *
+ * @example
+ * sameVoter({ nodeId: 'salto-1', diskId: 'a' }, { nodeId: 'salto-1', diskId: 'b' }) // false
+ */
 export function sameVoter (one: VoterId, other: VoterId): boolean {
   return one.nodeId === other.nodeId && one.diskId === other.diskId
 }
 
-/** Whether `voters` holds `voter`. */
+/**
+ * Whether `voters` holds `voter`.
+ *
+ * @example
+ * includesVoter(replica.voters, id)
+ */
 export function includesVoter (voters: readonly VoterId[], voter: VoterId): boolean {
   return voters.some(candidate => sameVoter(candidate, voter))
 }
--- a/packages/consensus/test/replica.test.ts
+++ b/packages/consensus/test/replica.test.ts
@@ -238,6 +238,27 @@
   t.deepEqual(reasons.slice(9), [undefined, 'queue_full', 'queue_full'])
 })
 
+test('proposals beyond the bound of uncommitted bytes are rejected, so large commands cannot fill the memory', t => {
+  const simulation = started({ settings: { maxUncommittedBytes: 300 } })
+  simulation.isolate(simulation.leaderNumber)
+  const ids = Array.from({ length: 12 }, () => simulation.propose() ?? '')
+  t.is(simulation.history.rejections.get(ids[0] ?? ''), undefined)
+  t.is(simulation.history.rejections.get(ids.at(-1) ?? ''), 'queue_full')
+})
+
+test('the tail kept behind a snapshot is bounded in bytes, so large entries do not fill the memory', t => {
+  const simulation = started({ settings: { keepTailEntries: 1_000, keepTailBytes: 1_500 } })
+  proposeMany(simulation, 100)
+  simulation.run(200)
+  const replica = simulation.leading
+  t.true(replica.bytesAfterSnapshot > 5_000)
+  simulation.snapshot(simulation.leaderNumber)
+  simulation.run(100)
+  t.is(replica.bytesAfterSnapshot, 0)
+  t.notThrows(() => replica.describeSnapshot(95))
+  t.throws(() => replica.describeSnapshot(50), { instanceOf: RangeError })
+})
+
 test('appends stay within their bounds for a replica that is far behind, so no message blocks a link', t => {
   const settings = { maxAppendEntries: 16, maxAppendBytes: 1_000, maxInflightAppends: 4, keepTailEntries: 1_000 }
   const simulation = started({ settings })
--- a/packages/node/test/file-log.test.ts
+++ b/packages/node/test/file-log.test.ts
@@ -2,7 +2,11 @@
 import { tmpdir } from 'node:os'
 import { basename, dirname, join } from 'node:path'
 import test from 'ava'
-import { Replica, type LogEntry, type ReplicaEffect, type Snapshot, type VoterId } from '@comfreygrade/consensus'
+import {
+  defaultReplicaSettings, Replica, type LogEntry, type RecoveredLog, type ReplicaEffect, type ReplicaEvent,
+  type Snapshot, type VoterId
+} from '@comfreygrade/consensus'
+import { Random } from '@comfreygrade/core'
 import {
   FileLog, FileLogError, isFolderInitialised, LogFile, LogFiles, NodeLogFiles, readOrCreateDiskId
 } from '../src/file-log.js'
@@ -324,6 +328,45 @@
   t.is(snapshot?.lastIndex, 9)
 })
 
+/** Carries out what a single voter asks for until nothing is left; returns the applied commands. */
+async function runAlone (replica: Replica<string>, log: FileLog<string>, first: ReplicaEvent<string>, nowMs: number) {
+  const applied: string[] = []
+  const events = [first]
+  for (let event = events.shift(); event !== undefined; event = events.shift()) {
+    for (const effect of replica.step(event, nowMs)) {
+      if (effect.kind === 'persist') {
+        await log.persist(effect)
+        events.push({ kind: 'persisted', persistId: effect.persistId })
+      }
+      if (effect.kind !== 'apply') continue
+      for (const { body } of effect.entries) if (body.kind === 'command') applied.push(body.command)
+    }
+  }
+  return applied
+}
+
+function replicaOn (recovered: RecoveredLog<string>): Replica<string> {
+  return new Replica({ id: voters[0] as VoterId, settings: defaultReplicaSettings, recovered, random: new Random(1) })
+}
+
+test('a replica on this log has all of 500 entries after a power failure, so accepted changes never revert', async t => {
+  const files = new FakeFiles()
+  const log = await opened(files, 5_000)
+  const initial = Replica.initialLog<string>(voters)
+  await log.persist({ ...batch(...initial.entries), hardState: initial.hardState })
+  const replica = replicaOn(initial)
+  await runAlone(replica, log, { kind: 'tick' }, 0)
+  await runAlone(replica, log, { kind: 'tick' }, 2_000)
+  const commands = Array.from({ length: 500 }, (_, number) => `command ${number}`)
+  for (const command of commands) {
+    t.deepEqual(await runAlone(replica, log, { kind: 'propose', proposalId: command, command }, 2_001), [command])
+  }
+  const nextLog = new FileLog<string>(folder, { files: files.restarted('unsynced') })
+  const restarted = replicaOn(await nextLog.recover())
+  await runAlone(restarted, nextLog, { kind: 'tick' }, 0)
+  t.deepEqual(await runAlone(restarted, nextLog, { kind: 'tick' }, 2_000), commands)
+})
+
 test('the disk ID stays the same, a new folder has another, and a crash while creating it leaves none', async t => {
   const path = await mkdtemp(join(tmpdir(), 'disk-id-'))
   try {
