--- a/packages/node/test/file-log.test.ts
+++ b/packages/node/test/file-log.test.ts
@@ -2,7 +2,11 @@
 import { tmpdir } from 'node:os'
 import { basename, dirname, join } from 'node:path'
 import test from 'ava'
-import { Replica, type LogEntry, type ReplicaEffect, type Snapshot, type VoterId } from '@comfreygrade/consensus'
+import {
+  defaultReplicaSettings, Replica, type LogEntry, type RecoveredLog, type ReplicaEffect, type ReplicaEvent,
+  type Snapshot, type VoterId
+} from '@comfreygrade/consensus'
+import { Random } from '@comfreygrade/core'
 import {
   FileLog, FileLogError, isFolderInitialised, LogFile, LogFiles, NodeLogFiles, readOrCreateDiskId
 } from '../src/file-log.js'
@@ -29,10 +33,14 @@
   synced: Uint8Array
 }
 
+/** What a crash loses: nothing of what was written, what is not synced, or renames that are not synced. */
+type Loss = 'none' | 'unsynced' | 'renames'
+
 /** Files in memory that remember what is synced, and fail at a chosen step. */
 class FakeFiles extends LogFiles {
   readonly names = new Map<string, StoredFile>()
   durableNames = new Map<string, StoredFile>()
+  readonly #created = new Map<string, StoredFile>()
   steps: string[] = []
   failAtStep = Infinity
   failure: Error = new Error('the process ended')
@@ -42,26 +50,35 @@
     this.steps.push(name)
   }
 
-  /** The next step of this kind fails. */
+  /** The next step of this kind fails; the ones after it would succeed. */
   failNext (name: string, code: string): void {
     const original = this.step.bind(this)
     this.step = next => {
-      if (next === name) throw Object.assign(new Error(code), { code })
-      original(next)
+      if (next !== name) return original(next)
+      this.step = original
+      throw Object.assign(new Error(code), { code })
     }
   }
 
-  /** What a new process finds: after a power failure only what is synced, otherwise everything. */
-  restarted (isPowerFailure: boolean): FakeFiles {
+  /**
+   * What a new process finds. A power failure loses what is not synced, but names of new files may survive it while
+   * renames do not.
+   */
+  restarted (loss: Loss): FakeFiles {
     const next = new FakeFiles()
-    for (const [path, file] of isPowerFailure ? this.durableNames : this.names) {
-      const content = isPowerFailure ? file.synced : file.written
+    const names = { none: this.names, unsynced: this.durableNames, renames: this.#namesWithoutRenames() }[loss]
+    for (const [path, file] of names) {
+      const content = loss === 'none' ? file.written : file.synced
       next.names.set(path, { written: content, synced: content })
     }
     next.durableNames = new Map(next.names)
     return next
   }
 
+  #namesWithoutRenames (): Map<string, StoredFile> {
+    return new Map([...this.durableNames, ...this.#created])
+  }
+
   content (pattern: RegExp): StoredFile {
     const found = [...this.names].filter(([path]) => pattern.test(path)).sort().at(-1)
     if (found === undefined) throw new Error(`no file matches ${String(pattern)}`)
@@ -81,6 +98,7 @@
   override async open (path: string): Promise<LogFile> {
     if (!this.names.has(path)) this.step('create')
     const file = this.names.get(path) ?? { written: new Uint8Array(), synced: new Uint8Array() }
+    if (!this.names.has(path)) this.#created.set(path, file)
     this.names.set(path, file)
     return new FakeFile(this, file)
   }
@@ -99,6 +117,7 @@
   override async syncFolder (): Promise<void> {
     this.step('sync folder')
     this.durableNames = new Map(this.names)
+    this.#created.clear()
   }
 }
 
@@ -175,16 +194,17 @@
 })
 
 test('a last record cut at any byte is dropped and its place is used again, so a crash while writing is harmless', async t => {
-  const files = await threeRecords()
-  const { written } = files.content(/segment/)
-  const withTwo = new FakeFiles()
-  const log = await opened(withTwo)
+  const files = new FakeFiles()
+  const log = await opened(files)
   for (const index of [1, 2]) await log.persist(batch(entry(index)))
-  const keptBytes = withTwo.content(/segment/).written.byteLength
+  const keptBytes = files.content(/segment/).written.byteLength
+  await log.persist(batch(entry(3)))
+  const { written } = files.content(/segment/)
   for (let length = keptBytes; length < written.byteLength; length++) {
-    const torn = files.restarted(false)
+    const torn = files.restarted('none')
     torn.content(/segment/).written = written.slice(0, length)
     const reopened = await opened(torn)
+    t.is(torn.content(/segment/).written.byteLength, keptBytes)
     await reopened.persist(batch(entry(3, 2)))
     t.deepEqual(await recoveredIndexes(torn), [1, 2, 3], `cut at byte ${length}`)
   }
@@ -195,7 +215,7 @@
   const { written } = files.content(/segment/)
   const recordBytes = written.byteLength / 3
   for (let offset = written.byteLength - Math.floor(recordBytes / 2); offset < written.byteLength; offset++) {
-    const damaged = files.restarted(false)
+    const damaged = files.restarted('none')
     damaged.content(/segment/).written = written.map((byte, position) => position === offset ? byte ^ 0xff : byte)
     t.deepEqual(await recoveredIndexes(damaged), [1, 2], `byte ${offset}`)
   }
@@ -205,7 +225,7 @@
   const files = await threeRecords()
   const { written } = files.content(/segment/)
   for (let offset = 0; offset < written.byteLength * 0.6; offset++) {
-    const damaged = files.restarted(false)
+    const damaged = files.restarted('none')
     damaged.content(/segment/).written = written.map((byte, position) => position === offset ? byte ^ 0xff : byte)
     const error = await t.throwsAsync(recoveredIndexes(damaged), { instanceOf: FileLogError })
     t.like(error, { kind: 'damaged_record' }, `byte ${offset}`)
@@ -236,7 +256,7 @@
     t.like(await joined, { kind })
     t.like(await t.throwsAsync(log.persist(batch(entry(6)))), { kind })
     t.like(await t.throwsAsync(log.saveSnapshot(snapshotAt(2))), { kind })
-    t.deepEqual(await recoveredIndexes(files.restarted(true)), [1, 2, 3])
+    t.deepEqual(await recoveredIndexes(files.restarted('unsynced')), [1, 2, 3])
   })
 }
 
@@ -258,8 +278,8 @@
     files.steps = []
     files.failAtStep = step
     const isDone = await operation(log).then(() => true, () => false)
-    for (const isPowerFailure of [true, false]) {
-      await check(files.restarted(isPowerFailure), `${step} steps, power failure: ${String(isPowerFailure)}`)
+    for (const loss of ['none', 'unsynced', 'renames'] as const) {
+      await check(files.restarted(loss), `${step} steps, lost: ${loss}`)
     }
     if (isDone) return step
   }
@@ -308,6 +328,45 @@
   t.is(snapshot?.lastIndex, 9)
 })
 
+/** Carries out what a single voter asks for until nothing is left; returns the applied commands. */
+async function runAlone (replica: Replica<string>, log: FileLog<string>, first: ReplicaEvent<string>, nowMs: number) {
+  const applied: string[] = []
+  const events = [first]
+  for (let event = events.shift(); event !== undefined; event = events.shift()) {
+    for (const effect of replica.step(event, nowMs)) {
+      if (effect.kind === 'persist') {
+        await log.persist(effect)
+        events.push({ kind: 'persisted', persistId: effect.persistId })
+      }
+      if (effect.kind !== 'apply') continue
+      for (const { body } of effect.entries) if (body.kind === 'command') applied.push(body.command)
+    }
+  }
+  return applied
+}
+
+function replicaOn (recovered: RecoveredLog<string>): Replica<string> {
+  return new Replica({ id: voters[0] as VoterId, settings: defaultReplicaSettings, recovered, random: new Random(1) })
+}
+
+test('a replica on this log has all of 500 entries after a power failure, so accepted changes never revert', async t => {
+  const files = new FakeFiles()
+  const log = await opened(files, 5_000)
+  const initial = Replica.initialLog<string>(voters)
+  await log.persist({ ...batch(...initial.entries), hardState: initial.hardState })
+  const replica = replicaOn(initial)
+  await runAlone(replica, log, { kind: 'tick' }, 0)
+  await runAlone(replica, log, { kind: 'tick' }, 2_000)
+  const commands = Array.from({ length: 500 }, (_, number) => `command ${number}`)
+  for (const command of commands) {
+    t.deepEqual(await runAlone(replica, log, { kind: 'propose', proposalId: command, command }, 2_001), [command])
+  }
+  const nextLog = new FileLog<string>(folder, { files: files.restarted('unsynced') })
+  const restarted = replicaOn(await nextLog.recover())
+  await runAlone(restarted, nextLog, { kind: 'tick' }, 0)
+  t.deepEqual(await runAlone(restarted, nextLog, { kind: 'tick' }, 2_000), commands)
+})
+
 test('the disk ID stays the same, a new folder has another, and a crash while creating it leaves none', async t => {
   const path = await mkdtemp(join(tmpdir(), 'disk-id-'))
   try {
@@ -320,7 +379,7 @@
   const files = new FakeFiles()
   files.failNext('rename', 'EIO')
   await t.throwsAsync(readOrCreateDiskId(folder, files), { instanceOf: FileLogError })
-  t.is((await readOrCreateDiskId(folder, files.restarted(false))).length, 36)
+  t.is((await readOrCreateDiskId(folder, files.restarted('none'))).length, 36)
 })
 
 test('a folder counts as initialised only with a log, so an interrupted first start can be repeated', async t => {
