--- a/packages/control/test/gang-life-cycle.test.ts
+++ b/packages/control/test/gang-life-cycle.test.ts
@@ -73,6 +73,24 @@
   }
 })
 
+for (const fault of ['lost', 'doubled', 'late'] as const) {
+  test(`any single message that is ${fault} loses no job and splits no gang`, t => {
+    const total = takeSteps(prepared(), Number.POSITIVE_INFINITY)
+    for (let steps = 0; steps < total; steps += 1) {
+      const simulation = prepared()
+      takeSteps(simulation, steps)
+      const message = simulation.messages[0]
+      if (message === undefined || simulation.proposals.length > 0) continue
+      if (fault === 'doubled') simulation.deliver(0, true)
+      else simulation.drop(0)
+      simulation.run(fault === 'late' ? 400 : 0)
+      if (fault === 'late') simulation.messages.push(message)
+      simulation.heal()
+      t.deepEqual(violations(simulation), [], `fault after ${steps} steps`)
+    }
+  })
+}
+
 type Action = readonly [
   kind: 'commit' | 'deliver' | 'double' | 'drop' | 'former' | 'advance' | 'report' | 'die' | 'restart' | 'freeze' |
   'resume' | 'cut' | 'rejoin' | 'refuse' | 'fail' | 'work' | 'replace' | 'submit' | 'cancel' | 'reclaim' | 'drain' | 'run',
@@ -127,8 +145,8 @@
 }
 
 function play (list: readonly Action[], options?: SimulationOptions): Simulation {
-  const simulation = new Simulation(options)
-  simulation.workers.forEach((worker, position) => { worker.runMs = 400 + 700 * position })
+  const simulation = new Simulation({ workers: 5, ...options })
+  simulation.workers.forEach((worker, position) => { worker.runMs = 400 + 700 * (position % 3) })
   simulation.run(200)
   for (const action of list) act(simulation, action)
   for (const worker of simulation.workers) {
@@ -152,14 +170,42 @@
   t.not(findDoubleRuns(runWithCutOffWorker({ settings: { clockRateBound: -0.9 } }).record).length, 0)
 })
 
+test('a gang that must stop is not started elsewhere while a task on a silent worker may run', t => {
+  const simulation = runWithCutOffWorker({}, silent => silent.worker('w0').restart(silent.nowMs))
+  t.deepEqual(findDoubleRuns(simulation.record), [])
+  t.is(new Set(simulation.record.executions.map(({ leaseId }) => leaseId)).size, 2)
+})
+
+test('reports from before a placement do not release its tasks', t => {
+  const simulation = new Simulation({ workers: 5 })
+  for (const worker of simulation.workers) worker.runMs = 5_000
+  simulation.run(200)
+  simulation.sendReport(simulation.worker('w1'))
+  simulation.sendReport(simulation.worker('w1'))
+  const early = simulation.messages.splice(0)
+  simulation.ask({ kind: 'submit_job', spec: job('gang') })
+  while (simulation.step());
+  t.is(simulation.record.executions.length, 2)
+  simulation.ask({ kind: 'drain', drain: { kind: 'worker', id: 'w1' } })
+  simulation.messages.push(...early)
+  while (simulation.messages.some(({ kind }) => kind === 'report')) simulation.deliver(0)
+  simulation.worker('w1').isCutOff = true
+  simulation.run(3_000)
+  t.deepEqual(findDoubleRuns(simulation.record), [])
+})
+
 /** A gang runs on a worker with a slow clock that is cut off, and is started again without it. */
-function runWithCutOffWorker (options: SimulationOptions): Simulation {
-  const simulation = new Simulation({ ...options, workers: 4 })
+function runWithCutOffWorker (
+  options: SimulationOptions,
+  whenCutOff: (simulation: Simulation) => void = () => {}
+): Simulation {
+  const simulation = new Simulation({ ...options, workers: 5 })
   for (const worker of simulation.workers) worker.runMs = 5_000
   simulation.run(200)
   simulation.ask({ kind: 'submit_job', spec: job('gang', { tasks: 2 }) })
   simulation.run(300)
   simulation.worker('w1').isCutOff = true
+  whenCutOff(simulation)
   simulation.run(3_000)
   return simulation
 }
--- a/packages/control/test/simulation.ts
+++ b/packages/control/test/simulation.ts
@@ -50,6 +50,7 @@
 export interface SimulationOptions {
   readonly settings?: Partial<ControlSettings>
   readonly workers?: number
+  readonly scheduler?: FakeScheduler
   /** Changes messages on the way, to show that a checker notices. */
   readonly tamper?: (message: Message) => Message
 }
@@ -98,7 +99,7 @@
   readonly committed: ControlCommand[] = []
   readonly messages: Message[] = []
   proposals: Array<{ readonly proposalId: string, readonly command: ControlCommand }> = []
-  scheduler = new FakeScheduler()
+  scheduler: FakeScheduler
   leader: ControlLeader
   /** The leader before, which does not know yet that it was replaced. */
   formerLeader: ControlLeader | undefined
@@ -110,7 +111,9 @@
   #index = 0
   #requests = 0
 
-  constructor ({ settings = {}, workers = 3, tamper = message => message }: SimulationOptions = {}) {
+  constructor (options: SimulationOptions = {}) {
+    const { settings = {}, workers = 3, scheduler = new FakeScheduler(), tamper = message => message } = options
+    this.scheduler = scheduler
     this.#settings = { ...testSettings, ...settings }
     this.#tamper = tamper
     const rates = [1, 0.991, 1.009]
@@ -149,6 +152,11 @@
     this.feed({ kind: 'applied', proposalId, index: this.#index, command, result })
   }
 
+  /** Commits everything that is proposed, and what follows from it. */
+  commitAll (): void {
+    while (this.proposals.length > 0) this.commit()
+  }
+
   /** Delivers a message; with `isKept` it stays on its way and arrives again. */
   deliver (position: number, isKept = false, isToFormer = false): void {
     const message = this.messages[position]
