--- /dev/null
+++ b/packages/bench/src/control-bench.ts
@@ -0,0 +1,224 @@
+/** Cost of the control state and of the control leader at the two-year target. */
+import { performance } from 'node:perf_hooks'
+import { serialize, setFlagsFromString } from 'node:v8'
+import { runInNewContext } from 'node:vm'
+import { NullEventLog, NullMetrics, type ConfigurationChange } from '@comfreygrade/core'
+import { ControlLeader, ControlState, defaultControlSettings, type ControlCommand } from '@comfreygrade/control'
+import {
+  buildLargeLog, IdleScheduler, largeJob, largePlacement, largeReport, largeWorkerState, RUNNING_TASKS, START_LOG_MS,
+  stateOptions, WORKERS, type LargeLog
+} from './control-load.js'
+
+/** One measured figure. */
+export interface BenchFigure {
+  readonly name: string
+  readonly value: number
+  readonly unit: string
+}
+
+const MIB_BYTES = 1024 * 1024
+const SAMPLES = 2_000
+/** A change of a worker copies the map of all workers, so fewer samples take as long. */
+const CHANGE_SAMPLES = 200
+const REPORT_INTERVAL_S = 10
+const CLAIMS = 50_000
+
+/**
+ * Measures the control package at the size of the design page, with a scheduler that decides nothing.
+ *
+ * @example
+ * for (const { name, value, unit } of runControlBench()) console.log(name, value.toFixed(1), unit)
+ */
+export function runControlBench (): BenchFigure[] {
+  const emptyBytes = usedBytes()
+  const log = buildLargeLog()
+  const stateBytes = usedBytes() - emptyBytes
+  return [
+    { name: 'state in memory', value: stateBytes / MIB_BYTES, unit: 'MiB' },
+    ...measureSnapshot(log.state),
+    ...measureLeader(log),
+    ...measureCommands(log),
+    ...measureChanges(log),
+    ...measureClaims(log)
+  ]
+}
+
+/** Prints the figures of `runControlBench`, one a line. */
+export function printControlBench (): void {
+  for (const { name, value, unit } of runControlBench()) console.log(`${name.padEnd(58)}${value.toFixed(2).padStart(12)} ${unit}`)
+}
+
+function measureSnapshot (state: ControlState): BenchFigure[] {
+  const [snapshot, snapshotMs] = timed(() => state.snapshot())
+  const [encoded, encodeMs] = timed(() => serialize(snapshot))
+  const [, restoreMs] = timed(() => ControlState.restore(snapshot, stateOptions))
+  return [
+    { name: 'snapshot, taken', value: snapshotMs, unit: 'ms' },
+    { name: 'snapshot, encoded by v8.serialize', value: encoded.length / MIB_BYTES, unit: 'MiB' },
+    { name: 'snapshot, encoding by v8.serialize', value: encodeMs, unit: 'ms' },
+    { name: 'snapshot, restored', value: restoreMs, unit: 'ms' }
+  ]
+}
+
+function measureLeader (log: LargeLog): BenchFigure[] {
+  const before = usedBytes()
+  const leader = newLeader(log.state)
+  const [, startMs] = timed(() => leader.handle({ kind: 'tick' }, 0))
+  const leaderBytes = usedBytes() - before
+  prove(log, leader, 1)
+  const perReportUs = measureReports(log, leader)
+  return [
+    { name: 'leader, start of a term', value: startMs, unit: 'ms' },
+    { name: 'leader, memory besides the state', value: leaderBytes / MIB_BYTES, unit: 'MiB' },
+    { name: `report of a worker with ${RUNNING_TASKS / WORKERS | 0} to 5 tasks`, value: perReportUs, unit: 'us' },
+    {
+      name: `${WORKERS} workers reporting each ${REPORT_INTERVAL_S} s`,
+      value: perReportUs * WORKERS / REPORT_INTERVAL_S / 10_000,
+      unit: '% of a core'
+    }
+  ]
+}
+
+function newLeader (state: ControlState): ControlLeader {
+  return new ControlLeader({
+    term: 1,
+    state,
+    scheduler: new IdleScheduler(),
+    settings: { ...defaultControlSettings, leadershipValidMs: Number.MAX_SAFE_INTEGER },
+    metrics: new NullMetrics(),
+    log: new NullEventLog()
+  })
+}
+
+/** Commits a proposal, so that reports are answered at once. */
+function prove (log: LargeLog, leader: ControlLeader, nowMs: number): void {
+  const report = largeReport(log.state, 0, 1)
+  const effects = leader.handle({ kind: 'operation', requestId: 'proof', operation: { kind: 'report_worker', report } }, nowMs)
+  for (const effect of effects) {
+    if (effect.kind !== 'propose') continue
+    const { proposalId, command } = effect
+    const result = log.apply(command)
+    leader.handle({ kind: 'applied', proposalId, index: log.index, command, result }, nowMs)
+  }
+}
+
+function measureReports (log: LargeLog, leader: ControlLeader): number {
+  const rounds = [2, 3, 4].map(sequence =>
+    Array.from({ length: WORKERS }, (_, worker) => largeReport(log.state, worker, sequence)))
+  const times = rounds.map((reports, round) => {
+    const [, elapsedMs] = timed(() => {
+      for (const report of reports) {
+        const operation = { kind: 'report_worker' as const, report }
+        leader.handle({ kind: 'operation', requestId: report.workerId, operation }, 2 + round)
+      }
+    })
+    return elapsedMs * 1_000 / WORKERS
+  })
+  return Math.min(...times)
+}
+
+function measureCommands (log: LargeLog): BenchFigure[] {
+  // Numbers after the running gangs, on accelerators that are still free.
+  const first = RUNNING_TASKS / 8
+  const numbers = Array.from({ length: 600 }, (_, offset) => first + offset)
+  const leases = new Map<number, number>()
+  const leaseOf = (number: number): number => leases.get(number) ?? 0
+  const id = (number: number): string => largeJob(number).jobId
+  const measure = (make: (number: number) => ControlCommand): BenchFigure[] => measureKind(log, numbers.map(make))
+  const place = measure(number => ({ kind: 'submit_job', spec: largeJob(number) })).concat(
+    measureKind(log, numbers.map(number => {
+      leases.set(number, log.index + 1 + number - first)
+      return { kind: 'place_job', jobId: id(number), placement: largePlacement(number) }
+    })))
+  return [
+    ...place,
+    ...measure(number => ({ kind: 'start_job', jobId: id(number), leaseId: leaseOf(number) })),
+    ...measure(number => ({ kind: 'job_running', jobId: id(number), leaseId: leaseOf(number) })),
+    ...measure(number => ({
+      kind: 'stop_job',
+      jobId: id(number),
+      leaseId: leaseOf(number),
+      reason: 'task 3 failed on worker worker-17',
+      isCheckpoint: false,
+      then: 'requeue'
+    })),
+    ...measure(number => ({ kind: 'requeue_job', jobId: id(number), leaseId: leaseOf(number), reason: 'task 3 failed' })),
+    ...measure(number => ({ kind: 'end_job', jobId: id(number), leaseId: 0, outcome: 'cancelled', reason: 'cancelled' })),
+    ...measureKind(log, Array.from({ length: SAMPLES }, (_, worker) => largeWorkerState(worker, 2))),
+    ...measureKind(log, Array.from({ length: SAMPLES }, (_, worker): ControlCommand =>
+      ({ kind: 'set_drain', drain: { kind: 'worker', id: `worker-${worker}` }, isDraining: true }))),
+    ...measureKind(log, Array.from({ length: SAMPLES }, (): ControlCommand => ({ kind: 'clock' })))
+  ]
+}
+
+function measureChanges (log: LargeLog): BenchFigure[] {
+  const { version } = log.state.configuration
+  const organisations = Array.from({ length: CHANGE_SAMPLES }, (_, offset) => organisationChange(version + offset))
+  const workers = Array.from({ length: CHANGE_SAMPLES }, (_, offset) => workerChange(version + CHANGE_SAMPLES + offset))
+  const toCommand = (change: ConfigurationChange): ControlCommand => ({ kind: 'apply_configuration', change })
+  return [
+    ...measureKind(log, organisations.map(toCommand), 'apply_configuration, one organisation'),
+    ...measureKind(log, workers.map(toCommand), `apply_configuration, one of ${WORKERS} workers`)
+  ]
+}
+
+function measureClaims (log: LargeLog): BenchFigure[] {
+  const before = usedBytes()
+  const keys = Array.from({ length: CLAIMS }, (_, number) => claimKey(number))
+  const organisationId = 'organisation-1'
+  const digest = 'a'.repeat(64)
+  const claims = keys.map((key): ControlCommand => ({ kind: 'claim_request', organisationId, key, digest }))
+  const settles = keys.map((key): ControlCommand =>
+    ({ kind: 'settle_claim', organisationId, key, state: 'completed', answer: null }))
+  const figures = [...measureKind(log, claims), ...measureKind(log, settles)]
+  const bytes = (usedBytes() - before) / CLAIMS
+  return [...figures, { name: 'claim in memory, with its two commands', value: bytes, unit: 'bytes' }]
+}
+
+function measureKind (log: LargeLog, commands: readonly ControlCommand[], label?: string): BenchFigure[] {
+  const name = label ?? commands[0]?.kind ?? 'none'
+  const bytes = JSON.stringify(commands).length / commands.length
+  const [, elapsedMs] = timed(() => { for (const command of commands) log.apply(command) })
+  return [
+    { name: `${name}, size as JSON`, value: bytes, unit: 'bytes' },
+    { name: `${name}, apply`, value: elapsedMs * 1_000 / commands.length, unit: 'us' }
+  ]
+}
+
+function organisationChange (baseVersion: number): ConfigurationChange {
+  const record = { organisationId: 'organisation-7', quotaAccelerators: baseVersion, weight: 1 }
+  return { version: baseVersion + 1, baseVersion, upserts: [{ kind: 'organisation', record }], removes: [] }
+}
+
+function workerChange (baseVersion: number): ConfigurationChange {
+  const record = {
+    workerId: 'worker-20999',
+    rackId: 'rack-2624',
+    rackPosition: 7,
+    cores: 64,
+    memoryGb: 256 + baseVersion % 2,
+    acceleratorModel: 'gpu',
+    accelerators: 5
+  }
+  return { version: baseVersion + 1, baseVersion, upserts: [{ kind: 'worker', record }], removes: [] }
+}
+
+function claimKey (number: number): string {
+  const time = START_LOG_MS.toString(16).padStart(12, '0')
+  return `${time.slice(0, 8)}-${time.slice(8)}-7000-8000-${number.toString(16).padStart(12, '0')}`
+}
+
+function timed<T> (work: () => T): readonly [T, number] {
+  const startMs = performance.now()
+  const value = work()
+  return [value, performance.now() - startMs]
+}
+
+/** Heap in use after a full collection. */
+function usedBytes (): number {
+  setFlagsFromString('--expose-gc')
+  const collect = runInNewContext('gc') as () => void
+  collect()
+  collect()
+  return process.memoryUsage().heapUsed + process.memoryUsage().arrayBuffers
+}
--- /dev/null
+++ b/packages/bench/src/control-load.ts
@@ -0,0 +1,164 @@
+/** A control state of the size that the design page gives for two years from now. */
+import {
+  defaultRules, diffDocument, emptyConfiguration, type ConfigurationDocument, type Failure, type JobExplanation,
+  type JobSpec, type Placement, type WorkerReport
+} from '@comfreygrade/core'
+import {
+  ControlState, defaultControlStateSettings, GuaranteeValidator, JobScheduler,
+  type ControlCommand, type CommandResult, type ControlStateOptions
+} from '@comfreygrade/control'
+import type { FleetReport, PlacementDecision, ReclaimCheck } from '@comfreygrade/placement'
+
+export const WORKERS = 21_000
+export const RUNNING_TASKS = 100_000
+export const ENDED_JOBS = 35_000
+const ORGANISATIONS = 830
+const GANG_TASKS = 8
+const WORKERS_PER_RACK = 8
+/** One accelerator for each task, so that the tasks fit; the state keeps nothing for each accelerator. */
+const ACCELERATORS_PER_WORKER = 5
+export const START_LOG_MS = 1_800_000_000_000
+
+/** Accepts every set of guarantees; the check of the placement package is measured there. */
+class AcceptingValidator extends GuaranteeValidator {
+  override validate (): Failure | undefined {
+    return undefined
+  }
+}
+
+/** Decides nothing, so that only the cost of control is measured. */
+export class IdleScheduler extends JobScheduler {
+  override applyConfiguration (): void {}
+  override workerJoined (): void {}
+  override workerLost (): void {}
+  override drainWorker (): void {}
+  override submit (): Failure | undefined { return undefined }
+  override restore (): void {}
+  override cancel (): void {}
+  override taskFailed (): void {}
+  override ended (): void {}
+  override reclaimed (): void {}
+  override pass (): PlacementDecision[] { return [] }
+  override explain (jobId: string): JobExplanation {
+    return { jobId, state: 'unknown', reason: '', queuePosition: 0, blockedByJobIds: [] }
+  }
+
+  override report (): FleetReport { throw new Error('not used by the benchmark') }
+  override checkReclaimable (): ReclaimCheck { return { isReclaimable: true, missingCells: [] } }
+}
+
+export const stateOptions: ControlStateOptions = {
+  settings: defaultControlStateSettings,
+  validator: new AcceptingValidator()
+}
+
+/** Gives the inventory of 21,000 workers and 830 organisations. */
+export function largeInventory (): ConfigurationDocument {
+  const racks = Math.ceil(WORKERS / WORKERS_PER_RACK)
+  return {
+    racks: Array.from({ length: racks }, (_, rack) =>
+      ({ rackId: `rack-${rack}`, region: `region-${rack % 7}`, availabilityZone: `zone-${rack % 23}` })),
+    workers: Array.from({ length: WORKERS }, (_, worker) => ({
+      workerId: `worker-${worker}`,
+      rackId: `rack-${Math.floor(worker / WORKERS_PER_RACK)}`,
+      rackPosition: worker % WORKERS_PER_RACK,
+      cores: 64,
+      memoryGb: 256,
+      acceleratorModel: 'gpu',
+      accelerators: ACCELERATORS_PER_WORKER
+    })),
+    organisations: Array.from({ length: ORGANISATIONS }, (_, organisation) =>
+      ({ organisationId: `organisation-${organisation}`, quotaAccelerators: 1_000, weight: 1 })),
+    guarantees: [],
+    rules: defaultRules
+  }
+}
+
+/** Gives the specification of a gang of eight tasks. */
+export function largeJob (number: number): JobSpec {
+  return {
+    jobId: `01890000-0000-7000-8000-${number.toString(16).padStart(12, '0')}`,
+    organisationId: `organisation-${number % ORGANISATIONS}`,
+    jobClass: `class-${number % 100}`,
+    tasks: GANG_TASKS,
+    acceleratorModel: 'gpu',
+    acceleratorsPerTask: 1,
+    coresPerTask: 8,
+    memoryGbPerTask: 32,
+    adjacency: 'rack',
+    declaredRunMs: 14_400_000,
+    priority: 'normal',
+    preemption: 'repeat'
+  }
+}
+
+/** Places a gang on the accelerators that its number gives it; no two numbers below the fleet's size share one. */
+export function largePlacement (number: number): Placement {
+  const tasks = Array.from({ length: GANG_TASKS }, (_, taskIndex) => {
+    const accelerator = number * GANG_TASKS + taskIndex
+    return {
+      taskIndex,
+      workerId: `worker-${Math.floor(accelerator / ACCELERATORS_PER_WORKER)}`,
+      firstAccelerator: accelerator % ACCELERATORS_PER_WORKER,
+      acceleratorCount: 1
+    }
+  })
+  return { capacityClass: 'lent', reason: 'the smallest free cells of the fullest rack', tasks }
+}
+
+/** A state and its log position. */
+export class LargeLog {
+  readonly state = new ControlState(stateOptions)
+  #index = 0
+
+  get index (): number {
+    return this.#index
+  }
+
+  /** Applies a command and fails when it is refused, so that no refusal is measured by mistake. */
+  apply (command: ControlCommand): CommandResult {
+    this.#index += 1
+    const result = this.state.apply(command, this.#index, START_LOG_MS + this.#index)
+    if (result.kind === 'refused') throw new Error(`${command.kind}: ${result.failure.detail}`)
+    return result
+  }
+
+  /** Takes a job up to `running` and gives its lease. */
+  run (number: number): number {
+    const { jobId } = largeJob(number)
+    this.apply({ kind: 'submit_job', spec: largeJob(number) })
+    this.apply({ kind: 'place_job', jobId, placement: largePlacement(number) })
+    const leaseId = this.#index
+    this.apply({ kind: 'start_job', jobId, leaseId })
+    this.apply({ kind: 'job_running', jobId, leaseId })
+    return leaseId
+  }
+}
+
+/** Builds the state: all workers active, 100,000 tasks running, a day of ended jobs. */
+export function buildLargeLog (): LargeLog {
+  const log = new LargeLog()
+  log.apply({ kind: 'apply_configuration', change: diffDocument(emptyConfiguration(), largeInventory()) })
+  for (let worker = 0; worker < WORKERS; worker += 1) log.apply(largeWorkerState(worker, 1))
+  for (let number = 0; number < RUNNING_TASKS / GANG_TASKS; number += 1) log.run(number)
+  for (let number = 0; number < ENDED_JOBS; number += 1) {
+    const spec = largeJob(1_000_000 + number)
+    log.apply({ kind: 'submit_job', spec })
+    log.apply({ kind: 'end_job', jobId: spec.jobId, leaseId: 0, outcome: 'cancelled', reason: 'cancelled by the caller' })
+  }
+  return log
+}
+
+/** Gives the command that makes a worker active. */
+export function largeWorkerState (worker: number, incarnation: number): ControlCommand {
+  const address = `http://10.${worker >> 16}.${(worker >> 8) & 255}.${worker & 255}:8080`
+  return { kind: 'worker_state', workerId: `worker-${worker}`, state: 'active', incarnation, address }
+}
+
+/** Gives the report of a worker that runs everything that it holds. */
+export function largeReport (state: ControlState, worker: number, sequence: number): WorkerReport {
+  const workerId = `worker-${worker}`
+  const tasks = state.cellsOn(workerId).map(({ jobId, leaseId, task }) =>
+    ({ jobId, leaseId, taskIndex: task.taskIndex, state: 'running' as const }))
+  return { workerId, incarnation: 1, sequence, address: state.worker(workerId)?.address ?? '', tasks }
+}
--- a/packages/control/src/held-cells.ts
+++ b/packages/control/src/held-cells.ts
@@ -38,13 +38,13 @@
 }
 
 /**
- * Says whether two tasks share an accelerator of a worker.
+ * Says whether two tasks share an accelerator of a worker; a task without accelerators shares none.
  *
  * @example
  * overlaps(first, second) // false on different workers
  */
 export function overlaps (left: TaskPlacement, right: TaskPlacement): boolean {
-  return left.workerId === right.workerId &&
+  return left.workerId === right.workerId && left.acceleratorCount > 0 && right.acceleratorCount > 0 &&
     left.firstAccelerator < right.firstAccelerator + right.acceleratorCount &&
     right.firstAccelerator < left.firstAccelerator + left.acceleratorCount
 }
