Show abandoned claims as unknown and check a change once

Cause: a claim whose entry VM failed was shown as in progress until it was forgotten; the leader checked each configuration change twice; a placement taken for rejected and committed later left the scheduler with other cells.

Ruled out: settling abandoned claims by a command, because a later true settlement would contradict it.

After: unknown once the longest deadline has passed, by log time; one check for each change at the leader; the scheduler follows the committed placement. A checkpoint is ordered only for jobs that can take one.

--- a/packages/bench/src/control-bench.ts
+++ b/packages/bench/src/control-bench.ts
@@ -3,7 +3,9 @@
 import { serialize, setFlagsFromString } from 'node:v8'
 import { runInNewContext } from 'node:vm'
 import { NullEventLog, NullMetrics, type ConfigurationChange } from '@comfreygrade/core'
-import { ControlLeader, ControlState, defaultControlSettings, type ControlCommand } from '@comfreygrade/control'
+import {
+  ControlLeader, ControlState, defaultControlSettings, type ControlCommand, type ControlEffect
+} from '@comfreygrade/control'
 import {
   buildLargeLog, IdleScheduler, largeJob, largePlacement, largeReport, largeWorkerState, RUNNING_TASKS, START_LOG_MS,
   stateOptions, WORKERS, type LargeLog
@@ -75,7 +77,8 @@
       name: `${WORKERS} workers reporting each ${REPORT_INTERVAL_S} s`,
       value: perReportUs * WORKERS / REPORT_INTERVAL_S / 10_000,
       unit: '% of a core'
-    }
+    },
+    measureLeaderChange(log, leader)
   ]
 }
 
@@ -93,7 +96,11 @@
 /** Commits a proposal, so that reports are answered at once. */
 function prove (log: LargeLog, leader: ControlLeader, nowMs: number): void {
   const report = largeReport(log.state, 0, 1)
-  const effects = leader.handle({ kind: 'operation', requestId: 'proof', operation: { kind: 'report_worker', report } }, nowMs)
+  const operation = { kind: 'report_worker' as const, report }
+  commit(log, leader, leader.handle({ kind: 'operation', requestId: 'proof', operation }, nowMs), nowMs)
+}
+
+function commit (log: LargeLog, leader: ControlLeader, effects: readonly ControlEffect[], nowMs: number): void {
   for (const effect of effects) {
     if (effect.kind !== 'propose') continue
     const { proposalId, command } = effect
@@ -117,6 +124,19 @@
   return Math.min(...times)
 }
 
+/** From the operation of an operator to its answer, with one commit between. */
+function measureLeaderChange (log: LargeLog, leader: ControlLeader): BenchFigure {
+  const { version } = log.state.configuration
+  const changes = Array.from({ length: CHANGE_SAMPLES }, (_, offset) => workerChange(version + offset))
+  const [, elapsedMs] = timed(() => {
+    for (const change of changes) {
+      const operation = { kind: 'apply_change' as const, change, isDryRun: false }
+      commit(log, leader, leader.handle({ kind: 'operation', requestId: 'change', operation }, 10), 10)
+    }
+  })
+  return { name: 'leader, change of one worker', value: elapsedMs / CHANGE_SAMPLES, unit: 'ms' }
+}
+
 function measureCommands (log: LargeLog): BenchFigure[] {
   // Numbers after the running gangs, on accelerators that are still free.
   const first = RUNNING_TASKS / 8
--- a/packages/control/src/claims.ts
+++ b/packages/control/src/claims.ts
@@ -63,11 +63,13 @@
   }
 
   /** Grants a new claim, or gives the existing one with `granted: false`. */
-  claim (command: ClaimCommand, logTimeMs: number): CommandResult {
+  claim (command: ClaimCommand, logTimeMs: number, maxDeadlineMs: number): CommandResult {
     const key = parseIdempotencyKey(command.key)
     if (key === undefined) return refuse('key_invalid', notAKey(command.key))
     const existing = this.#claims.get(claimId(command.organisationId, key.text))
-    if (existing !== undefined) return repeated(existing, command.digest)
+    if (existing !== undefined) {
+      return repeated(existing, command.digest, toClaimView(existing, logTimeMs, maxDeadlineMs))
+    }
     const problem = this.#checkAge(key, logTimeMs) ?? this.#checkRoom(command.organisationId)
     if (problem !== undefined) return { kind: 'refused', failure: problem }
     const record: ClaimRecord = {
@@ -80,7 +82,7 @@
       settledIndex: 0
     }
     this.#add(record, key.issuedMs)
-    return { kind: 'claimed', granted: true, claim: toClaimView(record) }
+    return { kind: 'claimed', granted: true, claim: toClaimView(record, logTimeMs, maxDeadlineMs) }
   }
 
   /** Records how a claim ended. `unknown` may still become known; `completed` and `not_run` are final. */
@@ -200,13 +202,16 @@
 }
 
 /**
- * Gives what callers may see of a claim.
+ * Gives what callers may see of a claim. After the longest deadline of a request nobody works on a pending claim any
+ * more: the entry VM that could settle it has failed, and the outcome is unknown.
  *
  * @example
- * toClaimView(record).state // 'pending'
+ * toClaimView(record, record.claimedLogMs + 120_001, 120_000).state // 'unknown' for a pending claim
  */
-export function toClaimView ({ organisationId, key, state, answer }: ClaimRecord): ClaimView {
-  return { organisationId, key, state, answer }
+export function toClaimView (record: ClaimRecord, logTimeMs: number, maxDeadlineMs: number): ClaimView {
+  const { organisationId, key, answer } = record
+  const isAbandoned = record.state === 'pending' && logTimeMs > record.claimedLogMs + maxDeadlineMs
+  return { organisationId, key, state: isAbandoned ? 'unknown' : record.state, answer }
 }
 
 function claimId (organisationId: string, key: string): string {
@@ -221,8 +226,8 @@
   return state === 'completed' || state === 'not_run'
 }
 
-function repeated (existing: ClaimRecord, digest: string): CommandResult {
+function repeated (existing: ClaimRecord, digest: string, claim: ClaimView): CommandResult {
   return existing.digest === digest
-    ? { kind: 'claimed', granted: false, claim: toClaimView(existing) }
+    ? { kind: 'claimed', granted: false, claim }
     : refuse('key_reused', `idempotency key ${existing.key} was used for a request with other content`)
 }
--- a/packages/control/src/configuration-history.ts
+++ b/packages/control/src/configuration-history.ts
@@ -22,6 +22,13 @@
   | { readonly kind: 'repeated' }
   | { readonly kind: 'refused', readonly failure: Failure }
 
+/** A check that holds as long as the same configuration is in force. */
+interface LastCheck {
+  readonly change: ConfigurationChange
+  readonly base: Configuration
+  readonly result: ChangeCheck
+}
+
 /** Linear history of accepted changes. */
 export class ConfigurationHistory {
   readonly #settings: ControlStateSettings
@@ -29,6 +36,7 @@
   readonly #digests: ChangeDigests
   readonly #recentChanges: ConfigurationChange[] = []
   #recentRecords = 0
+  #lastCheck: LastCheck | undefined
   #current = emptyConfiguration()
 
   constructor (settings: ControlStateSettings, validator: GuaranteeValidator) {
@@ -41,8 +49,18 @@
     return this.#current
   }
 
-  /** Finds out what a change would do, without applying it. */
+  /**
+   * Finds out what a change would do, without applying it. The last result is kept, because a leader checks a change
+   * when it is asked for and again when it is committed, and each check walks over all workers.
+   */
   check (change: ConfigurationChange): ChangeCheck {
+    if (this.#lastCheck?.change !== change || this.#lastCheck.base !== this.#current) {
+      this.#lastCheck = { change, base: this.#current, result: this.#check(change) }
+    }
+    return this.#lastCheck.result
+  }
+
+  #check (change: ConfigurationChange): ChangeCheck {
     if (change.version <= this.#current.version) return this.#checkKnownVersion(change)
     const result = applyChange(this.#current, change)
     if (!result.ok) return { kind: 'refused', failure: result.failure }
@@ -58,6 +76,7 @@
     if (checked.kind === 'refused') return { ok: false, failure: checked.failure }
     if (checked.kind === 'repeated') return { ok: true, value: 'repeated' }
     this.#current = checked.configuration
+    this.#lastCheck = undefined
     this.#digests.add(change.version, contentDigest(change))
     this.#remember(change)
     return { ok: true, value: 'applied' }
--- a/packages/control/src/gang.ts
+++ b/packages/control/src/gang.ts
@@ -95,7 +95,8 @@
   if (stopIntent === undefined) return undefined
   const { reason, isCheckpoint, goal } = stopIntent
   const then = goal === 'requeue' && !mayRequeue(job) ? 'failed' : goal
-  return { kind: 'stop_job', jobId, leaseId, reason, isCheckpoint: isCheckpoint && job.phase === 'running', then }
+  const mayCheckpoint = job.phase === 'running' && job.spec.preemption === 'checkpoint'
+  return { kind: 'stop_job', jobId, leaseId, reason, isCheckpoint: isCheckpoint && mayCheckpoint, then }
 }
 
 function overrideStep (gang: Gang, job: JobRecord): ControlCommand | undefined {
--- a/packages/control/src/leader.ts
+++ b/packages/control/src/leader.ts
@@ -262,12 +262,15 @@
     }
   }
 
-  /** Puts a job whose placement did not take effect back among the waiting ones. */
+  /**
+   * Puts a job whose placement did not take effect back among the waiting ones, or at the placement that did: one that
+   * was taken for rejected may have been committed after all.
+   */
   #notPlaced (jobId: string, nowMs: number): void {
     const job = this.#context.state.job(jobId)
-    if (job !== undefined && job.leaseId !== 0) return
     this.#scheduling.left(jobId, false, nowMs)
     if (job?.phase === 'waiting') this.#wait(job, nowMs)
+    else if (job !== undefined) this.#scheduling.placed(job, nowMs)
   }
 
   #retryAtMs (nowMs: number): number {
--- a/packages/control/src/operation-service.ts
+++ b/packages/control/src/operation-service.ts
@@ -1,6 +1,5 @@
 /** Operations of entry VMs: reads are answered from the state, writes when their command is applied. */
 import { fail, failure, succeed, type Failure, type JobExplanation, type JobSpec } from '@comfreygrade/core'
-import { toClaimView } from './claims.js'
 import { isSameSpec, toJobView, type JobRecord } from './jobs.js'
 import type { CommandResult, ControlCommand } from './commands.js'
 import type { ControlAnswer, ControlOperation, ControlResult, WorkerView } from './operations.js'
@@ -225,19 +224,20 @@
 
   #claim (operation: OperationOf<'claim_request'>): Step {
     const { organisationId, key, digest } = operation
-    const existing = this.#context.state.claim(organisationId, key)
-    if (existing === undefined) {
-      const problem = this.#context.state.checkKey(key)
+    const { state } = this.#context
+    const claim = state.claimView(organisationId, key)
+    if (claim === undefined) {
+      const problem = state.checkKey(key)
       return problem === undefined ? propose({ ...operation }) : refuse(problem)
     }
-    return existing.digest === digest
-      ? answer({ kind: 'claim', granted: false, claim: toClaimView(existing) })
+    return state.claim(organisationId, key)?.digest === digest
+      ? answer({ kind: 'claim', granted: false, claim })
       : refuse(failure('key_reused', `idempotency key ${key} was used for a request with other content`))
   }
 
   #getClaim ({ organisationId, key }: OperationOf<'get_claim'>): Step {
-    const claim = this.#context.state.claim(organisationId, key)
-    if (claim !== undefined) return answer({ kind: 'claim', granted: false, claim: toClaimView(claim) })
+    const claim = this.#context.state.claimView(organisationId, key)
+    if (claim !== undefined) return answer({ kind: 'claim', granted: false, claim })
     return refuse(this.#context.state.checkKey(key) ?? failure('not_found', `claim ${key} does not exist`))
   }
 
--- a/packages/control/src/ports.ts
+++ b/packages/control/src/ports.ts
@@ -23,7 +23,7 @@
   /** Stops new placements on a worker until it joins again. */
   abstract drainWorker (workerId: string): void
   abstract submit (job: JobSpec, nowMs: number): Failure | undefined
-  /** Adds a job that is already placed, after a change of leader. */
+  /** Adds a job that is already placed, after a change of leader; some of its workers may not be joined. */
   abstract restore (job: JobSpec, placement: Placement, startedMs: number): void
   /** Removes a waiting job. */
   abstract cancel (jobId: string, nowMs: number): void
--- a/packages/control/src/scheduling.ts
+++ b/packages/control/src/scheduling.ts
@@ -1,9 +1,8 @@
 /** Keeps the scheduler in step with the replicated state and decides when a pass runs. */
-import type { Failure } from '@comfreygrade/core'
+import type { Failure, JobSpec } from '@comfreygrade/core'
 import type { PlacementDecision } from '@comfreygrade/placement'
 import type { JobRecord } from './jobs.js'
 import type { LeaderContext } from './leader-context.js'
-import type { JobSpec } from '@comfreygrade/core'
 
 type ScheduledAs = 'waiting' | 'placed'
 
--- a/packages/control/src/state.ts
+++ b/packages/control/src/state.ts
@@ -2,7 +2,7 @@
 import {
   toDocument, type Configuration, type ConfigurationChange, type ConfigurationDocument, type JobPhase, type Placement
 } from '@comfreygrade/core'
-import { ClaimTable, type ClaimRecord } from './claims.js'
+import { ClaimTable, toClaimView, type ClaimRecord } from './claims.js'
 import { ConfigurationHistory, type ChangeCheck, type ConfigurationSnapshot } from './configuration-history.js'
 import { DrainSet } from './drains.js'
 import { JobTable, type JobRecord, type LogPosition } from './jobs.js'
@@ -10,7 +10,7 @@
 import { WorkerTable, type WorkerRecord } from './workers.js'
 import type { CommandResult, ControlCommand } from './commands.js'
 import type { HeldCell } from './held-cells.js'
-import type { Drain, DrainKind } from './operations.js'
+import type { ClaimView, Drain, DrainKind } from './operations.js'
 import type { GuaranteeValidator } from './ports.js'
 import type { ControlStateSettings } from './settings.js'
 
@@ -146,6 +146,13 @@
     return this.#claims.get(organisationId, key)
   }
 
+  /** What callers may see of a claim now. */
+  claimView (organisationId: string, key: string): ClaimView | undefined {
+    const record = this.#claims.get(organisationId, key)
+    const { maxDeadlineMs } = this.configuration.rules
+    return record === undefined ? undefined : toClaimView(record, this.#logTimeMs, maxDeadlineMs)
+  }
+
   /** Says why a key could not be claimed now; undefined when it could. */
   checkKey (key: string): ReturnType<ClaimTable['checkKey']> {
     return this.#claims.checkKey(key, this.#logTimeMs)
@@ -249,7 +256,7 @@
   #claim (command: Extract<ControlCommand, { kind: 'claim_request' }>, at: LogPosition): CommandResult {
     const isKnown = this.#claims.get(command.organisationId, command.key) !== undefined
     return isKnown || this.configuration.organisations.has(command.organisationId)
-      ? this.#claims.claim(command, at.logTimeMs)
+      ? this.#claims.claim(command, at.logTimeMs, this.configuration.rules.maxDeadlineMs)
       : refuseOrganisation(command.organisationId)
   }
 
--- a/packages/control/test/leader.test.ts
+++ b/packages/control/test/leader.test.ts
@@ -112,6 +112,18 @@
   t.true(simulation.scheduler.calls.includes('reclaimed j0'))
 })
 
+test('a placement that is taken for rejected and committed after all is followed, and no second one is made', t => {
+  const simulation = ready()
+  simulation.ask({ kind: 'submit_job', spec: job('j0') })
+  simulation.commit()
+  const [place] = simulation.proposals
+  simulation.feed({ kind: 'proposal_rejected', proposalId: place?.proposalId ?? '' })
+  simulation.run(800)
+  t.is(simulation.state.job('j0')?.outcome, 'completed')
+  t.is(simulation.record.executions.length, 2)
+  t.true(simulation.scheduler.calls.includes('ended j0'))
+})
+
 test('a checkpoint that does not end in time becomes a stop within the time to reclaim', t => {
   const simulation = ready()
   simulation.ask({ kind: 'submit_job', spec: job('j0', { tasks: 1, preemption: 'checkpoint' }) })
--- a/packages/control/test/state.test.ts
+++ b/packages/control/test/state.test.ts
@@ -195,6 +195,17 @@
 type Tamper = (snapshot: ControlSnapshot) => ControlSnapshot
 const keep: Tamper = snapshot => snapshot
 
+test('a claim that nobody settles within the longest deadline is shown as unknown, and can still be settled', t => {
+  const log = configured()
+  const key = keyAt(START_MS)
+  log.apply(claim(key))
+  t.is(log.state.claimView('o1', key)?.state, 'pending')
+  log.logTimeMs += log.state.configuration.rules.maxDeadlineMs + 1
+  t.like(log.apply(claim(key)), { granted: false, claim: { state: 'unknown' } })
+  log.apply(settle(key, 'completed'))
+  t.is(log.state.claimView('o1', key)?.state, 'completed')
+})
+
 /** Plays claims of a few keys at jumping times and gives the keys that were granted twice. */
 function findDoubleGrants (steps: ReadonlyArray<readonly [number, number]>, change = keep): string[] {
   const log = configured()
