--- a/packages/control/src/claims.ts
+++ b/packages/control/src/claims.ts
@@ -68,13 +68,13 @@
    * Grants a new claim, or gives the existing one with `granted: false`. A claim settled as `not_run` is granted anew:
    * its caller was told to repeat the request, and no earlier dispatch can be under way.
    */
-  claim (command: ClaimCommand, logTimeMs: number): CommandResult {
+  claim (command: ClaimCommand, logTimeMs: number, maxDeadlineMs: number): CommandResult {
     const key = parseIdempotencyKey(command.key)
     if (key === undefined) return refuse('key_invalid', notAKey(command.key))
     const existing = this.#claims.get(claimId(command.organisationId, key.text))
     if (existing !== undefined && existing.digest !== command.digest) return reused(existing)
     if (existing !== undefined && !isGrantable(existing, command.claimantId)) {
-      return { kind: 'claimed', granted: false, claim: toClaimView(existing) }
+      return { kind: 'claimed', granted: false, claim: toClaimView(existing, logTimeMs, maxDeadlineMs) }
     }
     const problem = this.#checkAge(key, logTimeMs) ??
       (existing === undefined ? this.#checkRoom(command.organisationId) : undefined)
@@ -92,7 +92,7 @@
     // An existing claim keeps its place in the order of retention, which its key's time of issue bounds.
     if (existing === undefined) this.#add(record, key.issuedMs)
     else this.#claims.set(claimId(record.organisationId, record.key), record)
-    return { kind: 'claimed', granted: true, claim: toClaimView(record) }
+    return { kind: 'claimed', granted: true, claim: toClaimView(record, logTimeMs, maxDeadlineMs) }
   }
 
   /** Records how a claim ended. `unknown` may still become known; `completed` and `not_run` are final. */
@@ -215,13 +215,16 @@
 }
 
 /**
- * Gives what callers may see of a claim.
+ * Gives what callers may see of a claim. After the longest deadline of a request nobody works on a pending claim any
+ * more: the entry VM that could settle it has failed, and the outcome is unknown.
  *
  * @example
- * toClaimView(record).state // 'pending'
+ * toClaimView(record, record.claimedLogMs + 120_001, 120_000).state // 'unknown' for a pending claim
  */
-export function toClaimView ({ organisationId, key, state, answer }: ClaimRecord): ClaimView {
-  return { organisationId, key, state, answer }
+export function toClaimView (record: ClaimRecord, logTimeMs: number, maxDeadlineMs: number): ClaimView {
+  const { organisationId, key, answer } = record
+  const isAbandoned = record.state === 'pending' && logTimeMs > record.claimedLogMs + maxDeadlineMs
+  return { organisationId, key, state: isAbandoned ? 'unknown' : record.state, answer }
 }
 
 function claimId (organisationId: string, key: string): string {
--- a/packages/control/test/claim-grants.test.ts
+++ b/packages/control/test/claim-grants.test.ts
@@ -3,11 +3,12 @@
 
 /** A UUID of version 7 issued at 1,000 ms. */
 const key = '00000000-03e8-7000-8000-000000000001'
+const maxDeadlineMs = 1_000_000
 const request = { kind: 'claim_request', organisationId: 'o1', key, digest: 'd' } as const
 const settlement = { kind: 'settle_claim', organisationId: 'o1', key, answer: null } as const
 
 function granted (table: ClaimTable, claimantId: string, logTimeMs = 2_000): boolean {
-  const result = table.claim({ ...request, claimantId }, logTimeMs)
+  const result = table.claim({ ...request, claimantId }, logTimeMs, maxDeadlineMs)
   return result.kind === 'claimed' && result.granted
 }
 
@@ -53,6 +54,6 @@
   granted(table, 'b', claimRetentionMs)
   table.forget(claimRetentionMs + 30_000)
   t.is(table.size, 0)
-  const late = table.claim({ ...request, claimantId: 'c' }, claimRetentionMs + 30_000)
+  const late = table.claim({ ...request, claimantId: 'c' }, claimRetentionMs + 30_000, maxDeadlineMs)
   t.is(late.kind === 'refused' ? late.failure.kind : late.kind, 'key_expired')
 })
