--- a/packages/standins/src/local.ts
+++ b/packages/standins/src/local.ts
@@ -1,4 +1,4 @@
-/** Runs a local system with stand-in backend servers until it is interrupted, for the load command and for trying out. */
+/** Runs a local system with stand-in backend servers until it is interrupted, for load measurements and trials. */
 import { readFile } from 'node:fs/promises'
 import { join } from 'node:path'
 import { applyDocument, readConfigurationFile } from '@comfreygrade/cli'
