Give up an attempt to ask the leader after 1 s, and remember that it may have counted

Cause: requests to the leader and its answers travel on two TCP links. When both went silent, the node replaced its own link up to 0.5 s before the leader replaced its one, and asks sent in between lost their answers and waited for the whole deadline. And an operation whose first attempt may have been taken was answered as 'not run' when a later attempt found no leader.

Ruled out: answering on the link of the request, which leaves other lost answers, such as those of a frozen leader, to the deadline. Every operation is idempotent now, so none has to be excluded from repeats.

--- a/packages/node/src/control-client.ts
+++ b/packages/node/src/control-client.ts
@@ -8,6 +8,11 @@
 export interface ControlClientOptions {
   readonly nodeId: string
   readonly timeoutMs: number
+  /**
+   * Time after which one attempt is given up. Requests and answers travel on two links, so the link of the answer may
+   * be silent although the one of the request is new.
+   */
+  readonly attemptTimeoutMs: number
   readonly clock: Clock
   readonly metrics: Metrics
   /** Where the leader is believed to be. */
@@ -31,13 +36,6 @@
 /** Pause before a leader is looked for again. */
 const LEADER_RETRY_MS = 100
 
-/** Operations whose repeat has no further effect, so that a lost answer may be asked for again. */
-const repeatableKinds: ReadonlySet<ControlOperation['kind']> = new Set([
-  'submit_job', 'cancel_job', 'get_job', 'list_jobs', 'explain_job', 'report_worker', 'leave_worker', 'apply_change',
-  'get_configuration', 'get_configuration_status', 'get_fleet', 'drain', 'undrain', 'claim_request', 'settle_claim',
-  'get_claim'
-])
-
 /** Finds the leader, asks it, and tells truthfully when the outcome of an operation is not known. */
 export class ControlClient {
   readonly #options: ControlClientOptions
@@ -47,16 +45,19 @@
     this.#options = options
   }
 
-  /** Asks the leader; repeats within the timeout where that is safe. */
+  /**
+   * Asks the leader, and asks again within the timeout while no answer comes. Every operation may be repeated: jobs and
+   * changes have numbers of their own, and a claim names its claimant.
+   */
   async ask (operation: ControlOperation, timeoutMs = this.#options.timeoutMs): Promise<ControlResult> {
     const deadlineMs = this.#options.clock.monotonicMs() + timeoutMs
+    let unknownDetail: string | undefined
     for (;;) {
       const reply = await this.#askOnce(operation, deadlineMs)
       if (reply.kind === 'answered') return reply.result
-      const isSafe = reply.kind !== 'unknown' || repeatableKinds.has(operation.kind)
+      if (reply.kind === 'unknown') unknownDetail = reply.detail
       const remainingMs = deadlineMs - this.#options.clock.monotonicMs()
-      if (!isSafe) return fail('outcome_unknown', `the control leader did not answer: ${reply.detail}`)
-      if (remainingMs <= LEADER_RETRY_MS) return giveUp(reply)
+      if (remainingMs <= LEADER_RETRY_MS) return giveUp(reply.detail, unknownDetail)
       this.#options.metrics.increment('retry', { reason: reply.kind === 'unknown' ? 'leader_silent' : 'leader_unknown' })
       await pause(LEADER_RETRY_MS)
     }
@@ -78,7 +79,7 @@
     const { nodeId, leaderNodeId, askLocal } = this.#options
     const leader = leaderNodeId()
     if (leader === null) return { kind: 'not_taken', detail: 'no control leader is known' }
-    const remainingMs = deadlineMs - this.#options.clock.monotonicMs()
+    const remainingMs = Math.min(deadlineMs - this.#options.clock.monotonicMs(), this.#options.attemptTimeoutMs)
     if (leader === nodeId) return await withTimeout(askLocal(operation), remainingMs)
     return await this.#askPeer(leader, operation, remainingMs)
   }
@@ -109,8 +110,9 @@
   return { kind: 'answered', result }
 }
 
-function giveUp (reply: Exclude<Reply, { kind: 'answered' }>): ControlResult {
-  return fail(reply.kind === 'unknown' ? 'outcome_unknown' : 'control_unavailable', reply.detail)
+/** One attempt that may have been taken makes the outcome unknown, whatever became of the later ones. */
+function giveUp (detail: string, unknownDetail: string | undefined): ControlResult {
+  return unknownDetail === undefined ? fail('control_unavailable', detail) : fail('outcome_unknown', unknownDetail)
 }
 
 async function withTimeout (result: Promise<ControlResult>, timeoutMs: number): Promise<Reply> {
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -79,6 +79,7 @@
     this.#controlClient = new ControlClient({
       nodeId: node.nodeId,
       timeoutMs: timing.controlTimeoutMs,
+      attemptTimeoutMs: timing.controlAttemptTimeoutMs,
       clock,
       metrics,
       leaderNodeId: () => this.#leaderNodeId(),
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -43,6 +43,7 @@
   peerSilenceMs: z.int().min(50).max(60_000).default(2_000),
   peerRedialMs: z.int().min(10).max(60_000).default(250),
   controlTimeoutMs: z.int().min(100).max(60_000).default(4_000),
+  controlAttemptTimeoutMs: z.int().min(100).max(60_000).default(1_000),
   orderTimeoutMs: z.int().min(50).max(60_000).default(1_500)
 })
 
--- a/packages/standins/src/local-system.ts
+++ b/packages/standins/src/local-system.ts
@@ -134,6 +134,11 @@
     for (const relay of this.#relays) relay.block('both')
   }
 
+  /** Makes the present links of the relayed node silent for good, while new ones work. */
+  silenceOpenLinks (): void {
+    for (const relay of this.#relays) relay.silenceOpenConnections()
+  }
+
   /** Ends the cut. */
   reconnect (): void {
     for (const relay of this.#relays) relay.restore()
--- a/packages/standins/test/system.test.ts
+++ b/packages/standins/test/system.test.ts
@@ -192,3 +192,50 @@
   })
   t.is((await left.configuration()).version, 302)
 })
+
+test.serial('links that went silent for good are replaced, and requests that wait on them are answered', async t => {
+  const relayedNodeId = 'salto-2'
+  const system = await startConfigured(t, { relayedNodeId })
+  const backends = await startBackends(t, system, 2, 5)
+  const address = system.nodes.find(node => node.nodeId === relayedNodeId)?.address ?? ''
+  system.silenceOpenLinks()
+  const results = await Promise.all(Array.from({ length: 20 }, async (_, index) =>
+    await call(address, `silent-${index}`, undefined, 10_000)))
+  t.deepEqual([...new Set(results.map(result => result.outcome))], ['completed'])
+  t.deepEqual([...new Set(executionsByKey(backends).values())], [1])
+  t.true((await system.client(relayedNodeId).status()).hasConfigurationLease)
+})
+
+test.serial('a killed entry node leaves no claim that could run again, and repeats elsewhere are told the truth', async t => {
+  const system = await startConfigured(t)
+  const backends = await startBackends(t, system, 2, 300)
+  const [killed, other] = [system.nodes[4], system.nodes[3]]
+  const keys = Array.from({ length: 30 }, () => v7())
+  const first = Promise.all(keys.map(async (key, index) => await call(killed?.address ?? '', `first-${index}`, key)))
+  await waitFor('requests to run', 5_000, async () => backends.some(backend => backend.openRequests > 0) || undefined)
+  await system.kill(killed?.nodeId ?? '')
+  t.deepEqual([...new Set((await first).map(result => result.outcome))], ['unknown'])
+  const again = await Promise.all(keys.map(async (key, index) => await call(other?.address ?? '', `again-${index}`, key)))
+  await delay(500)
+  const executions = executionsByKey(backends)
+  for (const { key, outcome } of again) {
+    const count = executions.get(key) ?? 0
+    t.true(count <= 1, `key ${key} ran ${count} times`)
+    if (outcome === 'not_run') t.is(count, 0)
+    if (outcome === 'completed') t.is(count, 1)
+  }
+})
+
+test.serial('a drained VM takes no new requests until the drain is lifted', async t => {
+  const system = await startConfigured(t)
+  await startBackends(t, system, 2, 5)
+  const drained = system.nodes[4]
+  const drain = { kind: 'vm', id: drained?.nodeId ?? '' } as const
+  await system.client('salto-1').drain(drain)
+  await waitFor('the node to refuse', 10_000, async () =>
+    (await call(drained?.address ?? '', `drained-${performance.now() | 0}`)).outcome === 'not_run' || undefined)
+  await system.client('salto-1').undrain(drain)
+  await waitFor('the node to serve again', 10_000, async () =>
+    (await call(drained?.address ?? '', `lifted-${performance.now() | 0}`)).outcome === 'completed' || undefined)
+  t.pass()
+})
