Bound the wait of unstarted gangs, keep cut-short runs out of run-time estimates

Cause: an urgent gang that met a silent worker before it started waited for that worker's whole lease, 30 s against the target of 5.1 s; no start had been sent, so a wait of 300 ms for confirmations is safe. Runs that were cancelled or failed fed the estimates of their class with times that were too short.

--- a/packages/control/src/scheduling.ts
+++ b/packages/control/src/scheduling.ts
@@ -55,8 +55,12 @@
     if (scheduledAs === undefined) return
     this.#scheduledAs.delete(jobId)
     const { scheduler } = this.#context
-    if (scheduledAs === 'waiting') scheduler.cancel(jobId, nowMs)
-    else if (isReclaimed) scheduler.reclaimed(jobId, nowMs)
+    const outcome = this.#context.state.job(jobId)?.outcome ?? null
+    // A run that was cut short must not be taken for the run time of its class.
+    const isCutShort = outcome !== null && outcome !== 'completed'
+    if (scheduledAs === 'waiting' || isCutShort) scheduler.cancel(jobId, nowMs)
+    if (scheduledAs === 'waiting') return this.markChanged()
+    if (isReclaimed) scheduler.reclaimed(jobId, nowMs)
     else scheduler.ended(jobId, nowMs)
     this.markChanged()
   }
--- a/packages/control/src/settings.ts
+++ b/packages/control/src/settings.ts
@@ -45,7 +45,8 @@
   /**
    * How long a gang that never started waits for its workers to confirm that they released it. No `start` was sent
    * under its lease and none follows, so after this time it may be placed again; a worker that still holds a cell
-   * refuses to give it to another. The default is longer than a lease, so that every release is confirmed or certain.
+   * refuses to give it to another. Far below the 5.1 s within which urgent work starts, so that a silent worker
+   * does not hold up an urgent gang for a whole lease.
    */
   readonly unstartedReleaseWaitMs: number
   /** An order without any answer for this long counts as failed. */
@@ -96,7 +97,7 @@
   clockRateBound: 0.01,
   leadershipValidMs: 500,
   prepareTimeoutMs: 2_000,
-  unstartedReleaseWaitMs: 60_000,
+  unstartedReleaseWaitMs: 300,
   orderTimeoutMs: 1_000,
   orderRetryMs: 100,
   maxOrderRetryMs: 2_000,
