Test that an urgent gang gets its guaranteed rack back from lent jobs in time

Cause: reclaiming was checked in the scheduler and against fakes only. Before: no test on processes. After: one, within the target of 5.1 s.

--- a/packages/standins/test/gangs.test.ts
+++ b/packages/standins/test/gangs.test.ts
@@ -1,7 +1,7 @@
 /** Gang jobs on the whole system as processes, while the leader or a worker dies. */
 import { setTimeout as delay } from 'node:timers/promises'
 import test, { type ExecutionContext } from 'ava'
-import type { JobSpec } from '@comfreygrade/core'
+import type { ConfigurationChange, JobSpec } from '@comfreygrade/core'
 import { FixedRunTime, type LocalSystem, StandInWorker, type TaskRun, waitFor } from '../src/index.js'
 import { document, startConfigured } from './system-fixture.js'
 
@@ -10,6 +10,9 @@
 const sections = { control: { leaseMs: 2_000 } }
 const ENDED_LIMIT_MS = 60_000
 
+/** The target for the start of urgent work. */
+const URGENT_START_LIMIT_MS = 5_100
+
 function gang (index: number): JobSpec {
   return {
     jobId: `gang-${index}`,
@@ -106,3 +109,31 @@
   t.deepEqual(findPartialGangs(workers), [])
   t.true(frozen.runs.some(run => run.isLeaseLost))
 })
+
+test.serial('an urgent gang gets its guaranteed rack back from lent jobs within 5.1 s, and they run again later', async t => {
+  const system = await startConfigured(t, { sections })
+  const workers = await startWorkers(t, system, 6_000)
+  const client = system.client('montevideo-2')
+  const record = {
+    guaranteeId: 'o1-rack', organisationId: 'o1', acceleratorModel: 'gpu', acceleratorsPerCell: 16, cells: 1
+  }
+  const change: ConfigurationChange = {
+    version: 2, baseVersion: 1, upserts: [{ kind: 'guarantee', record }], removes: []
+  }
+  await client.applyChange(change)
+  for (const index of [1, 3]) await client.submitJob({ ...gang(index), preemption: 'checkpoint' })
+  await waitFor('the lent jobs to run', 20_000, async () =>
+    (await client.jobs()).jobs.every(job => job.phase === 'running') || undefined)
+
+  await client.submitJob({ ...gang(0), priority: 'urgent' })
+  const urgent = await waitFor('the urgent gang to run', URGENT_START_LIMIT_MS, async () => {
+    const job = await client.job('gang-0')
+    return job.phase === 'running' ? job : undefined
+  })
+  t.is(urgent.placement?.capacityClass, 'guaranteed')
+  const explanations = await Promise.all([1, 3].map(async index => await client.explainJob(`gang-${index}`)))
+  t.is(explanations.filter(explanation => explanation.state === 'waiting').length, 1)
+  const jobs = await awaitEnded(system, 3)
+  t.deepEqual([...new Set(jobs.map(job => job.outcome))], ['completed'])
+  t.deepEqual(findPartialGangs(workers), [])
+})
