Order classes by laxity and decay counts of long work slowly

Cause: the queue gave long work half of the service time in a peak although its deadlines were 20 s away, and counts of long work on peers lost half their weight in 500 ms although the work ran for seconds, so that entry VMs together put long work into reserved slots.

--- a/packages/bench/src/routing-load.ts
+++ b/packages/bench/src/routing-load.ts
@@ -63,7 +63,10 @@
 export const regionShares: readonly number[] = [0.45, 0.3, 0.25]
 
 /** The swing: load rises tenfold within 2 s, stays, and falls back within 2 s. */
-export const swing = { startMs: 4_000, riseMs: 2_000, holdMs: 1_500, fallMs: 2_000, factor: 10, endMs: 18_000 } as const
+export const swing = { startMs: 4_000, riseMs: 2_000, holdMs: 1_500, fallMs: 2_000, factor: 10, endMs: 20_000 } as const
+
+/** A batch of long work of one organisation, as at the end of a term, after the swing is over. */
+export const longBurst = { atMs: 14_000, durationMs: 500, requests: 400, organisationId: 'o1' } as const
 
 /** Time at which the load is back to normal. */
 export const swingOverMs = swing.startMs + swing.riseMs + swing.holdMs + swing.fallMs
@@ -101,6 +104,13 @@
   return { kind, organisationId, serviceMs, repeatability, hasKey: isNonRepeatable && random.nextFloat() < 0.5 }
 }
 
+/** Draws one request of the batch of long work. */
+export function drawLongArrival (random: Random): PlannedArrival {
+  const kind = workKinds.at(-1)!
+  const serviceMs = kind.medianMs * Math.exp(kind.logSpread * drawNormal(random))
+  return { kind, organisationId: longBurst.organisationId, serviceMs, repeatability: 'idempotent', hasKey: false }
+}
+
 /** Draws the time to the next event of a Poisson process. */
 export function drawGapMs (random: Random, perSecond: number): number {
   return -Math.log(1 - random.nextFloat()) * 1000 / perSecond
--- a/packages/bench/src/routing-measures.ts
+++ b/packages/bench/src/routing-measures.ts
@@ -1,6 +1,6 @@
 /** Measures of one run of the routing benchmark. */
 import { errorTable, type ErrorKind } from '@comfreygrade/core'
-import { swing, swingOverMs, type PlannedArrival } from './routing-load.js'
+import { longBurst, swing, swingOverMs, type PlannedArrival } from './routing-load.js'
 
 /** One request as its caller sees it. */
 export interface RequestTrace {
@@ -36,12 +36,15 @@
 export function measure (traces: readonly RequestTrace[], counts: RunCounts): Measures {
   const counted = traces.filter(trace => trace.sentAtMs >= WARM_UP_MS)
   const short = counted.filter(trace => trace.arrival.kind.requestClass === 'charge')
+  const burst = short.filter(trace => trace.sentAtMs >= longBurst.atMs)
   return {
     requests: counted.length,
     onTimePercent: percent(counted, isOnTime),
     ...onTimeByClass(counted),
     ...onTimeByOrganisation(counted),
     ...waits(short.filter(isOnTime)),
+    shortWaitInBurstP95Ms: percentile(burst.filter(isOnTime).map(waitMs), 0.95),
+    shortWaitInBurstP99Ms: percentile(burst.filter(isOnTime).map(waitMs), 0.99),
     ...completionByClass(counted),
     normalAgainAfterMs: normalAgainAfterMs(short),
     ...refusals(counted),
@@ -137,7 +140,8 @@
 function normalAgainAfterMs (short: readonly RequestTrace[]): number {
   const before = short.filter(trace => trace.sentAtMs < swing.startMs && isOnTime(trace)).map(waitMs)
   const limitMs = percentile(before, 0.95) * NORMAL_FACTOR
-  const after = short.filter(trace => trace.sentAtMs >= swingOverMs && trace.endedAtMs !== undefined)
+  const after = short.filter(({ sentAtMs, endedAtMs }) =>
+    sentAtMs >= swingOverMs && sentAtMs < longBurst.atMs && endedAtMs !== undefined)
   const windows = groupBy(after, trace => String(Math.floor((trace.sentAtMs - swingOverMs) / WINDOW_MS)))
   let lastSlowWindow = -1
   for (const [index, group] of windows) {
--- a/packages/bench/src/routing-servers.ts
+++ b/packages/bench/src/routing-servers.ts
@@ -3,7 +3,7 @@
 import type { Agenda } from './routing-agenda.js'
 
 /** What a fake server does with requests at present. */
-export type ServerBehaviour = 'normal' | 'fails_fast' | 'frozen' | 'gone'
+export type ServerBehaviour = 'normal' | 'fails_fast' | 'frozen' | 'slow' | 'gone'
 
 /** How a server ends one request. */
 export type ServerAnswer = 'success' | 'server_error' | 'connect_failed' | 'rejected'
@@ -17,6 +17,8 @@
 
 /** Time in which a failing server answers. */
 const FAIL_FAST_MS = 1
+/** Service times of a slow server relative to normal. */
+const SLOW_FACTOR = 6
 
 /** A server with slots, a first-come queue and a bound on connections. */
 export class FakeServer {
@@ -87,7 +89,8 @@
   #start (job: ServerJob): void {
     this.#running++
     job.started()
-    this.#agenda.at(this.#agenda.nowMs + job.serviceMs, () => this.#finish(job))
+    const factor = this.#behaviour === 'slow' ? SLOW_FACTOR : 1
+    this.#agenda.at(this.#agenda.nowMs + job.serviceMs * factor, () => this.#finish(job))
   }
 
   /** A frozen server keeps finished work until it thaws. */
--- a/packages/bench/src/routing-world.ts
+++ b/packages/bench/src/routing-world.ts
@@ -7,8 +7,8 @@
 } from '@comfreygrade/routing'
 import { Agenda } from './routing-agenda.js'
 import {
-  clientDelayMs, drawArrival, drawGapMs, loadFactor, meanServiceMs, organisationShares, pick, regionShares, swing,
-  type Deployment
+  clientDelayMs, drawArrival, drawGapMs, drawLongArrival, loadFactor, longBurst, meanServiceMs, organisationShares,
+  pick, regionShares, swing, type Deployment, type PlannedArrival
 } from './routing-load.js'
 import { measure, type Measures, type RequestTrace } from './routing-measures.js'
 import { FakeServer, type ServerAnswer } from './routing-servers.js'
@@ -37,7 +37,7 @@
 const ZONES = ['a', 'b']
 const SERVICE = 'work'
 /** Share of all slots in use at normal load; ten times as much is more than there are. */
-const NORMAL_USE = 0.14
+const NORMAL_USE = 0.18
 const SAME_ZONE_DELAY_MS = 0.2
 const ZONE_DELAY_MS = 1
 const REGION_DELAY_MS = 12
@@ -49,6 +49,7 @@
 /** Time for the last requests to end after the last arrival. */
 const RUN_OUT_MS = 22_000
 const FAILS_FAST = { fromMs: 2_000, untilMs: 12_000 }
+const SLOW = { fromMs: 3_000, untilMs: 18_000 }
 const FREEZES = { fromMs: 3_000, untilMs: 9_000 }
 const LEAVE = { firstAtMs: 2_500, everyMs: 1_500, goneAfterMs: 2_000, backAfterMs: 5_000, count: 3 }
 
@@ -107,6 +108,7 @@
     this.#planMembership()
     this.#planFaults()
     this.#planArrival()
+    this.#planLongBurst()
     this.#agenda.runUntil(swing.endMs + RUN_OUT_MS)
     return measure([...this.#traces.values()], {
       dispatches: this.#dispatches,
@@ -209,13 +211,14 @@
     const { size } = this.#options
     for (const server of servers.slice(0, size)) this.#misbehave(server, 'fails_fast', FAILS_FAST)
     for (const server of servers.slice(size, 2 * size)) this.#misbehave(server, 'frozen', FREEZES)
+    for (const server of servers.slice(2 * size, 3 * size)) this.#misbehave(server, 'slow', SLOW)
     for (let index = 0; index < LEAVE.count * size; index++) {
       const leavesAtMs = LEAVE.firstAtMs + LEAVE.everyMs * Math.floor(index / size)
-      this.#planDeparture(servers[2 * size + index]!, leavesAtMs)
+      this.#planDeparture(servers[3 * size + index]!, leavesAtMs)
     }
   }
 
-  #misbehave (server: FakeServer, behaviour: 'fails_fast' | 'frozen', times: Period): void {
+  #misbehave (server: FakeServer, behaviour: 'fails_fast' | 'frozen' | 'slow', times: Period): void {
     this.#agenda.at(times.fromMs, () => server.behave(behaviour))
     this.#agenda.at(times.untilMs, () => server.behave('normal'))
   }
@@ -229,17 +232,23 @@
   #planArrival (): void {
     const { nowMs } = this.#agenda
     if (nowMs >= swing.endMs) return
-    this.#arrive()
+    this.#arrive(drawArrival(this.#random))
     const slots = BACKEND_SERVERS * this.#options.size * SLOTS
     const perSecond = slots * NORMAL_USE / meanServiceMs() * 1000 * loadFactor(nowMs)
     this.#agenda.at(nowMs + drawGapMs(this.#random, perSecond), () => this.#planArrival())
   }
 
-  #arrive (): void {
+  #planLongBurst (): void {
+    for (let index = 0; index < longBurst.requests * this.#options.size; index++) {
+      const atMs = longBurst.atMs + this.#random.nextFloat() * longBurst.durationMs
+      this.#agenda.at(atMs, () => this.#arrive(drawLongArrival(this.#random)))
+    }
+  }
+
+  #arrive (arrival: PlannedArrival): void {
     const region = pick(this.#random, REGIONS.map((each, index) => [each, regionShares[index]!]))
     const near = this.#vms.filter(vm => vm.region === region)
     const vm = near[this.#random.nextInt(0, near.length - 1)]!
-    const arrival = drawArrival(this.#random)
     const requestId = `q${this.#traces.size}`
     const sentAtMs = this.#agenda.nowMs
     const deadlineAtMs = sentAtMs + arrival.kind.deadlineMs
--- a/packages/routing/src/deficit-round-robin.ts
+++ b/packages/routing/src/deficit-round-robin.ts
@@ -21,11 +21,6 @@
     this.#quantumMs = quantumMs
   }
 
-  /** Sum of the weights of all waiting flows. */
-  get totalWeight (): number {
-    return this.#flows.reduce((sum, flow) => sum + flow.weight, 0)
-  }
-
   /** Adds a flow that has requests again. */
   add (key: string, weight: number): void {
     this.#flows.push({ key, weight, deficitMs: 0 })
--- a/packages/routing/src/peer-load.ts
+++ b/packages/routing/src/peer-load.ts
@@ -47,22 +47,25 @@
 
 interface PeerCount { entry: LoadEntry, atMs: number }
 
-/** Counts that the peers of one entry VM hold on one backend server; all decay alike, so only sums are needed. */
+/**
+ * Counts that the peers of one entry VM hold on one backend server. All counts of a class decay alike, so only their
+ * sums are needed. Long work is still there when short work has ended, so its count decays more slowly.
+ */
 export class RemoteLoad {
-  readonly #total: DecayingCount
+  readonly #short: DecayingCount
   readonly #long: DecayingCount
   readonly #byPeer = new Map<string, PeerCount>()
 
   constructor (settings: RoutingSettings) {
-    this.#total = new DecayingCount(settings.peerLoadHalfLifeMs)
-    this.#long = new DecayingCount(settings.peerLoadHalfLifeMs)
+    this.#short = new DecayingCount(settings.peerLoadHalfLifeMs)
+    this.#long = new DecayingCount(settings.peerLongLoadHalfLifeMs)
   }
 
   /** Takes the newest count of one peer. */
   report (nodeId: string, entry: LoadEntry, nowMs: number): void {
     const last = this.#byPeer.get(nodeId)
     const lastAtMs = last?.atMs ?? nowMs
-    this.#total.replace(last?.entry.inFlight ?? 0, lastAtMs, entry.inFlight, nowMs)
+    this.#short.replace(shortOf(last?.entry), lastAtMs, shortOf(entry), nowMs)
     this.#long.replace(last?.entry.longInFlight ?? 0, lastAtMs, entry.longInFlight, nowMs)
     if (entry.inFlight === 0) this.#byPeer.delete(nodeId)
     else this.#byPeer.set(nodeId, { entry, atMs: nowMs })
@@ -75,7 +78,7 @@
 
   /** Requests in flight from peers. */
   inFlight (nowMs: number): number {
-    return this.#total.at(nowMs)
+    return this.#short.at(nowMs) + this.#long.at(nowMs)
   }
 
   /** Long requests in flight from peers. */
@@ -84,6 +87,10 @@
   }
 }
 
+function shortOf (entry: LoadEntry | undefined): number {
+  return entry === undefined ? 0 : entry.inFlight - entry.longInFlight
+}
+
 /** Chooses what the next report has to contain. */
 export class LoadReporter {
   readonly #settings: RoutingSettings
--- a/packages/routing/src/request-queue.ts
+++ b/packages/routing/src/request-queue.ts
@@ -27,6 +27,11 @@
     return this.#items.length
   }
 
+  /** Work of all waiting requests. */
+  get workMs (): number {
+    return this.#workMs
+  }
+
   get first (): Item | undefined {
     return this.#items[0]
   }
@@ -115,10 +120,17 @@
   waitMs (organisationId: string, weight: number, deadlineAtMs: number, nowMs: number): number | undefined {
     const rate = this.#rate.at(nowMs)
     if (this.size === 0 || rate === undefined) return undefined
-    const queue = this.#organisations.get(organisationId)
-    const otherWeight = this.#turns.totalWeight - (queue?.weight ?? 0)
-    const share = weight / (otherWeight + weight)
-    return (queue?.workBefore(deadlineAtMs) ?? 0) / Math.max(rate * share, Number.MIN_VALUE)
+    const ownMs = this.#organisations.get(organisationId)?.workBefore(deadlineAtMs) ?? 0
+    return (ownMs + this.#workOfOthers(organisationId, ownMs / weight)) / Math.max(rate, Number.MIN_VALUE)
+  }
+
+  /** Work that other organisations are served meanwhile: their share by weight, but not more than they have waiting. */
+  #workOfOthers (organisationId: string, workMsPerWeight: number): number {
+    let sumMs = 0
+    for (const [id, queue] of this.#organisations) {
+      if (id !== organisationId) sumMs += Math.min(queue.workMs, workMsPerWeight * queue.weight)
+    }
+    return sumMs
   }
 
   /** Organisations with their share of the queue relative to their weight. */
@@ -130,8 +142,8 @@
 }
 
 /**
- * Queue of one service: by deadline within an organisation, fair by weight between organisations, and fair between
- * short and long work, which also cost different amounts of service time.
+ * Queue of one service: by deadline within an organisation, fair by weight between organisations, and by least laxity
+ * between short and long work. Long work has distant deadlines, so it gives way during a peak and runs afterwards.
  *
  * @example
  * queue.push(item, 1, nowMs)
@@ -140,11 +152,9 @@
  */
 export class RequestQueue<Item extends QueueItem> {
   readonly #classes: Readonly<Record<WorkClass, ClassQueue<Item>>>
-  readonly #turns: DeficitRoundRobin
 
   constructor (settings: RoutingSettings) {
     this.#classes = { short: new ClassQueue(settings), long: new ClassQueue(settings) }
-    this.#turns = new DeficitRoundRobin(settings.quantumMs)
   }
 
   /** Number of waiting requests. */
@@ -159,33 +169,25 @@
 
   /** Adds a request of an organisation of `weight`. */
   push (item: Item, weight: number, nowMs: number): void {
-    const queue = this.#classes[item.workClass]
-    if (queue.size === 0) this.#turns.add(item.workClass, 1)
-    queue.push(item, weight, nowMs)
+    this.#classes[item.workClass].push(item, weight, nowMs)
   }
 
   /** The request whose turn it is, of a class that is not blocked; it stays in the queue. */
   first (blocked: ReadonlySet<WorkClass>): Item | undefined {
-    const firsts = new Map<string, Item>()
-    for (const workClass of ['short', 'long'] as const) {
-      const first = blocked.has(workClass) ? undefined : this.#classes[workClass].first()
-      if (first !== undefined) firsts.set(workClass, first)
-    }
-    const workClass = this.#turns.select(key => firsts.get(key)?.workMs)
-    return workClass === undefined ? undefined : firsts.get(workClass)
+    const short = blocked.has('short') ? undefined : this.#classes.short.first()
+    const long = blocked.has('long') ? undefined : this.#classes.long.first()
+    if (short === undefined || long === undefined) return short ?? long
+    return latestStartMs(long) < latestStartMs(short) ? long : short
   }
 
   /** Removes a request that goes to a server. */
   take (item: Item, nowMs: number): void {
-    this.#turns.charge(item.workClass, item.workMs)
     this.#classes[item.workClass].take(item, nowMs)
-    this.#endTurns(item.workClass)
   }
 
   /** Removes a request that no longer waits. */
   remove (item: Item): void {
     this.#classes[item.workClass].remove(item)
-    this.#endTurns(item.workClass)
   }
 
   /** Expected wait of a new request, or undefined where nothing is known. */
@@ -203,8 +205,9 @@
     }
     return largest?.last
   }
+}
 
-  #endTurns (workClass: WorkClass): void {
-    if (this.#classes[workClass].size === 0) this.#turns.remove(workClass)
-  }
+/** Time at which a request has to start to end in time. */
+function latestStartMs (item: QueueItem): number {
+  return item.deadlineAtMs - item.workMs
 }
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -230,6 +230,7 @@
     for (let open = requests.first(blocked); open !== undefined; open = requests.first(blocked)) {
       const server = this.#choose(service, open, nowMs)
       if (server === undefined) blocked.add(open.workClass)
+      else if (this.#isTooLate(open, nowMs)) this.#refuse(open, open.endFailure(this.#notRunFailure(open)))
       else if (isDelayed(queue, open, nowMs)) this.#refuseDelayed(open, nowMs)
       else this.#dispatch(open, server, nowMs)
     }
@@ -244,6 +245,11 @@
     return this.#policy.choose(selection, this.#random)
   }
 
+  /** Work that would be answered after its deadline is not started, as it would take a slot from others. */
+  #isTooLate (open: OpenRequest, nowMs: number): boolean {
+    return nowMs > open.queuedAtMs && nowMs + this.#classes.typicalMs(open.request.requestClass) > open.deadlineAtMs
+  }
+
   #refuseDelayed (open: OpenRequest, nowMs: number): void {
     const waitedMs = Math.round(nowMs - open.queuedAtMs)
     const notRun = failure('queue_full', `the queue delay stays above its target; this request waited ${waitedMs} ms`)
--- a/packages/routing/src/servers.ts
+++ b/packages/routing/src/servers.ts
@@ -19,6 +19,8 @@
 /** Load, limit and health of one backend server as one entry VM sees them. */
 export class ServerState {
   readonly known: KnownServer
+  /** Whether the server stands in another region. */
+  readonly isFar: boolean
   readonly ejection: Ejection
   readonly limit: LearnedLimit
   readonly remote: RemoteLoad
@@ -28,7 +30,8 @@
   #inFlight = 0
   #longInFlight = 0
 
-  constructor (known: KnownServer, registry: BackendRegistry, settings: RoutingSettings) {
+  constructor (known: KnownServer, registry: BackendRegistry, settings: RoutingSettings, location: Location) {
+    this.isFar = known.record.region !== location.region
     this.known = known
     this.#registry = registry
     this.#settings = settings
@@ -68,7 +71,7 @@
    * stale and would otherwise shut out a VM that others overtake.
    */
   hasRoom (workClass: WorkClass, entryVms: number, nowMs: number): boolean {
-    const limit = this.limit.requests
+    const limit = Math.max(1, Math.floor(this.limit.requests * (this.isFar ? this.#settings.crossRegionMaxLoad : 1)))
     if (!fits(this.#inFlight, this.remote.inFlight(nowMs), limit, entryVms)) return false
     if (workClass === 'short') return true
     const longLimit = Math.max(1, limit - this.#settings.reservedShortSlots)
@@ -161,7 +164,7 @@
       state.limit.setCeiling(ceilingOf(known.record))
       return state
     }
-    const fresh = new ServerState(known, this.#registry, this.#settings)
+    const fresh = new ServerState(known, this.#registry, this.#settings, this.#location)
     this.#servers.set(id, fresh)
     return fresh
   }
@@ -185,6 +188,5 @@
 
 function fits (own: number, remote: number, limit: number, entryVms: number): boolean {
   if (own >= limit) return false
-  const ownShare = Math.max(1, Math.floor(limit / entryVms))
-  return own < ownShare || Math.round(own + remote) < limit
+  return own < Math.floor(limit / entryVms) || Math.round(own + remote) < limit
 }
--- a/packages/routing/src/settings.ts
+++ b/packages/routing/src/settings.ts
@@ -70,8 +70,12 @@
   readonly loadShareIntervalMs: number
   /** Size of one load report that the front end passes as a hint. */
   readonly loadShareMaxBytes: number
-  /** A count reported by a peer loses half its weight in this time. */
+  /** Servers in other regions are used up to this share of their limit, so that they keep room for nearer callers. */
+  readonly crossRegionMaxLoad: number
+  /** A count of short work reported by a peer loses half its weight in this time. */
   readonly peerLoadHalfLifeMs: number
+  /** The same for long work. */
+  readonly peerLongLoadHalfLifeMs: number
   /** A peer that sent no report for this long no longer counts. */
   readonly peerForgetAfterMs: number
   /** Entries of one load report, sent or taken. */
@@ -122,7 +126,9 @@
   maxRetryAfterMs: 30_000,
   loadShareIntervalMs: 500,
   loadShareMaxBytes: 800,
+  crossRegionMaxLoad: 0.8,
   peerLoadHalfLifeMs: 500,
+  peerLongLoadHalfLifeMs: 2_000,
   peerForgetAfterMs: 3_000,
   maxLoadReportEntries: 512
 }
