--- a/packages/bench/src/routing-bench.ts
+++ b/packages/bench/src/routing-bench.ts
@@ -19,7 +19,6 @@
   { name: 'round_robin', policy: 'round_robin' },
   { name: 'no_learned_limits', policy: 'locality', settings: { limitDecreaseFactor: 1 } },
   { name: 'no_reserved_slots', policy: 'locality', settings: { reservedShortSlots: 0 } },
-  { name: 'no_codel', policy: 'locality', settings: { codelTargetMs: Infinity } },
   { name: 'no_fair_queue', policy: 'locality', isFair: false },
   { name: 'no_ejection', policy: 'locality', settings: { ejectAfterFailures: Infinity } },
   { name: 'no_load_sharing', policy: 'locality', isLoadShared: false },
--- a/packages/routing/src/admission.ts
+++ b/packages/routing/src/admission.ts
@@ -22,7 +22,7 @@
    */
   refusal (request: RequestSpec, weight: number, nowMs: number): Failure | undefined {
     const serviceMs = this.#classes.typicalMs(request.requestClass)
-    const waitMs = this.waitMs(request, weight, nowMs)
+    const waitMs = this.waitMs(request, weight)
     const lateMs = nowMs + waitMs + serviceMs - request.deadlineAtMs
     if (waitMs === 0 || lateMs <= 0) return undefined
     const detail = `expected wait ${Math.round(waitMs)} ms and service time ${Math.round(serviceMs)} ms, ` +
@@ -31,11 +31,11 @@
   }
 
   /** Expected wait of a request; 0 where nothing waits or nothing is known. */
-  waitMs (request: RequestSpec, weight: number, nowMs: number): number {
+  waitMs (request: RequestSpec, weight: number): number {
     const { organisationId, deadlineAtMs, requestClass } = request
     const workClass = this.#classes.workClass(requestClass)
     const item = { organisationId, workClass, deadlineAtMs, workMs: this.#classes.meanMs(requestClass) }
-    return this.#queues.of(request.service).requests.waitMs(item, weight, nowMs) ?? 0
+    return this.#queues.of(request.service).requests.waitMs(item, weight) ?? 0
   }
 
   /** Advice that a caller can rely on: the time after which the same request would be served in time. */
--- a/packages/routing/src/busy-rate.ts
+++ b/packages/routing/src/busy-rate.ts
@@ -2,8 +2,6 @@
 
 /** Weight of a new window in the average rate. */
 const WINDOW_WEIGHT = 0.3
-/** A window that lasts this many times its length shows that the queue is served more slowly than before. */
-const STALLED_WINDOWS = 2
 
 /**
  * Work (milliseconds of service time) that leaves a busy queue per millisecond.
@@ -12,7 +10,7 @@
  * const rate = new BusyRate(200)
  * rate.becameBusy(0)
  * rate.took(400, 200)
- * rate.at(200) // 2
+ * rate.workMsPerMs // 2
  */
 export class BusyRate {
   readonly #windowMs: number
@@ -40,10 +38,11 @@
     this.becameBusy(nowMs)
   }
 
-  /** The rate, or undefined before a first window is complete. */
-  at (nowMs: number): number | undefined {
-    const elapsedMs = nowMs - this.#windowStartMs
-    if (this.#rate === undefined || elapsedMs < STALLED_WINDOWS * this.#windowMs) return this.#rate
-    return Math.min(this.#rate, this.#windowWorkMs / elapsedMs)
+  /**
+   * The rate, or undefined before a first window is complete. It stays while nothing leaves the queue, as long work
+   * that gave way to short work runs at its former rate again afterwards.
+   */
+  get workMsPerMs (): number | undefined {
+    return this.#rate
   }
 }
--- a/packages/routing/src/request-queue.ts
+++ b/packages/routing/src/request-queue.ts
@@ -117,8 +117,8 @@
   }
 
   /** Expected wait of a new request, or undefined where nothing is known. */
-  waitMs (organisationId: string, weight: number, deadlineAtMs: number, nowMs: number): number | undefined {
-    const rate = this.#rate.at(nowMs)
+  waitMs (organisationId: string, weight: number, deadlineAtMs: number): number | undefined {
+    const rate = this.#rate.workMsPerMs
     if (this.size === 0 || rate === undefined) return undefined
     const ownMs = this.#organisations.get(organisationId)?.workBefore(deadlineAtMs) ?? 0
     return (ownMs + this.#workOfOthers(organisationId, ownMs / weight)) / Math.max(rate, Number.MIN_VALUE)
@@ -191,8 +191,8 @@
   }
 
   /** Expected wait of a new request, or undefined where nothing is known. */
-  waitMs (item: QueueItem, weight: number, nowMs: number): number | undefined {
-    return this.#classes[item.workClass].waitMs(item.organisationId, weight, item.deadlineAtMs, nowMs)
+  waitMs (item: QueueItem, weight: number): number | undefined {
+    return this.#classes[item.workClass].waitMs(item.organisationId, weight, item.deadlineAtMs)
   }
 
   /** The last request of the organisation that holds most of the queue relative to its weight. */
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -194,15 +194,15 @@
     open.queuedAtMs = nowMs
     this.#queues.push(open, this.#weights.get(organisationId) ?? 1, nowMs)
     this.#pumpQueue(open.request.service, this.#queues.of(open.request.service), nowMs)
-    if (this.#queues.isOverfull) this.#refuseLargestShare(open.request.service, nowMs)
+    if (this.#queues.isOverfull) this.#refuseLargestShare(open.request.service)
   }
 
   /** A full queue costs the organisation that holds most of it for its weight, not whoever comes next. */
-  #refuseLargestShare (service: string, nowMs: number): void {
+  #refuseLargestShare (service: string): void {
     const open = this.#queues.of(service).requests.lastOfLargestShare()
     if (open === undefined) return
     const weight = this.#weights.get(open.organisationId) ?? 1
-    const waitMs = this.#admission.waitMs(open.request, weight, nowMs)
+    const waitMs = this.#admission.waitMs(open.request, weight)
     const detail = `${this.#settings.maxQueuedRequests} requests wait, which is the limit`
     this.#refuse(open, open.endFailure(failure('queue_full', detail, this.#admission.retryAfterMs(waitMs))))
   }
@@ -231,7 +231,6 @@
       const server = this.#choose(service, open, nowMs)
       if (server === undefined) blocked.add(open.workClass)
       else if (this.#isTooLate(open, nowMs)) this.#refuse(open, open.endFailure(this.#notRunFailure(open)))
-      else if (isDelayed(queue, open, nowMs)) this.#refuseDelayed(open, nowMs)
       else this.#dispatch(open, server, nowMs)
     }
     if (requests.size > 0) this.#recheckLater(nowMs)
@@ -247,13 +246,9 @@
 
   /** Work that would be answered after its deadline is not started, as it would take a slot from others. */
   #isTooLate (open: OpenRequest, nowMs: number): boolean {
-    return nowMs > open.queuedAtMs && nowMs + this.#classes.typicalMs(open.request.requestClass) > open.deadlineAtMs
-  }
-
-  #refuseDelayed (open: OpenRequest, nowMs: number): void {
-    const waitedMs = Math.round(nowMs - open.queuedAtMs)
-    const notRun = failure('queue_full', `the queue delay stays above its target; this request waited ${waitedMs} ms`)
-    this.#refuse(open, open.endFailure(notRun))
+    if (nowMs === open.queuedAtMs) return false
+    const neededMs = this.#settings.startMarginFactor * this.#classes.typicalMs(open.request.requestClass)
+    return nowMs + neededMs > open.deadlineAtMs
   }
 
   /** Counts of peers decay without an event, so blocked queues are tried again after half a half-life. */
@@ -435,7 +430,3 @@
     }
   }
 }
-
-function isDelayed (queue: ServiceQueue, open: OpenRequest, nowMs: number): boolean {
-  return queue.codel[open.workClass].shouldRefuse(nowMs - open.queuedAtMs, nowMs)
-}
--- a/packages/routing/src/service-queues.ts
+++ b/packages/routing/src/service-queues.ts
@@ -1,5 +1,4 @@
 /** Queues of all services and their common bound. */
-import { Codel } from './codel.js'
 import type { OpenRequest } from './open-request.js'
 import { RequestQueue } from './request-queue.js'
 import type { WorkClass } from './service-classes.js'
@@ -10,7 +9,6 @@
   readonly requests: RequestQueue<OpenRequest>
   /** Classes for which no server had room; emptied when capacity changes. */
   readonly blocked: Set<WorkClass>
-  readonly codel: Readonly<Record<WorkClass, Codel>>
 }
 
 /** All waiting requests of an entry VM. */
@@ -37,8 +35,7 @@
   of (service: string): ServiceQueue {
     const known = this.#queues.get(service)
     if (known !== undefined) return known
-    const codel = { short: new Codel(this.#settings), long: new Codel(this.#settings) }
-    const queue: ServiceQueue = { requests: new RequestQueue(this.#settings), blocked: new Set(), codel }
+    const queue: ServiceQueue = { requests: new RequestQueue(this.#settings), blocked: new Set() }
     this.#queues.set(service, queue)
     return queue
   }
--- a/packages/routing/src/settings.ts
+++ b/packages/routing/src/settings.ts
@@ -58,10 +58,8 @@
   readonly unknownServiceTimeMs: number
   /** Service time that weight 1 earns in one round of deficit round robin. */
   readonly quantumMs: number
-  /** CoDel: acceptable queue delay; Infinity switches it off. */
-  readonly codelTargetMs: number
-  /** CoDel: time above the target before the first refusal. */
-  readonly codelIntervalMs: number
+  /** Waiting work is not started when less than this many times its usual service time is left. */
+  readonly startMarginFactor: number
   /** Window over which the rate of a busy queue is measured. */
   readonly rateWindowMs: number
   readonly minRetryAfterMs: number
@@ -112,16 +110,15 @@
   ejectionMaxShare: 0.5,
   failureLoadRequests: 1,
   failureLoadHalfLifeMs: 1_000,
-  reservedShortSlots: 2,
+  reservedShortSlots: 3,
   longClassFactor: 5,
   longClassMinMs: 100,
   longClassHysteresis: 0.7,
   maxRequestClasses: 1_000,
   unknownServiceTimeMs: 20,
   quantumMs: 20,
-  codelTargetMs: 100,
-  codelIntervalMs: 500,
   rateWindowMs: 200,
+  startMarginFactor: 2,
   minRetryAfterMs: 50,
   maxRetryAfterMs: 30_000,
   loadShareIntervalMs: 500,
