Offer a freed slot to the queue without a search of all servers

Cause: each answer searched all servers for room while requests waited, which at ten times the size cost 325 us per request in the router.

Ruled out: searching less often at every event; only the server whose slot became free has gained room.

--- a/packages/routing/src/policy.ts
+++ b/packages/routing/src/policy.ts
@@ -20,6 +20,8 @@
 export abstract class RoutingPolicy {
   /** The server for a request, or undefined while none may take it. */
   abstract choose (selection: Selection, random: Random): ServerState | undefined
+  /** Whether a server on which a slot became free may take a waiting request. */
+  abstract accepts (server: ServerState, selection: Selection): boolean
 }
 
 /**
@@ -40,6 +42,10 @@
     return this.#chooseByTier(selection, random, isPreferred) ?? this.#chooseByTier(selection, random, isUsable)
   }
 
+  override accepts (server: ServerState, selection: Selection): boolean {
+    return isPreferred(server, selection)
+  }
+
   #chooseByTier (selection: Selection, random: Random, accepts: Accepts): ServerState | undefined {
     for (const tier of selection.tiers) {
       const chosen = this.#chooseInTier(tier, selection, random, accepts)
@@ -48,18 +54,17 @@
     return undefined
   }
 
-  /** Walks from a random position, so that each comparison is between random servers even when many are full. */
-  #chooseInTier (tier: readonly ServerState[], selection: Selection, random: Random, accepts: Accepts) {
+  /** Where the random servers have no room, the rest of the tier is searched from a random position. */
+  #chooseInTier (
+    tier: readonly ServerState[], selection: Selection, random: Random, accepts: Accepts
+  ): ServerState | undefined {
+    if (tier.length === 0) return undefined
     let best: ServerState | undefined
-    let compared = 0
-    const remaining = [...tier]
-    while (remaining.length > 0 && compared < this.#randomChoices) {
-      const server = takeRandom(remaining, random)
-      if (!accepts(server, selection)) continue
-      compared++
-      if (best === undefined || server.load(selection.nowMs) < best.load(selection.nowMs)) best = server
+    for (let choice = 0; choice < this.#randomChoices; choice++) {
+      const server = tier[random.nextInt(0, tier.length - 1)]!
+      if (accepts(server, selection)) best = lessLoaded(best, server, selection.nowMs)
     }
-    return best
+    return best ?? firstFrom(tier, random.nextInt(0, tier.length - 1), server => accepts(server, selection))
   }
 }
 
@@ -71,15 +76,19 @@
     const servers = selection.tiers.flat().filter(server => server.isServing(selection.nowMs))
     return servers[this.#next++ % servers.length]
   }
+
+  override accepts (server: ServerState, selection: Selection): boolean {
+    return server.isServing(selection.nowMs)
+  }
 }
 
 type Accepts = (server: ServerState, selection: Selection) => boolean
 
 function isUsable (server: ServerState, selection: Selection): boolean {
   const { workClass, entryVms, nowMs } = selection
+  if (!server.hasRoom(workClass, entryVms, nowMs) || !server.isServing(nowMs)) return false
   const state = server.ejection.state(nowMs)
-  if (state === 'ejected' || state === 'probing') return false
-  return server.isServing(nowMs) && server.hasRoom(workClass, entryVms, nowMs)
+  return state === 'in_service' || state === 'probe_due'
 }
 
 function isPreferred (server: ServerState, selection: Selection): boolean {
@@ -88,11 +97,14 @@
   return isUsable(server, selection)
 }
 
-/** Removes a random element in constant time; the order of the rest does not matter. */
-function takeRandom (servers: ServerState[], random: Random): ServerState {
-  const index = random.nextInt(0, servers.length - 1)
-  const taken = servers[index]!
-  const last = servers.pop()!
-  if (last !== taken) servers[index] = last
-  return taken
+function lessLoaded (left: ServerState | undefined, right: ServerState, nowMs: number): ServerState {
+  return left !== undefined && left.load(nowMs) <= right.load(nowMs) ? left : right
+}
+
+function firstFrom<T> (items: readonly T[], start: number, accepts: (item: T) => boolean): T | undefined {
+  for (let step = 0; step < items.length; step++) {
+    const item = items[(start + step) % items.length]!
+    if (accepts(item)) return item
+  }
+  return undefined
 }
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -7,16 +7,19 @@
 import type { AnswerQuality, AttemptFailureReason, ClaimDecision, RoutingEffect, RoutingEvent } from './events.js'
 import { OpenRequest, resolutionOf, type Attempt, type AttemptResolution, type RetryReason } from './open-request.js'
 import { LoadReporter, type LoadReport } from './peer-load.js'
-import type { RoutingPolicy } from './policy.js'
+import type { RoutingPolicy, Selection } from './policy.js'
 import type { BackendRegistry } from './registry.js'
+import type { RequestQueue } from './request-queue.js'
 import { RetryBudgets } from './retry-budget.js'
 import { ServerObserver } from './server-observer.js'
 import { ServerPool, type Location, type ServerState } from './servers.js'
-import { ServiceClasses } from './service-classes.js'
+import { ServiceClasses, type WorkClass } from './service-classes.js'
 import { ServiceQueues, type ServiceQueue } from './service-queues.js'
 import type { RoutingSettings } from './settings.js'
 import { TimerHeap, type Timer } from './timers.js'
 
+type Choose = (selection: Selection) => ServerState | undefined
+
 /** What a router needs. */
 export interface RequestRouterOptions {
   readonly settings: RoutingSettings
@@ -53,6 +56,7 @@
   readonly #timers = new TimerHeap()
   readonly #requests = new Map<string, OpenRequest>()
   readonly #peersHeardAtMs = new Map<string, number>()
+  readonly #freedServers = new Set<ServerState>()
   #weights: ReadonlyMap<string, number> = new Map()
   #effects: RoutingEffect[] = []
   #unfinished = 0
@@ -100,6 +104,8 @@
     if (this.#pool.isStale) this.#membershipChanged()
     this.#apply(event, nowMs)
     this.#timers.fireDue(nowMs)
+    for (const server of this.#freedServers) this.#slotFreed(server, nowMs)
+    this.#freedServers.clear()
     this.#pump(nowMs)
     return this.#effects
   }
@@ -193,7 +199,7 @@
     open.workMs = this.#classes.meanMs(requestClass)
     open.queuedAtMs = nowMs
     this.#queues.push(open, this.#weights.get(organisationId) ?? 1, nowMs)
-    this.#pumpQueue(open.request.service, this.#queues.of(open.request.service), nowMs)
+    this.#pumpQueue(this.#queues.of(open.request.service), nowMs)
     if (this.#queues.isOverfull) this.#refuseLargestShare(open.request.service)
   }
 
@@ -216,7 +222,7 @@
     if (!this.#hasCapacityChanged) return
     this.#hasCapacityChanged = false
     this.#queues.unblock()
-    for (const [service, queue] of this.#queues.waiting()) this.#pumpQueue(service, queue, nowMs)
+    for (const queue of this.#queues.waiting()) this.#pumpQueue(queue, nowMs)
   }
 
   #membershipChanged (): void {
@@ -225,23 +231,35 @@
     this.#hasCapacityChanged = true
   }
 
-  #pumpQueue (service: string, queue: ServiceQueue, nowMs: number): void {
-    const { requests, blocked } = queue
+  #pumpQueue ({ requests, blocked }: ServiceQueue, nowMs: number): void {
+    this.#sendWaiting(requests, blocked, nowMs, selection => this.#policy.choose(selection, this.#random))
+    if (requests.size > 0) this.#recheckLater(nowMs)
+  }
+
+  /** A free slot goes to the request whose turn it is, without a search of all servers. */
+  #slotFreed (server: ServerState, nowMs: number): void {
+    for (const service of server.known.record.services) {
+      const queue = this.#queues.find(service)
+      if (queue === undefined || queue.requests.size === 0) continue
+      this.#sendWaiting(queue.requests, new Set(), nowMs, selection =>
+        this.#policy.accepts(server, selection) ? server : undefined)
+    }
+  }
+
+  #sendWaiting (requests: RequestQueue<OpenRequest>, blocked: Set<WorkClass>, nowMs: number, choose: Choose): void {
     for (let open = requests.first(blocked); open !== undefined; open = requests.first(blocked)) {
-      const server = this.#choose(service, open, nowMs)
+      const server = choose(this.#selection(open, nowMs))
       if (server === undefined) blocked.add(open.workClass)
       else if (this.#isTooLate(open, nowMs)) this.#refuse(open, open.endFailure(this.#notRunFailure(open)))
       else this.#dispatch(open, server, nowMs)
     }
-    if (requests.size > 0) this.#recheckLater(nowMs)
   }
 
-  #choose (service: string, open: OpenRequest, nowMs: number): ServerState | undefined {
-    const { workClass, avoid } = open
+  #selection (open: OpenRequest, nowMs: number): Selection {
+    const { workClass, avoid, request } = open
     const entryVms = this.#peersHeardAtMs.size + 1
-    const tiers = this.#pool.tiers(service)
-    const selection = { tiers, workClass, isProbeWelcome: open.isIdempotent, avoid, entryVms, nowMs }
-    return this.#policy.choose(selection, this.#random)
+    const tiers = this.#pool.tiers(request.service)
+    return { tiers, workClass, isProbeWelcome: open.isIdempotent, avoid, entryVms, nowMs }
   }
 
   /** Work that would be answered after its deadline is not started, as it would take a slot from others. */
@@ -324,7 +342,7 @@
     attempt.server.released(attempt.workClass)
     open.avoid.add(attempt.server.id)
     this.#timers.cancel(attempt.timer)
-    this.#hasCapacityChanged = true
+    this.#freedServers.add(attempt.server)
   }
 
   #observeFailure (attempt: Attempt, request: RequestSpec, reason: RetryReason, nowMs: number): void {
--- a/packages/routing/src/service-queues.ts
+++ b/packages/routing/src/service-queues.ts
@@ -40,9 +40,14 @@
     return queue
   }
 
+  /** The queue of a service, if a request ever waited there. */
+  find (service: string): ServiceQueue | undefined {
+    return this.#queues.get(service)
+  }
+
   /** Queues in which requests wait. */
-  waiting (): Array<[service: string, queue: ServiceQueue]> {
-    return [...this.#queues].filter(([, queue]) => queue.requests.size > 0)
+  waiting (): ServiceQueue[] {
+    return [...this.#queues.values()].filter(queue => queue.requests.size > 0)
   }
 
   /** Adds a request. */
