Split dispatching and load sharing from the router

Ruled out: searching again at every event. A freed slot is offered to the request whose turn it is; only changes of counts, membership and ejections search all servers.

--- a/packages/routing/src/open-request.ts
+++ b/packages/routing/src/open-request.ts
@@ -108,6 +108,13 @@
     return failure(reason === 'server_error' ? 'backend_failed' : 'outcome_unknown', detail)
   }
 
+  /** The failure of a request that never ran and whose deadline passed or is too near. */
+  lateFailure (): Failure {
+    if (this.isOutOfBudget) return failure('retry_budget_exhausted', 'no retry was left before the deadline')
+    if (this.attempts > 0) return failure('backend_unreachable', `${this.attempts} attempts ended before the work ran`)
+    return failure('deadline_exceeded', `the deadline passed while the request was ${this.phase}`)
+  }
+
   /** What is recorded about the claim when the request ends without a successful answer. */
   get claimOutcome (): ClaimOutcome {
     return this.mayHaveRun ? 'unknown' : 'not_run'
--- a/packages/routing/src/peer-load.ts
+++ b/packages/routing/src/peer-load.ts
@@ -119,9 +119,11 @@
     return { entries }
   }
 
-  /** Forgets a server that no longer exists. */
-  forget (backendServerId: string): void {
-    this.#sent.delete(backendServerId)
+  /** Forgets servers that no longer exist. */
+  keepOnly (isKnown: (backendServerId: string) => boolean): void {
+    for (const id of this.#sent.keys()) {
+      if (!isKnown(id)) this.#sent.delete(id)
+    }
   }
 
   #isDue (entry: LoadEntry, nowMs: number): boolean {
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -5,20 +5,19 @@
 import { Admission } from './admission.js'
 import { AttemptTiming } from './attempt-timing.js'
 import type { AnswerQuality, AttemptFailureReason, ClaimDecision, RoutingEffect, RoutingEvent } from './events.js'
+import { Dispatcher } from './dispatcher.js'
+import { LoadSharing } from './load-sharing.js'
 import { OpenRequest, resolutionOf, type Attempt, type AttemptResolution, type RetryReason } from './open-request.js'
-import { LoadReporter, type LoadReport } from './peer-load.js'
-import type { RoutingPolicy, Selection } from './policy.js'
+import type { LoadReport } from './peer-load.js'
+import type { RoutingPolicy } from './policy.js'
 import type { BackendRegistry } from './registry.js'
-import type { RequestQueue } from './request-queue.js'
 import { RetryBudgets } from './retry-budget.js'
 import { ServerObserver } from './server-observer.js'
 import { ServerPool, type Location, type ServerState } from './servers.js'
-import { ServiceClasses, type WorkClass } from './service-classes.js'
-import { ServiceQueues, type ServiceQueue } from './service-queues.js'
+import { ServiceClasses } from './service-classes.js'
+import { ServiceQueues } from './service-queues.js'
 import type { RoutingSettings } from './settings.js'
-import { TimerHeap, type Timer } from './timers.js'
-
-type Choose = (selection: Selection) => ServerState | undefined
+import { TimerHeap } from './timers.js'
 
 /** What a router needs. */
 export interface RequestRouterOptions {
@@ -42,8 +41,6 @@
  */
 export class RequestRouter {
   readonly #settings: RoutingSettings
-  readonly #policy: RoutingPolicy
-  readonly #random: Random
   readonly #metrics: Metrics
   readonly #pool: ServerPool
   readonly #classes: ServiceClasses
@@ -52,24 +49,19 @@
   readonly #timing: AttemptTiming
   readonly #budgets: RetryBudgets
   readonly #observer: ServerObserver
-  readonly #reporter: LoadReporter
+  readonly #loadSharing: LoadSharing
+  readonly #dispatcher: Dispatcher
   readonly #timers = new TimerHeap()
   readonly #requests = new Map<string, OpenRequest>()
-  readonly #peersHeardAtMs = new Map<string, number>()
-  readonly #freedServers = new Set<ServerState>()
   #weights: ReadonlyMap<string, number> = new Map()
   #effects: RoutingEffect[] = []
   #unfinished = 0
   #isDraining = false
-  #hasCapacityChanged = false
-  #recheckTimer: Timer | undefined
   #handledAtMs = 0
 
   constructor (options: RequestRouterOptions) {
     const { settings, registry, policy, random, metrics, location } = options
     this.#settings = settings
-    this.#policy = policy
-    this.#random = random
     this.#metrics = metrics
     this.#pool = new ServerPool(registry, settings, location)
     this.#classes = new ServiceClasses(settings)
@@ -78,7 +70,20 @@
     this.#timing = new AttemptTiming(settings, this.#classes, random)
     this.#budgets = new RetryBudgets(settings)
     this.#observer = new ServerObserver(settings, this.#pool, this.#classes)
-    this.#reporter = new LoadReporter(settings)
+    this.#loadSharing = new LoadSharing(settings, this.#pool)
+    this.#dispatcher = new Dispatcher({
+      settings,
+      policy,
+      random,
+      pool: this.#pool,
+      queues: this.#queues,
+      classes: this.#classes,
+      admission: this.#admission,
+      loadSharing: this.#loadSharing,
+      timers: this.#timers,
+      dispatch: (open, server, nowMs) => this.#dispatch(open, server, nowMs),
+      refuse: (open, notRun) => this.#refuse(open, open.endFailure(notRun))
+    })
   }
 
   /** Requests without an outcome, or whose claim decision is outstanding; 0 ends a drain. */
@@ -101,35 +106,28 @@
   handle (event: RoutingEvent, nowMs: number): RoutingEffect[] {
     this.#effects = []
     this.#handledAtMs = nowMs
-    if (this.#pool.isStale) this.#membershipChanged()
+    this.#dispatcher.refresh()
     this.#apply(event, nowMs)
     this.#timers.fireDue(nowMs)
-    for (const server of this.#freedServers) this.#slotFreed(server, nowMs)
-    this.#freedServers.clear()
-    this.#pump(nowMs)
+    this.#dispatcher.pump(nowMs)
     return this.#effects
   }
 
   /** When the front end has to send a `tick`; undefined while nothing is pending. */
   nextWakeAtMs (): number | undefined {
-    const hasNewRoom = this.#hasCapacityChanged || this.#pool.isStale
-    if (hasNewRoom && this.#queues.size > 0) return this.#handledAtMs
+    if (this.#dispatcher.isPumpDue) return this.#handledAtMs
     return this.#timers.nextAtMs()
   }
 
   /** In-flight counts for the peers; an empty report need not be sent. */
   loadReport (maxBytesHint: number, nowMs: number): LoadReport {
-    return this.#reporter.next([...this.#pool.all()].map(server => server.loadEntry()), nowMs, maxBytesHint)
+    return this.#loadSharing.report(maxBytesHint, nowMs)
   }
 
   /** Takes a report of a peer. */
   peerLoad (nodeId: string, report: LoadReport, nowMs: number): void {
-    this.#forgetSilentPeers(nowMs)
-    this.#peersHeardAtMs.set(nodeId, nowMs)
-    for (const entry of report.entries.slice(0, this.#settings.maxLoadReportEntries)) {
-      this.#pool.get(entry.backendServerId)?.remote.report(nodeId, entry, nowMs)
-    }
-    this.#hasCapacityChanged = true
+    this.#loadSharing.take(nodeId, report, nowMs)
+    this.#dispatcher.capacityChanged()
   }
 
   #apply (event: RoutingEvent, nowMs: number): void {
@@ -198,88 +196,10 @@
     open.workClass = this.#classes.workClass(requestClass)
     open.workMs = this.#classes.meanMs(requestClass)
     open.queuedAtMs = nowMs
-    this.#queues.push(open, this.#weights.get(organisationId) ?? 1, nowMs)
-    this.#pumpQueue(this.#queues.of(open.request.service), nowMs)
-    if (this.#queues.isOverfull) this.#refuseLargestShare(open.request.service)
-  }
-
-  /** A full queue costs the organisation that holds most of it for its weight, not whoever comes next. */
-  #refuseLargestShare (service: string): void {
-    const open = this.#queues.of(service).requests.lastOfLargestShare()
-    if (open === undefined) return
-    const weight = this.#weights.get(open.organisationId) ?? 1
-    const waitMs = this.#admission.waitMs(open.request, weight)
-    const detail = `${this.#settings.maxQueuedRequests} requests wait, which is the limit`
-    this.#refuse(open, open.endFailure(failure('queue_full', detail, this.#admission.retryAfterMs(waitMs))))
-  }
-
-  /** Sends waiting requests to servers with room. */
-  #pump (nowMs: number): void {
-    if (this.#queues.size === 0) {
-      this.#hasCapacityChanged = false
-      return
-    }
-    if (!this.#hasCapacityChanged) return
-    this.#hasCapacityChanged = false
-    this.#queues.unblock()
-    for (const queue of this.#queues.waiting()) this.#pumpQueue(queue, nowMs)
-  }
-
-  #membershipChanged (): void {
-    this.#pool.refresh()
-    this.#queues.forgetUnused(service => this.#pool.tiers(service).length > 0)
-    this.#hasCapacityChanged = true
-  }
-
-  #pumpQueue ({ requests, blocked }: ServiceQueue, nowMs: number): void {
-    this.#sendWaiting(requests, blocked, nowMs, selection => this.#policy.choose(selection, this.#random))
-    if (requests.size > 0) this.#recheckLater(nowMs)
-  }
-
-  /** A free slot goes to the request whose turn it is, without a search of all servers. */
-  #slotFreed (server: ServerState, nowMs: number): void {
-    for (const service of server.known.record.services) {
-      const queue = this.#queues.find(service)
-      if (queue === undefined || queue.requests.size === 0) continue
-      this.#sendWaiting(queue.requests, new Set(), nowMs, selection =>
-        this.#policy.accepts(server, selection) ? server : undefined)
-    }
-  }
-
-  #sendWaiting (requests: RequestQueue<OpenRequest>, blocked: Set<WorkClass>, nowMs: number, choose: Choose): void {
-    for (let open = requests.first(blocked); open !== undefined; open = requests.first(blocked)) {
-      const server = choose(this.#selection(open, nowMs))
-      if (server === undefined) blocked.add(open.workClass)
-      else if (this.#isTooLate(open, nowMs)) this.#refuse(open, open.endFailure(this.#notRunFailure(open)))
-      else this.#dispatch(open, server, nowMs)
-    }
-  }
-
-  #selection (open: OpenRequest, nowMs: number): Selection {
-    const { workClass, avoid, request } = open
-    const entryVms = this.#peersHeardAtMs.size + 1
-    const tiers = this.#pool.tiers(request.service)
-    return { tiers, workClass, isProbeWelcome: open.isIdempotent, avoid, entryVms, nowMs }
-  }
-
-  /** Work that would be answered after its deadline is not started, as it would take a slot from others. */
-  #isTooLate (open: OpenRequest, nowMs: number): boolean {
-    if (nowMs === open.queuedAtMs) return false
-    const neededMs = this.#settings.startMarginFactor * this.#classes.typicalMs(open.request.requestClass)
-    return nowMs + neededMs > open.deadlineAtMs
-  }
-
-  /** Counts of peers decay without an event, so blocked queues are tried again after half a half-life. */
-  #recheckLater (nowMs: number): void {
-    if (this.#recheckTimer !== undefined) return
-    this.#recheckTimer = this.#timers.set(nowMs + this.#settings.peerLoadHalfLifeMs / 2, () => {
-      this.#recheckTimer = undefined
-      this.#hasCapacityChanged = true
-    })
+    this.#dispatcher.add(open, this.#weights.get(organisationId) ?? 1, nowMs)
   }
 
   #dispatch (open: OpenRequest, server: ServerState, nowMs: number): void {
-    this.#queues.take(open, nowMs)
     this.#metrics.timing('queue_wait', nowMs - open.queuedAtMs, { workClass: open.workClass })
     const attempt = open.begin(server, nowMs)
     server.dispatched(attempt.workClass, nowMs)
@@ -342,21 +262,21 @@
     attempt.server.released(attempt.workClass)
     open.avoid.add(attempt.server.id)
     this.#timers.cancel(attempt.timer)
-    this.#freedServers.add(attempt.server)
+    this.#dispatcher.slotFreed(attempt.server)
   }
 
   #observeFailure (attempt: Attempt, request: RequestSpec, reason: RetryReason, nowMs: number): void {
     const isEjected = this.#observer.failed(attempt, request, reason, nowMs)
     if (!isEjected) return
     this.#metrics.increment('ejection', { backendServerId: attempt.server.id })
-    this.#timers.set(attempt.server.ejection.endsAtMs, () => { this.#hasCapacityChanged = true })
+    this.#timers.set(attempt.server.ejection.endsAtMs, () => this.#dispatcher.capacityChanged())
   }
 
   #retryOrRefuse (open: OpenRequest, reason: RetryReason, nowMs: number): void {
     if (open.isCallerGone) return this.#refuse(open, open.endFailure(failure('cancelled', 'the caller is gone')))
     const delayMs = this.#timing.backoffMs(open.attempts)
     const isInTime = nowMs + delayMs < open.deadlineAtMs
-    if (!isInTime || !open.mayBeRepeated) return this.#refuse(open, open.endFailure(this.#notRunFailure(open)))
+    if (!isInTime || !open.mayBeRepeated) return this.#refuse(open, open.endFailure(open.lateFailure()))
     open.phase = 'backing_off'
     open.backoffTimer = this.#timers.set(nowMs + delayMs, firedAtMs => this.#backoffEnded(open, reason, firedAtMs))
   }
@@ -377,13 +297,7 @@
   /** While an attempt runs, its own timeout decides, so that an answer at the last moment is not lost. */
   #deadlineReached (open: OpenRequest): void {
     if (open.phase === 'running') return
-    this.#refuse(open, open.endFailure(this.#notRunFailure(open)))
-  }
-
-  #notRunFailure (open: OpenRequest): Failure {
-    if (open.isOutOfBudget) return failure('retry_budget_exhausted', 'no retry was left before the deadline')
-    if (open.attempts > 0) return failure('backend_unreachable', `${open.attempts} attempts ended before the work ran`)
-    return failure('deadline_exceeded', `the deadline passed while the request was ${open.phase}`)
+    this.#refuse(open, open.endFailure(open.lateFailure()))
   }
 
   #callerGone (requestId: string): void {
@@ -439,12 +353,4 @@
     if (open.openAttempt !== undefined || open.claim === 'pending') return
     this.#requests.delete(open.request.requestId)
   }
-
-  #forgetSilentPeers (nowMs: number): void {
-    for (const [nodeId, heardAtMs] of this.#peersHeardAtMs) {
-      if (nowMs - heardAtMs < this.#settings.peerForgetAfterMs) continue
-      this.#peersHeardAtMs.delete(nodeId)
-      for (const server of this.#pool.all()) server.remote.forget(nodeId)
-    }
-  }
 }
--- a/packages/routing/src/settings.ts
+++ b/packages/routing/src/settings.ts
@@ -60,6 +60,8 @@
   readonly quantumMs: number
   /** Waiting work is not started when less than this many times its usual service time is left. */
   readonly startMarginFactor: number
+  /** Waiting requests are tried again after this time, as counts of peers decay without an event. */
+  readonly queueRecheckMs: number
   /** Window over which the rate of a busy queue is measured. */
   readonly rateWindowMs: number
   readonly minRetryAfterMs: number
@@ -117,12 +119,13 @@
   maxRequestClasses: 1_000,
   unknownServiceTimeMs: 20,
   quantumMs: 20,
+  queueRecheckMs: 50,
   rateWindowMs: 200,
   startMarginFactor: 2,
   minRetryAfterMs: 50,
   maxRetryAfterMs: 30_000,
-  loadShareIntervalMs: 500,
-  loadShareMaxBytes: 800,
+  loadShareIntervalMs: 250,
+  loadShareMaxBytes: 400,
   crossRegionMaxLoad: 0.8,
   peerLoadHalfLifeMs: 500,
   peerLongLoadHalfLifeMs: 2_000,
