Choose the next organisation without listing all of them

Cause: each turn of deficit round robin built two lists of all waiting organisations, which at 830 teams would cost more than the rest of a request.

Ruled out: capping what one entry VM may use of a server when there are many entry VMs.

Conclusion: kept; the cap is not.

--- a/packages/routing/src/deficit-round-robin.ts
+++ b/packages/routing/src/deficit-round-robin.ts
@@ -40,18 +40,13 @@
    * @param costOf cost of a flow's first request, or undefined where it cannot be served now
    */
   select (costOf: (key: string) => number | undefined): string | undefined {
-    const waiting = this.#fromCursor().flatMap(flow => {
-      const costMs = costOf(flow.key)
-      return costMs === undefined ? [] : [{ flow, missingRounds: this.#missingRounds(flow, costMs) }]
-    })
-    if (waiting.length === 0) return undefined
-    const rounds = Math.min(...waiting.map(each => each.missingRounds))
-    if (rounds > 0) {
-      for (const { flow } of waiting) flow.deficitMs += rounds * this.#quantumMs * flow.weight
+    let rounds = Infinity
+    for (let step = 0; step < this.#flows.length; step++) {
+      const missing = this.#missingRounds(this.#fromCursor(step), costOf)
+      if (missing === 0) return this.#moveTo(step).key
+      rounds = Math.min(rounds, missing)
     }
-    const { flow } = waiting.find(each => each.missingRounds <= rounds)!
-    this.#cursor = this.#flows.indexOf(flow)
-    return flow.key
+    return rounds === Infinity ? undefined : this.#skipRounds(rounds, costOf)
   }
 
   /** Takes the cost of a request that was served. */
@@ -60,11 +55,32 @@
     if (flow !== undefined) flow.deficitMs -= costMs
   }
 
-  #fromCursor (): Flow[] {
-    return [...this.#flows.slice(this.#cursor), ...this.#flows.slice(0, this.#cursor)]
+  /** Gives every flow that can be served the quantum of several rounds, and turns to the first that then has enough. */
+  #skipRounds (rounds: number, costOf: (key: string) => number | undefined): string | undefined {
+    let first: number | undefined
+    for (let step = 0; step < this.#flows.length; step++) {
+      const flow = this.#fromCursor(step)
+      const missing = this.#missingRounds(flow, costOf)
+      if (missing === Infinity) continue
+      flow.deficitMs += rounds * this.#quantumMs * flow.weight
+      if (missing <= rounds) first ??= step
+    }
+    return first === undefined ? undefined : this.#moveTo(first).key
+  }
+
+  #fromCursor (step: number): Flow {
+    return this.#flows[(this.#cursor + step) % this.#flows.length]!
+  }
+
+  #moveTo (step: number): Flow {
+    this.#cursor = (this.#cursor + step) % this.#flows.length
+    return this.#flows[this.#cursor]!
   }
 
-  #missingRounds (flow: Flow, costMs: number): number {
+  /** Rounds until a flow may send its first request; Infinity where it cannot be served now. */
+  #missingRounds (flow: Flow, costOf: (key: string) => number | undefined): number {
+    const costMs = costOf(flow.key)
+    if (costMs === undefined) return Infinity
     return Math.max(0, Math.ceil((costMs - flow.deficitMs) / (this.#quantumMs * flow.weight)))
   }
 }
