Advise retry times by the refused organisation's own weight

Cause: a full queue refuses the organisation with the largest share, but the advised time was computed with the weight of the one that arrived. The router's page did not say what it relies on: unique IDs of open requests and a decision for every claim.

--- a/packages/bench/src/routing-bench.ts
+++ b/packages/bench/src/routing-bench.ts
@@ -59,7 +59,12 @@
   return result
 }
 
-/** A table with one line per measure and one column per variant. */
+/**
+ * A table with one line per measure and one column per variant.
+ *
+ * @example
+ * console.log(formatRoutingBench(runRoutingBench(options)))
+ */
 export function formatRoutingBench (result: RoutingBenchResult): string {
   const names = [...new Set([...result.values()].flatMap(measures => [...measures.keys()]))]
   const header = ['measure'.padEnd(NAME_WIDTH), ...[...result.keys()].map(name => name.padStart(CELL_WIDTH))].join('')
--- a/packages/bench/src/routing-load.ts
+++ b/packages/bench/src/routing-load.ts
@@ -85,7 +85,12 @@
   return workKinds.reduce((sum, kind) => sum + kind.share * kindMeanMs(kind), 0)
 }
 
-/** Load relative to normal at a time. */
+/**
+ * Load relative to normal at a time.
+ *
+ * @example
+ * loadFactor(swing.startMs + swing.riseMs) // 10
+ */
 export function loadFactor (atMs: number): number {
   const { startMs, riseMs, holdMs, fallMs, factor } = swing
   const rise = Math.min(1, Math.max(0, (atMs - startMs) / riseMs))
--- a/packages/bench/src/routing-measures.ts
+++ b/packages/bench/src/routing-measures.ts
@@ -58,7 +58,12 @@
   }
 }
 
-/** Value below which `share` of the values lie. */
+/**
+ * Value below which `share` of the values lie; NaN where there are none.
+ *
+ * @example
+ * percentile([1, 2, 3, 4], 0.5) // 3
+ */
 export function percentile (values: readonly number[], share: number): number {
   if (values.length === 0) return NaN
   const sorted = [...values].sort((left, right) => left - right)
--- a/packages/routing/src/dispatcher.ts
+++ b/packages/routing/src/dispatcher.ts
@@ -67,13 +67,13 @@
   }
 
   /** Sends a new request or lets it wait. */
-  add (open: OpenRequest, weight: number, nowMs: number): void {
+  add (open: OpenRequest, nowMs: number): void {
     const { queues } = this.#options
     const queue = queues.of(open.request.service)
     if (queue.requests.sizeOf(open.workClass) === 0) queue.blocked.delete(open.workClass)
-    queues.push(open, weight, nowMs)
+    queues.push(open, open.weight, nowMs)
     this.#pumpQueue(queue, nowMs)
-    if (queues.isOverfull) this.#refuseLargestShare(open.request.service, weight)
+    if (queues.isOverfull) this.#refuseLargestShare(open.request.service)
   }
 
   /** Sends waiting requests to servers with room. */
@@ -135,11 +135,11 @@
   }
 
   /** A full queue costs the organisation that holds most of it for its weight, not whoever comes next. */
-  #refuseLargestShare (service: string, weight: number): void {
+  #refuseLargestShare (service: string): void {
     const { settings, queues, admission, refuse } = this.#options
     const open = queues.of(service).requests.lastOfLargestShare()
     if (open === undefined) return
-    const retryAfterMs = admission.retryAfterMs(admission.waitMs(open.request, weight))
+    const retryAfterMs = admission.retryAfterMs(admission.waitMs(open.request, open.weight))
     const detail = `${settings.maxQueuedRequests} requests wait, which is the limit`
     refuse(open, failure('queue_full', detail, retryAfterMs))
   }
--- a/packages/routing/src/open-request.ts
+++ b/packages/routing/src/open-request.ts
@@ -37,6 +37,8 @@
   claim: ClaimState = 'none'
   isCallerGone = false
   isOutOfBudget = false
+  /** Weight of the organisation when the request began to wait. */
+  weight = 1
   workClass: WorkClass = 'short'
   workMs = 0
   queuedAtMs = 0
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -4,7 +4,7 @@
 } from '@comfreygrade/core'
 import { Admission } from './admission.js'
 import { AttemptTiming } from './attempt-timing.js'
-import type { AnswerQuality, AttemptFailureReason, ClaimDecision, RoutingEffect, RoutingEvent } from './events.js'
+import type { AnswerQuality, AttemptFailureReason, ClaimDecision, ClaimOutcome, RoutingEffect, RoutingEvent } from './events.js'
 import { Dispatcher } from './dispatcher.js'
 import { LoadSharing } from './load-sharing.js'
 import { OpenRequest, resolutionOf, type Attempt, type AttemptResolution, type RetryReason } from './open-request.js'
@@ -31,9 +31,12 @@
 }
 
 /**
- * Routes short requests to backend servers; deterministic, driven by events. After each call of `handle`, `peerLoad`
+ * Routes short requests to backend servers; deterministic, driven by events. After each call of `handle` or `peerLoad`
  * and after each change of the registry, the front end sets its timer to `nextWakeAtMs` and then sends a `tick`.
  *
+ * The front end gives every request an ID that no other open request has, answers every `claim` with `claim_decided`
+ * and reports the end of every `dispatch`; a report that is missing is replaced by a timeout, a decision is not.
+ *
  * @example
  * const router = new RequestRouter({ settings, registry, policy, random, metrics, location })
  * router.setOrganisations(new Map([['salto-university', 1]]))
@@ -196,7 +199,8 @@
     open.workClass = this.#classes.workClass(requestClass)
     open.workMs = this.#classes.meanMs(requestClass)
     open.queuedAtMs = nowMs
-    this.#dispatcher.add(open, this.#weights.get(organisationId) ?? 1, nowMs)
+    open.weight = this.#weights.get(organisationId) ?? open.weight
+    this.#dispatcher.add(open, nowMs)
   }
 
   #dispatch (open: OpenRequest, server: ServerState, nowMs: number): void {
@@ -343,7 +347,7 @@
     this.#timers.cancel(open.backoffTimer)
   }
 
-  #settleClaim (open: OpenRequest, outcome: 'completed' | 'not_run' | 'unknown'): void {
+  #settleClaim (open: OpenRequest, outcome: ClaimOutcome): void {
     if (open.claim !== 'granted') return
     open.claim = 'settled'
     this.#effects.push({ kind: 'settle_claim', request: open.request, outcome })
