Know requests by IDs of the node, and wake the router when servers change

Cause: the router ignores an arrival under an ID that it still holds, and callers choose their IDs; two open requests with one ID would have left the second without an answer. A request that waited for a server was sent only at the router's next due time, because registry and load changes did not make the front end read it again.

Before: duplicate IDs refused by the front end only while open.

--- a/packages/node/src/member-spread.ts
+++ b/packages/node/src/member-spread.ts
@@ -12,6 +12,8 @@
   readonly loadIntervalMs: number
   readonly maxLoadBytes: number
   readonly broadcast: (message: PeerMessage) => void
+  /** Servers or the load of peers have changed, so requests that wait may go on. */
+  readonly onChanged: () => void
 }
 
 /** Records in one message, so that a burst of announcements does not make one large frame. */
@@ -39,6 +41,7 @@
   announce (record: BackendServerRecord): void {
     const isNew = this.#options.registry.announce(record, this.#options.clock.monotonicMs())
     if (!isNew) return
+    this.#options.onChanged()
     this.#heard.set(record.backendServerId, record)
     // A server that leaves must get no more work, so this does not wait for the next batch.
     if (record.state === 'leaving') this.#sendMembers()
@@ -49,9 +52,10 @@
     const nowMs = this.#options.clock.monotonicMs()
     if (message.kind === 'load') {
       this.#options.router.peerLoad(fromNodeId, message.report, nowMs)
-      return
+    } else {
+      for (const { record, ageMs } of message.records) this.#options.registry.announce(record, nowMs, ageMs)
     }
-    for (const { record, ageMs } of message.records) this.#options.registry.announce(record, nowMs, ageMs)
+    this.#options.onChanged()
   }
 
   /** Sends all that is known to peers, for a node that has just connected. */
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -243,7 +243,8 @@
       memberIntervalMs: settings.timing.memberSpreadIntervalMs,
       loadIntervalMs: routingSettings.loadShareIntervalMs,
       maxLoadBytes: routingSettings.loadShareMaxBytes,
-      broadcast: message => { this.#links.broadcast(message) }
+      broadcast: message => { this.#links.broadcast(message) },
+      onChanged: () => { this.#requests.wake() }
     })
   }
 
@@ -315,6 +316,7 @@
     const weights = [...configuration.organisations].map(([id, organisation]) => [id, organisation.weight] as const)
     this.#router.setOrganisations(new Map(weights))
     this.#registry.setDraining(new Set(drains.filter(drain => drain.kind === 'backend-server').map(drain => drain.id)))
+    this.#requests.wake()
     const { nodeId } = this.#options.settings.node
     const isDrained = drains.some(drain => drain.kind === 'vm' && drain.id === nodeId)
     if (this.#state === 'serving' && isDrained) this.#state = 'drained'
--- a/packages/node/src/request-service.ts
+++ b/packages/node/src/request-service.ts
@@ -1,6 +1,6 @@
 /** Front end of the request router: holds bodies and answers, carries out its effects. */
 import { createHash, randomUUID } from 'node:crypto'
-import { fail, failure, type Clock, type Failure, type Metrics, type RequestSpec, type Result } from '@comfreygrade/core'
+import { failure, type Clock, type Failure, type Metrics, type RequestSpec, type Result } from '@comfreygrade/core'
 import type { ControlOperation, ControlResult, RecordedAnswer } from '@comfreygrade/control'
 import type { ClaimDecision, ClaimOutcome, RequestRouter, RoutingEffect, RoutingEvent } from '@comfreygrade/routing'
 import type { BackendAnswer, BackendClient, PendingAttempt } from './backend-client.js'
@@ -23,9 +23,10 @@
 }
 
 interface OpenRequest {
+  /** As the caller sent it; the router knows the request by an ID of this node. */
   readonly spec: RequestSpec
   readonly body: Buffer
-  readonly claimantId: string
+  readonly id: string
   readonly finish: (result: Result<RequestAnswer>) => void
   readonly attempts: Map<number, PendingAttempt>
   readonly answers: Map<number, BackendAnswer>
@@ -65,32 +66,36 @@
     body: Buffer,
     onCancel: (cancel: () => void) => void
   ): Promise<Result<RequestAnswer>> {
-    if (this.#open.has(spec.requestId)) {
-      return fail('invalid_request', `request ID ${spec.requestId} is in use by an open request`)
-    }
     const arrivedAtMs = this.#options.clock.monotonicMs()
+    // Callers choose their request IDs, so two open requests may share one.
+    const id = randomUUID()
     return await new Promise(resolve => {
       const finish = (result: Result<RequestAnswer>): void => {
-        this.#open.delete(spec.requestId)
+        this.#open.delete(id)
         this.#options.metrics.timing('request.duration', this.#options.clock.monotonicMs() - arrivedAtMs)
         resolve(result)
       }
       const open = {
         spec,
         body,
-        claimantId: randomUUID(),
+        id,
         finish,
         attempts: new Map(),
         answers: new Map(),
         isClaimed: false,
         replay: undefined
       }
-      this.#open.set(spec.requestId, open)
-      onCancel(() => { this.dispatchEvent({ kind: 'caller_gone', requestId: spec.requestId }) })
-      this.dispatchEvent({ kind: 'arrived', request: spec })
+      this.#open.set(id, open)
+      onCancel(() => { this.dispatchEvent({ kind: 'caller_gone', requestId: id }) })
+      this.dispatchEvent({ kind: 'arrived', request: { ...spec, requestId: id } })
     })
   }
 
+  /** Reads the router's next due time again, after servers or the load of peers have changed. */
+  wake (): void {
+    this.#schedule()
+  }
+
   /** Feeds one event to the router and carries out the effects. */
   dispatchEvent (event: RoutingEvent): void {
     const effects = this.#options.router.handle(event, this.#options.clock.monotonicMs())
@@ -127,7 +132,7 @@
     const pending = this.#options.backendClient.send({
       backendServer,
       service: request.service,
-      headers: dispatchHeaders(request, attempt, nowMs),
+      headers: dispatchHeaders(open.spec, attempt, nowMs),
       body: open.body,
       timeoutMs: Math.max(1, effect.timeoutAtMs - nowMs)
     })
@@ -136,7 +141,7 @@
   }
 
   async #awaitAttempt (open: OpenRequest, attempt: number, pending: PendingAttempt): Promise<void> {
-    const { requestId } = open.spec
+    const requestId = open.id
     const result = await pending.result
     open.attempts.delete(attempt)
     if (result.kind === 'answered') {
@@ -185,7 +190,7 @@
       organisationId: request.organisationId,
       key: request.idempotencyKey,
       digest: digestOf(request.service, open.body),
-      claimantId: open.claimantId
+      claimantId: open.id
     }, Math.max(1, remainingMs))
     const decision = this.#decide(open, result)
     open.isClaimed = decision.kind === 'granted'
@@ -222,7 +227,7 @@
       kind: 'settle_claim',
       organisationId,
       key: idempotencyKey,
-      claimantId: open.claimantId,
+      claimantId: open.id,
       state,
       answer
     }, SETTLE_TIMEOUT_MS)
