Use free cells first and reclaim lent cells for overdue reservations

Small jobs bound their organisation's rack cell, 64-task gangs were reclaimed again and again, and a reserved rack was rarely empty.

An unbounded version of the overdue reclaim let two jobs displace each other for ever; a job now leaves for overdue ones three times at most.

Every rack that is compared is tried now, and the rack of the smallest cell that is not held, which always passes, is among them.

--- a/packages/placement/src/claim-search.ts
+++ b/packages/placement/src/claim-search.ts
@@ -1,9 +1,8 @@
 /** Search for cells of guarantees, and for lent cells that urgent jobs may take from others. */
 import type { CellPool } from './cells.js'
-import type { CellSlot, Fleet } from './fleet.js'
+import type { CellSlot, Fleet, VictimRule } from './fleet.js'
 import type { Binding, GuaranteeState } from './guarantees.js'
 import type { GangPlan, JobRecord } from './jobs.js'
-import { comparePriority } from './policies.js'
 import type { PlacementSettings } from './settings.js'
 import type { GangShape } from './shapes.js'
 
@@ -50,34 +49,37 @@
     return attempt === undefined ? undefined : guaranteedPlan(attempt)
   }
 
-  /** A plan on lent capacity of lower priorities. */
-  findUrgent (job: JobRecord, costOf: VictimCost): GangPlan | undefined {
+  /**
+   * A plan on lent capacity that other lent jobs leave.
+   *
+   * @param mayLeave which of them may be asked to
+   * @param reason why, for `explain`
+   */
+  findLent (shape: GangShape, mayLeave: VictimRule, costOf: VictimCost, reason: string): GangPlan | undefined {
     this.#costOf = costOf
-    for (const { pool, level } of job.shape.options) {
-      const slots = this.#urgentSlots(job, pool, level)
-      if (slots !== undefined) return lentPlan(slots)
+    for (const { pool, level } of shape.options) {
+      const slots = this.#lentSlots(shape, pool, level, mayLeave)
+      if (slots !== undefined) return lentPlan(slots, reason)
     }
     return undefined
   }
 
-  #urgentSlots (job: JobRecord, pool: CellPool, level: number): CellSlot[] | undefined {
-    const { tasks } = job.shape
+  #lentSlots (shape: GangShape, pool: CellPool, level: number, mayLeave: VictimRule): CellSlot[] | undefined {
     let best: CellSlot[] | undefined
     let collected: CellSlot[] = []
     let racks = 0
     for (const rackIndex of this.#fleet.used.racksByEmptiness(pool.index)) {
       if (racks++ >= this.#settings.candidateRacks && best !== undefined) break
-      const slots = this.#lentSlots(job, rackIndex, level)
-      if (job.shape.adjacency === 'none') collected = cheapest([...collected, ...slots], tasks)
-      const candidate = job.shape.adjacency === 'none' ? collected : this.#adjacentSlots(job.shape, slots)
-      if (candidate.length === tasks && totalCost(candidate) < totalCost(best)) best = candidate
+      const slots = this.#slotsInRack(rackIndex, level, mayLeave)
+      if (shape.adjacency === 'none') collected = cheapest([...collected, ...slots], shape.tasks)
+      const candidate = shape.adjacency === 'none' ? collected : this.#adjacentSlots(shape, slots)
+      if (candidate.length === shape.tasks && totalCost(candidate) < totalCost(best)) best = candidate
       if (totalCost(best) === 0) break
     }
     return best
   }
 
-  #lentSlots (job: JobRecord, rackIndex: number, level: number): CellSlot[] {
-    const mayLeave = (victim: JobRecord) => comparePriority(job.spec.priority, victim.spec.priority) < 0
+  #slotsInRack (rackIndex: number, level: number, mayLeave: VictimRule): CellSlot[] {
     return this.#fleet.tree.racks[rackIndex]!.rootCells.flatMap(root =>
       this.#fleet.slotsWithin(root, level, mayLeave, this.#costOf))
   }
@@ -152,6 +154,20 @@
         yield rackIndex
       }
     }
+    yield * this.#rackOfSmallestCell(pool, state)
+  }
+
+  /** The smallest cell that is not held always passes the reclaim check, so its rack must be among the candidates. */
+  * #rackOfSmallestCell (pool: CellPool, state: GuaranteeState): Generator<number> {
+    const { held, tree } = this.#fleet
+    let level = state.level
+    while (level < tree.levels && held.listedInPool(pool.index, level) === 0) level += 1
+    if (level === tree.levels) return
+    for (const rackIndex of held.racksByFullness(pool.index, 2 ** level)) {
+      if (held.listedInRack(rackIndex, level) === 0) continue
+      yield rackIndex
+      return
+    }
   }
 
   #attempt (shape: GangShape, states: readonly GuaranteeState[], domain: Domain): Attempt | undefined {
@@ -195,14 +211,20 @@
     return undefined
   }
 
+  /** Binds a free cell where the reclaim check allows one, else the cheapest cell that it allows. */
   #bindIn (state: GuaranteeState, domain: Domain): Binding | undefined {
     const racks = domain.rackIndex === undefined ? this.#racksForBinding(domain.pool, state) : [domain.rackIndex]
-    const candidates: Array<{ cell: number, cost: number }> = []
-    for (const rackIndex of racks) {
-      candidates.push(...this.#bindable(state, domain, rackIndex))
-      if (candidates.at(-1)?.cost === 0) break
+    const occupied: Array<{ cell: number, cost: number }> = []
+    for (const rackIndex of new Set(racks)) {
+      const candidates = this.#bindable(state, domain, rackIndex)
+      const binding = this.#bindFirst(state, candidates.filter(({ cost }) => cost === 0))
+      if (binding !== undefined) return binding
+      occupied.push(...candidates.filter(({ cost }) => cost > 0))
     }
-    candidates.sort((left, right) => left.cost - right.cost)
+    return this.#bindFirst(state, occupied.sort((left, right) => left.cost - right.cost))
+  }
+
+  #bindFirst (state: GuaranteeState, candidates: ReadonlyArray<{ cell: number }>): Binding | undefined {
     for (const { cell } of candidates) {
       const binding = this.#fleet.ledger.bind(state, cell)
       if (binding !== undefined) return binding
@@ -210,7 +232,7 @@
     return undefined
   }
 
-  /** Cells of one rack that a guarantee could be bound to, the cheapest last. */
+  /** Cells of one rack that a guarantee could be bound to, with the jobs that would have to leave. */
   #bindable (state: GuaranteeState, domain: Domain, rackIndex: number): Array<{ cell: number, cost: number }> {
     const { held, used } = this.#fleet
     const found: Array<{ cell: number, cost: number }> = []
@@ -221,7 +243,7 @@
         found.push({ cell, cost })
       }
     }
-    return found.sort((left, right) => right.cost - left.cost)
+    return found
   }
 
   #touches (cell: number, workerIndex: number): boolean {
@@ -258,12 +280,12 @@
   }
 }
 
-function lentPlan (slots: readonly CellSlot[]): GangPlan {
+function lentPlan (slots: readonly CellSlot[], reason: string): GangPlan {
   return {
     capacityClass: 'lent',
     cells: slots.map(slot => slot.cell),
     bindings: [],
     victims: victimsOf(slots),
-    reason: 'urgent job on lent capacity that lower priorities leave'
+    reason
   }
 }
--- a/packages/placement/src/scheduler.ts
+++ b/packages/placement/src/scheduler.ts
@@ -1,7 +1,7 @@
 /** The gang scheduler: which jobs start where, which leave lent capacity, and which are stopped. */
 import {
-  type Configuration, type Failure, type JobExplanation, type JobSpec, type Placement, type Rules, defaultRules,
-  emptyConfiguration, failure
+  type Configuration, type Failure, type JobExplanation, type JobPriority, type JobSpec, type Placement, type Rules,
+  defaultRules, emptyConfiguration, failure
 } from '@comfreygrade/core'
 import { ClaimSearch } from './claim-search.js'
 import type { FleetReport, PlacementDecision, ReclaimCheck } from './decisions.js'
@@ -25,6 +25,12 @@
 const OVERRUN_EXTENSION = 0.5
 const OVERRUN_EXTENSION_MIN_MS = 1_000
 
+/** Run time whose loss doubles the cost of stopping a job that cannot be checkpointed. */
+const LOST_WORK_UNIT_MS = 60_000
+/** Factors on the cost of asking a job to leave; jobs beyond their declared run time leave first. */
+const PRIORITY_COST: Readonly<Record<JobPriority, number>> = { urgent: 100, normal: 2, low: 1 }
+const OVERRUN_COST = 0.1
+
 /** Outcome of trying one waiting job. */
 type Trial = 'placed' | 'claimed' | 'no_fit' | 'over_quota' | 'stopped'
 
@@ -56,6 +62,8 @@
   readonly #reservations = new Map<string, Reservation>()
   /** First job that did not fit, by accelerator model; only where the policy does not backfill. */
   readonly #blocked = new Map<string, JobRecord>()
+  /** When a job that holds or held a reservation becomes overdue. */
+  readonly #dueMs = new WeakMap<JobRecord, number>()
   readonly #readyClaims = new Set<JobRecord>()
   /** Shapes that did not fit into free cells since capacity of their model was freed. */
   readonly #unfit = new Map<string, Set<string>>()
@@ -418,18 +426,35 @@
     return plan.victims.size === 0 ? 'placed' : 'claimed'
   }
 
+  /** Free cells go first, so that guaranteed cells are bound and lent jobs reclaimed only where nothing is free. */
   #findPlan (job: JobRecord, room: number): GangPlan | undefined {
-    const costOf = (victim: JobRecord) => this.#victimCost(victim)
-    if (this.#policy.usesGuarantees()) {
-      const guaranteed = this.#claimSearch.findGuaranteed(job, costOf)
-      if (guaranteed !== undefined) return guaranteed
-    }
-    const free = this.#findFree(job, room)
-    if (free !== undefined) return free
-    if (job.spec.priority !== 'urgent' || !this.#policy.reclaimsForUrgent()) return undefined
-    const urgent = this.#claimSearch.findUrgent(job, costOf)
-    if (urgent === undefined || this.#acceleratorsOf(urgent.cells) > room) return undefined
-    return this.#mayHold(job, urgent.cells) ? urgent : undefined
+    return this.#findFree(job, room) ?? this.#findGuaranteed(job) ?? this.#findReclaimed(job, room)
+  }
+
+  #findGuaranteed (job: JobRecord): GangPlan | undefined {
+    if (!this.#policy.usesGuarantees()) return undefined
+    return this.#claimSearch.findGuaranteed(job, victim => this.#victimCost(victim))
+  }
+
+  /** Lent cells that others leave: for urgent jobs, and for a job whose reserved start is overdue. */
+  #findReclaimed (job: JobRecord, room: number): GangPlan | undefined {
+    const isUrgent = job.spec.priority === 'urgent' && this.#policy.reclaimsForUrgent()
+    const isOverdue = this.#policy.reclaimsForOverdue() && this.#nowMs >= (this.#dueMs.get(job) ?? Infinity)
+    if (!isUrgent && !isOverdue) return undefined
+    const mayLeave = (victim: JobRecord) =>
+      (isUrgent && comparePriority(job.spec.priority, victim.spec.priority) < 0) ||
+      (isOverdue && this.#mayLeaveForOverdue(job, victim))
+    const reason = isUrgent ? 'that lower priorities leave to an urgent job' : 'that others leave to an overdue job'
+    const plan = this.#claimSearch.findLent(job.shape, mayLeave, victim => this.#victimCost(victim), reason)
+    if (plan === undefined || this.#acceleratorsOf(plan.cells) > room) return undefined
+    return this.#mayHold(job, plan.cells) ? plan : undefined
+  }
+
+  /** The bound on reclaims keeps two overdue jobs from displacing each other for ever. */
+  #mayLeaveForOverdue (job: JobRecord, victim: JobRecord): boolean {
+    const losesLittle = victim.spec.preemption === 'checkpoint' || this.#isOverrun(victim)
+    const isBounded = victim.reclaims < this.#settings.maxOverdueReclaims
+    return losesLittle && isBounded && comparePriority(job.spec.priority, victim.spec.priority) <= 0
   }
 
   #findFree (job: JobRecord, room: number): GangPlan | undefined {
@@ -501,6 +526,7 @@
   }
 
   #place (job: JobRecord, plan: GangPlan): void {
+    this.#dueMs.delete(job)
     this.#fleet.occupy(job, plan)
     job.state = 'placed'
     job.startedMs = this.#nowMs
@@ -521,6 +547,7 @@
 
   #askToLeave (victim: JobRecord, claimant: JobRecord, plan: GangPlan): void {
     victim.isReclaiming = true
+    victim.reclaims += 1
     this.#decisions.push({
       kind: 'reclaim',
       jobId: victim.spec.jobId,
@@ -615,9 +642,15 @@
 
   #victimCost (victim: JobRecord): number {
     if (victim.isReclaiming || victim.isLeaving) return 0
-    const isOverrun = this.#nowMs - victim.startedMs > victim.spec.declaredRunMs
-    const weight = victim.spec.priority === 'urgent' ? 100 : victim.spec.priority === 'normal' ? 2 : 1
-    return 1 + victim.heldAccelerators * weight * (isOverrun ? 0.1 : 1)
+    const { priority, preemption } = victim.spec
+    const lostMs = preemption === 'checkpoint' ? 0 : this.#nowMs - victim.startedMs
+    const lostWork = 1 + lostMs / LOST_WORK_UNIT_MS
+    const overrun = this.#isOverrun(victim) ? OVERRUN_COST : 1
+    return 1 + victim.heldAccelerators * PRIORITY_COST[priority] * lostWork * overrun * (1 + victim.reclaims)
+  }
+
+  #isOverrun (job: JobRecord): boolean {
+    return this.#nowMs - job.startedMs > job.spec.declaredRunMs
   }
 
   // Reservations
@@ -655,6 +688,9 @@
   #keepReservation (model: string, reservation: Reservation): void {
     for (const cell of reservation.cells) this.#fleet.used.mark(cell)
     this.#reservations.set(model, reservation)
+    if (this.#dueMs.has(reservation.job)) return
+    const latestMs = this.#nowMs + this.#settings.overdueAfterMs
+    this.#dueMs.set(reservation.job, Math.min(reservation.startMs, latestMs))
   }
 
   #unmarkReservation (model: string): void {
--- a/packages/placement/src/settings.ts
+++ b/packages/placement/src/settings.ts
@@ -20,6 +20,10 @@
   readonly runTimeQuantile: number
   /** Shortest time between two calculations of the same start-time reservation, in milliseconds. */
   readonly reservationRefreshMs: number
+  /** Longest time that a reservation is held before lent jobs are asked to leave for it, in milliseconds. */
+  readonly overdueAfterMs: number
+  /** Times that a job was asked to leave after which it does not have to for an overdue job. */
+  readonly maxOverdueReclaims: number
   /** Racks that are compared when cells have to be reclaimed or reserved; bounds the cost of one decision. */
   readonly candidateRacks: number
   /** Refused and stopped jobs whose reason `explain` still knows. */
@@ -37,6 +41,8 @@
   runHistoryMin: 3,
   runTimeQuantile: 0.75,
   reservationRefreshMs: 10_000,
+  overdueAfterMs: 1_800_000,
+  maxOverdueReclaims: 3,
   candidateRacks: 32,
   explainHistoryLength: 1_000
 }
