Bound the time of a pass with a deep queue

Ruled out: coarser groups, as jobs of 830 teams hardly share shapes.

A blocked accelerator model under the baseline would have hidden the other models of its queue; a test guards against that.

Conclusion: a deep queue costs a bounded pass; jobs beyond the limit are tried by the passes that follow.

--- a/packages/placement/src/scheduler.ts
+++ b/packages/placement/src/scheduler.ts
@@ -18,7 +18,7 @@
 import { RunTimeHistory } from './run-times.js'
 import type { PlacementSettings } from './settings.js'
 import { type GangShape, ShapeTable } from './shapes.js'
-import { Heap, type WaitingGroup, WaitingJobs } from './waiting-jobs.js'
+import { Heap, type WaitingGroup, WaitingJobs, type WaitingQueue } from './waiting-jobs.js'
 import { WorkerHealth } from './worker-health.js'
 
 /** A job that runs longer than its estimate is expected to need this share of its time so far once more. */
@@ -80,6 +80,7 @@
   #forecaster!: StartForecaster
   #decisions: PlacementDecision[] = []
   #nextSequence = 1
+  #failedTrials = 0
   #nowMs = 0
 
   /**
@@ -364,8 +365,12 @@
       const isDue = this.#nowMs - calculatedMs >= this.#settings.reservationRefreshMs
       if (isDue || freedModels.has(model)) queue.push(this.#entryOf(job))
     }
-    for (const group of this.#waiting.open) queue.push(this.#entryOf(group.first!))
-    for (let entry = queue.pop(); entry !== undefined; entry = queue.pop()) this.#serveEntry(queue, entry)
+    for (const waiting of this.#waiting.queues) this.#serveNext(queue, waiting)
+    this.#failedTrials = 0
+    for (let entry = queue.pop(); entry !== undefined; entry = queue.pop()) {
+      if (this.#failedTrials >= this.#settings.maxFailedTrials) break
+      this.#serveEntry(queue, entry)
+    }
   }
 
   #entryOf (job: JobRecord): QueueEntry {
@@ -375,23 +380,35 @@
   /** The share of an organisation grows while its jobs are placed, so an entry may have to go back. */
   #serveEntry (queue: Heap<QueueEntry>, { group, job, head }: QueueEntry): void {
     if (job.group !== group) {
-      this.#serveNext(queue, group)
+      this.#serveNext(queue, group.queue)
       return
     }
     const current = this.#headOf(job)
     if (this.#policy.compareWaiting(current, head) > 0) queue.push({ group, job, head: current })
-    else if (!this.#isBlocked(job, current)) this.#serveJob(queue, group, job)
+    else if (this.#isBlocked(job, current)) this.#skip(queue, group)
+    else this.#serveJob(queue, group, job)
+  }
+
+  /** The groups of a blocked model open again when its capacity is freed, as the block ends then. */
+  #skip (queue: Heap<QueueEntry>, group: WaitingGroup): void {
+    this.#waiting.close(group)
+    this.#serveNext(queue, group.queue)
   }
 
   #serveJob (queue: Heap<QueueEntry>, group: WaitingGroup, job: JobRecord): void {
+    const isFirst = group.first === job
     const trial = this.#holdsReservation(job) ? this.#tryHolder(job) : this.#try(job)
     if (trial === 'no_fit') this.#notFit(job)
-    if (trial === 'placed' || trial === 'claimed' || trial === 'stopped') this.#serveNext(queue, group)
-    else if (group.first === job) this.#waiting.close(group)
+    if (trial === 'no_fit' || trial === 'over_quota') {
+      this.#failedTrials += 1
+      if (isFirst) this.#waiting.close(group)
+    }
+    this.#serveNext(queue, group.queue)
   }
 
-  #serveNext (queue: Heap<QueueEntry>, group: WaitingGroup): void {
-    if (group.first !== undefined) queue.push(this.#entryOf(group.first))
+  #serveNext (queue: Heap<QueueEntry>, waiting: WaitingQueue): void {
+    const group = waiting.firstOpen()
+    if (group !== undefined) queue.push(this.#entryOf(group.first!))
   }
 
   #isBlocked (job: JobRecord, head: WaitingHead): boolean {
--- a/packages/placement/src/settings.ts
+++ b/packages/placement/src/settings.ts
@@ -24,6 +24,8 @@
   readonly overdueAfterMs: number
   /** Times that a job was asked to leave after which it does not have to for an overdue job. */
   readonly maxOverdueReclaims: number
+  /** Groups of waiting jobs that are tried in vain before a pass ends; bounds the time of a pass with a deep queue. */
+  readonly maxFailedTrials: number
   /** Racks that are compared when cells have to be reclaimed or reserved; bounds the cost of one decision. */
   readonly candidateRacks: number
   /** Refused and stopped jobs whose reason `explain` still knows. */
@@ -43,6 +45,7 @@
   reservationRefreshMs: 10_000,
   overdueAfterMs: 1_800_000,
   maxOverdueReclaims: 3,
+  maxFailedTrials: 256,
   candidateRacks: 32,
   explainHistoryLength: 1_000
 }
--- a/packages/placement/src/waiting-jobs.ts
+++ b/packages/placement/src/waiting-jobs.ts
@@ -1,21 +1,45 @@
 /** Waiting jobs, grouped by what decides whether they fit. */
-import type { JobPriority, JobSpec } from '@comfreygrade/core'
+import type { JobSpec } from '@comfreygrade/core'
 import type { JobRecord } from './jobs.js'
 
+/** When capacity was freed last, in the counting of {@link WaitingJobs}. */
+interface CapacityChange { at: number }
+
+/** Groups of one organisation and priority; the job that was submitted first goes first. */
+export class WaitingQueue {
+  readonly groups = new Set<WaitingGroup>()
+
+  /** The open group whose first job is the oldest; costs one step for each group. */
+  firstOpen (): WaitingGroup | undefined {
+    let oldest: WaitingGroup | undefined
+    let oldestSequence = Infinity
+    for (const group of this.groups) {
+      const { sequence } = group.first!
+      if (sequence >= oldestSequence || !group.isOpen) continue
+      oldest = group
+      oldestSequence = sequence
+    }
+    return oldest
+  }
+}
+
 /** Jobs that fit or do not fit together; a linked list, so that cancelling costs the same wherever a job stands. */
 export class WaitingGroup {
   readonly key: string
-  readonly priority: JobPriority
-  readonly organisationId: string
-  readonly acceleratorModel: string
+  readonly queue: WaitingQueue
+  readonly #modelChange: CapacityChange
+  readonly #organisationChange: CapacityChange
   #first: JobRecord | undefined
   #last: JobRecord | undefined
+  #closedAt = -1
 
-  constructor (key: string, spec: JobSpec) {
+  constructor (
+    key: string, queue: WaitingQueue, modelChange: CapacityChange, organisationChange: CapacityChange
+  ) {
     this.key = key
-    this.priority = spec.priority
-    this.organisationId = spec.organisationId
-    this.acceleratorModel = spec.acceleratorModel
+    this.queue = queue
+    this.#modelChange = modelChange
+    this.#organisationChange = organisationChange
   }
 
   /** The job that is tried next. */
@@ -23,6 +47,21 @@
     return this.#first
   }
 
+  /** Whether the first job may fit: it was not tried since capacity for it was freed. */
+  get isOpen (): boolean {
+    return this.#closedAt < this.#modelChange.at || this.#closedAt < this.#organisationChange.at
+  }
+
+  /** Notes that the first job did not fit, until capacity is freed after `time`. */
+  close (time: number): void {
+    this.#closedAt = time
+  }
+
+  /** Lets the first job be tried again. */
+  open (): void {
+    this.#closedAt = -1
+  }
+
   /** Inserts a job by its order of submission; a new job, or one older than all, costs one step. */
   insert (job: JobRecord): void {
     const isOldest = this.#first !== undefined && job.sequence < this.#first.sequence
@@ -52,7 +91,9 @@
 /** All waiting jobs. A group is open while its first job may fit; it is closed until capacity is freed. */
 export class WaitingJobs {
   readonly #groups = new Map<string, WaitingGroup>()
-  readonly #open = new Set<WaitingGroup>()
+  readonly #queues = new Map<string, WaitingQueue>()
+  readonly #changes = new Map<string, CapacityChange>()
+  #time = 0
   #size = 0
 
   /** Number of waiting jobs. */
@@ -60,26 +101,17 @@
     return this.#size
   }
 
-  /** Groups with jobs that may fit. */
-  get open (): Iterable<WaitingGroup> {
-    return this.#open
-  }
-
-  /** All groups with jobs. */
-  get groups (): Iterable<WaitingGroup> {
-    return this.#groups.values()
+  /** Queues by organisation and priority that have jobs. */
+  get queues (): Iterable<WaitingQueue> {
+    return this.#queues.values()
   }
 
-  /** Adds a job and opens its group where it is new or the job became its first. */
+  /** Adds a job and opens its group where the job became its first. */
   add (job: JobRecord): void {
     const key = groupKey(job)
-    let group = this.#groups.get(key)
-    if (group === undefined) {
-      group = new WaitingGroup(key, job.spec)
-      this.#groups.set(key, group)
-    }
+    const group = this.#groups.get(key) ?? this.#createGroup(key, job.spec)
     group.insert(job)
-    if (group.first === job) this.#open.add(group)
+    if (group.first === job) group.open()
     this.#size += 1
   }
 
@@ -91,20 +123,53 @@
     this.#size -= 1
     if (group.first !== undefined) return
     this.#groups.delete(group.key)
-    this.#open.delete(group)
+    group.queue.groups.delete(group)
+    if (group.queue.groups.size === 0) this.#queues.delete(queueKey(job.spec))
   }
 
   /** Closes a group whose first job did not fit. */
   close (group: WaitingGroup): void {
-    this.#open.delete(group)
+    group.close(this.#time)
   }
 
   /** Opens the groups of the given accelerator models and organisations. */
-  reopen (models: ReadonlySet<string>, organisationIds: ReadonlySet<string>): void {
-    for (const group of this.#groups.values()) {
-      if (models.has(group.acceleratorModel) || organisationIds.has(group.organisationId)) this.#open.add(group)
+  reopen (models: Iterable<string>, organisationIds: Iterable<string>): void {
+    this.#time += 1
+    for (const model of models) this.#changeOf(`model ${model}`).at = this.#time
+    for (const organisationId of organisationIds) this.#changeOf(`organisation ${organisationId}`).at = this.#time
+  }
+
+  #createGroup (key: string, spec: JobSpec): WaitingGroup {
+    const queue = this.#queueOf(spec)
+    const modelChange = this.#changeOf(`model ${spec.acceleratorModel}`)
+    const group = new WaitingGroup(key, queue, modelChange, this.#changeOf(`organisation ${spec.organisationId}`))
+    this.#groups.set(key, group)
+    queue.groups.add(group)
+    return group
+  }
+
+  #queueOf (spec: JobSpec): WaitingQueue {
+    const key = queueKey(spec)
+    let queue = this.#queues.get(key)
+    if (queue === undefined) {
+      queue = new WaitingQueue()
+      this.#queues.set(key, queue)
     }
+    return queue
   }
+
+  #changeOf (name: string): CapacityChange {
+    let change = this.#changes.get(name)
+    if (change === undefined) {
+      change = { at: 0 }
+      this.#changes.set(name, change)
+    }
+    return change
+  }
+}
+
+function queueKey (spec: JobSpec): string {
+  return `${spec.priority}|${spec.organisationId}`
 }
 
 function groupKey (job: JobRecord): string {
--- a/packages/placement/test/scheduler.test.ts
+++ b/packages/placement/test/scheduler.test.ts
@@ -188,6 +188,14 @@
   t.deepEqual(ids(scheduler.pass(10), 'place'), ['large'])
 })
 
+test('with the baseline a blocked accelerator model does not hold up another one', t => {
+  const base = testConfiguration(oneRack)
+  const other = { ...base.workers.get('r0w0')!, workerId: 'other', rackId: 'r1', acceleratorModel: 'tpu' }
+  const scheduler = start({ ...base, workers: new Map([...base.workers, ['other', other]]) }, new FirstFitPolicy())
+  submitAll(scheduler, [job('a'), job('b', { tasks: 4 }), job('c'), job('d', { acceleratorModel: 'tpu' })])
+  t.deepEqual(ids(scheduler.pass(0), 'place'), ['a', 'd'])
+})
+
 test('run times learned by class replace wrong declarations in backfilling', t => {
   const scheduler = start(testConfiguration(oneRack))
   for (let run = 0; run < 3; run++) {
@@ -245,6 +253,18 @@
   t.is(scheduler.explain('bad1', 9).state, 'refused')
 })
 
+test('a pass that ends after its limit of vain trials leaves the other jobs to later passes', t => {
+  const scheduler = new GangScheduler({ ...defaultPlacementSettings, maxFailedTrials: 1 }, new BuddyCellPolicy())
+  scheduler.applyConfiguration(testConfiguration(oneRack))
+  for (const workerId of ['r0w0', 'r0w1', 'r0w2', 'r0w3']) scheduler.workerJoined(workerId, 0)
+  submitAll(scheduler, [job('long', { tasks: 3 })])
+  scheduler.pass(0)
+  submitAll(scheduler, [job('large4', { tasks: 4 }), job('large2', { tasks: 2 }), job('small', { declaredRunMs: 1 })])
+  const placed: string[] = []
+  for (let pass = 1; pass <= 3; pass++) placed.push(...ids(scheduler.pass(pass), 'place'))
+  t.deepEqual(placed, ['small'])
+})
+
 test('a drained worker gets nothing new and comes back when the drain ends', t => {
   const scheduler = start(testConfiguration([{ workers: 1, accelerators: 8 }]))
   scheduler.drainWorker('r0w0')
