--- a/packages/bench/src/placement-load.ts
+++ b/packages/bench/src/placement-load.ts
@@ -144,7 +144,7 @@
   cancelWaves (): CancelWave[] {
     const waves: CancelWave[] = []
     const gapMs = 24 * HOUR_MS / CANCEL_WAVES_PER_DAY
-    for (let atMs = this.#exponential(gapMs); atMs < this.#settings.durationMs; atMs += this.#exponential(gapMs)) {
+    for (let atMs = this.#exponentialMs(gapMs); atMs < this.#settings.durationMs; atMs += this.#exponentialMs(gapMs)) {
       const organisationId = this.#weighted(ORGANISATION_WEIGHTS)
       waves.push({ atMs, organisationId, share: 0.1 + 0.3 * this.#random.nextFloat() })
     }
@@ -163,11 +163,11 @@
 
   #troublesOf (kind: WorkerTrouble['kind'], workerId: string, gapMs: number, lengthMs: number): WorkerTrouble[] {
     const troubles: WorkerTrouble[] = []
-    let fromMs = this.#exponential(gapMs)
+    let fromMs = this.#exponentialMs(gapMs)
     while (fromMs < this.#settings.durationMs) {
-      const untilMs = fromMs + this.#exponential(lengthMs)
+      const untilMs = fromMs + this.#exponentialMs(lengthMs)
       troubles.push({ kind, workerId, fromMs, untilMs })
-      fromMs = untilMs + this.#exponential(gapMs)
+      fromMs = untilMs + this.#exponentialMs(gapMs)
     }
     return troubles
   }
@@ -188,10 +188,10 @@
 
   #burst (loadClass: LoadClass): LoadJob[] {
     const organisationId = this.#weighted(ORGANISATION_WEIGHTS)
-    const startMs = this.#random.nextFloat() * this.#settings.durationMs
+    const startMs = this.#random.nextInt(0, this.#settings.durationMs)
     const size = 1 + Math.floor(this.#exponential(BURST_SIZE_MEAN[loadClass] - 1))
     return Array.from({ length: size }, () =>
-      this.#job(loadClass, organisationId, startMs + this.#exponential(MINUTE_MS)))
+      this.#job(loadClass, organisationId, startMs + this.#exponentialMs(MINUTE_MS)))
   }
 
   #job (loadClass: LoadClass, organisationId: string, submitMs: number): LoadJob {
@@ -245,6 +245,11 @@
     return Math.max(10_000, Math.round(usualMs * factor))
   }
 
+  /** Whole milliseconds, so that sums and differences of times are exact. */
+  #exponentialMs (meanMs: number): number {
+    return Math.round(this.#exponential(meanMs))
+  }
+
   #exponential (mean: number): number {
     return -Math.log(1 - this.#random.nextFloat()) * mean
   }
