Split the search for plans and the reservations from the scheduler

Ruled out: splitting the queue from it as well, as trying a job changes both.

Conclusion: PlanFinder and ReservationBook stand alone.

--- a/packages/placement/src/fleet.ts
+++ b/packages/placement/src/fleet.ts
@@ -46,6 +46,11 @@
     return this.tree.workers.reduce((sum, worker) => sum + worker.accelerators, 0)
   }
 
+  /** Accelerators of some cells. */
+  acceleratorsOf (cells: readonly number[]): number {
+    return cells.reduce((sum, cell) => sum + 2 ** this.tree.level[cell]!, 0)
+  }
+
   /** Makes a worker's cells usable or not. */
   setAvailable (workerId: string, isAvailable: boolean): void {
     const index = this.tree.workerIndex(workerId)
--- a/packages/placement/src/scheduler.ts
+++ b/packages/placement/src/scheduler.ts
@@ -1,20 +1,20 @@
 /** The gang scheduler: which jobs start where, which leave lent capacity, and which are stopped. */
 import {
-  type Configuration, type Failure, type JobExplanation, type JobPriority, type JobSpec, type Placement, type Rules,
+  type Configuration, type Failure, type JobExplanation, type JobSpec, type Placement, type Rules,
   defaultRules, emptyConfiguration, failure
 } from '@comfreygrade/core'
-import { ClaimSearch } from './claim-search.js'
 import type { FleetReport, PlacementDecision, ReclaimCheck } from './decisions.js'
 import { ExplanationWriter, type ExplainedState } from './explanations.js'
 import { Fleet } from './fleet.js'
 import { buildFleetReport } from './fleet-report.js'
-import { FreeSearch } from './free-search.js'
 import { type GangPlan, type JobRecord, createRecord, isReclaimable } from './jobs.js'
 import { OrganisationShares } from './organisations.js'
 import { planOf, placementOf } from './placements.js'
+import { PlanFinder } from './plan-finder.js'
 import { type PlacementPolicy, type WaitingHead, comparePriority } from './policies.js'
 import { validateGuarantees } from './reclaim-check.js'
-import { type Reservation, StartForecaster } from './reservations.js'
+import { ReservationBook } from './reservation-book.js'
+import { StartForecaster } from './reservations.js'
 import { RunTimeHistory } from './run-times.js'
 import type { PlacementSettings } from './settings.js'
 import { type GangShape, ShapeTable } from './shapes.js'
@@ -25,12 +25,6 @@
 const OVERRUN_EXTENSION = 0.5
 const OVERRUN_EXTENSION_MIN_MS = 1_000
 
-/** Run time whose loss doubles the cost of stopping a job that cannot be checkpointed. */
-const LOST_WORK_UNIT_MS = 60_000
-/** Factors on the cost of asking a job to leave; jobs beyond their declared run time leave first. */
-const PRIORITY_COST: Readonly<Record<JobPriority, number>> = { urgent: 100, normal: 2, low: 1 }
-const OVERRUN_COST = 0.1
-
 /** Outcome of trying one waiting job. */
 type Trial = 'placed' | 'claimed' | 'no_fit' | 'over_quota' | 'stopped'
 
@@ -59,14 +53,9 @@
   readonly #jobs = new Map<string, JobRecord>()
   readonly #joined = new Set<string>()
   readonly #draining = new Set<string>()
-  readonly #reservations = new Map<string, Reservation>()
   /** First job that did not fit, by accelerator model; only where the policy does not backfill. */
   readonly #blocked = new Map<string, JobRecord>()
-  /** When a job that holds or held a reservation becomes overdue. */
-  readonly #dueMs = new WeakMap<JobRecord, number>()
   readonly #readyClaims = new Set<JobRecord>()
-  /** Shapes that did not fit into free cells since capacity of their model was freed. */
-  readonly #unfit = new Map<string, Set<string>>()
   readonly #freedModels = new Set<string>()
   readonly #freedOrganisationIds = new Set<string>()
   readonly #refused = new Map<string, Failure>()
@@ -75,8 +64,8 @@
   #waiting = new WaitingJobs()
   #fleet!: Fleet
   #shapes!: ShapeTable
-  #freeSearch!: FreeSearch
-  #claimSearch!: ClaimSearch
+  #reservations!: ReservationBook
+  #planFinder!: PlanFinder
   #forecaster!: StartForecaster
   #decisions: PlacementDecision[] = []
   #nextSequence = 1
@@ -241,7 +230,7 @@
 
   /** State of the fleet for operators. */
   report (): FleetReport {
-    return this.#withoutReservations(() => buildFleetReport({
+    return this.#reservations.without(() => buildFleetReport({
       fleet: this.#fleet,
       jobs: [...this.#jobs.values()],
       waitingJobs: this.#waiting.size,
@@ -287,17 +276,16 @@
   #buildIndex (): void {
     this.#fleet = new Fleet(this.#configuration)
     this.#shapes = new ShapeTable(this.#fleet.tree)
-    this.#freeSearch = new FreeSearch(this.#fleet, this.#policy)
-    this.#claimSearch = new ClaimSearch(this.#fleet, this.#settings)
+    this.#reservations = new ReservationBook(this.#fleet, this.#settings.overdueAfterMs)
+    this.#planFinder = new PlanFinder(this.#fleet, this.#settings, this.#policy, this.#reservations,
+      spec => this.#estimateRunMs(spec))
     this.#forecaster = new StartForecaster(this.#fleet, this.#settings, job => this.#estimatedEndMs(job))
     for (const { workerId } of this.#fleet.tree.workers) this.#fleet.setAvailable(workerId, this.#isUsable(workerId))
   }
 
   #rebuildIndex (): void {
     for (const job of this.#jobs.values()) if (job.state === 'claiming') this.#dropClaim(job)
-    this.#reservations.clear()
     this.#blocked.clear()
-    this.#unfit.clear()
     this.#buildIndex()
     this.#waiting = new WaitingJobs()
     for (const job of this.#jobs.values()) {
@@ -345,7 +333,7 @@
   #reopen (freedModels: ReadonlySet<string>): void {
     if (freedModels.size === 0 && this.#freedOrganisationIds.size === 0) return
     for (const model of freedModels) {
-      this.#unfit.delete(model)
+      this.#planFinder.freed(model)
       this.#blocked.delete(model)
     }
     this.#waiting.reopen(freedModels, this.#freedOrganisationIds)
@@ -355,13 +343,13 @@
   /** The holder of a reservation goes before its priority, so that new jobs of other organisations do not starve it. */
   #headOf (job: JobRecord): WaitingHead {
     const { priority, organisationId } = job.spec
-    const share = this.#holdsReservation(job) ? -Infinity : this.#shares.share(organisationId, this.#nowMs)
+    const share = this.#reservations.isHolder(job) ? -Infinity : this.#shares.share(organisationId, this.#nowMs)
     return { priority, sequence: job.sequence, share }
   }
 
   #serveQueue (freedModels: ReadonlySet<string>): void {
     const queue = new Heap<QueueEntry>((left, right) => this.#policy.compareWaiting(left.head, right.head))
-    for (const [model, { job, calculatedMs }] of this.#reservations) {
+    for (const [model, { job, calculatedMs }] of this.#reservations.all) {
       const isDue = this.#nowMs - calculatedMs >= this.#settings.reservationRefreshMs
       if (isDue || freedModels.has(model)) queue.push(this.#entryOf(job))
     }
@@ -397,7 +385,7 @@
 
   #serveJob (queue: Heap<QueueEntry>, group: WaitingGroup, job: JobRecord): void {
     const isFirst = group.first === job
-    const trial = this.#holdsReservation(job) ? this.#tryHolder(job) : this.#try(job)
+    const trial = this.#reservations.isHolder(job) ? this.#tryHolder(job) : this.#try(job)
     if (trial === 'no_fit') this.#notFit(job)
     if (trial === 'no_fit' || trial === 'over_quota') {
       this.#failedTrials += 1
@@ -422,7 +410,7 @@
       this.#blocked.set(model, job)
       return
     }
-    const holder = this.#reservations.get(model)?.job
+    const holder = this.#reservations.of(model)?.job
     if (holder === job) return
     if (holder !== undefined && comparePriority(job.spec.priority, holder.spec.priority) >= 0) return
     this.#dropReservation(model)
@@ -436,114 +424,27 @@
     const room = this.#shares.quota(organisationId) - this.#shares.inUse(organisationId)
     if (job.shape.accelerators > room) return 'over_quota'
     const plan = job.failedWorkerIds.size === 0
-      ? this.#findPlan(job, room)
-      : this.#fleet.without(job.failedWorkerIds, () => this.#findPlan(job, room))
+      ? this.#planFinder.find(job, room, this.#nowMs)
+      : this.#fleet.without(job.failedWorkerIds, () => this.#planFinder.find(job, room, this.#nowMs))
     if (plan === undefined) return this.#stopWhereNoWorkerIsLeft(job) ? 'stopped' : 'no_fit'
     this.#carryOut(job, plan)
     return plan.victims.size === 0 ? 'placed' : 'claimed'
   }
 
-  /** Free cells go first, so that guaranteed cells are bound and lent jobs reclaimed only where nothing is free. */
-  #findPlan (job: JobRecord, room: number): GangPlan | undefined {
-    return this.#findFree(job, room) ?? this.#findGuaranteed(job) ?? this.#findReclaimed(job, room)
-  }
-
-  #findGuaranteed (job: JobRecord): GangPlan | undefined {
-    if (!this.#policy.usesGuarantees()) return undefined
-    return this.#claimSearch.findGuaranteed(job, victim => this.#victimCost(victim))
-  }
-
-  /** Lent cells that others leave: for urgent jobs, and for a job whose reserved start is overdue. */
-  #findReclaimed (job: JobRecord, room: number): GangPlan | undefined {
-    const isUrgent = job.spec.priority === 'urgent' && this.#policy.reclaimsForUrgent()
-    const isOverdue = this.#policy.reclaimsForOverdue() && this.#nowMs >= (this.#dueMs.get(job) ?? Infinity)
-    if (!isUrgent && !isOverdue) return undefined
-    const mayLeave = (victim: JobRecord) =>
-      (isUrgent && comparePriority(job.spec.priority, victim.spec.priority) < 0) ||
-      (isOverdue && this.#mayLeaveForOverdue(job, victim))
-    const reason = isUrgent ? 'that lower priorities leave to an urgent job' : 'that others leave to an overdue job'
-    const plan = this.#claimSearch.findLent(job.shape, mayLeave, victim => this.#victimCost(victim), reason)
-    if (plan === undefined || this.#acceleratorsOf(plan.cells) > room) return undefined
-    return this.#mayHold(job, plan.cells) ? plan : undefined
-  }
-
-  /** The bound on reclaims keeps two overdue jobs from displacing each other for ever. */
-  #mayLeaveForOverdue (job: JobRecord, victim: JobRecord): boolean {
-    const losesLittle = victim.spec.preemption === 'checkpoint' || this.#isOverrun(victim)
-    const isBounded = victim.reclaims < this.#settings.maxOverdueReclaims
-    return losesLittle && isBounded && comparePriority(job.spec.priority, victim.spec.priority) <= 0
-  }
-
-  #findFree (job: JobRecord, room: number): GangPlan | undefined {
-    const { spec, shape } = job
-    const isShort = this.#endsBeforeReservation(job)
-    const key = `${shape.key}|${isReclaimable(spec)}|${isShort}`
-    const unfit = this.#unfitShapes(spec.acceleratorModel)
-    if (job.failedWorkerIds.size === 0 && unfit.has(key)) return undefined
-    const cells = this.#freeCells(job) ?? (isShort ? this.#freeCellsUnderReservation(job) : undefined)
-    if (cells === undefined) {
-      if (job.failedWorkerIds.size === 0) unfit.add(key)
-      return undefined
-    }
-    if (this.#acceleratorsOf(cells) > room) return undefined
-    const reason = isReclaimable(spec)
-      ? 'free cells, lent until a guarantee needs them'
-      : 'free cells that no guarantee needs'
-    return { capacityClass: 'lent', cells, bindings: [], victims: new Set(), reason }
-  }
-
-  #freeCells (job: JobRecord): number[] | undefined {
-    if (!this.#policy.usesGuarantees() || isReclaimable(job.spec)) return this.#freeSearch.find(job.shape)
-    const cells = this.#freeSearch.find(job.shape, cell => this.#fleet.held.isFree(cell))
-    return cells !== undefined && this.#mayHold(job, cells) ? cells : undefined
-  }
-
-  /** A job that is never reclaimed may only hold what no guarantee needs. */
-  #mayHold (job: JobRecord, cells: readonly number[]): boolean {
-    return isReclaimable(job.spec) || !this.#policy.usesGuarantees() || this.#fleet.ledger.canHold(cells)
-  }
-
-  #freeCellsUnderReservation (job: JobRecord): number[] | undefined {
-    const reservation = this.#reservations.get(job.spec.acceleratorModel)!
-    for (const cell of reservation.cells) this.#fleet.used.unmark(cell)
-    const cells = this.#freeCells(job)
-    for (const cell of reservation.cells) this.#fleet.used.mark(cell)
-    return cells
-  }
-
-  #endsBeforeReservation (job: JobRecord): boolean {
-    const reservation = this.#reservations.get(job.spec.acceleratorModel)
-    if (reservation === undefined || reservation.job === job) return false
-    return this.#nowMs + this.#estimateRunMs(job.spec) <= reservation.startMs
-  }
-
-  #unfitShapes (model: string): Set<string> {
-    let shapes = this.#unfit.get(model)
-    if (shapes === undefined) {
-      shapes = new Set()
-      this.#unfit.set(model, shapes)
-    }
-    return shapes
-  }
-
-  #acceleratorsOf (cells: readonly number[]): number {
-    return cells.reduce((sum, cell) => sum + 2 ** this.#fleet.tree.level[cell]!, 0)
-  }
-
   // Decisions
 
   #carryOut (job: JobRecord, plan: GangPlan): void {
     this.#waiting.remove(job)
-    if (this.#holdsReservation(job)) this.#dropReservation(job.spec.acceleratorModel)
+    if (this.#reservations.isHolder(job)) this.#dropReservation(job.spec.acceleratorModel)
     job.plan = plan
-    job.heldAccelerators = this.#acceleratorsOf(plan.cells)
+    job.heldAccelerators = this.#fleet.acceleratorsOf(plan.cells)
     this.#shares.change(job.spec.organisationId, job.heldAccelerators, this.#nowMs)
     if (plan.victims.size === 0) this.#place(job, plan)
     else this.#claim(job, plan)
   }
 
   #place (job: JobRecord, plan: GangPlan): void {
-    this.#dueMs.delete(job)
+    this.#reservations.started(job)
     this.#fleet.occupy(job, plan)
     job.state = 'placed'
     job.startedMs = this.#nowMs
@@ -570,7 +471,7 @@
       jobId: victim.spec.jobId,
       method: victim.spec.preemption === 'checkpoint' ? 'checkpoint' : 'stop',
       forJobId: claimant.spec.jobId,
-      reason: `job ${claimant.spec.jobId} needs the capacity ${plan.reason}`
+      reason: `job ${claimant.spec.jobId} needs the capacity: ${plan.reason}`
     })
   }
 
@@ -622,7 +523,7 @@
     const model = job.spec.acceleratorModel
     if (job.state === 'claiming') this.#dropClaim(job)
     this.#waiting.remove(job)
-    if (this.#holdsReservation(job)) this.#dropReservation(model)
+    if (this.#reservations.isHolder(job)) this.#dropReservation(model)
     if (this.#blocked.get(model) === job) this.#freedModels.add(model)
     this.#jobs.delete(job.spec.jobId)
   }
@@ -657,38 +558,20 @@
     this.#refused.delete(oldest!)
   }
 
-  #victimCost (victim: JobRecord): number {
-    if (victim.isReclaiming || victim.isLeaving) return 0
-    const { priority, preemption } = victim.spec
-    const lostMs = preemption === 'checkpoint' ? 0 : this.#nowMs - victim.startedMs
-    const lostWork = 1 + lostMs / LOST_WORK_UNIT_MS
-    const overrun = this.#isOverrun(victim) ? OVERRUN_COST : 1
-    return 1 + victim.heldAccelerators * PRIORITY_COST[priority] * lostWork * overrun * (1 + victim.reclaims)
-  }
-
-  #isOverrun (job: JobRecord): boolean {
-    return this.#nowMs - job.startedMs > job.spec.declaredRunMs
-  }
-
   // Reservations
 
-  #holdsReservation (job: JobRecord): boolean {
-    return this.#reservations.get(job.spec.acceleratorModel)?.job === job
-  }
-
   /** Tries a job in its reserved and all other free cells; otherwise keeps or recalculates the reservation. */
   #tryHolder (job: JobRecord): Trial {
     const model = job.spec.acceleratorModel
-    const reservation = this.#reservations.get(model)!
-    this.#unmarkReservation(model)
-    this.#unfit.delete(model)
+    const reservation = this.#reservations.drop(model)!
+    this.#planFinder.freed(model)
     const trial = this.#try(job)
     if (trial !== 'no_fit') {
       this.#freedModels.add(model)
       return trial
     }
     if (this.#nowMs - reservation.calculatedMs >= this.#settings.reservationRefreshMs) this.#reserve(job)
-    else this.#keepReservation(model, reservation)
+    else this.#reservations.keep(reservation, this.#nowMs)
     return trial
   }
 
@@ -699,36 +582,11 @@
     const forecast = this.#fleet.without(job.failedWorkerIds, () =>
       this.#forecaster.forecast(shape, this.#nowMs, accepts))
     if (forecast === undefined) return
-    this.#keepReservation(spec.acceleratorModel, { ...forecast, job, calculatedMs: this.#nowMs })
-  }
-
-  #keepReservation (model: string, reservation: Reservation): void {
-    for (const cell of reservation.cells) this.#fleet.used.mark(cell)
-    this.#reservations.set(model, reservation)
-    if (this.#dueMs.has(reservation.job)) return
-    const latestMs = this.#nowMs + this.#settings.overdueAfterMs
-    this.#dueMs.set(reservation.job, Math.min(reservation.startMs, latestMs))
-  }
-
-  #unmarkReservation (model: string): void {
-    const reservation = this.#reservations.get(model)
-    if (reservation === undefined) return
-    for (const cell of reservation.cells) this.#fleet.used.unmark(cell)
-    this.#reservations.delete(model)
+    this.#reservations.keep({ ...forecast, job, calculatedMs: this.#nowMs }, this.#nowMs)
   }
 
   #dropReservation (model: string): void {
-    if (!this.#reservations.has(model)) return
-    this.#unmarkReservation(model)
-    this.#freedModels.add(model)
-  }
-
-  #withoutReservations<T> (read: () => T): T {
-    const cells = [...this.#reservations.values()].flatMap(reservation => reservation.cells)
-    for (const cell of cells) this.#fleet.used.unmark(cell)
-    const result = read()
-    for (const cell of cells) this.#fleet.used.mark(cell)
-    return result
+    if (this.#reservations.drop(model) !== undefined) this.#freedModels.add(model)
   }
 
   // Estimates
@@ -756,7 +614,7 @@
       jobs: this.#jobs,
       refused: this.#refused,
       shares: this.#shares,
-      reservations: this.#reservations,
+      reservations: this.#reservations.all,
       forecaster: this.#forecaster,
       reclaimWithinMs: this.#rules.reclaimWithinMs,
       compareWaiting: (left, right) => this.#policy.compareWaiting(this.#headOf(left), this.#headOf(right)),
