Revert the ageing of waiting jobs

Ruled out: keeping it switched off, as that is dead code.

Conclusion: the wait of a large job of an organisation above its share has no bound yet; this is a known fault.

--- a/packages/placement/src/policies.ts
+++ b/packages/placement/src/policies.ts
@@ -3,13 +3,9 @@
 import type { CellPool } from './cells.js'
 import type { FreeCells } from './occupancy.js'
 
-/** Whether a waiting job holds a reservation, has waited so long that shares do not count any more, or neither. */
-export type Precedence = 'reserved' | 'aged' | 'usual'
-
 /** What a policy sees of the job that a group of waiting jobs would start next. */
 export interface WaitingHead {
   readonly priority: JobPriority
-  readonly precedence: Precedence
   /** Order of submission. */
   readonly sequence: number
   /** The organisation's attained service against its quota. */
@@ -18,8 +14,6 @@
 
 const PRIORITY_ORDER: Readonly<Record<JobPriority, number>> = { urgent: 0, normal: 1, low: 2 }
 
-const PRECEDENCE_ORDER: Readonly<Record<Precedence, number>> = { reserved: 0, aged: 1, usual: 2 }
-
 /**
  * Compares priorities.
  *
@@ -57,11 +51,7 @@
   readonly name: string = 'buddy cells'
 
   override compareWaiting (left: WaitingHead, right: WaitingHead): number {
-    const byRank = comparePriority(left.priority, right.priority) ||
-      PRECEDENCE_ORDER[left.precedence] - PRECEDENCE_ORDER[right.precedence]
-    if (byRank !== 0) return byRank
-    const byShare = left.precedence === 'aged' ? 0 : left.share - right.share
-    return byShare || left.sequence - right.sequence
+    return comparePriority(left.priority, right.priority) || left.share - right.share || left.sequence - right.sequence
   }
 
   override candidateRacks (cells: FreeCells, pool: CellPool, minFree: number): Iterable<number> {
--- a/packages/placement/src/scheduler.ts
+++ b/packages/placement/src/scheduler.ts
@@ -11,7 +11,7 @@
 import { OrganisationShares } from './organisations.js'
 import { planOf, placementOf } from './placements.js'
 import { PlanFinder } from './plan-finder.js'
-import { type PlacementPolicy, type Precedence, type WaitingHead, comparePriority } from './policies.js'
+import { type PlacementPolicy, type WaitingHead, comparePriority } from './policies.js'
 import { validateGuarantees } from './reclaim-check.js'
 import { ReservationBook } from './reservation-book.js'
 import { StartForecaster } from './reservations.js'
@@ -55,8 +55,6 @@
   readonly #draining = new Set<string>()
   /** First job that did not fit, by accelerator model; only where the policy does not backfill. */
   readonly #blocked = new Map<string, JobRecord>()
-  /** Aged jobs that wait for their organisation's quota, by organisation. */
-  readonly #quotaHolders = new Map<string, JobRecord>()
   readonly #readyClaims = new Set<JobRecord>()
   readonly #freedModels = new Set<string>()
   readonly #freedOrganisationIds = new Set<string>()
@@ -342,19 +340,11 @@
     this.#freedOrganisationIds.clear()
   }
 
+  /** The holder of a reservation goes before its priority, so that new jobs of other organisations do not starve it. */
   #headOf (job: JobRecord): WaitingHead {
     const { priority, organisationId } = job.spec
-    const share = this.#shares.share(organisationId, this.#nowMs)
-    return { priority, precedence: this.#precedenceOf(job), sequence: job.sequence, share }
-  }
-
-  #precedenceOf (job: JobRecord): Precedence {
-    if (this.#reservations.isHolder(job)) return 'reserved'
-    return this.#isAged(job) ? 'aged' : 'usual'
-  }
-
-  #isAged (job: JobRecord): boolean {
-    return this.#nowMs - job.submittedMs >= this.#settings.agedAfterMs
+    const share = this.#reservations.isHolder(job) ? -Infinity : this.#shares.share(organisationId, this.#nowMs)
+    return { priority, sequence: job.sequence, share }
   }
 
   #serveQueue (freedModels: ReadonlySet<string>): void {
@@ -430,13 +420,9 @@
   // Trying one job
 
   #try (job: JobRecord): Trial {
-    const room = this.#quotaRoom(job)
-    if (job.shape.accelerators > room) {
-      if (this.#isAged(job) && !this.#quotaHolders.has(job.spec.organisationId)) {
-        this.#quotaHolders.set(job.spec.organisationId, job)
-      }
-      return 'over_quota'
-    }
+    const { organisationId } = job.spec
+    const room = this.#shares.quota(organisationId) - this.#shares.inUse(organisationId)
+    if (job.shape.accelerators > room) return 'over_quota'
     const plan = job.failedWorkerIds.size === 0
       ? this.#planFinder.find(job, room, this.#nowMs)
       : this.#fleet.without(job.failedWorkerIds, () => this.#planFinder.find(job, room, this.#nowMs))
@@ -445,27 +431,10 @@
     return plan.victims.size === 0 ? 'placed' : 'claimed'
   }
 
-  /** Quota left for a job. An aged job over its quota keeps the quota that it needs from later jobs. */
-  #quotaRoom (job: JobRecord): number {
-    const { organisationId, priority } = job.spec
-    const room = this.#shares.quota(organisationId) - this.#shares.inUse(organisationId)
-    const holder = this.#quotaHolders.get(organisationId)
-    const isBehind = holder !== undefined && holder !== job && comparePriority(priority, holder.spec.priority) >= 0
-    return isBehind ? room - holder.shape.accelerators : room
-  }
-
-  #dropQuotaHold (job: JobRecord): void {
-    const { organisationId } = job.spec
-    if (this.#quotaHolders.get(organisationId) !== job) return
-    this.#quotaHolders.delete(organisationId)
-    this.#freedOrganisationIds.add(organisationId)
-  }
-
   // Decisions
 
   #carryOut (job: JobRecord, plan: GangPlan): void {
     this.#waiting.remove(job)
-    this.#dropQuotaHold(job)
     if (this.#reservations.isHolder(job)) this.#dropReservation(job.spec.acceleratorModel)
     job.plan = plan
     job.heldAccelerators = this.#fleet.acceleratorsOf(plan.cells)
@@ -554,7 +523,6 @@
     const model = job.spec.acceleratorModel
     if (job.state === 'claiming') this.#dropClaim(job)
     this.#waiting.remove(job)
-    this.#dropQuotaHold(job)
     if (this.#reservations.isHolder(job)) this.#dropReservation(model)
     if (this.#blocked.get(model) === job) this.#freedModels.add(model)
     this.#jobs.delete(job.spec.jobId)
--- a/packages/placement/src/settings.ts
+++ b/packages/placement/src/settings.ts
@@ -20,8 +20,6 @@
   readonly runTimeQuantile: number
   /** Shortest time between two calculations of the same start-time reservation, in milliseconds. */
   readonly reservationRefreshMs: number
-  /** Wait after which shares of organisations do not hold a job back any more, in milliseconds. */
-  readonly agedAfterMs: number
   /** Longest time that a reservation is held before lent jobs are asked to leave for it, in milliseconds. */
   readonly overdueAfterMs: number
   /** Times that a job was asked to leave after which it does not have to for an overdue job. */
@@ -45,7 +43,6 @@
   runHistoryMin: 3,
   runTimeQuantile: 0.75,
   reservationRefreshMs: 10_000,
-  agedAfterMs: 3_600_000,
   overdueAfterMs: 1_800_000,
   maxOverdueReclaims: 3,
   maxFailedTrials: 256,
