--- a/packages/bench/src/placement-main.ts
+++ b/packages/bench/src/placement-main.ts
@@ -2,7 +2,8 @@
 import meow from 'meow'
 import type { PlacementPolicy } from '@comfreygrade/placement'
 import {
-  REPORTED_SEEDS, TUNING_SEEDS, ablatedPolicies, comparedPolicies, formatRows, measurePolicy
+  type PolicyRow, REPORTED_SEEDS, TUNING_SEEDS, ablatedPolicies, comparedPolicies, formatDifferences, formatRows,
+  measurePolicy
 } from './placement-bench.js'
 import { formatDecisionTimes, measureDecisionTime } from './placement-decision-time.js'
 
@@ -24,12 +25,13 @@
 })
 
 const { part, racks, seeds } = cli.flags
+const chosenSeeds = seeds === 'reported' ? REPORTED_SEEDS : TUNING_SEEDS
 if (part === 'decision-time') printDecisionTimes()
-else printPolicies(part === 'mechanisms' ? [comparedPolicies()[0]!, ...ablatedPolicies()] : comparedPolicies())
+else if (part === 'mechanisms') console.log(formatDifferences(rowsOf([comparedPolicies()[0]!, ...ablatedPolicies()])))
+else console.log(formatRows(rowsOf(comparedPolicies())))
 
-function printPolicies (policies: readonly PlacementPolicy[]): void {
-  const chosenSeeds = seeds === 'reported' ? REPORTED_SEEDS : TUNING_SEEDS
-  console.log(formatRows(policies.map(policy => measurePolicy(policy, racks, chosenSeeds))))
+function rowsOf (policies: readonly PlacementPolicy[]): PolicyRow[] {
+  return policies.map(policy => measurePolicy(policy, racks, chosenSeeds))
 }
 
 function printDecisionTimes (): void {
--- a/packages/placement/src/claim-search.ts
+++ b/packages/placement/src/claim-search.ts
@@ -53,13 +53,12 @@
    * A plan on lent capacity that other lent jobs leave.
    *
    * @param mayLeave which of them may be asked to
-   * @param reason why, for `explain`
    */
-  findLent (shape: GangShape, mayLeave: VictimRule, costOf: VictimCost, reason: string): GangPlan | undefined {
+  findLent (shape: GangShape, mayLeave: VictimRule, costOf: VictimCost): GangPlan | undefined {
     this.#costOf = costOf
     for (const { pool, level } of shape.options) {
       const slots = this.#lentSlots(shape, pool, level, mayLeave)
-      if (slots !== undefined) return lentPlan(slots, reason)
+      if (slots !== undefined) return lentPlan(slots)
     }
     return undefined
   }
@@ -280,12 +279,12 @@
   }
 }
 
-function lentPlan (slots: readonly CellSlot[], reason: string): GangPlan {
+function lentPlan (slots: readonly CellSlot[]): GangPlan {
   return {
     capacityClass: 'lent',
     cells: slots.map(slot => slot.cell),
     bindings: [],
     victims: victimsOf(slots),
-    reason
+    reason: 'lent cells that lower priorities leave to an urgent job'
   }
 }
--- a/packages/placement/src/jobs.ts
+++ b/packages/placement/src/jobs.ts
@@ -34,8 +34,6 @@
   /** Accelerators that count against the quota. */
   heldAccelerators: number
   isReclaiming: boolean
-  /** Times that the job was asked to leave. */
-  reclaims: number
   /** Whether the job ends, rather than waits again, when its cells are free. */
   isLeaving: boolean
   readonly failedWorkerIds: Set<string>
@@ -67,7 +65,6 @@
     startedMs: nowMs,
     heldAccelerators: 0,
     isReclaiming: false,
-    reclaims: 0,
     isLeaving: false,
     failedWorkerIds: new Set(),
     hasFailedTask: false,
--- a/packages/placement/src/plan-finder.ts
+++ b/packages/placement/src/plan-finder.ts
@@ -17,7 +17,6 @@
 /** Finds plans without carrying them out; new bindings of a guaranteed plan are released with its last task. */
 export class PlanFinder {
   readonly #fleet: Fleet
-  readonly #settings: PlacementSettings
   readonly #policy: PlacementPolicy
   readonly #reservations: ReservationBook
   readonly #estimateRunMs: (spec: JobSpec) => number
@@ -32,7 +31,6 @@
     estimateRunMs: (spec: JobSpec) => number
   ) {
     this.#fleet = fleet
-    this.#settings = settings
     this.#policy = policy
     this.#reservations = reservations
     this.#estimateRunMs = estimateRunMs
@@ -59,29 +57,15 @@
     return this.#claimSearch.findGuaranteed(job, victim => this.#victimCost(victim))
   }
 
-  /** Lent cells that others leave: for urgent jobs, and for a job whose reserved start is overdue. */
+  /** Lent cells that lower priorities leave to an urgent job. */
   #findReclaimed (job: JobRecord, room: number): GangPlan | undefined {
-    const isUrgent = job.spec.priority === 'urgent' && this.#policy.reclaimsForUrgent()
-    const isOverdue = this.#policy.reclaimsForOverdue() && this.#reservations.isOverdue(job, this.#nowMs)
-    if (!isUrgent && !isOverdue) return undefined
-    const mayLeave = (victim: JobRecord) =>
-      (isUrgent && comparePriority(job.spec.priority, victim.spec.priority) < 0) ||
-      (isOverdue && this.#mayLeaveForOverdue(job, victim))
-    const reason = isUrgent
-      ? 'lent cells that lower priorities leave to an urgent job'
-      : 'lent cells that others leave to an overdue job'
-    const plan = this.#claimSearch.findLent(job.shape, mayLeave, victim => this.#victimCost(victim), reason)
+    if (job.spec.priority !== 'urgent' || !this.#policy.reclaimsForUrgent()) return undefined
+    const mayLeave = (victim: JobRecord) => comparePriority(job.spec.priority, victim.spec.priority) < 0
+    const plan = this.#claimSearch.findLent(job.shape, mayLeave, victim => this.#victimCost(victim))
     if (plan === undefined || this.#fleet.acceleratorsOf(plan.cells) > room) return undefined
     return this.#mayHold(job, plan.cells) ? plan : undefined
   }
 
-  /** The bound on reclaims keeps two overdue jobs from displacing each other for ever. */
-  #mayLeaveForOverdue (job: JobRecord, victim: JobRecord): boolean {
-    const losesLittle = victim.spec.preemption === 'checkpoint' || this.#isOverrun(victim)
-    const isBounded = victim.reclaims < this.#settings.maxOverdueReclaims
-    return losesLittle && isBounded && comparePriority(job.spec.priority, victim.spec.priority) <= 0
-  }
-
   #findFree (job: JobRecord, room: number): GangPlan | undefined {
     const { spec, shape } = job
     const isShort = this.#endsBeforeReservation(job)
@@ -132,7 +116,7 @@
     const lostMs = preemption === 'checkpoint' ? 0 : this.#nowMs - victim.startedMs
     const lostWork = 1 + lostMs / LOST_WORK_UNIT_MS
     const overrun = this.#isOverrun(victim) ? OVERRUN_COST : 1
-    return 1 + victim.heldAccelerators * PRIORITY_COST[priority] * lostWork * overrun * (1 + victim.reclaims)
+    return 1 + victim.heldAccelerators * PRIORITY_COST[priority] * lostWork * overrun
   }
 
   #isOverrun (job: JobRecord): boolean {
--- a/packages/placement/src/policies.ts
+++ b/packages/placement/src/policies.ts
@@ -38,8 +38,6 @@
   abstract usesGuarantees (): boolean
   /** Whether urgent jobs take lent capacity of lower priorities. */
   abstract reclaimsForUrgent (): boolean
-  /** Whether lent jobs leave for a job whose reserved start is overdue. */
-  abstract reclaimsForOverdue (): boolean
   /** Whether jobs may start before an earlier one that does not fit, without delaying its reserved start. */
   abstract backfills (): boolean
   /** Estimated run time in milliseconds; `learnedMs` is undefined without enough history. */
@@ -70,10 +68,6 @@
     return true
   }
 
-  override reclaimsForOverdue (): boolean {
-    return true
-  }
-
   override backfills (): boolean {
     return true
   }
@@ -107,10 +101,6 @@
     return false
   }
 
-  override reclaimsForOverdue (): boolean {
-    return false
-  }
-
   override backfills (): boolean {
     return false
   }
--- a/packages/placement/src/reservation-book.ts
+++ b/packages/placement/src/reservation-book.ts
@@ -6,15 +6,10 @@
 /** Keeps reserved cells marked as used, so that later jobs do not take them. */
 export class ReservationBook {
   readonly #fleet: Fleet
-  readonly #overdueAfterMs: number
   readonly #reservations = new Map<string, Reservation>()
-  /** When a job that holds or held a reservation becomes overdue. */
-  readonly #dueMs = new WeakMap<JobRecord, number>()
 
-  /** @param overdueAfterMs longest time that a reservation is held before it is overdue */
-  constructor (fleet: Fleet, overdueAfterMs: number) {
+  constructor (fleet: Fleet) {
     this.#fleet = fleet
-    this.#overdueAfterMs = overdueAfterMs
   }
 
   /** Reservations by accelerator model. */
@@ -32,17 +27,11 @@
     return this.#reservations.get(job.spec.acceleratorModel)?.job === job
   }
 
-  /** Whether lent jobs should leave for the job: its first reserved start, or the longest wait for it, has passed. */
-  isOverdue (job: JobRecord, nowMs: number): boolean {
-    return nowMs >= (this.#dueMs.get(job) ?? Infinity)
-  }
-
   /** Puts a reservation into force; there must be none for its model. */
-  keep (reservation: Reservation, nowMs: number): void {
-    const { job, cells, startMs } = reservation
+  keep (reservation: Reservation): void {
+    const { job, cells } = reservation
     for (const cell of cells) this.#fleet.used.mark(cell)
     this.#reservations.set(job.spec.acceleratorModel, reservation)
-    if (!this.#dueMs.has(job)) this.#dueMs.set(job, Math.min(startMs, nowMs + this.#overdueAfterMs))
   }
 
   /** Ends the reservation of a model and gives it, if there was one. */
@@ -54,11 +43,6 @@
     return reservation
   }
 
-  /** A job has started; a later reservation for it gets a new due time. */
-  started (job: JobRecord): void {
-    this.#dueMs.delete(job)
-  }
-
   /** Runs a search that may use reserved cells. */
   without<T> (search: () => T): T {
     const cells = [...this.#reservations.values()].flatMap(reservation => reservation.cells)
--- a/packages/placement/src/scheduler.ts
+++ b/packages/placement/src/scheduler.ts
@@ -276,7 +276,7 @@
   #buildIndex (): void {
     this.#fleet = new Fleet(this.#configuration)
     this.#shapes = new ShapeTable(this.#fleet.tree)
-    this.#reservations = new ReservationBook(this.#fleet, this.#settings.overdueAfterMs)
+    this.#reservations = new ReservationBook(this.#fleet)
     this.#planFinder = new PlanFinder(this.#fleet, this.#settings, this.#policy, this.#reservations,
       spec => this.#estimateRunMs(spec))
     this.#forecaster = new StartForecaster(this.#fleet, this.#settings, job => this.#estimatedEndMs(job))
@@ -444,7 +444,6 @@
   }
 
   #place (job: JobRecord, plan: GangPlan): void {
-    this.#reservations.started(job)
     this.#fleet.occupy(job, plan)
     job.state = 'placed'
     job.startedMs = this.#nowMs
@@ -465,7 +464,6 @@
 
   #askToLeave (victim: JobRecord, claimant: JobRecord, plan: GangPlan): void {
     victim.isReclaiming = true
-    victim.reclaims += 1
     this.#decisions.push({
       kind: 'reclaim',
       jobId: victim.spec.jobId,
@@ -571,7 +569,7 @@
       return trial
     }
     if (this.#nowMs - reservation.calculatedMs >= this.#settings.reservationRefreshMs) this.#reserve(job)
-    else this.#reservations.keep(reservation, this.#nowMs)
+    else this.#reservations.keep(reservation)
     return trial
   }
 
@@ -582,7 +580,7 @@
     const forecast = this.#fleet.without(job.failedWorkerIds, () =>
       this.#forecaster.forecast(shape, this.#nowMs, accepts))
     if (forecast === undefined) return
-    this.#reservations.keep({ ...forecast, job, calculatedMs: this.#nowMs }, this.#nowMs)
+    this.#reservations.keep({ ...forecast, job, calculatedMs: this.#nowMs })
   }
 
   #dropReservation (model: string): void {
--- a/packages/placement/src/settings.ts
+++ b/packages/placement/src/settings.ts
@@ -20,10 +20,6 @@
   readonly runTimeQuantile: number
   /** Shortest time between two calculations of the same start-time reservation, in milliseconds. */
   readonly reservationRefreshMs: number
-  /** Longest time that a reservation is held before lent jobs are asked to leave for it, in milliseconds. */
-  readonly overdueAfterMs: number
-  /** Times that a job was asked to leave after which it does not have to for an overdue job. */
-  readonly maxOverdueReclaims: number
   /** Groups of waiting jobs that are tried in vain before a pass ends; bounds the time of a pass with a deep queue. */
   readonly maxFailedTrials: number
   /** Racks that are compared when cells have to be reclaimed or reserved; bounds the cost of one decision. */
@@ -43,8 +39,6 @@
   runHistoryMin: 3,
   runTimeQuantile: 0.75,
   reservationRefreshMs: 10_000,
-  overdueAfterMs: 1_800_000,
-  maxOverdueReclaims: 3,
   maxFailedTrials: 256,
   candidateRacks: 32,
   explainHistoryLength: 1_000
