Print each size of the decision-time benchmark as it is measured

Cause: a run that was cut off after some sizes printed nothing.

Ruled out: fewer sizes.

Before: one table at the end. After: two rows for each size as they come.

Conclusion: partial runs give their figures.

--- a/packages/bench/src/placement-main.ts
+++ b/packages/bench/src/placement-main.ts
@@ -34,8 +34,10 @@
   return policies.map(policy => measurePolicy(policy, racks, chosenSeeds))
 }
 
+/** Prints each size as soon as it is measured, as the deep queues take minutes. */
 function printDecisionTimes (): void {
-  const sizes = [30, 300, 3_000, 21_000]
-  const rows = sizes.flatMap(workers => [measureDecisionTime(workers, 0), measureDecisionTime(workers, 35_000)])
-  console.log(formatDecisionTimes(rows))
+  for (const workers of [30, 300, 3_000, 21_000]) {
+    const rows = [measureDecisionTime(workers, 0), measureDecisionTime(workers, 35_000)]
+    console.log(formatDecisionTimes(rows))
+  }
 }
