--- a/packages/placement/src/settings.ts
+++ b/packages/placement/src/settings.ts
@@ -20,6 +20,8 @@
   readonly runTimeQuantile: number
   /** Shortest time between two calculations of the same start-time reservation, in milliseconds. */
   readonly reservationRefreshMs: number
+  /** Groups of waiting jobs that are tried in vain before a pass ends; bounds the time of a pass with a deep queue. */
+  readonly maxFailedTrials: number
   /** Racks that are compared when cells have to be reclaimed or reserved; bounds the cost of one decision. */
   readonly candidateRacks: number
   /** Refused and stopped jobs whose reason `explain` still knows. */
@@ -37,6 +39,7 @@
   runHistoryMin: 3,
   runTimeQuantile: 0.75,
   reservationRefreshMs: 10_000,
+  maxFailedTrials: 256,
   candidateRacks: 32,
   explainHistoryLength: 1_000
 }
