--- a/packages/bench/src/placement-bench.ts
+++ b/packages/bench/src/placement-bench.ts
@@ -3,6 +3,7 @@
 import {
   BuddyCellPolicy, FirstFitPolicy, type PlacementPolicy, type PlacementSettings, defaultPlacementSettings
 } from '@comfreygrade/placement'
+import type { BenchTable } from './format.js'
 import { type LoadClass, type LoadSettings, generateLoad } from './placement-load.js'
 import { type JobResult, type SimulationResult, jobsOfClass, simulate } from './placement-simulation.js'
 
@@ -186,3 +187,29 @@
 function figure (value: number): string {
   return value >= 100 ? value.toFixed(0) : value >= 10 ? value.toFixed(1) : value.toFixed(3)
 }
+
+/** Racks of 8 workers with 8 accelerators: today's deployments and ten times their size. */
+const DEPLOYMENT_RACKS = [4, 40]
+
+/**
+ * Runs the comparison with the baseline and each mechanism switched off alone, for `npm run bench -- placement`.
+ *
+ * @example
+ * const tables = await run({ seeds: [1], quick: true })
+ */
+export async function run ({ seeds, quick }: { seeds: readonly number[], quick: boolean }): Promise<BenchTable[]> {
+  return (quick ? [1] : DEPLOYMENT_RACKS).flatMap(racks => {
+    const compared = comparedPolicies().map(policy => measurePolicy(policy, racks, seeds))
+    const ablated = ablatedPolicies().map(policy => measurePolicy(policy, racks, seeds))
+    const size = `${racks * 8} workers, ${seeds.length} seeds, mean ± spread`
+    return [
+      toTable(`Placement: ${size}`, formatRows(compared)),
+      toTable(`Placement, one mechanism off, difference: ${size}`, formatDifferences([compared[0]!, ...ablated]))
+    ]
+  })
+}
+
+function toTable (title: string, text: string): BenchTable {
+  const [columns = [], ...rows] = text.split('\n').map(line => line.split(' | '))
+  return { title, columns, rows }
+}
--- a/packages/bench/src/routing-bench.ts
+++ b/packages/bench/src/routing-bench.ts
@@ -1,5 +1,6 @@
 /** Benchmark of the request router: real policy, baseline, and each mechanism switched off alone. */
 import type { RoutingSettings } from '@comfreygrade/routing'
+import type { BenchTable } from './format.js'
 import type { Deployment } from './routing-load.js'
 import type { Measures } from './routing-measures.js'
 import { RoutingWorld, type PolicyName } from './routing-world.js'
@@ -104,3 +105,28 @@
 function formatSpread (spread: Spread | undefined): string {
   return spread === undefined ? '-' : `${spread.mean.toFixed(2)} ±${spread.deviation.toFixed(2)}`
 }
+
+const DEPLOYMENTS: readonly Deployment[] = ['ferreyra', 'kartli']
+
+/**
+ * Runs the comparison with the baseline for both deployments, and each mechanism switched off alone for the first, for
+ * `npm run bench -- routing`. Seeds are a range from the lowest to the highest of those given.
+ *
+ * @example
+ * const tables = await run({ seeds: [1], quick: true })
+ */
+export async function run ({ seeds, quick }: { seeds: readonly number[], quick: boolean }): Promise<BenchTable[]> {
+  const range = { firstSeed: Math.min(...seeds), lastSeed: Math.max(...seeds), size: 1 }
+  const all = variants.map(variant => variant.name)
+  return (quick ? DEPLOYMENTS.slice(0, 1) : DEPLOYMENTS).map((deployment, index) => {
+    const names = quick || index > 0 ? ['locality', 'round_robin'] : all
+    const result = runRoutingBench({ ...range, deployment, variants: names })
+    return toTable(`Routing: ${deployment}, seeds ${range.firstSeed} to ${range.lastSeed}, mean ± deviation`, result)
+  })
+}
+
+function toTable (title: string, result: RoutingBenchResult): BenchTable {
+  const names = [...new Set([...result.values()].flatMap(measures => [...measures.keys()]))]
+  const rows = names.map(name => [name, ...[...result.values()].map(measures => formatSpread(measures.get(name)))])
+  return { title, columns: ['measure', ...result.keys()], rows }
+}
