--- a/packages/cli/src/node-client.ts
+++ b/packages/cli/src/node-client.ts
@@ -77,7 +77,7 @@
     return guarantees
   }
 
-  /** Jobs, the latest ones where a limit applies. */
+  /** Jobs in order of submission, the first ones where a limit applies. */
   async jobs (filter: JobFilter = {}): Promise<JobsAnswer> {
     const query = new URLSearchParams()
     for (const [name, value] of Object.entries(filter)) {
--- a/packages/core/src/requests.ts
+++ b/packages/core/src/requests.ts
@@ -13,6 +13,8 @@
   readonly repeatability: Repeatability
   /** Protects against the caller's own repeats; a UUID of version 7. */
   readonly idempotencyKey?: string
+  /** Type of the body, passed on unchanged; no decision depends on it. */
+  readonly contentType?: string
   /** Monotonic time after which an answer is of no use to the caller. */
   readonly deadlineAtMs: number
 }
--- a/packages/node/src/http-api.ts
+++ b/packages/node/src/http-api.ts
@@ -4,9 +4,10 @@
 import { ServiceBroker, type Context } from 'moleculer'
 import ApiGateway, { type GatewayResponse, type IncomingRequest } from 'moleculer-web'
 import getRawBody from 'raw-body'
-import { errorBody, errorTable, failure, type Failure, type Metrics } from '@comfreygrade/core'
+import { errorBody, errorTable, failure, succeed, type Failure, type Metrics, type Result } from '@comfreygrade/core'
 import type { Application } from './application.js'
-import { backendServerSchema, checkInput, pathIdentifierSchema } from './http-schemas.js'
+import { EndpointMethods } from './http-endpoints.js'
+import { backendServerSchema, checkInput, emptyQuerySchema, pathIdentifierSchema } from './http-schemas.js'
 import { readRequest } from './http-requests.js'
 import { controlRoutes, type ControlRoute, type RouteInput } from './http-routes.js'
 
@@ -33,12 +34,23 @@
   $responseHeaders?: Record<string, string>
 }
 
-const requestPath = /^\/v1\/services\/([^/?]+)\/requests$/
+const requestPath = /^\/v1\/services\/([^/?]+)\/requests(?:\?(.*))?$/
 /** More headers than this are refused before anything else is read. */
 const MAX_HEADERS = 100
 const MAX_JSON_BYTES = 8 * 1024 * 1024
 const KEEP_ALIVE_TIMEOUT_MS = 65_000
 
+const memberAliases = {
+  'PUT /backend-servers/:id': 'members.announce',
+  'DELETE /backend-servers/:id': 'members.leave',
+  'GET /status': 'members.status',
+  'GET /health': 'members.health'
+}
+
+const endpoints = new EndpointMethods([
+  'POST /services/:service/requests', ...Object.keys(memberAliases), ...controlRoutes.map(route => route.alias)
+])
+
 /** Serves callers, backend servers, workers and operators. */
 export class HttpApi {
   readonly #options: HttpApiOptions
@@ -79,19 +91,15 @@
         logResponse: null,
         logRouteRegistration: null,
         requestTimeout: this.#options.requestReceiveTimeoutMs,
-        onError: (_req: IncomingRequest, res: GatewayResponse, error: Error) => { this.#sendGatewayError(res, error) },
+        onError: (req: IncomingRequest, res: GatewayResponse, error: Error) => {
+          this.#sendGatewayError(req, res, error)
+        },
         routes: [
           {
             path: '/v1',
             mergeParams: false,
             bodyParsers: { json: { type: () => true, limit: MAX_JSON_BYTES, strict: true } },
-            aliases: {
-              ...aliases,
-              'PUT /backend-servers/:id': 'members.announce',
-              'DELETE /backend-servers/:id': 'members.leave',
-              'GET /status': 'members.status',
-              'GET /health': 'members.health'
-            }
+            aliases: { ...aliases, ...memberAliases }
           }
         ]
       },
@@ -117,9 +125,9 @@
         this.#sendFailure(res, failure('headers_too_large', detail))
         return
       }
-      const service = requestPath.exec(req.url ?? '')?.[1]
+      const [, service, query = ''] = requestPath.exec(req.url ?? '') ?? []
       // Short requests stay off the gateway, which costs more than the rest of their path.
-      if (service !== undefined && req.method === 'POST') this.#execute(service, req, res)
+      if (service !== undefined && req.method === 'POST') this.#execute(service, query, req, res)
       else handler(req, res)
     })
     // Bounded by `maxHeaderSize`; with a count limit Node.js would drop the rest without an error.
@@ -137,15 +145,29 @@
   }
 
   async #askControl (route: ControlRoute, ctx: Context<ActionParams, ActionMeta>): Promise<unknown> {
-    const operation = route.toOperation(inputOf(ctx.params))
+    const input = inputOf(ctx.params)
+    const query = route.hasQuery === true ? succeed({}) : checkInput(emptyQuerySchema, input.query, 'query')
+    if (!query.ok) return this.#fail(ctx, query.failure)
+    const operation = route.toOperation(input)
     if (!operation.ok) return this.#fail(ctx, operation.failure)
+    const isCreation = await this.#isCreation(route, input)
+    if (!isCreation.ok) return this.#fail(ctx, isCreation.failure)
     const result = await this.#options.application.ask(operation.value)
     if (!result.ok) return this.#fail(ctx, result.failure)
     const answer = route.toAnswer(result.value)
-    ctx.meta.$statusCode = answer.status
+    ctx.meta.$statusCode = isCreation.value ? 201 : answer.status
     return answer.body
   }
 
+  async #isCreation (route: ControlRoute, input: RouteInput): Promise<Result<boolean>> {
+    if (route.toLookup === undefined) return succeed(false)
+    const lookup = route.toLookup(input)
+    if (lookup === undefined) return succeed(true)
+    const found = await this.#options.application.ask(lookup)
+    if (found.ok) return succeed(false)
+    return found.failure.kind === 'not_found' ? succeed(true) : found
+  }
+
   #memberActions () {
     const { application } = this.#options
     return {
@@ -157,7 +179,9 @@
         return application.announceBackendServer({ ...body.value, backendServerId: id.value })
       },
       leave: (ctx: Context<ActionParams, ActionMeta>) => {
-        const problem = application.leaveBackendServer(ctx.params.params.id ?? '')
+        const id = checkInput(pathIdentifierSchema, ctx.params.params.id, 'path.id')
+        if (!id.ok) return this.#fail(ctx, id.failure)
+        const problem = application.leaveBackendServer(id.value)
         return problem === undefined ? { state: 'leaving' } : this.#fail(ctx, problem)
       },
       status: () => application.status(),
@@ -169,8 +193,12 @@
     }
   }
 
-  async #execute (service: string, req: IncomingMessage, res: ServerResponse): Promise<void> {
+  async #execute (service: string, query: string, req: IncomingMessage, res: ServerResponse): Promise<void> {
     const { application } = this.#options
+    if (query !== '') {
+      this.#sendFailure(res, failure('unknown_field', `found the query ${query}, short requests have none`))
+      return
+    }
     const rules = application.admission()
     if (!rules.ok) { this.#sendFailure(res, rules.failure); return }
     const body = await this.#readBody(req)
@@ -210,7 +238,7 @@
     return body
   }
 
-  #sendFailure (res: ServerResponse, cause: Failure): void {
+  #sendFailure (res: ServerResponse, cause: Failure, headers: Record<string, string> = {}): void {
     this.#count(cause)
     if (res.headersSent || res.destroyed) return
     const body = errorBody(cause)
@@ -218,13 +246,23 @@
     res.writeHead(errorTable[cause.kind].httpStatus, {
       'content-type': 'application/json; charset=utf-8',
       'content-length': Buffer.byteLength(text),
-      ...retryHeaders(body.retryAfterMs)
+      ...retryHeaders(body.retryAfterMs),
+      ...headers
     })
     res.end(text)
   }
 
-  #sendGatewayError (res: ServerResponse, error: Error): void {
-    this.#sendFailure(res, gatewayFailure(error))
+  /** The gateway answers 404 for a wrong method too. */
+  #sendGatewayError (req: IncomingRequest, res: GatewayResponse, error: Error): void {
+    const cause = gatewayFailure(error)
+    const methods = cause.kind === 'not_found' ? endpoints.methodsOf(req.originalUrl) : []
+    if (methods.length === 0) {
+      this.#sendFailure(res, cause)
+      return
+    }
+    const allow = methods.join(', ')
+    const detail = `found method ${req.method ?? ''}, allowed: ${allow}`
+    this.#sendFailure(res, failure('method_not_allowed', detail), { allow })
   }
 
   /** Answers what never became a request: oversized or malformed headers, or a sender that is too slow. */
@@ -257,7 +295,6 @@
   if (type === 'entity.parse.failed' || code === 400) return failure('invalid_request', 'the body is not valid JSON')
   if (type === 'request.aborted') return failure('request_timeout', 'the body was not sent completely')
   if (code === 404) return failure('not_found', 'no such endpoint')
-  if (code === 405) return failure('method_not_allowed', 'the endpoint has no such method')
   return failure('internal_error', 'the node could not handle the request')
 }
 
--- a/packages/node/src/http-requests.ts
+++ b/packages/node/src/http-requests.ts
@@ -39,6 +39,7 @@
     requestClass: requestClass.value,
     repeatability: repeatability.value,
     idempotencyKey: key.value,
+    contentType: headers['content-type'],
     deadlineAtMs: nowMs + deadlineMs.value
   })
 }
--- a/packages/node/src/http-routes.ts
+++ b/packages/node/src/http-routes.ts
@@ -25,7 +25,11 @@
   readonly alias: string
   /** Name of the action, also the tag of its counters. */
   readonly action: string
+  /** Whether the endpoint has query values; otherwise any of them is refused. */
+  readonly hasQuery?: boolean
   readonly toOperation: (input: RouteInput) => Result<ControlOperation>
+  /** Read that is asked first; where it finds nothing, the operation creates something and is answered with 201. */
+  readonly toLookup?: (input: RouteInput) => ControlOperation | undefined
   readonly toAnswer: (answer: ControlAnswer) => JsonAnswer
 }
 
@@ -59,6 +63,13 @@
   return succeed({ kind: 'submit_job', spec })
 }
 
+/** Without a job ID there is nothing to look up, as the ID is made for this submission. */
+function toJobLookup (input: RouteInput): ControlOperation | undefined {
+  const checked = checkInput(jobSchema, input.body, 'body')
+  if (!checked.ok || checked.value.jobId === undefined) return undefined
+  return { kind: 'get_job', jobId: checked.value.jobId }
+}
+
 function toList (input: RouteInput): Result<ControlOperation> {
   const checked = checkInput(jobsQuerySchema, input.query, 'query')
   if (!checked.ok) return checked
@@ -106,15 +117,15 @@
     : {
         status: recorded.status,
         contentType: recorded.contentType,
-        bodyBase64: Buffer.from(recorded.body).toString('base64')
+        body: Buffer.from(recorded.body).toString('base64')
       }
   return okJson({ organisationId, key, state, answer: body })
 }
 
 /** All endpoints that are answered by the control leader. */
 export const controlRoutes: readonly ControlRoute[] = [
-  { alias: 'POST /jobs', action: 'submitJob', toOperation: toSubmit, toAnswer: jobAnswer },
-  { alias: 'GET /jobs', action: 'listJobs', toOperation: toList, toAnswer: withoutKind },
+  { alias: 'POST /jobs', action: 'submitJob', toOperation: toSubmit, toLookup: toJobLookup, toAnswer: jobAnswer },
+  { alias: 'GET /jobs', action: 'listJobs', hasQuery: true, toOperation: toList, toAnswer: withoutKind },
   {
     alias: 'GET /jobs/:id',
     action: 'getJob',
@@ -152,7 +163,13 @@
     toOperation: () => succeed({ kind: 'get_configuration_status' }),
     toAnswer: answer => okJson(answer.kind === 'configuration_status' ? answer.status : answer)
   },
-  { alias: 'POST /configuration/changes', action: 'applyChange', toOperation: toChange, toAnswer: withoutKind },
+  {
+    alias: 'POST /configuration/changes',
+    action: 'applyChange',
+    hasQuery: true,
+    toOperation: toChange,
+    toAnswer: withoutKind
+  },
   {
     alias: 'GET /fleet',
     action: 'getFleet',
--- a/packages/node/src/http-schemas.ts
+++ b/packages/node/src/http-schemas.ts
@@ -65,6 +65,9 @@
   dryRun: z.enum(['true', 'false']).default('false')
 })
 
+/** Query of every endpoint that has none. */
+export const emptyQuerySchema = z.strictObject({})
+
 /** Identifier in a path. */
 export const pathIdentifierSchema = identifier
 
--- a/packages/node/src/request-service.ts
+++ b/packages/node/src/request-service.ts
@@ -246,7 +246,7 @@
 
 function dispatchHeaders (request: RequestSpec, attempt: number, nowMs: number): Record<string, string> {
   const headers: Record<string, string> = {
-    'content-type': 'application/octet-stream',
+    'content-type': request.contentType ?? 'application/octet-stream',
     'comfreygrade-request-id': request.requestId,
     'comfreygrade-attempt': String(attempt),
     'comfreygrade-organisation': request.organisationId,
--- a/packages/node/test/http-fixture.ts
+++ b/packages/node/test/http-fixture.ts
@@ -2,8 +2,8 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import {
-  CountingMetrics, defaultRules, fail, Random, succeed, type BackendServerRecord, type Failure, type RequestSpec,
-  type Result, type Rules
+  CountingMetrics, defaultRules, fail, failure, Random, succeed, type BackendServerRecord, type Failure,
+  type RequestSpec, type Result, type Rules
 } from '@comfreygrade/core'
 import { BackendRegistry, defaultRoutingSettings, LocalityPolicy, RequestRouter } from '@comfreygrade/routing'
 import type { ControlOperation, ControlResult } from '@comfreygrade/control'
@@ -21,6 +21,7 @@
   readonly backendClient = new BackendClient({ maxAnswerBytes: 1024 * 1024, connectTimeoutMs: 500 })
   readonly asked: ControlOperation[] = []
   isConfigurationStale = false
+  isDrained = false
   answerControl: (operation: ControlOperation) => ControlResult = () => fail('control_unavailable', 'no control leader')
   readonly requests: RequestService
 
@@ -45,6 +46,7 @@
   }
 
   override admission (): Result<Rules> {
+    if (this.isDrained) return fail('shutting_down', 'an operator drains this node')
     return this.isConfigurationStale ? fail('configuration_stale', 'the lease has run out') : succeed(defaultRules)
   }
 
@@ -68,16 +70,36 @@
     return { heartbeatIntervalMs: 1000, expireAfterMs: 10_000 }
   }
 
-  override leaveBackendServer (): Failure | undefined {
+  override leaveBackendServer (backendServerId: string): Failure | undefined {
+    const record = this.backendServers().find(known => known.backendServerId === backendServerId)
+    if (record === undefined) return failure('not_found', `backend server ${backendServerId} is not known`)
+    this.registry.announce({ ...record, sequence: record.sequence + 1, state: 'leaving' }, this.nowMs())
     return undefined
   }
 
   override backendServers (): readonly BackendServerRecord[] {
-    return []
+    return this.registry.all(this.nowMs())
   }
 
   override status (): NodeStatus {
-    throw new Error('not used by these tests')
+    return {
+      nodeId: 'n1',
+      region: 'r',
+      availabilityZone: 'z',
+      roles: ['entry'],
+      state: this.isDrained ? 'drained' : 'serving',
+      configurationVersion: 1,
+      hasConfigurationLease: !this.isConfigurationStale,
+      leaderNodeId: null,
+      replica: null,
+      connectedNodeIds: [],
+      openRequests: this.requests.openRequests,
+      backendServers: this.backendServers().length,
+      uptimeMs: 0,
+      residentMemoryBytes: 0,
+      processorTimeMs: 0,
+      counters: this.metrics.snapshot()
+    }
   }
 }
 
@@ -97,6 +119,11 @@
   return server.port
 }
 
+/** Resolves once the condition holds; the time limit of the test applies. */
+export async function until (condition: () => boolean): Promise<void> {
+  while (!condition()) await new Promise<void>(resolve => { setTimeout(resolve, 5) })
+}
+
 /** Starts the front end of an application and gives its base URL. */
 export async function startApi (application: EntryApplication): Promise<{ api: HttpApi, url: string }> {
   const port = await freePort()
