Ask the next node after a refusal with advice now, name node processes, end frozen stand-ins

Cause: the command line took shutting_down of one node as the answer although another node was given; every node process was called comfreygrade-node, as meow sets the package name; stop() of a frozen StandInBackendServer waited for answers that nothing sends. Ruled out: repeating a request that is not safe to repeat, and giving a refusal as the answer after an attempt whose answer was lost, as that one may have run. Before and after: safe calls go on to the next node, a process is called 'comfreygrade-node <nodeId>', and a stopped stand-in cuts what its behaviour left unanswered. Conclusion: tests of the client and the stand-in cover both.

--- a/packages/cli/src/command-line.ts
+++ b/packages/cli/src/command-line.ts
@@ -101,7 +101,7 @@
 ${lines.join('\n')}
 
   Options
-    --node URL         a node; repeatable, the next is tried when one cannot be reached (${DEFAULT_NODE})
+    --node URL         a node; repeatable, the next is tried when one cannot be reached or shuts down (${DEFAULT_NODE})
     --json             JSON for programs instead of tables; problems go to stderr as JSON too
     --timeout-ms N     time for one attempt at one node (${DEFAULT_TIMEOUT_MS})
     --organisation ID  of "request"; filter of "jobs"
--- a/packages/cli/src/node-transport.ts
+++ b/packages/cli/src/node-transport.ts
@@ -46,14 +46,21 @@
     this.#agent = new Agent({ connect: { timeout: timeoutMs } })
   }
 
-  /** Gives the first complete answer; throws a {@link ClientError} where no node gave one. */
+  /**
+   * Gives the first complete answer that does not advise to repeat the call now; throws a {@link ClientError} where no
+   * node gave an answer.
+   */
   async call (call: NodeCall): Promise<NodeAnswer> {
     let problem: ClientProblem & { kind: 'unreachable' } | undefined
+    let refusal: NodeAnswer | undefined
     for (const node of this.#targets(call)) {
       const attempt = await this.#attempt(node, call)
-      if (attempt.kind === 'answered') return attempt.answer
-      problem = worse(problem, attempt.problem)
+      if (attempt.kind === 'failed') problem = worse(problem, attempt.problem)
+      else if (advisesRepeatNow(attempt.answer)) refusal = attempt.answer
+      else return attempt.answer
     }
+    // The refusal of one node says nothing of a call that another one may have carried out.
+    if (refusal !== undefined && problem?.progress !== 'maybe_sent') return refusal
     throw new ClientError(problem ?? { kind: 'unreachable', progress: 'not_sent', detail: 'no node is given' })
   }
 
@@ -86,6 +93,12 @@
   return body === undefined ? undefined : { kind: 'refused', status: answer.status, body }
 }
 
+/** As of a node that is shutting down; another one may take the call. */
+function advisesRepeatNow (answer: NodeAnswer): boolean {
+  const refusal = findRefusal(answer)
+  return refusal?.kind === 'refused' && refusal.body.repeat === 'now'
+}
+
 async function readAnswer (response: Dispatcher.ResponseData): Promise<NodeAnswer> {
   const headers = Object.entries(response.headers).map(([name, value]) => [name, String(value)])
   const body = Buffer.from(await response.body.arrayBuffer())
--- a/packages/cli/test/node-client.test.ts
+++ b/packages/cli/test/node-client.test.ts
@@ -47,6 +47,34 @@
   })
 })
 
+test('the next node is asked when one shuts down, so that a rolling restart fails no command', async t => {
+  await withNode(async stopping => {
+    const reply = refusal({ kind: 'shutting_down', detail: 'this node is shutting down' })
+    stopping.replies.set('POST /v1/drains', () => reply)
+    stopping.replies.set('POST /v1/services/charge/requests', () => reply)
+    await withNode(async node => {
+      node.on('POST /v1/drains', {}).on('POST /v1/services/charge/requests', 'done')
+      const client = new NodeClient([stopping.address, node.address], 2_000)
+      await client.drain({ kind: 'vm', id: 'n1' })
+      t.like(await problemOf(client.sendRequest(charge)), { kind: 'refused', body: { error: 'shutting_down' } })
+      t.deepEqual(node.routes(), ['POST /v1/drains'])
+    })
+    const alone = new NodeClient([stopping.address, DEAD_NODE], 2_000)
+    t.like(await problemOf(alone.drain({ kind: 'vm', id: 'n1' })), { kind: 'refused', body: { error: 'shutting_down' } })
+  })
+})
+
+test('a refusal does not hide that another node may have done the work', async t => {
+  await withNode(async lost => {
+    lost.answersToLose = 1
+    await withNode(async stopping => {
+      stopping.replies.set('POST /v1/drains', () => refusal({ kind: 'shutting_down', detail: 'stops' }))
+      const client = new NodeClient([lost.address, stopping.address], 2_000)
+      t.like(await problemOf(client.drain({ kind: 'vm', id: 'n1' })), { kind: 'unreachable', progress: 'maybe_sent' })
+    })
+  })
+})
+
 test('a non-repeatable request without a key goes out once, so that no page is charged twice', async t => {
   await withNode(async node => {
     node.answersToLose = 5
--- a/packages/node/src/main.ts
+++ b/packages/node/src/main.ts
@@ -50,6 +50,8 @@
 }
 
 async function run (settings: Settings): Promise<void> {
+  // meow sets the name of the package, by which the nodes of one machine could not be told apart.
+  process.title = `comfreygrade-node ${settings.node.nodeId}`
   const node = await startNode(settings, error => {
     console.error(JSON.stringify({ event: 'storage_failed', detail: String(error) }))
     process.exit(EXIT_FAILURE)
--- a/packages/standins/src/backend-server.ts
+++ b/packages/standins/src/backend-server.ts
@@ -68,6 +68,8 @@
   #sequence = 0
   #heartbeatIntervalMs = FIRST_HEARTBEAT_INTERVAL_MS
   #openRequests = 0
+  readonly #unanswered = new Set<HttpExchange>()
+  #isStopping = false
   #acceptedHeartbeats = 0
   #serviceMs: number
 
@@ -106,6 +108,11 @@
     return this.#openRequests
   }
 
+  /** Requests that a behaviour left without an answer. */
+  get unansweredRequests (): number {
+    return this.#unanswered.size
+  }
+
   /** Replaces the behaviour for requests that arrive from now on. */
   behave (behaviour: BackendBehaviour): void {
     this.#behaviour = behaviour
@@ -123,9 +130,14 @@
     if (this.#settings.entries.length > 0) this.#heartbeat.start()
   }
 
-  /** Leaves gracefully: tells an entry node, finishes open requests, then closes the port. Never ends when frozen. */
+  /**
+   * Leaves gracefully: tells an entry node, finishes open requests, then closes the port. Requests that a behaviour
+   * left without an answer, as a frozen server does, are cut, since nothing would ever end them.
+   */
   async stop (): Promise<void> {
     await this.leave()
+    this.#isStopping = true
+    for (const exchange of this.#unanswered) exchange.cut()
     await this.#server.close()
     await this.#entries.close()
   }
@@ -197,6 +209,9 @@
     } finally {
       this.#openRequests--
     }
+    if (exchange.isEnded) return
+    if (this.#isStopping) exchange.cut()
+    else this.#unanswered.add(exchange)
   }
 
   #requestedServiceMs (request: IncomingMessage, url: URL): number {
@@ -238,6 +253,11 @@
     this.#execute = execute
   }
 
+  /** Whether an answer was sent or the connection was lost. */
+  get isEnded (): boolean {
+    return this.#response.writableEnded || this.#response.destroyed
+  }
+
   async execute (): Promise<void> {
     await this.#execute()
   }
--- a/packages/standins/test/backend-server.test.ts
+++ b/packages/standins/test/backend-server.test.ts
@@ -73,3 +73,12 @@
   await server.stop()
   t.like(await answer, { status: 200, text: 'page' })
 })
+
+test('a frozen server can be stopped, so that no test hangs on a request that is never answered', async t => {
+  const server = await started('freeze')
+  const unanswered = t.throwsAsync(post(server))
+  await until(() => server.unansweredRequests === 1)
+  server.behave(backendBehaviour('serve'))
+  await server.stop()
+  await unanswered
+})
