Fail the health check of a node without a configuration lease

Ruled out: holding the port closed until the lease is there, which would hide the status from operators. Conclusion: a balancer sends callers only to nodes that take requests.

--- a/packages/node/src/http-api.ts
+++ b/packages/node/src/http-api.ts
@@ -186,9 +186,10 @@
       },
       status: () => application.status(),
       health: (ctx: Context<ActionParams, ActionMeta>) => {
-        const { state } = application.status()
-        ctx.meta.$statusCode = state === 'serving' ? 200 : 503
-        return { state }
+        const { state, hasConfigurationLease } = application.status()
+        // A node that has just started has no lease yet, and would refuse what a balancer sends it.
+        ctx.meta.$statusCode = state === 'serving' && hasConfigurationLease ? 200 : 503
+        return { state, hasConfigurationLease }
       }
     }
   }
--- a/packages/node/test/http-api.test.ts
+++ b/packages/node/test/http-api.test.ts
@@ -190,6 +190,13 @@
   t.like({ status, ...body }, { status: 503, error: 'shutting_down', outcome: 'not_run', repeat: 'now' })
 })
 
+test('a node without a configuration lease fails its health check, so that a restart sends no caller to a refusal', async t => {
+  const entry = await startEntry(t)
+  entry.application.isConfigurationStale = true
+  const health = await entry.send('GET', '/v1/health')
+  t.like(health, { status: 503, body: { state: 'serving', hasConfigurationLease: false } })
+})
+
 test('a new job is answered with 201 and a resend with 200, so that a caller sees whether it created one', async t => {
   const entry = await startEntry(t)
   entry.application.answerControl = createJobs()
