Read YAML files of the node and of the command line by one package

Cause: packages/node/src/settings.ts and packages/cli/src/yaml-file.ts both parsed YAML, mapped schema errors to line, field, found and allowed, and formatted them. Commands that show one answer and commands on a file repeated their frame. Ruled out: placing the reader in core, which decision packages import and which must not depend on yaml. Before and after: @comfreygrade/documents serves both; an unknown field of the settings now names the fields allowed there, and 'found an unknown field' is the one wording (the expected text of one test of the command line follows, as strict as before; the settings tests call readSettings and check one more part of the line). ShowCommand and FileCommand hold the frame of commands.

--- a/packages/cli/src/command.ts
+++ b/packages/cli/src/command.ts
@@ -2,7 +2,7 @@
 import type { ExitReason } from './exit.js'
 import type { NodeClient } from './node-client.js'
 import type { Output, Streams } from './output.js'
-import { type FileReading, formatFileProblem } from './yaml-file.js'
+import { type FileReading, formatFileProblem } from '@comfreygrade/documents'
 
 /** Options of the command line. */
 export interface CommandOptions {
@@ -48,12 +48,38 @@
   }
 }
 
+/** A command that asks a node once and shows the answer. */
+export abstract class ShowCommand<T> extends Command {
+  override async run (context: CommandContext): Promise<ExitReason> {
+    const answer = await this.fetch(context)
+    context.output.show(answer, () => this.render(answer, context))
+    return 'done'
+  }
+
+  protected abstract fetch (context: CommandContext): Promise<T>
+  /** Gives the answer as text for people. */
+  protected abstract render (answer: T, context: CommandContext): string
+}
+
+/** A command whose first parameter is a file; an invalid one ends it. */
+export abstract class FileCommand<T> extends Command {
+  override readonly parameters: readonly string[] = ['FILE']
+
+  override async run (context: CommandContext): Promise<ExitReason> {
+    const value = await readInput(context, context.values[0] ?? '', (file, text) => this.parse(file, text))
+    return value === undefined ? 'usage' : await this.runWith(value, context)
+  }
+
+  protected abstract parse (file: string, text: string): FileReading<T>
+  protected abstract runWith (value: T, context: CommandContext): Promise<ExitReason>
+}
+
 /**
  * Reads a file (`-` is stdin) and reports all of its problems.
  *
  * @returns undefined where the file is missing or invalid
  */
-export async function readInput<T> (
+async function readInput<T> (
   { output, streams, readFile }: CommandContext, file: string, parse: (file: string, text: string) => FileReading<T>
 ): Promise<T | undefined> {
   try {
--- a/packages/cli/src/configuration-commands.ts
+++ b/packages/cli/src/configuration-commands.ts
@@ -3,23 +3,29 @@
   type Configuration, type ConfigurationChange, type ConfigurationDocument, diffDocument,
   fromDocument, type Upsert
 } from '@comfreygrade/core'
+import type { FileReading } from '@comfreygrade/documents'
 import { stringify } from 'yaml'
+import type { ConfigurationAnswer, ConfigurationStatusAnswer } from './answers.js'
 import { ClientError } from './client-error.js'
-import { Command, type CommandContext, readInput } from './command.js'
+import { type CommandContext, FileCommand, ShowCommand } from './command.js'
 import { readConfigurationFile } from './configuration-file.js'
 import { type ExitReason, exitReasonOf } from './exit.js'
 import type { NodeClient } from './node-client.js'
 import { renderTable } from './tables.js'
 
+/** A command on a configuration file. */
+abstract class DocumentCommand extends FileCommand<ConfigurationDocument> {
+  protected override parse (file: string, text: string): FileReading<ConfigurationDocument> {
+    return readConfigurationFile(file, text)
+  }
+}
+
 /** `config check FILE`: the checks that need no node; with `--with-node` also those that do. */
-export class ConfigCheckCommand extends Command {
+export class ConfigCheckCommand extends DocumentCommand {
   override readonly words = ['config', 'check']
-  override readonly parameters = ['FILE']
   override readonly summary = 'check a configuration file; --with-node also asks a node whether it would be accepted'
 
-  override async run (context: CommandContext): Promise<ExitReason> {
-    const document = await readDocument(context)
-    if (document === undefined) return 'usage'
+  protected override async runWith (document: ConfigurationDocument, context: CommandContext): Promise<ExitReason> {
     if (context.options.withNode) await dryRun(context.client, await changeTo(context.client, document))
     const counts = countRecords(document)
     context.output.show({ isValid: true, ...counts }, () => `${context.values[0]} is valid: ${describeCounts(counts)}`)
@@ -28,14 +34,11 @@
 }
 
 /** `config diff FILE`: what `apply` would change, and whether it would be accepted. */
-export class ConfigDiffCommand extends Command {
+export class ConfigDiffCommand extends DocumentCommand {
   override readonly words = ['config', 'diff']
-  override readonly parameters = ['FILE']
   override readonly summary = 'show what apply would change and whether it would be accepted'
 
-  override async run (context: CommandContext): Promise<ExitReason> {
-    const document = await readDocument(context)
-    if (document === undefined) return 'usage'
+  protected override async runWith (document: ConfigurationDocument, context: CommandContext): Promise<ExitReason> {
     const current = await currentConfiguration(context.client)
     const change = diffDocument(current, document)
     context.output.show({ change }, () => renderChange(current, change))
@@ -45,14 +48,11 @@
 }
 
 /** `config apply FILE`. */
-export class ConfigApplyCommand extends Command {
+export class ConfigApplyCommand extends DocumentCommand {
   override readonly words = ['config', 'apply']
-  override readonly parameters = ['FILE']
   override readonly summary = 'put a configuration file in force'
 
-  override async run (context: CommandContext): Promise<ExitReason> {
-    const document = await readDocument(context)
-    if (document === undefined) return 'usage'
+  protected override async runWith (document: ConfigurationDocument, context: CommandContext): Promise<ExitReason> {
     try {
       const result = await applyDocument(context.client, document)
       context.output.show(result, () => describeApplied(result))
@@ -64,30 +64,32 @@
 }
 
 /** `config show`. */
-export class ConfigShowCommand extends Command {
+export class ConfigShowCommand extends ShowCommand<ConfigurationAnswer> {
   override readonly words = ['config', 'show']
   override readonly summary = 'print the configuration in force as YAML that apply accepts'
 
-  override async run ({ client, output }: CommandContext): Promise<ExitReason> {
-    const answer = await client.configuration()
-    output.show(answer, () => `# version ${answer.version}\n${stringify(answer.document).trimEnd()}`)
-    return 'done'
+  protected override async fetch ({ client }: CommandContext): Promise<ConfigurationAnswer> {
+    return await client.configuration()
+  }
+
+  protected override render ({ version, document }: ConfigurationAnswer): string {
+    return `# version ${version}\n${stringify(document).trimEnd()}`
   }
 }
 
 /** `config status`. */
-export class ConfigStatusCommand extends Command {
+export class ConfigStatusCommand extends ShowCommand<ConfigurationStatusAnswer> {
   override readonly words = ['config', 'status']
   override readonly summary = 'show on which nodes the configuration is in force'
 
-  override async run ({ client, output }: CommandContext): Promise<ExitReason> {
-    const status = await client.configurationStatus()
-    output.show(status, () => {
-      const rows = status.nodes.map(node => [node.nodeId, node.acknowledgedVersion, node.hasLease ? 'yes' : 'no'])
-      const place = status.isInForceEverywhere ? 'everywhere' : 'not everywhere yet'
-      return `version ${status.version}, in force ${place}\n${renderTable(['node', 'acknowledged', 'lease'], rows)}`
-    })
-    return 'done'
+  protected override async fetch ({ client }: CommandContext): Promise<ConfigurationStatusAnswer> {
+    return await client.configurationStatus()
+  }
+
+  protected override render ({ version, isInForceEverywhere, nodes }: ConfigurationStatusAnswer): string {
+    const rows = nodes.map(node => [node.nodeId, node.acknowledgedVersion, node.hasLease ? 'yes' : 'no'])
+    const place = isInForceEverywhere ? 'everywhere' : 'not everywhere yet'
+    return `version ${version}, in force ${place}\n${renderTable(['node', 'acknowledged', 'lease'], rows)}`
   }
 }
 
@@ -111,10 +113,6 @@
   return { version, changedRecords: countChanges(change) }
 }
 
-async function readDocument (context: CommandContext): Promise<ConfigurationDocument | undefined> {
-  return await readInput(context, context.values[0] ?? '', readConfigurationFile)
-}
-
 async function currentConfiguration (client: NodeClient): Promise<Configuration> {
   const { version, document } = await client.configuration()
   return fromDocument(document, version)
--- a/packages/cli/src/configuration-file.ts
+++ b/packages/cli/src/configuration-file.ts
@@ -1,6 +1,6 @@
 /** Checks of a configuration document that need no node: schema, duplicates and references, all at once. */
 import { applyChange, type ConfigurationDocument, configurationDocumentSchema, diffDocument, emptyConfiguration } from '@comfreygrade/core'
-import { type FieldProblem, type FileReading, readYaml } from './yaml-file.js'
+import { type FieldProblem, type FileReading, readYaml } from '@comfreygrade/documents'
 
 /**
  * Reads the inventory and rules that operators edit.
--- a/packages/cli/src/fleet-commands.ts
+++ b/packages/cli/src/fleet-commands.ts
@@ -1,55 +1,67 @@
 /** `fleet`, `queue`, `guarantees`, `drain`, `undrain` and `status`. */
-import { type DrainKind, drainKinds, type FleetAnswer, type GuaranteeAnswer } from './answers.js'
-import { Command, type CommandContext } from './command.js'
+import { type DrainKind, drainKinds, type FleetAnswer, type GuaranteeAnswer, type JobsAnswer, type StatusAnswer } from './answers.js'
+import { Command, type CommandContext, ShowCommand } from './command.js'
 import type { ExitReason } from './exit.js'
 import { renderJobs } from './job-commands.js'
 import { renderFields, renderSections, renderTable } from './tables.js'
 
 /** `fleet`. */
-export class FleetCommand extends Command {
+export class FleetCommand extends ShowCommand<FleetAnswer> {
   override readonly words = ['fleet']
   override readonly summary = 'show totals, workers, backend servers and drains'
 
-  override async run ({ client, output }: CommandContext): Promise<ExitReason> {
-    const fleet = await client.fleet()
-    output.show(fleet, () => renderFleet(fleet))
-    return 'done'
+  protected override async fetch ({ client }: CommandContext): Promise<FleetAnswer> {
+    return await client.fleet()
+  }
+
+  protected override render (fleet: FleetAnswer): string {
+    return renderFleet(fleet)
   }
 }
 
 /** `queue`. */
-export class QueueCommand extends Command {
+export class QueueCommand extends ShowCommand<JobsAnswer> {
   override readonly words = ['queue']
   override readonly summary = 'list waiting jobs in the order in which they are considered'
 
-  override async run ({ client, output }: CommandContext): Promise<ExitReason> {
-    const answer = await client.queue()
-    output.show(answer, () => renderJobs(answer.jobs, answer.total))
-    return 'done'
+  protected override async fetch ({ client }: CommandContext): Promise<JobsAnswer> {
+    return await client.queue()
   }
+
+  protected override render ({ jobs, total }: JobsAnswer): string {
+    return renderJobs(jobs, total)
+  }
+}
+
+interface GuaranteesAnswer {
+  readonly guarantees: readonly GuaranteeAnswer[]
 }
 
 /** `guarantees`. */
-export class GuaranteesCommand extends Command {
+export class GuaranteesCommand extends ShowCommand<GuaranteesAnswer> {
   override readonly words = ['guarantees']
   override readonly summary = 'show what each guarantee holds, lends and misses'
 
-  override async run ({ client, output }: CommandContext): Promise<ExitReason> {
-    const guarantees = await client.guarantees()
-    output.show({ guarantees }, () => renderGuarantees(guarantees))
-    return 'done'
+  protected override async fetch ({ client }: CommandContext): Promise<GuaranteesAnswer> {
+    return { guarantees: await client.guarantees() }
+  }
+
+  protected override render ({ guarantees }: GuaranteesAnswer): string {
+    return renderGuarantees(guarantees)
   }
 }
 
 /** `status`. */
-export class StatusCommand extends Command {
+export class StatusCommand extends ShowCommand<StatusAnswer> {
   override readonly words = ['status']
   override readonly summary = 'show the status and counters of the node that answers'
 
-  override async run ({ client, output }: CommandContext): Promise<ExitReason> {
-    const status = await client.status()
-    output.show(status, () => renderFields(status))
-    return 'done'
+  protected override async fetch ({ client }: CommandContext): Promise<StatusAnswer> {
+    return await client.status()
+  }
+
+  protected override render (status: StatusAnswer): string {
+    return renderFields(status)
   }
 }
 
--- a/packages/cli/src/job-commands.ts
+++ b/packages/cli/src/job-commands.ts
@@ -1,77 +1,87 @@
 /** `jobs` and `job submit|show|cancel|explain|watch`. */
 import { setTimeout as delay } from 'node:timers/promises'
-import type { JobExplanation, JobPhase } from '@comfreygrade/core'
-import type { JobAnswer } from './answers.js'
-import { Command, type CommandContext, readInput } from './command.js'
+import type { JobExplanation, JobPhase, JobSpec } from '@comfreygrade/core'
+import type { FileReading } from '@comfreygrade/documents'
+import type { JobAnswer, JobsAnswer } from './answers.js'
+import { Command, type CommandContext, FileCommand, ShowCommand } from './command.js'
 import type { ExitReason } from './exit.js'
 import { readJobFile } from './job-file.js'
 import { renderFields, renderTable } from './tables.js'
 
 /** `jobs`. */
-export class JobsCommand extends Command {
+export class JobsCommand extends ShowCommand<JobsAnswer> {
   override readonly words = ['jobs']
   override readonly summary = 'list jobs; --phase, --organisation and --limit narrow the list'
 
-  override async run ({ client, output, options }: CommandContext): Promise<ExitReason> {
+  protected override async fetch ({ client, options }: CommandContext): Promise<JobsAnswer> {
     const { phase, organisation, limit } = options
-    const answer = await client.jobs({ phase: phase as JobPhase | undefined, organisation, limit })
-    output.show(answer, () => renderJobs(answer.jobs, answer.total))
-    return 'done'
+    return await client.jobs({ phase: phase as JobPhase | undefined, organisation, limit })
+  }
+
+  protected override render ({ jobs, total }: JobsAnswer): string {
+    return renderJobs(jobs, total)
   }
 }
 
 /** `job submit FILE|-`. */
-export class JobSubmitCommand extends Command {
+export class JobSubmitCommand extends FileCommand<JobSpec> {
   override readonly words = ['job', 'submit']
   override readonly parameters = ['FILE|-']
   override readonly summary = 'submit a gang job from a YAML or JSON file or from stdin'
 
-  override async run (context: CommandContext): Promise<ExitReason> {
-    const job = await readInput(context, context.values[0] ?? '', readJobFile)
-    if (job === undefined) return 'usage'
-    const answer = await context.client.submitJob(job)
-    context.output.show(answer, () => `job ${answer.spec.jobId} is ${answer.phase}`)
+  protected override parse (file: string, text: string): FileReading<JobSpec> {
+    return readJobFile(file, text)
+  }
+
+  protected override async runWith (job: JobSpec, { client, output }: CommandContext): Promise<ExitReason> {
+    const answer = await client.submitJob(job)
+    output.show(answer, () => `job ${answer.spec.jobId} is ${answer.phase}`)
     return 'done'
   }
 }
 
 /** `job show ID`. */
-export class JobShowCommand extends Command {
+export class JobShowCommand extends ShowCommand<JobAnswer> {
   override readonly words = ['job', 'show']
   override readonly parameters = ['ID']
   override readonly summary = 'show a job and where it runs'
 
-  override async run ({ client, output, values }: CommandContext): Promise<ExitReason> {
-    const job = await client.job(values[0] ?? '')
-    output.show(job, () => renderJob(job))
-    return 'done'
+  protected override async fetch ({ client, values }: CommandContext): Promise<JobAnswer> {
+    return await client.job(values[0] ?? '')
+  }
+
+  protected override render (job: JobAnswer): string {
+    return renderJob(job)
   }
 }
 
 /** `job cancel ID`. */
-export class JobCancelCommand extends Command {
+export class JobCancelCommand extends ShowCommand<JobAnswer> {
   override readonly words = ['job', 'cancel']
   override readonly parameters = ['ID']
   override readonly summary = 'cancel a job'
 
-  override async run ({ client, output, values }: CommandContext): Promise<ExitReason> {
-    const jobId = values[0] ?? ''
-    const answer = await client.cancelJob(jobId)
-    output.show(answer, () => `job ${jobId} is cancelled or has ended`)
-    return 'done'
+  protected override async fetch ({ client, values }: CommandContext): Promise<JobAnswer> {
+    return await client.cancelJob(values[0] ?? '')
+  }
+
+  protected override render ({ spec }: JobAnswer): string {
+    return `job ${spec.jobId} is cancelled or has ended`
   }
 }
 
 /** `job explain ID`. */
-export class JobExplainCommand extends Command {
+export class JobExplainCommand extends ShowCommand<JobExplanation> {
   override readonly words = ['job', 'explain']
   override readonly parameters = ['ID']
   override readonly summary = 'say why a job waits or how it was placed'
 
-  override async run ({ client, output, values }: CommandContext): Promise<ExitReason> {
-    const explanation = await client.explainJob(values[0] ?? '')
-    output.show(explanation, () => renderExplanation(explanation))
-    return 'done'
+  protected override async fetch ({ client, values }: CommandContext): Promise<JobExplanation> {
+    return await client.explainJob(values[0] ?? '')
+  }
+
+  protected override render (explanation: JobExplanation): string {
+    return renderExplanation(explanation)
   }
 }
 
--- a/packages/cli/src/job-file.ts
+++ b/packages/cli/src/job-file.ts
@@ -2,7 +2,7 @@
 import { randomBytes } from 'node:crypto'
 import type { JobSpec } from '@comfreygrade/core'
 import { z } from 'zod'
-import { type FileReading, readYaml } from './yaml-file.js'
+import { type FileReading, readYaml } from '@comfreygrade/documents'
 
 const identifier = z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$/)
 
--- a/packages/cli/src/request-commands.ts
+++ b/packages/cli/src/request-commands.ts
@@ -1,6 +1,6 @@
 /** `request SERVICE` and `claim ORG KEY`. */
-import type { ShortRequestAnswer } from './answers.js'
-import { Command, type CommandContext } from './command.js'
+import type { ClaimAnswer, ShortRequestAnswer } from './answers.js'
+import { Command, type CommandContext, ShowCommand } from './command.js'
 import type { ExitReason } from './exit.js'
 import type { ShortRequest } from './node-client.js'
 import { renderFields } from './tables.js'
@@ -29,16 +29,18 @@
 }
 
 /** `claim ORG KEY`. */
-export class ClaimCommand extends Command {
+export class ClaimCommand extends ShowCommand<ClaimAnswer> {
   override readonly words = ['claim']
   override readonly parameters = ['ORG', 'KEY']
   override readonly summary = 'show the outcome of a non-repeatable request'
 
-  override async run ({ client, output, values }: CommandContext): Promise<ExitReason> {
+  protected override async fetch ({ client, values }: CommandContext): Promise<ClaimAnswer> {
     const [organisationId = '', key = ''] = values
-    const claim = await client.claim(organisationId, key)
-    output.show(claim, () => renderFields({ ...claim }))
-    return 'done'
+    return await client.claim(organisationId, key)
+  }
+
+  protected override render (claim: ClaimAnswer): string {
+    return renderFields({ ...claim })
   }
 }
 
--- a/packages/cli/test/files.test.ts
+++ b/packages/cli/test/files.test.ts
@@ -30,7 +30,7 @@
     'f.yaml:5: workers[0].rackPosition: found 0.5, allowed a whole number',
     'f.yaml:6: workers[0].cores: found "many", allowed a value of type number',
     'f.yaml:7: workers[0].memoryGb: found 0, allowed at least 1',
-    'f.yaml:10: workers[0].colour: found a field that does not exist, allowed the fields ' +
+    'f.yaml:10: workers[0].colour: found an unknown field, allowed the fields ' +
       'workerId, rackId, rackPosition, cores, memoryGb, acceleratorModel, accelerators'
   ])
 })
--- /dev/null
+++ b/packages/documents/src/index.ts
@@ -0,0 +1,1 @@
+export * from './yaml-file.js'
--- a/packages/cli/src/yaml-file.ts
+++ b/packages/documents/src/yaml-file.ts
@@ -27,6 +27,9 @@
   | { readonly kind: 'valid', readonly value: T }
   | { readonly kind: 'invalid', readonly problems: readonly FileProblem[] }
 
+/** What is found where a field is not one of the schema's. */
+export const UNKNOWN_FIELD = 'an unknown field'
+
 /** Longest piece of a found value that is shown. */
 const MAX_FOUND_CHARACTERS = 80
 
@@ -76,7 +79,7 @@
   const path = issue.path.map(step => typeof step === 'symbol' ? String(step) : step)
   if (issue.code === 'unrecognized_keys') {
     const allowed = `the fields ${knownFields(schema, path).join(', ')}`
-    return issue.keys.map(key => ({ path: [...path, key], found: 'a field that does not exist', allowed }))
+    return issue.keys.map(key => ({ path: [...path, key], found: UNKNOWN_FIELD, allowed }))
   }
   return [{ path, found: describe(valueAt(data, path)), allowed: describeAllowed(issue) }]
 }
@@ -86,7 +89,10 @@
     case 'invalid_type': return issue.expected === 'int' ? 'a whole number' : `a value of type ${issue.expected}`
     case 'too_small': return `at least ${issue.minimum}`
     case 'too_big': return `at most ${issue.maximum}`
-    case 'invalid_format': return `text that matches ${issue.pattern ?? issue.format}`
+    case 'invalid_format':
+      // A schema's own words say more than its pattern.
+      if (!issue.message.startsWith('Invalid ')) return issue.message
+      return issue.pattern === undefined ? `text of the format ${issue.format}` : `text that matches ${issue.pattern}`
     case 'invalid_value': return issue.values.map(String).join(' | ')
     default: return issue.message
   }
@@ -94,14 +100,20 @@
 
 /** Follows a path through object and array schemas to the fields that are allowed there. */
 function knownFields (schema: z.ZodType, path: FieldPath): string[] {
-  let current: unknown = schema
+  let current = unwrap(schema)
   for (const step of path) {
-    if (current instanceof z.ZodArray) current = current.element
-    else if (current instanceof z.ZodObject) current = (current.shape as Record<string, unknown>)[step]
+    if (current instanceof z.ZodArray) current = unwrap(current.element)
+    else if (current instanceof z.ZodObject) current = unwrap((current.shape as Record<string, unknown>)[step])
   }
   return current instanceof z.ZodObject ? Object.keys(current.shape) : []
 }
 
+/** The schema behind defaults, which does not have its own fields. */
+function unwrap (schema: unknown): unknown {
+  const isWrapped = schema instanceof z.ZodOptional || schema instanceof z.ZodDefault || schema instanceof z.ZodPrefault
+  return isWrapped ? unwrap(schema.unwrap()) : schema
+}
+
 function valueAt (data: unknown, path: FieldPath): unknown {
   let value = data
   for (const step of path) value = (value as Record<string | number, unknown> | null | undefined)?.[step]
--- /dev/null
+++ b/packages/documents/test/yaml-file.test.ts
@@ -0,0 +1,35 @@
+import test from 'ava'
+import { z } from 'zod'
+import { formatFileProblem, readYaml } from '../src/index.js'
+
+const schema = z.strictObject({
+  limits: z.strictObject({ maxBytes: z.int().default(5), address: z.url().optional() }).prefault({}),
+  hosts: z.array(z.union([z.ipv4(), z.ipv6()], 'an IP address')).default([]),
+  name: z.string().regex(/^[a-z]+$/, 'small letters').optional()
+})
+
+function problemsOf (text: string): string[] {
+  const reading = readYaml('f.yaml', text, schema, () => [])
+  return reading.kind === 'valid' ? [] : reading.problems.map(formatFileProblem)
+}
+
+test('an unknown field of a section with defaults is refused with the fields that the section has', t => {
+  t.deepEqual(problemsOf('limits:\n  maxBytez: 7\n'),
+    ['f.yaml:2: limits.maxBytez: found an unknown field, allowed the fields maxBytes, address'])
+})
+
+test('a value of a wrong format says what is allowed in words, so that it can be mended without the code', t => {
+  t.deepEqual(problemsOf('limits: { address: nowhere }\nhosts:\n  - 127.0.0.1\n  - localhost\nname: N1\n'), [
+    'f.yaml:1: limits.address: found "nowhere", allowed text of the format url',
+    'f.yaml:4: hosts[1]: found "localhost", allowed an IP address',
+    'f.yaml:5: name: found "N1", allowed small letters'
+  ])
+})
+
+test('checks beyond the schema see only values of the right shape, so that none of them fails on a missing field', t => {
+  const check = () => [{ path: ['limits', 'maxBytes'], found: '9', allowed: 'less than hosts' }]
+  const reading = readYaml('f.yaml', 'hosts: []\nlimits:\n  maxBytes: 9\n', schema, check)
+  t.deepEqual(reading.kind === 'invalid' ? reading.problems.map(formatFileProblem) : [],
+    ['f.yaml:3: limits.maxBytes: found 9, allowed less than hosts'])
+  t.is(readYaml('f.yaml', 'hosts: 1\n', schema, () => { throw new Error('was called') }).kind, 'invalid')
+})
--- a/packages/node/src/main.ts
+++ b/packages/node/src/main.ts
@@ -2,12 +2,13 @@
 /** Process of a node: reads the settings, starts the parts, ends gracefully on SIGTERM and SIGINT. */
 import { readFile } from 'node:fs/promises'
 import meow from 'meow'
+import { formatFileProblem } from '@comfreygrade/documents'
 import { defaultControlSettings } from '@comfreygrade/control'
 import { defaultReplicaSettings } from '@comfreygrade/consensus'
 import { defaultPlacementSettings } from '@comfreygrade/placement'
 import { defaultRoutingSettings } from '@comfreygrade/routing'
 import { startNode } from './start-node.js'
-import { formatProblem, parseSettings, type Settings } from './settings.js'
+import { readSettings, type Settings } from './settings.js'
 
 /** Exit code for wrong usage or wrong settings. */
 const EXIT_SETTINGS = 2
@@ -25,6 +26,8 @@
     --version        show the version
 `, {
   importMeta: import.meta,
+  // A misspelt --check would otherwise start the node.
+  allowUnknownFlags: false,
   flags: {
     settings: { type: 'string', isRequired: true },
     check: { type: 'boolean', default: false }
@@ -38,14 +41,14 @@
   control: defaultControlSettings
 }
 
-async function readSettings (file: string): Promise<Settings | undefined> {
+async function readSettingsFile (file: string): Promise<Settings | undefined> {
   const text = await readFile(file, 'utf8').catch((error: NodeJS.ErrnoException) => {
     console.error(`${file}: cannot be read: ${error.message}`)
   })
   if (text === undefined) return undefined
-  const result = parseSettings(text, defaults)
-  if (result.ok) return result.settings
-  for (const problem of result.problems) console.error(formatProblem(file, problem))
+  const reading = readSettings(file, text, defaults)
+  if (reading.kind === 'valid') return reading.value
+  for (const problem of reading.problems) console.error(formatFileProblem(problem))
   return undefined
 }
 
@@ -64,7 +67,7 @@
   console.log(JSON.stringify({ event: 'ready', nodeId: settings.node.nodeId, http: settings.http }))
 }
 
-const settings = await readSettings(cli.flags.settings)
+const settings = await readSettingsFile(cli.flags.settings)
 if (settings === undefined) {
   process.exitCode = EXIT_SETTINGS
 } else if (cli.flags.check) {
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -1,9 +1,9 @@
 /** Settings of a node: a YAML file checked by a schema, with all errors reported at once. */
-import { isMap, isScalar, LineCounter, parseDocument, type Document } from 'yaml'
+import { readYaml, UNKNOWN_FIELD, type FieldProblem, type FileReading } from '@comfreygrade/documents'
 import { z } from 'zod'
 
 const identifier = z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$/, 'letters, digits, ".", "_" or "-", at most 64')
-const host = z.union([z.ipv4(), z.ipv6()])
+const host = z.union([z.ipv4(), z.ipv6()], 'an IPv4 or IPv6 address')
 const port = z.int().min(1).max(65_535)
 const role = z.enum(['entry', 'control'])
 
@@ -68,15 +68,15 @@
 }).superRefine((settings, context) => {
   const self = settings.peers.nodes.find(peer => peer.nodeId === settings.node.nodeId)
   if (self === undefined) {
-    const message = `must list this node, ${settings.node.nodeId}`
+    const message = `a list with this node, ${settings.node.nodeId}`
     context.addIssue({ code: 'custom', path: ['peers', 'nodes'], message })
   }
   if (settings.node.roles.includes('control') && settings.node.dataFolder === undefined) {
-    context.addIssue({ code: 'custom', path: ['node', 'dataFolder'], message: 'is needed by the role control' })
+    context.addIssue({ code: 'custom', path: ['node', 'dataFolder'], message: 'a folder, which the role control needs' })
   }
   const ids = settings.peers.nodes.map(peer => peer.nodeId)
   if (new Set(ids).size !== ids.length) {
-    context.addIssue({ code: 'custom', path: ['peers', 'nodes'], message: 'lists a nodeId twice' })
+    context.addIssue({ code: 'custom', path: ['peers', 'nodes'], message: 'each nodeId once' })
   }
 })
 
@@ -88,43 +88,14 @@
 /** Default numbers of the decision packages, by section of the file. */
 export type OverridableDefaults = Readonly<Record<'routing' | 'placement' | 'consensus' | 'control', object>>
 
-/** One mistake in a settings file. */
-export interface SettingsProblem {
-  readonly line: number
-  readonly field: string
-  readonly found: string
-  readonly allowed: string
-}
-
-/** Outcome of reading settings. */
-export type SettingsResult =
-  | { readonly ok: true, readonly settings: Settings }
-  | { readonly ok: false, readonly problems: readonly SettingsProblem[] }
-
 /**
- * Parses and checks the text of a settings file.
+ * Reads the text of a settings file and reports all mistakes at once.
  *
  * @example
- * const result = parseSettings(await readFile('node.yaml', 'utf8'), defaults)
+ * const reading = readSettings('node.yaml', await readFile('node.yaml', 'utf8'), defaults)
  */
-export function parseSettings (text: string, defaults: OverridableDefaults): SettingsResult {
-  const lines = new LineCounter()
-  const document = parseDocument(text, { lineCounter: lines })
-  if (document.errors.length > 0) {
-    const problems = document.errors.map(error => ({
-      line: error.linePos?.[0].line ?? 1,
-      field: '(file)',
-      found: error.message.split('\n')[0] ?? '',
-      allowed: 'YAML 1.2'
-    }))
-    return { ok: false, problems }
-  }
-  const parsed = settingsSchema.safeParse(document.toJS())
-  if (!parsed.success) {
-    return { ok: false, problems: parsed.error.issues.flatMap(issue => describeIssue(issue, document, lines)) }
-  }
-  const problems = checkOverrides(parsed.data, defaults, document, lines)
-  return problems.length > 0 ? { ok: false, problems } : { ok: true, settings: parsed.data }
+export function readSettings (file: string, text: string, defaults: OverridableDefaults): FileReading<Settings> {
+  return readYaml(file, text, settingsSchema, settings => checkOverrides(settings, defaults))
 }
 
 /**
@@ -137,73 +108,18 @@
   return { ...defaults, ...overrides }
 }
 
-/** One line for people: file, line, field, what was found and what is allowed. */
-export function formatProblem (file: string, problem: SettingsProblem): string {
-  return `${file}:${problem.line}: ${problem.field}: found ${problem.found}, allowed: ${problem.allowed}`
-}
-
-type Path = ReadonlyArray<PropertyKey>
-
-function describeIssue (issue: z.core.$ZodIssue, document: Document, lines: LineCounter): SettingsProblem[] {
-  if (issue.code === 'unrecognized_keys') {
-    return issue.keys.map(key => ({
-      line: lineOfKey(document, lines, issue.path, key),
-      field: [...issue.path, key].join('.'),
-      found: 'an unknown field',
-      allowed: 'only the fields of docs/operations.md'
-    }))
-  }
-  return [{
-    line: lineOf(document, lines, issue.path),
-    field: issue.path.join('.') || '(file)',
-    found: describeValue(document.getIn(issue.path as Path)),
-    allowed: issue.message
-  }]
-}
-
-function checkOverrides (
-  settings: Settings,
-  defaults: OverridableDefaults,
-  document: Document,
-  lines: LineCounter
-): SettingsProblem[] {
-  const problems: SettingsProblem[] = []
+function checkOverrides (settings: Settings, defaults: OverridableDefaults): FieldProblem[] {
+  const problems: FieldProblem[] = []
   for (const section of ['routing', 'placement', 'consensus', 'control'] as const) {
     for (const [key, value] of Object.entries(settings[section])) {
-      const line = lineOfKey(document, lines, [section], key)
-      const field = `${section}.${key}`
+      const path = [section, key]
       if (typeof Reflect.get(defaults[section], key) !== 'number') {
-        const allowed = Object.keys(defaults[section]).join(', ')
-        problems.push({ line, field, found: 'an unknown field', allowed })
+        const allowed = `the fields ${Object.keys(defaults[section]).join(', ')}`
+        problems.push({ path, found: UNKNOWN_FIELD, allowed })
       } else if (!Number.isFinite(value) || value < 0) {
-        problems.push({ line, field, found: String(value), allowed: 'a number of at least 0' })
+        problems.push({ path, found: String(value), allowed: 'a number of at least 0' })
       }
     }
   }
   return problems
 }
-
-function describeValue (value: unknown): string {
-  if (value === undefined) return 'nothing'
-  if (isMap(value)) return 'a map'
-  const plain = isScalar(value) ? value.value : value
-  return typeof plain === 'object' && plain !== null ? 'a list or map' : JSON.stringify(plain)
-}
-
-function lineOf (document: Document, lines: LineCounter, path: Path): number {
-  for (let depth = path.length; depth >= 0; depth--) {
-    const node = depth === 0 ? document.contents : document.getIn(path.slice(0, depth), true)
-    const range = (node as { range?: [number, number, number] } | undefined)?.range
-    if (range !== undefined) return lines.linePos(range[0]).line
-  }
-  return 1
-}
-
-function lineOfKey (document: Document, lines: LineCounter, path: Path, key: string): number {
-  const map = path.length === 0 ? document.contents : document.getIn(path, true)
-  if (isMap(map)) {
-    const pair = map.items.find(item => isScalar(item.key) && item.key.value === key)
-    if (pair !== undefined && isScalar(pair.key) && pair.key.range) return lines.linePos(pair.key.range[0]).line
-  }
-  return lineOf(document, lines, path)
-}
--- a/packages/node/test/settings.test.ts
+++ b/packages/node/test/settings.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava'
-import { formatProblem, parseSettings } from '../src/settings.js'
+import { formatFileProblem } from '@comfreygrade/documents'
+import { readSettings } from '../src/settings.js'
 
 const valid = `
 node: { nodeId: n1, region: salto, availabilityZone: salto-a, roles: [entry, control], dataFolder: ./data }
@@ -14,9 +15,9 @@
 const defaults = { routing: {}, placement: {}, consensus: { heartbeatIntervalMs: 100 }, control: {} }
 
 test('valid settings get the defaults of every number that they leave out', t => {
-  const result = parseSettings(valid, defaults)
-  t.true(result.ok)
-  if (result.ok) t.is(result.settings.timing.configurationLeaseMs, 5000)
+  const result = readSettings('n1.yaml', valid, defaults)
+  t.is(result.kind, 'valid')
+  if (result.kind === 'valid') t.is(result.value.timing.configurationLeaseMs, 5000)
 })
 
 test('all mistakes are reported at once with line, field, found and allowed', t => {
@@ -24,29 +25,29 @@
     .replace('port: 7101', 'port: 0')
     .replace('dataFolder: ./data', 'dataFolder: ./data, colour: red')
     .replace('host: 127.0.0.1\n  port: 7201', 'host: localhost\n  port: 7201')
-  const result = parseSettings(text, defaults)
-  t.false(result.ok)
-  if (result.ok) return
-  const lines = result.problems.map(problem => formatProblem('n1.yaml', problem))
+  const result = readSettings('n1.yaml', text, defaults)
+  t.is(result.kind, 'invalid')
+  if (result.kind === 'valid') return
+  const lines = result.problems.map(formatFileProblem)
   t.is(lines.length, 3)
-  t.true(lines.some(line => line.startsWith('n1.yaml:2: node.colour: found an unknown field')))
+  t.true(lines.some(line => line.startsWith('n1.yaml:2: node.colour: found an unknown field, allowed the fields nodeId, region')))
   t.true(lines.some(line => line.startsWith('n1.yaml:3: http.port: found 0')))
   t.true(lines.some(line => line.startsWith('n1.yaml:5: peers.host: found "localhost"')))
 })
 
 test('an override of a number that no package has is an error, so that a misspelt limit is not ignored', t => {
-  const result = parseSettings(valid.replace('heartbeatIntervalMs: 80', 'heartbeatMs: 80'), defaults)
-  t.false(result.ok)
-  if (!result.ok) t.like(result.problems[0], { line: 9, field: 'consensus.heartbeatMs', found: 'an unknown field' })
+  const result = readSettings('n1.yaml', valid.replace('heartbeatIntervalMs: 80', 'heartbeatMs: 80'), defaults)
+  t.is(result.kind, 'invalid')
+  if (result.kind === 'invalid') t.like(result.problems[0], { line: 9, field: 'consensus.heartbeatMs', found: 'an unknown field' })
 })
 
 test('a control node without a data folder is refused, as its log would not survive', t => {
-  const result = parseSettings(valid.replace(', dataFolder: ./data', ''), defaults)
-  t.false(result.ok)
-  if (!result.ok) t.is(result.problems[0]?.field, 'node.dataFolder')
+  const result = readSettings('n1.yaml', valid.replace(', dataFolder: ./data', ''), defaults)
+  t.is(result.kind, 'invalid')
+  if (result.kind === 'invalid') t.is(result.problems[0]?.field, 'node.dataFolder')
 })
 
 test('broken YAML gives the line of the mistake', t => {
-  const result = parseSettings('node:\n  a: [1\nhttp: 2\n', defaults)
-  t.false(result.ok)
+  const result = readSettings('n1.yaml', 'node:\n  a: [1\nhttp: 2\n', defaults)
+  t.is(result.kind, 'invalid')
 })
