Split the file log into file port, record format, replay, disk ID and log

Cause: file-log.ts held five concepts in 590 lines. Ruled out: any change of behaviour; functions were moved and exported, the tests change their imports only. Conclusion: the tests of the file log pass.

--- /dev/null
+++ b/packages/node/src/log-replay.ts
@@ -0,0 +1,45 @@
+/** Rebuilds a log from its records. */
+import type { HardState, LogEntry, Snapshot } from '@comfreygrade/consensus'
+import { FileLogError } from './log-files.js'
+import type { RecordBody } from './log-records.js'
+
+/** A segment of the log; it may be removed once a snapshot covers `maxIndex`. */
+export interface Segment {
+  readonly number: number
+  readonly path: string
+  maxIndex: number
+  sizeBytes: number
+}
+
+/** Rebuilds the log from the records of all segments. */
+export class Replay<Command> {
+  hardState: HardState = { term: 0, votedFor: null }
+  entries: Array<LogEntry<Command>> = []
+
+  apply (body: RecordBody<Command>, segment: Segment): void {
+    if (body.resetToIndex !== undefined) this.entries = []
+    if (body.hardState !== undefined) this.hardState = body.hardState
+    for (const entry of body.entries) this.#place(entry, segment)
+  }
+
+  #place (entry: LogEntry<Command>, segment: Segment): void {
+    segment.maxIndex = Math.max(segment.maxIndex, entry.index)
+    const kept = entry.index - (this.entries[0]?.index ?? entry.index)
+    if (kept > this.entries.length) throw new FileLogError('missing_entries', segment.path, 0)
+    this.entries.length = Math.max(0, kept)
+    this.entries.push(entry)
+  }
+
+  /**
+   * Entries that follow the snapshot; `undefined` where the log contradicts it or ends before it, as after a crash
+   * between the two steps of an installation.
+   */
+  entriesAfter (snapshot: Snapshot): Array<LogEntry<Command>> | undefined {
+    const last = this.entries.at(-1)
+    if (last === undefined) return []
+    const atSnapshot = this.entries.find(entry => entry.index === snapshot.lastIndex)
+    const isContradicted = atSnapshot !== undefined && atSnapshot.term !== snapshot.lastTerm
+    if (isContradicted || last.index < snapshot.lastIndex) return undefined
+    return this.entries.filter(entry => entry.index > snapshot.lastIndex)
+  }
+}
--- a/packages/node/test/file-log.test.ts
+++ b/packages/node/test/file-log.test.ts
@@ -7,9 +7,9 @@
   type Snapshot, type VoterId
 } from '@comfreygrade/consensus'
 import { Random } from '@comfreygrade/core'
-import {
-  FileLog, FileLogError, isFolderInitialised, LogFile, LogFiles, NodeLogFiles, readOrCreateDiskId
-} from '../src/file-log.js'
+import { readOrCreateDiskId } from '../src/disk-id.js'
+import { FileLog, isFolderInitialised } from '../src/file-log.js'
+import { FileLogError, LogFile, LogFiles, NodeLogFiles } from '../src/log-files.js'
 
 type PersistEffect = Extract<ReplicaEffect<string>, { kind: 'persist' }>
 
