--- a/packages/cli/src/fleet-commands.ts
+++ b/packages/cli/src/fleet-commands.ts
@@ -22,7 +22,7 @@
 /** `queue`. */
 export class QueueCommand extends ShowCommand<JobsAnswer> {
   override readonly words = ['queue']
-  override readonly summary = 'list waiting jobs in the order in which they are considered'
+  override readonly summary = 'list waiting jobs in the order in which they began to wait'
 
   protected override async fetch ({ client }: CommandContext): Promise<JobsAnswer> {
     return await client.queue()
--- a/packages/cli/src/node-client.ts
+++ b/packages/cli/src/node-client.ts
@@ -66,7 +66,7 @@
     return await this.#get('/v1/fleet')
   }
 
-  /** Waiting jobs in the order in which they are considered. */
+  /** Waiting jobs in the order in which they began to wait. */
   async queue (): Promise<JobsAnswer> {
     return await this.#get('/v1/queue')
   }
