--- a/packages/standins/test/node-process.test.ts
+++ b/packages/standins/test/node-process.test.ts
@@ -6,6 +6,8 @@
 import { NodeProcess } from '../src/index.js'
 import { writeDemoSettings } from '../src/demo-settings.js'
 
+const NODE_SCRIPT = join(import.meta.dirname, '../../node/dist/main.js')
+
 async function temporaryFolder (t: ExecutionContext): Promise<string> {
   const folder = await mkdtemp(join(tmpdir(), 'comfreygrade-test-'))
   t.teardown(async () => await rm(folder, { recursive: true }))
@@ -54,3 +56,17 @@
     t.deepEqual(peers.nodes, settings[(index + 1) % 5].peers.nodes)
   }
 })
+
+test('a node with wrong settings or a misspelt flag ends with code 2, so that no node starts by mistake', async t => {
+  const file = join(await temporaryFolder(t), 'node.yaml')
+  await writeFile(file, 'node: { nodeId: n 1 }\nhttp: { host: localhost, port: 0, colour: red }\n')
+  const wrongFile = new NodeProcess('n1', NODE_SCRIPT, ['--settings', file, '--check'])
+  await t.throwsAsync(wrongFile.ready(10_000), { message: /ended with code 2/ })
+  const fields = wrongFile.logLines.map(line => line.slice(file.length).split(' found ')[0])
+  const missing = ['region', 'availabilityZone', 'roles'].map(field => `:1: node.${field}:`)
+  t.deepEqual(fields.toSorted(),
+    [':1: node.nodeId:', ...missing, ':1: peers:', ':2: http.colour:', ':2: http.host:', ':2: http.port:'].toSorted())
+  const wrongFlag = new NodeProcess('n1', NODE_SCRIPT, ['--settings', file, '--chek'])
+  await t.throwsAsync(wrongFlag.ready(10_000), { message: /ended with code 2/ })
+  t.true(wrongFlag.logLines.some(line => line.includes('--chek')))
+})
