--- a/packages/cli/src/node-client.ts
+++ b/packages/cli/src/node-client.ts
@@ -66,7 +66,7 @@
     return await this.#get('/v1/fleet')
   }
 
-  /** Waiting jobs in the order in which they are considered. */
+  /** Waiting jobs in the order in which they began to wait. */
   async queue (): Promise<JobsAnswer> {
     return await this.#get('/v1/queue')
   }
@@ -77,7 +77,7 @@
     return guarantees
   }
 
-  /** Jobs, the latest ones where a limit applies. */
+  /** Jobs in order of submission, the first ones where a limit applies. */
   async jobs (filter: JobFilter = {}): Promise<JobsAnswer> {
     const query = new URLSearchParams()
     for (const [name, value] of Object.entries(filter)) {
