Add benchmarks of the cost of nodes, and wire those of consensus and control

Cause: `npm run bench -- consensus` and `control` had no `run`, and nothing measured what a whole node costs at several sizes of the system.

Ruled out: LocalSystem for these runs; it always has five nodes. The new capacity-* benchmarks write their own settings for 5 to 40 processes. They take minutes, so `all` leaves them out. The bench package now depends on node (FileLog, encodeFrame), cli and standins.

--- /dev/null
+++ b/packages/bench/src/capacity-inventory.ts
@@ -0,0 +1,73 @@
+/** Inventories of a given number of workers, and the time until nodes hold them. */
+import { performance } from 'node:perf_hooks'
+import { setTimeout as delay } from 'node:timers/promises'
+import type { NodeClient } from '@comfreygrade/cli'
+import {
+  defaultRules, diffDocument, emptyConfiguration, type ConfigurationChange, type ConfigurationDocument, type Upsert
+} from '@comfreygrade/core'
+import { waitFor } from '@comfreygrade/standins'
+import type { CapacitySystem } from './capacity-system.js'
+
+const WORKERS_PER_RACK = 8
+const ORGANISATIONS = 830
+const POLL_MS = 5
+const LIMIT_MS = 120_000
+
+/** Inventory with 2.25 accelerators a worker, as the target has 47,000 on 21,000 workers. */
+export function capacityInventory (workers: number): ConfigurationDocument {
+  return {
+    racks: Array.from({ length: Math.ceil(workers / WORKERS_PER_RACK) }, (_, rack) =>
+      ({ rackId: `rack-${rack}`, region: `region-${rack % 7}`, availabilityZone: `zone-${rack % 23}` })),
+    workers: Array.from({ length: workers }, (_, worker) => workerRecord(worker, 256)),
+    organisations: Array.from({ length: ORGANISATIONS }, (_, organisation) =>
+      ({ organisationId: `organisation-${organisation}`, quotaAccelerators: 1_000, weight: 1 })),
+    guarantees: [],
+    rules: defaultRules
+  }
+}
+
+/** Puts the inventory into force and gives the time until all nodes hold it. */
+export async function loadInventory (system: CapacitySystem, workers: number): Promise<number> {
+  const startedMs = performance.now()
+  const change = diffDocument(emptyConfiguration(), capacityInventory(workers))
+  await repeatUntilAccepted(system.client(0), change)
+  await awaitVersion(system, change.version)
+  return performance.now() - startedMs
+}
+
+/** The same change may be sent again: the version makes a repeat harmless. */
+async function repeatUntilAccepted (client: NodeClient, change: ConfigurationChange): Promise<void> {
+  await waitFor('the inventory to be accepted', LIMIT_MS, async () => await client.applyChange(change))
+}
+
+/** Change of one organisation or of one worker. */
+export function smallChange (baseVersion: number, kind: 'organisation' | 'worker'): ConfigurationChange {
+  const upsert: Upsert = kind === 'worker'
+    ? { kind, record: workerRecord(17, 256 + baseVersion % 2) }
+    : { kind, record: { organisationId: 'organisation-7', quotaAccelerators: baseVersion, weight: 1 } }
+  return { version: baseVersion + 1, baseVersion, upserts: [upsert], removes: [] }
+}
+
+/** Waits until every node holds the version, by the nodes' own status. */
+export async function awaitVersion (system: CapacitySystem, version: number): Promise<void> {
+  const endsMs = performance.now() + LIMIT_MS
+  while (performance.now() < endsMs) {
+    const statuses = await system.statuses()
+    if (statuses.every(status => status.configurationVersion >= version && status.hasConfigurationLease)) return
+    await delay(POLL_MS)
+  }
+  throw new Error(`version ${version} was not in force after ${LIMIT_MS} ms`)
+}
+
+function workerRecord (worker: number, memoryGb: number) {
+  const rackPosition = worker % WORKERS_PER_RACK
+  return {
+    workerId: `worker-${worker}`,
+    rackId: `rack-${Math.floor(worker / WORKERS_PER_RACK)}`,
+    rackPosition,
+    cores: 64,
+    memoryGb,
+    acceleratorModel: 'gpu',
+    accelerators: rackPosition === 0 ? 4 : 2
+  }
+}
--- /dev/null
+++ b/packages/bench/src/capacity-system.ts
@@ -0,0 +1,154 @@
+/** A system of node processes on loopback for measurements of cost. */
+import { mkdir, mkdtemp, rm, writeFile } from 'node:fs/promises'
+import { createServer, type AddressInfo } from 'node:net'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { NodeClient, type StatusAnswer } from '@comfreygrade/cli'
+import { NodeProcess, waitFor } from '@comfreygrade/standins'
+
+const NODE_SCRIPT = join(import.meta.dirname, '../../node/dist/main.js')
+const HOST = '127.0.0.1'
+const READY_LIMIT_MS = 30_000
+const CALL_TIMEOUT_MS = 30_000
+
+/** Size and settings of a measured system. */
+export interface CapacitySystemOptions {
+  readonly nodes: number
+  /** The first nodes have the role control. */
+  readonly controlNodes: number
+}
+
+interface MeasuredNode {
+  readonly nodeId: string
+  readonly address: string
+  readonly httpPort: number
+  readonly peerPort: number
+  readonly isControl: boolean
+}
+
+/** Node processes that differ in role only. */
+export class CapacitySystem {
+  readonly #folder: string
+  readonly #nodes: readonly MeasuredNode[]
+  readonly #clients = new Map<string, NodeClient>()
+  readonly #processes = new Map<string, NodeProcess>()
+
+  private constructor (folder: string, nodes: readonly MeasuredNode[]) {
+    this.#folder = folder
+    this.#nodes = nodes
+    for (const { nodeId, address } of nodes) {
+      this.#clients.set(nodeId, new NodeClient([address], CALL_TIMEOUT_MS))
+      this.#spawn(nodeId)
+    }
+  }
+
+  /**
+   * Starts the processes and waits until every node has a configuration lease.
+   *
+   * @example
+   * const system = await CapacitySystem.start({ nodes: 5, controlNodes: 3 })
+   * const statuses = await system.statuses()
+   * await system.stop()
+   */
+  static async start (options: CapacitySystemOptions): Promise<CapacitySystem> {
+    const folder = await mkdtemp(join(tmpdir(), 'comfreygrade-capacity-'))
+    const nodes = await chooseNodes(options)
+    await Promise.all(nodes.map(async node => { await writeSettings(folder, node, nodes) }))
+    const system = new CapacitySystem(folder, nodes)
+    try {
+      await Promise.all([...system.#processes.values()].map(async node => { await node.ready(READY_LIMIT_MS) }))
+      await system.#awaitLeases()
+      return system
+    } catch (error) {
+      await system.stop()
+      throw error
+    }
+  }
+
+  /** Base URLs of all nodes. */
+  get addresses (): string[] {
+    return this.#nodes.map(({ address }) => address)
+  }
+
+  /** Client of the node at a position. */
+  client (position: number): NodeClient {
+    return this.#clientOf(this.#nodes[position]?.nodeId ?? '')
+  }
+
+  /** Status of every node. */
+  async statuses (): Promise<StatusAnswer[]> {
+    return await Promise.all(this.#nodes.map(async ({ nodeId }) => await this.#clientOf(nodeId).status()))
+  }
+
+  /** Kills the process of a node and starts it again; resolves when it serves. */
+  async restart (nodeId: string): Promise<void> {
+    await this.#processes.get(nodeId)?.kill()
+    this.#spawn(nodeId)
+    await this.#processes.get(nodeId)?.ready(READY_LIMIT_MS)
+  }
+
+  /** Ends every process by its own ID and removes the files. */
+  async stop (): Promise<void> {
+    await Promise.all([...this.#processes.values()].map(async node => { await node.kill() }))
+    await Promise.all([...this.#clients.values()].map(async client => { await client.close() }))
+    await rm(this.#folder, { recursive: true, force: true })
+  }
+
+  async #awaitLeases (): Promise<void> {
+    await waitFor('every node to have a lease', READY_LIMIT_MS, async () => {
+      const statuses = await this.statuses()
+      return statuses.every(status => status.hasConfigurationLease) ? true : undefined
+    })
+  }
+
+  #spawn (nodeId: string): void {
+    const settingsFile = join(this.#folder, `${nodeId}.yaml`)
+    this.#processes.set(nodeId, new NodeProcess(nodeId, NODE_SCRIPT, ['--settings', settingsFile]))
+  }
+
+  #clientOf (nodeId: string): NodeClient {
+    const client = this.#clients.get(nodeId)
+    if (client === undefined) throw new Error(`no node ${nodeId}`)
+    return client
+  }
+}
+
+async function chooseNodes ({ nodes, controlNodes }: CapacitySystemOptions): Promise<MeasuredNode[]> {
+  const ports = await findFreePorts(nodes * 2)
+  return Array.from({ length: nodes }, (_, index) => {
+    const [httpPort, peerPort] = [ports[index * 2] ?? 0, ports[index * 2 + 1] ?? 0]
+    const isControl = index < controlNodes
+    return { nodeId: `montevideo-${index + 1}`, address: `http://${HOST}:${httpPort}`, httpPort, peerPort, isControl }
+  })
+}
+
+async function writeSettings (folder: string, node: MeasuredNode, nodes: readonly MeasuredNode[]): Promise<void> {
+  const dataFolder = join(folder, node.nodeId)
+  await mkdir(dataFolder)
+  const region = 'montevideo'
+  const rolesOf = ({ isControl }: MeasuredNode) => isControl ? ['entry', 'control'] : ['entry']
+  const settings = {
+    node: { nodeId: node.nodeId, region, availabilityZone: 'montevideo-a', roles: rolesOf(node), dataFolder },
+    http: { host: HOST, port: node.httpPort },
+    peers: {
+      host: HOST,
+      port: node.peerPort,
+      nodes: nodes.map(peer => ({
+        nodeId: peer.nodeId, host: HOST, port: peer.peerPort, httpAddress: peer.address, region, roles: rolesOf(peer)
+      }))
+    }
+  }
+  // JSON is YAML.
+  await writeFile(join(folder, `${node.nodeId}.yaml`), JSON.stringify(settings))
+}
+
+async function findFreePorts (count: number): Promise<number[]> {
+  const servers = await Promise.all(Array.from({ length: count }, async () => {
+    const server = createServer()
+    await new Promise<void>(resolve => { server.listen(0, HOST, resolve) })
+    return server
+  }))
+  const ports = servers.map(server => (server.address() as AddressInfo).port)
+  await Promise.all(servers.map(async server => { await new Promise(resolve => server.close(resolve)) }))
+  return ports
+}
--- /dev/null
+++ b/packages/bench/src/capacity-workers-bench.ts
@@ -0,0 +1,161 @@
+/** Cost of workers' reports at several numbers of workers. */
+import { Agent, request } from 'node:http'
+import type { Socket } from 'node:net'
+import { setTimeout as delay } from 'node:timers/promises'
+import { encodeFrame } from '@comfreygrade/node'
+import type { BenchTable } from './format.js'
+import { meanOfRole, measureCost, measureIdleCost, type MeasuredRole, type NodeCost } from './capacity-cost.js'
+import { loadInventory } from './capacity-inventory.js'
+import { CapacitySystem } from './capacity-system.js'
+
+const WORKERS = [30, 100, 300, 1_000]
+const QUICK_WORKERS = [30]
+/** Shorter than the 10 s of a worker with a lease of 30 s, so that a short run has enough reports. */
+const REPORT_INTERVAL_MS = 2_000
+const DURATION_MS = 15_000
+const WARM_UP_MS = 5_000
+const IDLE_MS = 10_000
+const TASKS_PER_WORKER = 5
+
+interface WorkerTraffic {
+  readonly answered: number
+  readonly failed: number
+  readonly sentBytes: number
+  readonly receivedBytes: number
+}
+
+/** Simulated workers that report on timers and take no orders. */
+class ReportingWorkers {
+  readonly #agent = new Agent({ keepAlive: true, maxSockets: 64 })
+  readonly #sockets = new Set<Socket>()
+  readonly #addresses: readonly string[]
+  readonly #timers: NodeJS.Timeout[] = []
+  #sequence = 0
+  #answered = 0
+  #failed = 0
+
+  constructor (addresses: readonly string[]) {
+    this.#addresses = addresses
+  }
+
+  /** Starts the timers, spread over the interval. */
+  start (workers: number): void {
+    for (let worker = 0; worker < workers; worker += 1) {
+      this.#timers.push(setTimeout(() => {
+        this.#report(worker)
+        this.#timers.push(setInterval(() => { this.#report(worker) }, REPORT_INTERVAL_MS))
+      }, REPORT_INTERVAL_MS * worker / workers))
+    }
+  }
+
+  get traffic (): WorkerTraffic {
+    const sockets = [...this.#sockets]
+    return {
+      answered: this.#answered,
+      failed: this.#failed,
+      sentBytes: sockets.reduce((sum, socket) => sum + socket.bytesWritten, 0),
+      receivedBytes: sockets.reduce((sum, socket) => sum + socket.bytesRead, 0)
+    }
+  }
+
+  stop (): void {
+    for (const timer of this.#timers) clearInterval(timer)
+    this.#agent.destroy()
+  }
+
+  #report (worker: number): void {
+    this.#sequence += 1
+    const report = { incarnation: 1, sequence: this.#sequence, address: `http://127.0.0.1:${20_000 + worker}`, tasks: [] }
+    const body = Buffer.from(JSON.stringify(report))
+    const address = this.#addresses[worker % this.#addresses.length] ?? ''
+    const headers = { 'content-type': 'application/json', 'content-length': body.length }
+    const call = request(`${address}/v1/workers/worker-${worker}`, { method: 'PUT', agent: this.#agent, headers })
+    call.on('socket', socket => { this.#sockets.add(socket) })
+    call.on('response', response => {
+      if (response.statusCode === 200) this.#answered += 1
+      else this.#failed += 1
+      response.resume()
+    })
+    call.on('error', () => { this.#failed += 1 })
+    call.end(body)
+  }
+}
+
+/** Measures 5 nodes; the workers report to the 2 entry nodes that are no control nodes. */
+export async function run ({ quick }: { readonly quick: boolean }): Promise<BenchTable[]> {
+  const sizes = quick ? QUICK_WORKERS : WORKERS
+  const system = await CapacitySystem.start({ nodes: 5, controlNodes: 3 })
+  try {
+    await loadInventory(system, Math.max(...sizes))
+    const idle = await measureIdleCost(system, IDLE_MS)
+    const rows: string[][] = []
+    for (const workers of sizes) rows.push(await measureWorkers(system, workers, idle))
+    return [reportTable(rows), frameTable()]
+  } finally {
+    await system.stop()
+  }
+}
+
+async function measureWorkers (system: CapacitySystem, workers: number, idle: readonly NodeCost[]): Promise<string[]> {
+  const fleet = new ReportingWorkers(system.addresses.slice(3))
+  fleet.start(workers)
+  await delay(WARM_UP_MS)
+  const before = fleet.traffic
+  const costs = await measureCost(system, async () => { await delay(DURATION_MS) })
+  const after = fleet.traffic
+  fleet.stop()
+  const answered = after.answered - before.answered
+  const perSecond = answered * 1_000 / DURATION_MS
+  const microsPerReport = (role: MeasuredRole, nodes: number) => {
+    const percent = (meanOfRole(costs, role)?.corePercent ?? 0) - (meanOfRole(idle, role)?.corePercent ?? 0)
+    return (percent * nodes * 10_000 / perSecond).toFixed(0)
+  }
+  const sent = (role: MeasuredRole, nodes: number) => {
+    const bytes = (meanOfRole(costs, role)?.sentBytesPerSecond ?? 0) - (meanOfRole(idle, role)?.sentBytesPerSecond ?? 0)
+    return (bytes * nodes / perSecond).toFixed(0)
+  }
+  return [
+    String(workers),
+    perSecond.toFixed(1),
+    String(after.failed - before.failed),
+    ...(['leader', 'voter', 'entry'] as const).map(role => meanOfRole(costs, role)?.corePercent.toFixed(2) ?? '-'),
+    microsPerReport('entry', 2),
+    microsPerReport('leader', 1),
+    ((after.sentBytes - before.sentBytes) / answered).toFixed(0),
+    ((after.receivedBytes - before.receivedBytes) / answered).toFixed(0),
+    sent('entry', 2),
+    sent('leader', 1)
+  ]
+}
+
+function reportTable (rows: string[][]): BenchTable {
+  return {
+    title: `Reports of workers without tasks, one each ${REPORT_INTERVAL_MS} ms, through 2 of 5 nodes`,
+    columns: [
+      'workers', 'reports/s', 'failed', 'leader %', 'voter %', 'entry %', 'entry us/report', 'leader us/report',
+      'HTTP in B/report', 'HTTP out B/report', 'entry to leader B/report', 'leader sent B/report'
+    ],
+    rows
+  }
+}
+
+/** Frames of a report between the entry node and the leader. */
+function frameTable (): BenchTable {
+  const task = { jobId: '01890000-0000-7000-8000-000000000001', taskIndex: 3, leaseId: 1_234_567, state: 'running' as const }
+  const frameOf = (tasks: number) => encodeFrame({
+    kind: 'control_request',
+    requestId: '01890000-0000-7000-8000-000000000002',
+    operation: {
+      kind: 'report_worker',
+      report: {
+        workerId: 'worker-20999',
+        incarnation: 1_800_000_000_000,
+        sequence: 1_000_000,
+        address: 'http://10.0.82.7:8080',
+        tasks: Array.from({ length: tasks }, () => task)
+      }
+    }
+  })
+  const rows = [0, TASKS_PER_WORKER].map(tasks => [String(tasks), String(frameOf(tasks).length)])
+  return { title: 'Frame of a report from an entry node to the leader', columns: ['tasks', 'bytes'], rows }
+}
--- a/packages/bench/src/consensus-bench.ts
+++ b/packages/bench/src/consensus-bench.ts
@@ -1,4 +1,6 @@
 /** Benchmark of the replicated log. */
+import { mkdtemp, rm } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { performance } from 'node:perf_hooks'
 import { defaultReplicaSettings, Replica, type LogEntry, type VoterId } from '@comfreygrade/consensus'
@@ -7,6 +9,8 @@
 import { benchCommand, type BenchCommand, type ConsensusBenchAdapters } from './consensus-adapters.js'
 import { BenchCluster } from './consensus-cluster.js'
 import { ClusterModel } from './consensus-model.js'
+import type { BenchTable } from './format.js'
+import { NodeAdapters } from './capacity-adapters.js'
 
 const measureMs = 5_000
 const failoverSeeds = 20
@@ -72,6 +76,42 @@
   return { commits, failover: [measureFailover(3), measureFailover(5)], restart, idle: measureIdle(adapters) }
 }
 
+/** Measures the log on the disk of the temporary folder, with the adapters of the node. */
+export async function run (): Promise<BenchTable[]> {
+  const folder = await mkdtemp(join(tmpdir(), 'comfreygrade-bench-'))
+  try {
+    return toTables(await consensusBench(folder, new NodeAdapters()))
+  } finally {
+    await rm(folder, { recursive: true, force: true })
+  }
+}
+
+function toTables ({ commits, failover, restart, idle }: ConsensusBenchReport): BenchTable[] {
+  return [
+    {
+      title: 'Commits with a file log for each replica, one process',
+      columns: ['replicas, open proposals', 'commits/s', 'p50 ms', 'p99 ms'],
+      rows: commits.map(({ replicas, inFlight, commitsPerSecond, p50Ms, p99Ms }) =>
+        [`${replicas}, ${inFlight}`, String(commitsPerSecond), p50Ms.toFixed(2), p99Ms.toFixed(2)])
+    },
+    {
+      title: `Model time without a leader after a kill, ${failoverSeeds} seeds`,
+      columns: ['replicas', 'median ms', 'max ms'],
+      rows: failover.map(({ replicas, medianMs, maxMs }) => [String(replicas), medianMs.toFixed(0), maxMs.toFixed(0)])
+    },
+    {
+      title: `Restart with ${restartEntries} entries`,
+      columns: ['snapshot', 'ms'],
+      rows: restart.map(({ withSnapshot, restartMs }) => [withSnapshot ? 'yes' : 'no', restartMs.toFixed(1)])
+    },
+    {
+      title: 'Idle leader and one follower, both directions',
+      columns: ['figure', 'bytes/s'],
+      rows: [['heartbeats and answers', idle.bytesPerSecond.toFixed(0)]]
+    }
+  ]
+}
+
 async function measureCommits (
   folder: string, replicas: number, adapters: ConsensusBenchAdapters
 ): Promise<CommitFigures[]> {
--- a/packages/bench/src/control-bench.ts
+++ b/packages/bench/src/control-bench.ts
@@ -10,6 +10,7 @@
   buildLargeLog, IdleScheduler, largeJob, largePlacement, largeReport, largeWorkerState, RUNNING_TASKS, START_LOG_MS,
   stateOptions, WORKERS, type LargeLog
 } from './control-load.js'
+import type { BenchTable } from './format.js'
 
 /** One measured figure. */
 export interface BenchFigure {
@@ -50,6 +51,12 @@
   for (const { name, value, unit } of runControlBench()) console.log(`${name.padEnd(58)}${value.toFixed(2).padStart(12)} ${unit}`)
 }
 
+/** Gives the figures of `runControlBench` as a table. The sizes are those of the target, with or without `quick`. */
+export async function run (): Promise<BenchTable[]> {
+  const rows = runControlBench().map(({ name, value, unit }) => [name, value.toFixed(2), unit])
+  return [{ title: `Control state and leader, ${WORKERS} workers, ${RUNNING_TASKS} tasks`, columns: ['figure', 'value', 'unit'], rows }]
+}
+
 function measureSnapshot (state: ControlState): BenchFigure[] {
   const [snapshot, snapshotMs] = timed(() => state.snapshot())
   const [encoded, encodeMs] = timed(() => serialize(snapshot))
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,11 +1,14 @@
-/** `npm run bench -- [placement|routing|consensus|control|all]`: runs benchmarks of the decision packages. */
+/** `npm run bench -- [NAME ...]`: runs benchmarks of the decision packages and of the cost of whole nodes. */
 import { existsSync } from 'node:fs'
 import meow from 'meow'
 import { type BenchTable, formatTable } from './format.js'
 import { compareTables, type Figures, readFigures, writeFigures } from './format-figures.js'
 
 /** Benchmarks by name; each is a module `NAME-bench.js` next to this one. */
-const NAMES = ['placement', 'routing', 'consensus', 'control'] as const
+const DECISION_NAMES = ['placement', 'routing', 'consensus', 'control'] as const
+/** Benchmarks of node processes. They take minutes, so `all` leaves them out. */
+const CAPACITY_NAMES = ['capacity-idle', 'capacity-workers', 'capacity-changes', 'capacity-inventory'] as const
+const NAMES = [...DECISION_NAMES, ...CAPACITY_NAMES] as const
 
 type BenchName = typeof NAMES[number]
 
@@ -38,7 +41,7 @@
 
 /** Undefined where a name is unknown or was asked for and does not exist; `all` takes what exists. */
 function chooseNames (input: readonly string[]): readonly BenchName[] | undefined {
-  if (input.length === 0 || input.includes('all')) return NAMES.filter(hasModule)
+  if (input.length === 0 || input.includes('all')) return DECISION_NAMES.filter(hasModule)
   const chosen = NAMES.filter(name => input.includes(name) && hasModule(name))
   return chosen.length === input.length ? chosen : undefined
 }
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,1 +1,2 @@
-export {}
+export { FileLog } from './file-log.js'
+export { encodeFrame } from './peer-messages.js'
