Say hello rarely once every control node is a voter, and only to control nodes

Cause: every node sent `hello` to every peer each second. Only control nodes act on a hello after the first one of a link, and what it says changes only at a first start or with a new disk.

Ruled out: no repeated hello at all. A leader that is elected after a voter returned with a new disk would not hear of it, so a node that is no voter yet, or misses one, still says hello each second; the others each 10 s.

--- a/packages/node/src/control-service.ts
+++ b/packages/node/src/control-service.ts
@@ -12,7 +12,7 @@
 import type { PeerMessage } from './peer-messages.js'
 import { NodeLeases } from './node-leases.js'
 import { ReplicaRunner } from './replica-runner.js'
-import { decideBootstrap, findReplacedVoter, type ControlPeer } from './voter-bootstrap.js'
+import { decideBootstrap, findReplacedVoter, isVoterSetSettled, type ControlPeer } from './voter-bootstrap.js'
 import type { WorkerClient } from './worker-client.js'
 
 type Feed = Extract<PeerMessage, { kind: 'feed' }>
@@ -79,6 +79,11 @@
     return { voter: this.#options.self, voters: this.#runner?.replica.voters ?? null }
   }
 
+  /** Whether no other control node waits for a `hello` of this one. */
+  get isVoterSetSettled (): boolean {
+    return isVoterSetSettled(this.controlPeer, this.#options.controlNodeIds, this.#peers)
+  }
+
   /** State of the replica, or null before the first start is complete. */
   get replica (): Replica<ControlCommand> | null {
     return this.#runner?.replica ?? null
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -36,8 +36,10 @@
   readonly createControl?: ControlFactory
 }
 
-/** How often a node says `hello` again, so that a control node hears of a peer's first start or new disk. */
+/** How often a control node says `hello` again, so that the others hear of its first start or new disk. */
 const HELLO_INTERVAL_MS = 1_000
+/** The same once every control node is a voter: a `hello` to 39 peers each second alone took more than 12 KB/s. */
+const SETTLED_HELLO_INTERVAL_MS = 10_000
 /** How often a shutdown looks whether all requests have ended. */
 const DRAIN_CHECK_MS = 20
 /** Time for peers to hear that leadership was handed over. */
@@ -60,6 +62,7 @@
   #state: NodeStatus['state'] = 'starting'
   #feedTimer: NodeJS.Timeout | undefined
   #helloTimer: NodeJS.Timeout | undefined
+  #helloAtMs = -Infinity
 
   constructor (options: NodeOptions) {
     super()
@@ -112,7 +115,7 @@
     await this.#links.start()
     this.#members.start()
     this.#feedTimer = setInterval(() => { this.#requestFeed() }, timing.feedIntervalMs)
-    this.#helloTimer = setInterval(() => { this.#links.broadcast(this.#hello()) }, HELLO_INTERVAL_MS)
+    this.#helloTimer = setInterval(() => { this.#repeatHello() }, HELLO_INTERVAL_MS)
     await this.#http.start()
     this.#state = 'serving'
     this.#options.log.info('node is serving', { http: this.#options.settings.http })
@@ -305,6 +308,19 @@
     return this.#control?.leaderNodeId ?? this.#configuration.leaderNodeId
   }
 
+  /** Every link starts with a `hello`; only control nodes act on later ones. */
+  #repeatHello (): void {
+    const control = this.#control
+    const nowMs = this.nowMs()
+    if (control === undefined) return
+    if (control.isVoterSetSettled && nowMs - this.#helloAtMs < SETTLED_HELLO_INTERVAL_MS) return
+    this.#helloAtMs = nowMs
+    const message = this.#hello()
+    for (const { nodeId, roles } of this.#options.settings.peers.nodes) {
+      if (roles.includes('control')) this.#links.send(nodeId, message)
+    }
+  }
+
   #hello (isFirst = false): PeerMessage {
     const { nodeId } = this.#options.settings.node
     return { kind: 'hello', nodeId, control: this.#control?.controlPeer ?? null, isFirst }
--- a/packages/node/src/voter-bootstrap.ts
+++ b/packages/node/src/voter-bootstrap.ts
@@ -38,6 +38,30 @@
   return { kind: 'initialise', voters: voters.sort((left, right) => left.nodeId < right.nodeId ? -1 : 1) }
 }
 
+/**
+ * Whether every control node is a voter with the disk that it announced last, so that no `hello` is waited for.
+ *
+ * @example
+ * isVoterSetSettled({ voter: self, voters: replica.voters }, ['n1', 'n2', 'n3'], peers)
+ */
+export function isVoterSetSettled (
+  self: ControlPeer,
+  controlNodeIds: readonly string[],
+  peers: ReadonlyMap<string, ControlPeer>
+): boolean {
+  const { voter: own, voters } = self
+  if (voters === null || !includesVoter(voters, own)) return false
+  const others = controlNodeIds.filter(nodeId => nodeId !== own.nodeId)
+  return others.every(nodeId => {
+    const peer = peers.get(nodeId)
+    return peer !== undefined && peer.voters !== null && includesVoter(voters, peer.voter)
+  })
+}
+
+function includesVoter (voters: readonly VoterId[], wanted: VoterId): boolean {
+  return voters.some(voter => voter.nodeId === wanted.nodeId && voter.diskId === wanted.diskId)
+}
+
 /**
  * Finds a voter whose node has come back with another disk, which can only have lost the old one.
  *
--- a/packages/node/test/voter-bootstrap.test.ts
+++ b/packages/node/test/voter-bootstrap.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { decideBootstrap, findReplacedVoter, type ControlPeer } from '../src/voter-bootstrap.js'
+import { decideBootstrap, findReplacedVoter, isVoterSetSettled, type ControlPeer } from '../src/voter-bootstrap.js'
 
 const n1 = { nodeId: 'n1', diskId: 'd1' }
 const n2 = { nodeId: 'n2', diskId: 'd2' }
@@ -32,3 +32,21 @@
   t.is(findReplacedVoter([n1, n2, n3], n2), undefined)
   t.is(findReplacedVoter([n1, n3], { nodeId: 'n2', diskId: 'new' }), undefined)
 })
+
+test('hello stays frequent while a control node was not heard, is uninitialised or has a new disk', t => {
+  const voters = [n1, n2, n3]
+  const self = { voter: n1, voters }
+  const initialised = { voter: n2, voters }
+  t.false(isVoterSetSettled(self, controlNodeIds, peers(initialised)))
+  t.false(isVoterSetSettled(self, controlNodeIds, peers(initialised, { voter: n3, voters: null })))
+  const newDisk = { voter: { nodeId: 'n3', diskId: 'new' }, voters }
+  t.false(isVoterSetSettled(self, controlNodeIds, peers(initialised, newDisk)))
+  t.true(isVoterSetSettled(self, controlNodeIds, peers(initialised, { voter: n3, voters })))
+})
+
+test('hello stays frequent on a node that is no voter yet, as the leader may have to be asked again', t => {
+  const voters = [n1, n2, n3]
+  const others = peers({ voter: n2, voters }, { voter: n3, voters })
+  t.false(isVoterSetSettled({ voter: n1, voters: null }, controlNodeIds, others))
+  t.false(isVoterSetSettled({ voter: { nodeId: 'n1', diskId: 'new' }, voters }, controlNodeIds, others))
+})
