Number the fields of frames between nodes that both read it

Cause: CBOR frames carry each field name as text. A raft heartbeat takes 256 bytes, of which about 100 are names.

Ruled out: shared record structures of cbor-x, which need state that both ends agree on; and numbered frames without agreement, which a node of an older version could not read during an upgrade node by node. `hello` stays named and says `readsNumberedFields`; a node numbers its frames to a peer after that. The receiver reads both. The two tests of framing now run with both formats, as `map(encodeFrame)` would pass the index as the format.

A system of two real versions was not run; the agreement is tested on one link.

--- a/packages/bench/src/capacity-adapters.ts
+++ b/packages/bench/src/capacity-adapters.ts
@@ -16,6 +16,7 @@
 
   override encode (message: ConsensusMessage<BenchCommand>): Uint8Array {
     // The codec takes any command; the claims of the benchmark lack fields that only the control state reads.
-    return encodeFrame({ kind: 'raft', from: FROM, to: TO, message: message as ConsensusMessage<ControlCommand> })
+    const command = message as ConsensusMessage<ControlCommand>
+    return encodeFrame({ kind: 'raft', from: FROM, to: TO, message: command }, 'numbered')
   }
 }
--- a/packages/bench/src/capacity-inventory-bench.ts
+++ b/packages/bench/src/capacity-inventory-bench.ts
@@ -98,7 +98,7 @@
     drains: [],
     requestSentAtMs: 1.5,
     leaseMs: 5_000
-  })
+  }, 'numbered')
   return { bytes: frame.length, encodeMs: performance.now() - startedMs }
 }
 
--- a/packages/bench/src/capacity-workers-bench.ts
+++ b/packages/bench/src/capacity-workers-bench.ts
@@ -155,7 +155,7 @@
         tasks: Array.from({ length: tasks }, () => task)
       }
     }
-  })
+  }, 'numbered')
   const rows = [0, TASKS_PER_WORKER].map(tasks => [String(tasks), String(frameOf(tasks).length)])
   return { title: 'Frame of a report from an entry node to the leader', columns: ['tasks', 'bytes'], rows }
 }
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -323,7 +323,7 @@
 
   #hello (isFirst = false): PeerMessage {
     const { nodeId } = this.#options.settings.node
-    return { kind: 'hello', nodeId, control: this.#control?.controlPeer ?? null, isFirst }
+    return { kind: 'hello', nodeId, control: this.#control?.controlPeer ?? null, isFirst, readsNumberedFields: true }
   }
 
   #configurationChanged (configuration: Configuration, drains: readonly Drain[]): void {
--- a/packages/node/src/peer-links.ts
+++ b/packages/node/src/peer-links.ts
@@ -1,7 +1,7 @@
 /** TCP links between nodes: each node dials every other one and listens for their links. */
 import { createConnection, createServer, type Server, type Socket } from 'node:net'
 import type { Clock, EventLog, Metrics } from '@comfreygrade/core'
-import { encodeFrame, FrameDecoder, type PeerMessage } from './peer-messages.js'
+import { encodeFrame, FrameDecoder, type FrameFormat, type PeerMessage } from './peer-messages.js'
 import type { PeerNode } from './settings.js'
 
 /** Bytes that may wait on one link; more means that the peer does not read, and messages are dropped. */
@@ -61,10 +61,14 @@
     return this.#outgoing.get(nodeId)?.send(message) ?? false
   }
 
-  /** Sends one message to every peer whose link is up, encoding it once. */
+  /** Sends one message to every peer whose link is up, encoding it once for each format. */
   broadcast (message: PeerMessage): void {
-    const frame = encodeFrame(message)
-    for (const link of this.#outgoing.values()) link.sendFrame(frame, message.kind)
+    const frames = new Map<FrameFormat, Buffer>()
+    for (const link of this.#outgoing.values()) {
+      const frame = frames.get(link.format) ?? encodeFrame(message, link.format)
+      frames.set(link.format, frame)
+      link.sendFrame(frame, message.kind)
+    }
   }
 
   /** IDs of the peers whose links are up. */
@@ -81,20 +85,33 @@
   }
 
   #accept (socket: Socket): void {
-    const link = new IncomingLink(socket, this.#options, () => { this.#incoming.delete(link) })
+    const link = new IncomingLink(socket, this.#options, {
+      onHello: hello => { this.#chooseFormat(hello) },
+      onClose: () => { this.#incoming.delete(link) }
+    })
     this.#incoming.add(link)
   }
 
+  /** A peer says at each start what it reads, so that nodes of two versions understand each other in an upgrade. */
+  #chooseFormat ({ nodeId, readsNumberedFields }: Hello): void {
+    const link = this.#outgoing.get(nodeId)
+    if (link !== undefined) link.format = readsNumberedFields === true ? 'numbered' : 'named'
+  }
+
   #checkLinks (): void {
     for (const link of this.#outgoing.values()) link.check()
     for (const link of this.#incoming) link.check()
   }
 }
 
+type Hello = Extract<PeerMessage, { kind: 'hello' }>
+
 /** A link that this node dialled; carries its messages, and pongs back. */
 class OutgoingLink {
   readonly #peer: PeerNode
   readonly #options: PeerLinksOptions
+  /** Format of the frames to this peer; named until it says that it reads numbered ones. */
+  format: FrameFormat = 'named'
   #socket: Socket | undefined
   #isConnected = false
   #heardAtMs = 0
@@ -130,7 +147,12 @@
   }
 
   send (message: PeerMessage): boolean {
-    return this.#isConnected && this.sendFrame(encodeFrame(message), message.kind)
+    return this.#isConnected && this.sendFrame(this.#encode(message), message.kind)
+  }
+
+  /** The peer may have been replaced by an older version, so `hello` is readable by all. */
+  #encode (message: PeerMessage): Buffer {
+    return encodeFrame(message, message.kind === 'hello' ? 'named' : this.format)
   }
 
   sendFrame (frame: Buffer, kind: PeerMessage['kind']): boolean {
@@ -179,15 +201,22 @@
   }
 }
 
+interface IncomingLinkHandlers {
+  readonly onHello: (hello: Hello) => void
+  readonly onClose: () => void
+}
+
 /** A link that a peer dialled; only receives, and answers pings. */
 class IncomingLink {
   readonly #socket: Socket
   readonly #options: PeerLinksOptions
+  readonly #onHello: (hello: Hello) => void
   #peerId: string | undefined
   #heardAtMs: number
 
-  constructor (socket: Socket, options: PeerLinksOptions, onClose: () => void) {
+  constructor (socket: Socket, options: PeerLinksOptions, handlers: IncomingLinkHandlers) {
     this.#socket = socket
+    this.#onHello = handlers.onHello
     this.#options = options
     this.#heardAtMs = options.clock.monotonicMs()
     const decoder = new FrameDecoder()
@@ -198,7 +227,7 @@
       for (const message of decodeOrClose(decoder, chunk, socket, options.metrics)) this.#receive(message)
     })
     socket.on('error', () => {})
-    socket.on('close', onClose)
+    socket.on('close', handlers.onClose)
   }
 
   check (): void {
@@ -214,13 +243,15 @@
       this.#socket.write(encodeFrame({ kind: 'pong' }))
       return
     }
-    if (message.kind === 'hello') this.#identify(message.nodeId)
+    if (message.kind === 'hello') this.#identify(message)
     if (this.#peerId !== undefined) this.#options.onMessage(this.#peerId, message)
   }
 
-  #identify (nodeId: string): void {
+  #identify (hello: Hello): void {
+    const { nodeId } = hello
     if (this.#options.peers.some(peer => peer.nodeId === nodeId)) {
       this.#peerId = nodeId
+      this.#onHello(hello)
       return
     }
     this.#options.log.warn('link of an unknown node refused', { peerId: nodeId })
--- a/packages/node/src/peer-messages.ts
+++ b/packages/node/src/peer-messages.ts
@@ -20,6 +20,8 @@
     readonly control: ControlPeer | null
     /** Set on the first message of a link; the receiver answers with the backend servers that it knows. */
     readonly isFirst: boolean
+    /** Whether this node reads frames with numbered fields; nodes of before them leave it out. */
+    readonly readsNumberedFields?: boolean
   }
   | { readonly kind: 'ping' }
   | { readonly kind: 'pong' }
@@ -55,8 +57,36 @@
 /** A frame above this closes the link; snapshots travel in smaller chunks. */
 export const MAX_FRAME_BYTES = 32 * 1024 * 1024
 
+/**
+ * How the fields of a frame are named: as text, which every node reads, or by the positions of `NUMBERED_FIELDS`. A
+ * receiver reads both.
+ */
+export type FrameFormat = 'named' | 'numbered'
+
+/**
+ * Field names that are sent as their position in this list, which takes one byte up to 23 and two from there on. Other
+ * names are sent as text, and a name in the list is also read as text. Positions are part of the protocol: append new
+ * names and never move or remove one. Keys of messages are strings; a key that is a number would be read as a name.
+ */
+export const NUMBERED_FIELDS: readonly string[] = [
+  'kind', 'from', 'to', 'message', 'nodeId', 'diskId', 'term', 'previousIndex', 'previousTerm', 'entries',
+  'commitIndex', 'round', 'success', 'matchIndex', 'index', 'logTimeMs', 'body', 'proposalId', 'command', 'version',
+  'sentAtMs', 'requestId', 'operation', 'result',
+  'leaderNodeId', 'content', 'drains', 'requestSentAtMs', 'leaseMs', 'baseVersion', 'changes', 'upserts', 'removes',
+  'record', 'records', 'ageMs', 'report', 'workerId', 'incarnation', 'sequence', 'address', 'tasks', 'jobId',
+  'taskIndex', 'leaseId', 'state', 'ok', 'value', 'stopTasks', 'document', 'rackId', 'rackPosition', 'cores',
+  'memoryGb', 'acceleratorModel', 'accelerators', 'organisationId', 'quotaAccelerators', 'weight', 'region',
+  'availabilityZone', 'key', 'digest', 'claimantId', 'answer', 'firstAccelerator', 'acceleratorCount',
+  'backendServerId', 'services', 'slots', 'connections'
+]
+
 /** Shared structures would need state that both ends agree on, so each message is self-contained. */
-const codec = new Encoder({ useRecords: false, mapsAsObjects: true })
+const namedCodec = new Encoder({ useRecords: false, mapsAsObjects: true })
+const numberedCodec = new Encoder({
+  useRecords: false,
+  mapsAsObjects: true,
+  keyMap: Object.fromEntries(NUMBERED_FIELDS.map((name, position) => [name, position]))
+})
 
 /**
  * Encodes a message as one frame.
@@ -64,8 +94,8 @@
  * @example
  * socket.write(encodeFrame({ kind: 'ping' }))
  */
-export function encodeFrame (message: PeerMessage): Buffer {
-  const body = codec.encode(message)
+export function encodeFrame (message: PeerMessage, format: FrameFormat = 'named'): Buffer {
+  const body = format === 'named' ? namedCodec.encode(message) : numberedCodec.encode(message)
   const frame = Buffer.allocUnsafe(FRAME_HEADER_BYTES + body.length)
   frame.writeUInt32BE(body.length, 0)
   body.copy(frame, FRAME_HEADER_BYTES)
@@ -87,7 +117,7 @@
     this.#bufferedBytes += chunk.length
     const messages: PeerMessage[] = []
     for (let body = this.#nextBody(); body !== undefined; body = this.#nextBody()) {
-      messages.push(codec.decode(body) as PeerMessage)
+      messages.push(numberedCodec.decode(body) as PeerMessage)
     }
     return messages
   }
--- /dev/null
+++ b/packages/node/test/peer-links.test.ts
@@ -0,0 +1,83 @@
+import { createServer, connect, type AddressInfo, type Socket } from 'node:net'
+import test from 'ava'
+import { NullEventLog, NullMetrics } from '@comfreygrade/core'
+import { PeerLinks } from '../src/peer-links.js'
+import { encodeFrame, type PeerMessage } from '../src/peer-messages.js'
+import { SystemClock } from '../src/system-clock.js'
+
+const HOST = '127.0.0.1'
+const request: PeerMessage = { kind: 'feed_request', version: 1, sentAtMs: 2 }
+
+/** A peer that records the bytes it gets and says what it reads. */
+async function startPeer () {
+  const sockets: Socket[] = []
+  let received = Buffer.alloc(0)
+  const server = createServer(socket => {
+    sockets.push(socket)
+    socket.on('data', chunk => { received = Buffer.concat([received, chunk]) })
+    socket.on('error', () => {})
+  })
+  await new Promise<void>(resolve => { server.listen(0, HOST, resolve) })
+  return {
+    port: (server.address() as AddressInfo).port,
+    received: () => received,
+    stop: () => {
+      for (const socket of sockets) socket.destroy()
+      server.close()
+    }
+  }
+}
+
+async function freePort (): Promise<number> {
+  const server = createServer()
+  await new Promise<void>(resolve => { server.listen(0, HOST, resolve) })
+  const { port } = server.address() as AddressInfo
+  await new Promise(resolve => server.close(resolve))
+  return port
+}
+
+async function until (check: () => boolean): Promise<void> {
+  while (!check()) await new Promise(resolve => setTimeout(resolve, 5))
+}
+
+for (const readsNumberedFields of [true, undefined]) {
+  const title = readsNumberedFields === true
+    ? 'a peer that reads numbered fields gets them after its hello'
+    : 'a peer of an older version gets named fields only, so that an upgrade node by node cuts no link'
+  test(title, async t => {
+    const peer = await startPeer()
+    const port = await freePort()
+    const common = { host: HOST, httpAddress: 'http://127.0.0.1:1', region: 'r', roles: ['entry' as const] }
+    let isHelloTaken = false
+    const ownHello: PeerMessage = { kind: 'hello', nodeId: 'n1', control: null, isFirst: true }
+    const links = new PeerLinks({
+      nodeId: 'n1',
+      host: HOST,
+      port,
+      peers: [{ ...common, nodeId: 'n1', port }, { ...common, nodeId: 'n2', port: peer.port }],
+      pingIntervalMs: 60_000,
+      silenceMs: 60_000,
+      redialMs: 60_000,
+      clock: new SystemClock(),
+      metrics: new NullMetrics(),
+      log: new NullEventLog(),
+      hello: () => ownHello,
+      onMessage: (_nodeId, message) => { isHelloTaken ||= message.kind === 'hello' },
+      onDisconnect: () => {}
+    })
+    await links.start()
+    const socket = connect(port, HOST)
+    const hello: PeerMessage = { kind: 'hello', nodeId: 'n2', control: null, isFirst: true }
+    socket.write(encodeFrame(readsNumberedFields === true ? { ...hello, readsNumberedFields } : hello))
+    await until(() => isHelloTaken && links.connectedNodeIds().length === 1)
+    t.true(links.send('n2', request))
+    const expected = Buffer.concat([
+      encodeFrame(ownHello), encodeFrame(request, readsNumberedFields === true ? 'numbered' : 'named')
+    ])
+    await until(() => peer.received().length >= expected.length)
+    t.deepEqual(peer.received(), expected)
+    socket.destroy()
+    peer.stop()
+    await links.stop()
+  })
+}
--- a/packages/node/test/peer-messages.test.ts
+++ b/packages/node/test/peer-messages.test.ts
@@ -1,6 +1,9 @@
+import { createHash } from 'node:crypto'
 import test from 'ava'
-import { encodeFrame, FrameDecoder, MAX_FRAME_BYTES, type PeerMessage } from '../src/peer-messages.js'
+import { Encoder } from 'cbor-x'
+import { encodeFrame, FrameDecoder, MAX_FRAME_BYTES, NUMBERED_FIELDS, type PeerMessage } from '../src/peer-messages.js'
 
+const formats = ['named', 'numbered'] as const
 const messages: PeerMessage[] = [
   { kind: 'ping' },
   { kind: 'feed_request', version: 7, sentAtMs: 12.5 },
@@ -8,19 +11,23 @@
 ]
 
 test('frames split at any byte are decoded whole and in order, as TCP may split them anywhere', t => {
-  const bytes = Buffer.concat(messages.map(encodeFrame))
-  for (let split = 0; split <= bytes.length; split++) {
-    const decoder = new FrameDecoder()
-    const decoded = [...decoder.push(bytes.subarray(0, split)), ...decoder.push(bytes.subarray(split))]
-    t.deepEqual(decoded, messages)
+  for (const format of formats) {
+    const bytes = Buffer.concat(messages.map(message => encodeFrame(message, format)))
+    for (let split = 0; split <= bytes.length; split++) {
+      const decoder = new FrameDecoder()
+      const decoded = [...decoder.push(bytes.subarray(0, split)), ...decoder.push(bytes.subarray(split))]
+      t.deepEqual(decoded, messages)
+    }
   }
 })
 
 test('frames that arrive byte by byte are decoded', t => {
-  const bytes = Buffer.concat(messages.map(encodeFrame))
-  const decoder = new FrameDecoder()
-  const decoded = [...bytes].flatMap(byte => decoder.push(Buffer.from([byte])))
-  t.deepEqual(decoded, messages)
+  for (const format of formats) {
+    const bytes = Buffer.concat(messages.map(message => encodeFrame(message, format)))
+    const decoder = new FrameDecoder()
+    const decoded = [...bytes].flatMap(byte => decoder.push(Buffer.from([byte])))
+    t.deepEqual(decoded, messages)
+  }
 })
 
 test('a length above the limit is refused before any memory is set aside for it', t => {
@@ -28,3 +35,22 @@
   header.writeUInt32BE(MAX_FRAME_BYTES + 1)
   t.throws(() => new FrameDecoder().push(header), { instanceOf: RangeError })
 })
+
+test('keys that callers choose come through numbered frames unchanged, also those that look like positions', t => {
+  const result = { ok: true, value: { kind: 'other', 0: 'a', 5: { kind: 'b', unlisted: [{ term: null, 12: 'c' }] }, '07': 1 } }
+  const message = { kind: 'control_response', requestId: '3', result } as unknown as PeerMessage
+  t.deepEqual(new FrameDecoder().push(encodeFrame(message, 'numbered')), [message])
+})
+
+test('a frame with all names as text is read, as an older node sends it', t => {
+  const body = new Encoder({ useRecords: false, mapsAsObjects: true }).encode(messages[2])
+  const header = Buffer.alloc(4)
+  header.writeUInt32BE(body.length)
+  t.deepEqual(new FrameDecoder().push(Buffer.concat([header, body])), [messages[2]])
+})
+
+test('a field keeps its number, so that nodes of different versions read the same field', t => {
+  t.is(new Set(NUMBERED_FIELDS).size, NUMBERED_FIELDS.length)
+  const agreed = NUMBERED_FIELDS.slice(0, 71).join(' ')
+  t.is(createHash('sha256').update(agreed).digest('hex'), '7ead3284b5f8b478f455d32db87f5c232ef3ba7f45e7f7f2a1ef34cb91f5ae5e')
+})
