Measure the start of urgent gangs

Cause: the bound of 5.1 s for urgent work had no command that measures it.

Ruled out: the demo workload as a source; it mixes job classes and has no free fleet to compare with.

Lent work that writes checkpoints was not run.

--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -7,7 +7,7 @@
 /** Benchmarks by name; each is a module `NAME-bench.js` next to this one. */
 const DECISION_NAMES = ['placement', 'routing', 'consensus', 'control'] as const
 /** Benchmarks of node processes. They take minutes, so `all` leaves them out. */
-const CAPACITY_NAMES = ['capacity-idle', 'capacity-workers', 'capacity-changes', 'capacity-inventory'] as const
+const CAPACITY_NAMES = ['capacity-idle', 'capacity-workers', 'capacity-changes', 'capacity-inventory', 'capacity-urgent'] as const
 const NAMES = [...DECISION_NAMES, ...CAPACITY_NAMES] as const
 
 type BenchName = typeof NAMES[number]
