Tell a peer of the backend servers when the link to it comes up

Cause: a restarted node refused requests as no_backend_server for up to 1 s. A peer answered its first hello on a link that was not redialled yet, so the records were dropped and came only with the next heartbeats.

Ruled out: waiting in the restarted node, which cannot know what is missing. Before: records sent on hello. After: sent when the own link is up; a test shows that the owner is told at each connect.

--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -231,7 +231,9 @@
       clock,
       metrics,
       log,
-      hello: () => this.#hello(true),
+      hello: () => this.#hello(),
+      // A peer that has restarted knows no backend server; this link is the first on which it can be told.
+      onConnect: nodeId => { this.#members.catchUp(message => { this.#links.send(nodeId, message) }) },
       onMessage: (fromNodeId, message) => { this.#receive(fromNodeId, message) },
       onDisconnect: nodeId => { this.#controlClient.disconnected(nodeId) }
     })
@@ -266,7 +268,6 @@
 
   #receiveHello (fromNodeId: string, message: Extract<PeerMessage, { kind: 'hello' }>): void {
     if (message.control !== null) this.#control?.receiveHello(message.control)
-    if (message.isFirst) this.#members.catchUp(reply => { this.#links.send(fromNodeId, reply) })
   }
 
   async #answerPeer (fromNodeId: string, message: Extract<PeerMessage, { kind: 'control_request' }>): Promise<void> {
@@ -323,9 +324,9 @@
     }
   }
 
-  #hello (isFirst = false): PeerMessage {
+  #hello (): PeerMessage {
     const { nodeId } = this.#options.settings.node
-    return { kind: 'hello', nodeId, control: this.#control?.controlPeer ?? null, isFirst, readsNumberedFields: true }
+    return { kind: 'hello', nodeId, control: this.#control?.controlPeer ?? null, readsNumberedFields: true }
   }
 
   #configurationChanged (configuration: Configuration, drains: readonly Drain[]): void {
--- a/packages/node/src/peer-links.ts
+++ b/packages/node/src/peer-links.ts
@@ -22,6 +22,8 @@
   /** Sent first on every link that this node dials. */
   readonly hello: () => PeerMessage
   readonly onMessage: (fromNodeId: string, message: PeerMessage) => void
+  /** A dialled link is up, and `hello` was sent on it. */
+  readonly onConnect: (nodeId: string) => void
   /** A dialled link is gone; requests that wait for answers on it end. */
   readonly onDisconnect: (nodeId: string) => void
 }
@@ -187,6 +189,7 @@
     this.#isConnected = true
     this.#options.log.info('peer link is up', { peerId: this.#peer.nodeId })
     this.send(this.#options.hello())
+    this.#options.onConnect(this.#peer.nodeId)
   }
 
   #closed (socket: Socket): void {
--- a/packages/node/src/peer-messages.ts
+++ b/packages/node/src/peer-messages.ts
@@ -18,8 +18,6 @@
     readonly nodeId: string
     /** Null on nodes without the role control. */
     readonly control: ControlPeer | null
-    /** Set on the first message of a link; the receiver answers with the backend servers that it knows. */
-    readonly isFirst: boolean
     /** Whether this node reads frames with numbered fields; nodes of before them leave it out. */
     readonly readsNumberedFields?: boolean
   }
--- a/packages/node/test/peer-links.test.ts
+++ b/packages/node/test/peer-links.test.ts
@@ -49,7 +49,7 @@
     const port = await freePort()
     const common = { host: HOST, httpAddress: 'http://127.0.0.1:1', region: 'r', roles: ['entry' as const] }
     let isHelloTaken = false
-    const ownHello: PeerMessage = { kind: 'hello', nodeId: 'n1', control: null, isFirst: true }
+    const ownHello: PeerMessage = { kind: 'hello', nodeId: 'n1', control: null }
     const links = new PeerLinks({
       nodeId: 'n1',
       host: HOST,
@@ -63,11 +63,12 @@
       log: new NullEventLog(),
       hello: () => ownHello,
       onMessage: (_nodeId, message) => { isHelloTaken ||= message.kind === 'hello' },
+      onConnect: () => {},
       onDisconnect: () => {}
     })
     await links.start()
     const socket = connect(port, HOST)
-    const hello: PeerMessage = { kind: 'hello', nodeId: 'n2', control: null, isFirst: true }
+    const hello: PeerMessage = { kind: 'hello', nodeId: 'n2', control: null }
     socket.write(encodeFrame(readsNumberedFields === true ? { ...hello, readsNumberedFields } : hello))
     await until(() => isHelloTaken && links.connectedNodeIds().length === 1)
     t.true(links.send('n2', request))
@@ -81,3 +82,36 @@
     await links.stop()
   })
 }
+
+test('a link that comes up again tells its owner, so that a restarted peer is told of the backend servers', async t => {
+  const [port, peerPort] = [await freePort(), await freePort()]
+  const common = { host: HOST, httpAddress: 'http://127.0.0.1:1', region: 'r', roles: ['entry' as const] }
+  const peers = [{ ...common, nodeId: 'n1', port }, { ...common, nodeId: 'n2', port: peerPort }]
+  const connected: string[] = []
+  const createLinks = (nodeId: string, ownPort: number, onConnect: (peerId: string) => void) => new PeerLinks({
+    nodeId,
+    host: HOST,
+    port: ownPort,
+    peers,
+    pingIntervalMs: 60_000,
+    silenceMs: 60_000,
+    redialMs: 10,
+    clock: new SystemClock(),
+    metrics: new NullMetrics(),
+    log: new NullEventLog(),
+    hello: () => ({ kind: 'hello', nodeId, control: null }),
+    onMessage: () => {},
+    onConnect,
+    onDisconnect: () => {}
+  })
+  const links = createLinks('n1', port, peerId => { connected.push(peerId) })
+  await links.start()
+  for (const start of [1, 2]) {
+    const peer = createLinks('n2', peerPort, () => {})
+    await peer.start()
+    await until(() => connected.length === start)
+    await peer.stop()
+  }
+  t.deepEqual(connected, ['n2', 'n2'])
+  await links.stop()
+})
