--- a/packages/control/src/commands.ts
+++ b/packages/control/src/commands.ts
@@ -1,6 +1,6 @@
 /** Commands of the replicated control state. */
 import type { ConfigurationChange, Failure, JobOutcome, JobSpec, Placement, WorkerState } from '@comfreygrade/core'
-import type { ClaimState, ClaimView, Drain, RecordedAnswer } from './operations.js'
+import type { ClaimView, ControlOperation, Drain } from './operations.js'
 
 /** What follows when every task of a stopping job is released. */
 export type StopGoal = 'requeue' | JobOutcome
@@ -32,21 +32,8 @@
   }
   | { readonly kind: 'worker_state', readonly workerId: string, readonly state: WorkerState, readonly incarnation: number, readonly address: string }
   | { readonly kind: 'set_drain', readonly drain: Drain, readonly isDraining: boolean }
-  | {
-    readonly kind: 'claim_request'
-    readonly organisationId: string
-    readonly key: string
-    readonly digest: string
-    readonly claimantId: string
-  }
-  | {
-    readonly kind: 'settle_claim'
-    readonly organisationId: string
-    readonly key: string
-    readonly claimantId: string
-    readonly state: Exclude<ClaimState, 'pending'>
-    readonly answer: RecordedAnswer | null
-  }
+  /** Claims are recorded as they were asked for. */
+  | Extract<ControlOperation, { readonly kind: 'claim_request' | 'settle_claim' }>
   /** Advances log time where nothing else is proposed, so that claims are forgotten. */
   | { readonly kind: 'clock' }
 
--- a/packages/core/src/configuration.ts
+++ b/packages/core/src/configuration.ts
@@ -1,108 +1,11 @@
 /**
  * Inventory and rules: keyed records, versions, and changes small enough to send 47,000 times a day.
  */
-import { z } from 'zod'
+import type {
+  ConfigurationChange, ConfigurationDocument, Guarantee, Organisation, Rack, RecordKind, Remove, Rules, Upsert, Worker
+} from './configuration-schema.js'
 import { type Failure, type Result, fail, failure, succeed } from './errors.js'
 
-/** Identifiers are used in paths, metrics and logs, so their alphabet is narrow. */
-const identifier = z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$/)
-
-const rackSchema = z.strictObject({
-  rackId: identifier,
-  region: identifier,
-  availabilityZone: identifier
-})
-
-const workerSchema = z.strictObject({
-  workerId: identifier,
-  rackId: identifier,
-  /** Position in the rack, from 0; neighbours form cells. */
-  rackPosition: z.int().min(0).max(255),
-  cores: z.int().min(1).max(4096),
-  memoryGb: z.int().min(1).max(65_536),
-  acceleratorModel: identifier,
-  accelerators: z.int().min(1).max(64)
-})
-
-const organisationSchema = z.strictObject({
-  organisationId: identifier,
-  /** Accelerators that the organisation may hold at once, lent ones included. */
-  quotaAccelerators: z.int().min(0).max(1_000_000),
-  /** Share of request slots and of waiting jobs against other organisations. */
-  weight: z.number().min(0.01).max(1000)
-})
-
-const guaranteeSchema = z.strictObject({
-  guaranteeId: identifier,
-  organisationId: identifier,
-  acceleratorModel: identifier,
-  /** Adjacent accelerators in one guaranteed cell; a power of two, above a worker's size it spans a rack. */
-  acceleratorsPerCell: z.int().min(1).max(65_536).refine(count => (count & (count - 1)) === 0, 'a power of two'),
-  cells: z.int().min(1).max(100_000)
-})
-
-const rulesSchema = z.strictObject({
-  maxGangTasks: z.int().min(1).max(64),
-  /** Time within which lent capacity is taken back. */
-  reclaimWithinMs: z.int().min(100).max(600_000),
-  maxRequestBodyBytes: z.int().min(1).max(64 * 1024 * 1024),
-  defaultDeadlineMs: z.int().min(1).max(600_000),
-  maxDeadlineMs: z.int().min(1).max(3_600_000)
-})
-
-/** A rack and where it stands. */
-export type Rack = z.infer<typeof rackSchema>
-/** A worker VM as the asset register lists it. */
-export type Worker = z.infer<typeof workerSchema>
-/** An organisation, or a team with a quota. */
-export type Organisation = z.infer<typeof organisationSchema>
-/** Guaranteed cells of an organisation. */
-export type Guarantee = z.infer<typeof guaranteeSchema>
-/** Operators' rules. */
-export type Rules = z.infer<typeof rulesSchema>
-
-/** Kinds of keyed records in a configuration. */
-export type RecordKind = 'rack' | 'worker' | 'organisation' | 'guarantee'
-
-const upsertSchema = z.discriminatedUnion('kind', [
-  z.strictObject({ kind: z.literal('rack'), record: rackSchema }),
-  z.strictObject({ kind: z.literal('worker'), record: workerSchema }),
-  z.strictObject({ kind: z.literal('organisation'), record: organisationSchema }),
-  z.strictObject({ kind: z.literal('guarantee'), record: guaranteeSchema }),
-  z.strictObject({ kind: z.literal('rules'), record: rulesSchema })
-])
-
-const removeSchema = z.strictObject({
-  kind: z.enum(['rack', 'worker', 'organisation', 'guarantee']),
-  id: identifier
-})
-
-/** Schema of a configuration change as operators send it. */
-export const configurationChangeSchema = z.strictObject({
-  version: z.int().min(1),
-  baseVersion: z.int().min(0),
-  upserts: z.array(upsertSchema),
-  removes: z.array(removeSchema)
-})
-
-/** Schema of the document that operators edit. */
-export const configurationDocumentSchema = z.strictObject({
-  racks: z.array(rackSchema),
-  workers: z.array(workerSchema),
-  organisations: z.array(organisationSchema),
-  guarantees: z.array(guaranteeSchema),
-  rules: rulesSchema
-})
-
-/** A change from `baseVersion` to `version`, which is one more. */
-export type ConfigurationChange = z.infer<typeof configurationChangeSchema>
-/** The whole inventory and rules as one document. */
-export type ConfigurationDocument = z.infer<typeof configurationDocumentSchema>
-/** One record to add or replace. */
-export type Upsert = z.infer<typeof upsertSchema>
-/** One record to remove. */
-export type Remove = z.infer<typeof removeSchema>
-
 /** Inventory and rules in force. */
 export interface Configuration {
   readonly version: number
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,4 +1,5 @@
 export * from './clock.js'
+export * from './configuration-schema.js'
 export * from './configuration.js'
 export * from './errors.js'
 export * from './jobs.js'
