Count configuration leases by version, so that a deaf node holds nothing up

Cause: a node that can send but not receive kept asking for the configuration, and each request renewed its lease in the leader's books under the version that it still held. A change never counted as in force everywhere while the one-way cut lasted, although the node had stopped serving. A new test with relays that hold back one direction showed it.

Ruled out: renewing on acknowledgement only, which costs a message more for each lease. A node that gets a lease also gets the version granted with it, so leases are kept by granted version, and only those below the change count.

After: in force once the older lease ends. Also tests that a drain survives a killed leader and a restart of every node, and that a wave of 200 cancellations frees every accelerator.

--- a/packages/node/src/control-service.ts
+++ b/packages/node/src/control-service.ts
@@ -126,7 +126,7 @@
   answerFeed (nodeId: string, request: FeedRequest): Feed | undefined {
     if (this.#activeLeader() === undefined) return undefined
     const nowMs = this.#options.clock.monotonicMs()
-    this.#leases.renew(nodeId, request.version, nowMs)
+    this.#leases.renew(nodeId, request.version, this.#state.configuration.version, nowMs)
     return this.#feed(request.version, request.sentAtMs)
   }
 
--- a/packages/node/test/configuration-replica.test.ts
+++ b/packages/node/test/configuration-replica.test.ts
@@ -66,18 +66,28 @@
 test('a change counts as in force only when every node holds it or has lost its lease', t => {
   const leases = new NodeLeases(['n1', 'n2'], 5000)
   leases.restart(0)
-  leases.renew('n1', 7, 100)
-  leases.renew('n2', 6, 100)
+  leases.renew('n1', 7, 6, 100)
+  leases.renew('n2', 6, 6, 100)
   t.false(leases.status(7, 200).isInForceEverywhere)
   t.true(leases.status(7, 5200).isInForceEverywhere)
-  leases.renew('n2', 7, 300)
+  leases.renew('n2', 7, 7, 300)
   t.true(leases.status(7, 400).isInForceEverywhere)
 })
 
 test('a new leader waits for the leases of the former one', t => {
   const leases = new NodeLeases(['n1'], 5000)
-  leases.renew('n1', 3, 0)
+  leases.renew('n1', 3, 3, 0)
   leases.restart(1000)
   t.false(leases.status(3, 5900).isInForceEverywhere)
   t.true(leases.status(3, 6100).isInForceEverywhere)
 })
+
+test('a node that can send but not receive does not keep a change from being in force', t => {
+  const leases = new NodeLeases(['n1'], 5000)
+  leases.restart(0)
+  leases.renew('n1', 6, 6, 100)
+  // The change to version 7 is accepted here; the node goes on to ask with what it holds.
+  for (let nowMs = 600; nowMs <= 4600; nowMs += 500) leases.renew('n1', 6, 7, nowMs)
+  t.false(leases.status(7, 5100).isInForceEverywhere)
+  t.true(leases.status(7, 5200).isInForceEverywhere)
+})
--- a/packages/standins/src/local-system.ts
+++ b/packages/standins/src/local-system.ts
@@ -13,6 +13,13 @@
 const STOP_LIMIT_MS = 40_000
 const CALL_TIMEOUT_MS = 5_000
 
+/** A relay on one link of the relayed node. */
+interface RelayedLink {
+  readonly relay: Relay
+  /** Whether the relayed node dialled the link; otherwise its peer did. */
+  readonly isOutgoing: boolean
+}
+
 /** What a test asks of a local system. */
 export interface LocalSystemOptions {
   /** Sections of the settings file of every node. */
@@ -25,14 +32,14 @@
 export class LocalSystem {
   readonly nodes: readonly DemoNode[]
   readonly #folder: string
-  readonly #relays: readonly Relay[]
+  readonly #links: readonly RelayedLink[]
   readonly #processes = new Map<string, NodeProcess>()
   readonly #clients = new Map<string, NodeClient>()
 
-  private constructor (folder: string, nodes: readonly DemoNode[], relays: readonly Relay[]) {
+  private constructor (folder: string, nodes: readonly DemoNode[], links: readonly RelayedLink[]) {
     this.#folder = folder
     this.nodes = nodes
-    this.#relays = relays
+    this.#links = links
     for (const node of nodes) {
       this.#clients.set(node.nodeId, new NodeClient([node.address], CALL_TIMEOUT_MS))
       this.#spawn(node)
@@ -49,17 +56,17 @@
    */
   static async start (options: LocalSystemOptions = {}): Promise<LocalSystem> {
     const folder = await mkdtemp(join(tmpdir(), 'comfreygrade-system-'))
-    const relays: Relay[] = []
+    const links: RelayedLink[] = []
     const variation: SettingsVariation = {
       sections: options.sections,
       peerPortOf: async (viewer, target) => {
         if (![viewer.nodeId, target.nodeId].includes(options.relayedNodeId ?? '')) return target.peerPort
         const relay = new Relay(target.peerPort)
-        relays.push(relay)
+        links.push({ relay, isOutgoing: viewer.nodeId === options.relayedNodeId })
         return await relay.start()
       }
     }
-    const system = new LocalSystem(folder, await writeDemoSettings(folder, variation), relays)
+    const system = new LocalSystem(folder, await writeDemoSettings(folder, variation), links)
     try {
       await Promise.all([...system.#processes.values()].map(async node => await node.ready(READY_LIMIT_MS)))
       await system.leader()
@@ -137,24 +144,29 @@
 
   /** Makes every link of the relayed node silent, without closing any. */
   cutOff (): void {
-    for (const relay of this.#relays) relay.block('both')
+    for (const { relay } of this.#links) relay.block('both')
+  }
+
+  /** Holds back everything that is sent to the relayed node, while what it sends arrives. */
+  cutOffIncoming (): void {
+    for (const { relay, isOutgoing } of this.#links) relay.block(isOutgoing ? 'to_client' : 'to_target')
   }
 
   /** Makes the present links of the relayed node silent for good, while new ones work. */
   silenceOpenLinks (): void {
-    for (const relay of this.#relays) relay.silenceOpenConnections()
+    for (const { relay } of this.#links) relay.silenceOpenConnections()
   }
 
   /** Ends the cut. */
   reconnect (): void {
-    for (const relay of this.#relays) relay.restore()
+    for (const { relay } of this.#links) relay.restore()
   }
 
   /** Ends every process, by its own ID, and removes the files. */
   async stop (): Promise<void> {
     await Promise.all([...this.#processes.values()].map(async node => await node.kill()))
     await Promise.all([...this.#clients.values()].map(async client => await client.close()))
-    await Promise.all(this.#relays.map(async relay => await relay.stop()))
+    await Promise.all(this.#links.map(async ({ relay }) => await relay.stop()))
     await rm(this.#folder, { recursive: true, force: true })
   }
 
--- a/packages/standins/test/system.test.ts
+++ b/packages/standins/test/system.test.ts
@@ -240,3 +240,66 @@
     (await call(drained?.address ?? '', `lifted-${performance.now() | 0}`)).outcome === 'completed' || undefined)
   t.pass()
 })
+
+test.serial('a leader that can send but not receive is replaced, stops serving and reverts nothing', async t => {
+  const relayedNodeId = 'salto-1'
+  const system = await startConfigured(t, { relayedNodeId })
+  await startBackends(t, system, 2, 5)
+  const others = system.controlNodeIds().filter(nodeId => nodeId !== relayedNodeId)
+  system.cutOffIncoming()
+  const leader = await system.leader(others)
+  await system.client(leader).applyChange(addOrganisation(2, 'during-cut'))
+  const address = system.nodes.find(node => node.nodeId === relayedNodeId)?.address ?? ''
+  await waitFor('the node that hears nothing to refuse', STALE_LIMIT_MS, async () =>
+    (await call(address, `deaf-${performance.now() | 0}`)).body.includes('configuration_stale') || undefined)
+  await waitFor('the change to be in force without it', IN_FORCE_LIMIT_MS, async () =>
+    (await system.client(leader).configurationStatus()).isInForceEverywhere || undefined)
+  system.reconnect()
+  await waitFor('the node to take the change after the cut', IN_FORCE_LIMIT_MS, async () =>
+    (await system.client(relayedNodeId).status()).configurationVersion === 2 || undefined)
+  t.is((await system.client(leader).configuration()).version, 2)
+})
+
+test.serial('a drain survives a killed leader and a restart of every node', async t => {
+  const system = await startConfigured(t)
+  const drained = system.nodes[4]?.nodeId ?? ''
+  await system.client('montevideo-2').drain({ kind: 'vm', id: drained })
+  const leader = await system.leader()
+  await system.kill(leader)
+  await system.leader(system.controlNodeIds().filter(nodeId => nodeId !== leader))
+  const isDrained = async () => (await system.client(drained).status()).state === 'drained' || undefined
+  await waitFor('the node to be drained under the next leader', 10_000, isDrained)
+  await Promise.all(system.nodes.filter(node => node.nodeId !== leader)
+    .map(async node => { await system.kill(node.nodeId) }))
+  await Promise.all(system.nodes.map(async node => { await system.restart(node.nodeId) }))
+  await waitFor('the node to be drained after the restart', 20_000, isDrained)
+  t.pass()
+})
+
+test.serial('a wave of cancellations while gangs run ends every job and frees every accelerator', async t => {
+  const system = await startConfigured(t)
+  const client = system.client('salto-2')
+  const jobIds = Array.from({ length: 200 }, (_, index) => `wave-${index}`)
+  await Promise.all(jobIds.map(async jobId => await client.submitJob({
+    jobId,
+    organisationId: 'o1',
+    jobClass: 'wave',
+    tasks: 1,
+    acceleratorModel: 'gpu',
+    acceleratorsPerTask: 8,
+    coresPerTask: 1,
+    memoryGbPerTask: 1,
+    adjacency: 'none',
+    declaredRunMs: 60_000,
+    priority: 'normal',
+    preemption: 'repeat'
+  })))
+  const cancelled = await Promise.all(jobIds.map(async jobId => await client.cancelJob(jobId)))
+  t.is(cancelled.length, jobIds.length)
+  const jobs = await waitFor('every job to end', 20_000, async () => {
+    const answer = await client.jobs({ limit: 1_000 })
+    return answer.jobs.every(job => job.phase === 'ended') ? answer.jobs : undefined
+  })
+  t.deepEqual([...new Set(jobs.map(job => job.outcome))], ['cancelled'])
+  t.is((await client.fleet()).report.acceleratorsInUse, 0)
+})
