--- a/packages/node/src/control-service.ts
+++ b/packages/node/src/control-service.ts
@@ -1,6 +1,6 @@
 /** Control role of a node: replicated log, control state, and the leader's work while this node leads. */
 import { randomUUID } from 'node:crypto'
-import { fail, toDocument, type Clock, type EventLog, type Metrics, type Random } from '@comfreygrade/core'
+import { fail, type Clock, type EventLog, type Metrics, type Random } from '@comfreygrade/core'
 import {
   Replica, type EntryBody, type LogStorage, type RecoveredLog, type ReplicaEffect, type ReplicaSettings, type VoterId
 } from '@comfreygrade/consensus'
@@ -9,8 +9,8 @@
   type ControlEffect, type ControlEvent, type ControlOperation, type ControlResult, type ControlSettings,
   type ControlSnapshot, type GuaranteeValidator, type JobScheduler
 } from '@comfreygrade/control'
+import { ConfigurationFeed } from './configuration-feed.js'
 import type { PeerMessage } from './peer-messages.js'
-import { NodeLeases } from './node-leases.js'
 import { ReplicaRunner } from './replica-runner.js'
 import { decideBootstrap, findReplacedVoter, isVoterSetSettled, type ControlPeer } from './voter-bootstrap.js'
 import type { WorkerClient } from './worker-client.js'
@@ -55,7 +55,7 @@
 export class ControlService {
   readonly #options: ControlServiceOptions
   readonly #peers = new Map<string, ControlPeer>()
-  readonly #leases: NodeLeases
+  readonly #feed: ConfigurationFeed
   readonly #pending = new Map<string, (result: ControlResult) => void>()
   #runner: ReplicaRunner<ControlCommand> | undefined
   #state: ControlState
@@ -69,7 +69,11 @@
 
   constructor (options: ControlServiceOptions) {
     this.#options = options
-    this.#leases = new NodeLeases(options.nodeIds, options.configurationLeaseMs)
+    this.#feed = new ConfigurationFeed({
+      selfNodeId: options.self.nodeId,
+      leaseMs: options.configurationLeaseMs,
+      ...options
+    })
     this.#state = new ControlState(this.#stateOptions())
     if (options.recovered !== null) this.#run(options.recovered)
   }
@@ -84,6 +88,10 @@
     return isVoterSetSettled(this.controlPeer, this.#options.controlNodeIds, this.#peers)
   }
 
+  get #term (): number {
+    return this.#runner?.replica.term ?? 0
+  }
+
   /** State of the replica, or null before the first start is complete. */
   get replica (): Replica<ControlCommand> | null {
     return this.#runner?.replica ?? null
@@ -125,14 +133,12 @@
   /** Answers a node's request for the configuration, which also renews its lease. */
   answerFeed (nodeId: string, request: FeedRequest): Feed | undefined {
     if (this.#activeLeader() === undefined) return undefined
-    const nowMs = this.#options.clock.monotonicMs()
-    this.#leases.renew(nodeId, request.version, this.#state.configuration.version, nowMs)
-    return this.#feed(request.version, request.sentAtMs)
+    return this.#feed.answer(nodeId, request, this.#state, this.#term)
   }
 
   /** How far the configuration in force has spread. */
   configurationStatus (): ConfigurationStatus {
-    return this.#leases.status(this.#state.configuration.version, this.#options.clock.monotonicMs())
+    return this.#feed.status(this.#state.configuration.version)
   }
 
   /** Hands leadership over before a shutdown. */
@@ -242,8 +248,8 @@
   #startLeadershipIfCurrent (): void {
     const replica = this.#runner?.replica
     if (this.#leader !== undefined || replica?.role !== 'leader' || this.#appliedTerm !== replica.term) return
-    const { createScheduler, controlSettings, metrics, log, clock } = this.#options
-    this.#leases.restart(clock.monotonicMs())
+    const { createScheduler, controlSettings, metrics, log } = this.#options
+    this.#feed.restart()
     this.#leader = new ControlLeader({
       term: replica.term,
       state: this.#state,
@@ -325,32 +331,8 @@
     this.#runner?.step({ kind: 'replace_voter', proposalId: randomUUID(), remove: removed, add: announced })
   }
 
-  #feed (sinceVersion: number, requestSentAtMs: number | null): Feed {
-    const { self, configurationLeaseMs } = this.#options
-    const changes = this.#state.changesSince(sinceVersion)
-    const content = changes === undefined
-      ? { kind: 'full' as const, version: this.#state.configuration.version, document: toDocument(this.#state.configuration) }
-      : { kind: 'changes' as const, baseVersion: sinceVersion, changes }
-    return {
-      kind: 'feed',
-      term: this.#runner?.replica.term ?? 0,
-      leaderNodeId: self.nodeId,
-      content,
-      drains: this.#state.drains(),
-      requestSentAtMs,
-      leaseMs: configurationLeaseMs
-    }
-  }
-
-  /** Sends what is new without waiting for requests, so that a change is in force within a round trip. */
   #pushFeed (): void {
-    if (this.#activeLeader() === undefined) return
-    const { self, nodeIds, send, feedLocal } = this.#options
-    for (const nodeId of nodeIds) {
-      const feed = this.#feed(this.#leases.acknowledgedVersion(nodeId), null)
-      if (nodeId === self.nodeId) feedLocal(feed)
-      else send(nodeId, feed)
-    }
+    if (this.#activeLeader() !== undefined) this.#feed.push(this.#state, this.#term)
   }
 
   #snapshotIfDue (effect: Extract<ReplicaEffect<ControlCommand>, { kind: 'apply' }>): void {
