Count each refusal once

Cause: a refusal by the router was counted by the router and by the HTTP front end, and one by control on the leader and on the asking node under one name. Rates of refusals were up to twice the truth.

Before: 2 for one refused request. After: 1, with a test; the leader counts under control_refusal.

--- a/packages/control/src/operation-service.ts
+++ b/packages/control/src/operation-service.ts
@@ -77,7 +77,8 @@
   }
 
   reply (requestId: string, result: ControlResult): void {
-    if (!result.ok) this.#context.metrics.increment('refusal', { kind: result.failure.kind })
+    // Named apart from `refusal`, which the node that the caller asked counts for the same operation.
+    if (!result.ok) this.#context.metrics.increment('control_refusal', { kind: result.failure.kind })
     this.#effects.push({ kind: 'reply', requestId, result })
   }
 
--- a/packages/node/src/http-api.ts
+++ b/packages/node/src/http-api.ts
@@ -215,7 +215,8 @@
       res.on('close', () => { if (!res.writableFinished) cancel() })
     })
     res.setHeader('comfreygrade-request-id', spec.value.requestId)
-    if (!result.ok) { this.#sendFailure(res, result.failure); return }
+    // The router has counted what it refuses.
+    if (!result.ok) { this.#writeFailure(res, result.failure); return }
     const { answer, attempts, claim } = result.value
     res.writeHead(answer.status, {
       'content-type': answer.contentType,
@@ -241,6 +242,10 @@
 
   #sendFailure (res: ServerResponse, cause: Failure, headers: Record<string, string> = {}): void {
     this.#count(cause)
+    this.#writeFailure(res, cause, headers)
+  }
+
+  #writeFailure (res: ServerResponse, cause: Failure, headers: Record<string, string> = {}): void {
     if (res.headersSent || res.destroyed) return
     const body = errorBody(cause)
     const text = JSON.stringify(body)
--- a/packages/node/test/http-api.test.ts
+++ b/packages/node/test/http-api.test.ts
@@ -247,3 +247,12 @@
   const recorded = { status: 200, contentType: 'text/plain', body: Buffer.from('12 pages').toString('base64') }
   t.deepEqual(body, { ...claim, answer: recorded })
 })
+
+test('a refusal by the router or by control is counted once, so that rates of refusals are true', async t => {
+  const entry = await startEntry(t)
+  t.is((await entry.send('POST', path, 'x', caller)).body.error, 'no_backend_server')
+  t.is((await entry.send('GET', '/v1/jobs')).body.error, 'control_unavailable')
+  t.like(entry.application.metrics.snapshot(), {
+    'refusal{kind=no_backend_server}': 1, 'refusal{kind=control_unavailable}': 1
+  })
+})
