--- a/packages/placement/src/settings.ts
+++ b/packages/placement/src/settings.ts
@@ -39,7 +39,7 @@
   runHistoryMin: 3,
   runTimeQuantile: 0.75,
   reservationRefreshMs: 10_000,
-  maxFailedTrials: 256,
+  maxFailedTrials: 64,
   candidateRacks: 32,
   explainHistoryLength: 1_000
 }
