Derive the drained state, and use one search for free ports and one pause

Whether a node is drained was copied into its state when the configuration changed, so a node that learned of its drain while it was still starting would have served; it is now read from the configuration. The benchmark of node cost had its own search for free ports, in the ephemeral range that had broken a test; the node had two copies of a pause that the standard library has, a test its own copies of fixtures.

The order of events behind the first point was not brought about by a test of its own; the capacity benchmarks were compiled, not run again.

--- a/packages/bench/src/capacity-system.ts
+++ b/packages/bench/src/capacity-system.ts
@@ -1,10 +1,9 @@
 /** A system of node processes on loopback for measurements of cost. */
 import { mkdir, mkdtemp, rm, writeFile } from 'node:fs/promises'
-import { createServer, type AddressInfo } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { NodeClient, type StatusAnswer } from '@comfreygrade/cli'
-import { NodeProcess, waitFor } from '@comfreygrade/standins'
+import { findFreePorts, NodeProcess, waitFor } from '@comfreygrade/standins'
 
 const NODE_SCRIPT = join(import.meta.dirname, '../../node/dist/main.js')
 const HOST = '127.0.0.1'
@@ -141,14 +140,3 @@
   // JSON is YAML.
   await writeFile(join(folder, `${node.nodeId}.yaml`), JSON.stringify(settings))
 }
-
-async function findFreePorts (count: number): Promise<number[]> {
-  const servers = await Promise.all(Array.from({ length: count }, async () => {
-    const server = createServer()
-    await new Promise<void>(resolve => { server.listen(0, HOST, resolve) })
-    return server
-  }))
-  const ports = servers.map(server => (server.address() as AddressInfo).port)
-  await Promise.all(servers.map(async server => { await new Promise(resolve => server.close(resolve)) }))
-  return ports
-}
--- a/packages/node/src/control-client.ts
+++ b/packages/node/src/control-client.ts
@@ -1,5 +1,6 @@
 /** Asks the control leader on behalf of callers, workers and operators of this node. */
 import { randomUUID } from 'node:crypto'
+import { setTimeout as pause } from 'node:timers/promises'
 import { fail, type Clock, type Metrics } from '@comfreygrade/core'
 import type { ControlOperation, ControlResult } from '@comfreygrade/control'
 import type { PeerMessage } from './peer-messages.js'
@@ -124,7 +125,3 @@
     })
   })
 }
-
-async function pause (durationMs: number): Promise<void> {
-  await new Promise<void>(resolve => { setTimeout(resolve, durationMs) })
-}
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -1,4 +1,5 @@
 /** Wires the parts of a node together and owns its life: start, serving, graceful shutdown. */
+import { setTimeout as pause } from 'node:timers/promises'
 import {
   fail, failure, succeed, type BackendServerRecord, type Clock, type Configuration, type EventLog, type Failure,
   type Random, type RequestSpec, type Result, type Rules
@@ -59,7 +60,7 @@
   readonly #members: MemberSpread
   readonly #http: HttpApi
   readonly #startedAtMs: number
-  #state: NodeStatus['state'] = 'starting'
+  #phase: Exclude<NodeStatus['state'], 'drained'> = 'starting'
   #feedTimer: NodeJS.Timeout | undefined
   #helloTimer: NodeJS.Timeout | undefined
   #helloAtMs = -Infinity
@@ -118,14 +119,14 @@
     this.#feedTimer = setInterval(() => { this.#requestFeed() }, timing.feedIntervalMs)
     this.#helloTimer = setInterval(() => { this.#repeatHello() }, HELLO_INTERVAL_MS)
     await this.#http.start()
-    this.#state = 'serving'
+    this.#phase = 'serving'
     this.#options.log.info('node is serving', { http: this.#options.settings.http })
   }
 
   /** Takes no new work, lets open requests end within the limit, and closes everything. */
   async stop (): Promise<void> {
-    if (this.#state === 'stopping') return
-    this.#state = 'stopping'
+    if (this.#phase === 'stopping') return
+    this.#phase = 'stopping'
     this.#options.log.info('graceful shutdown started', { openRequests: this.#requests.openRequests })
     this.#requests.dispatchEvent({ kind: 'drain_started' })
     await this.#awaitOpenRequests()
@@ -137,8 +138,9 @@
   }
 
   override admission (): Result<Rules> {
-    if (this.#state === 'stopping') return fail('shutting_down', 'this node is shutting down')
-    if (this.#state === 'drained') return fail('shutting_down', 'an operator drains this node')
+    const state = this.#state
+    if (state === 'stopping') return fail('shutting_down', 'this node is shutting down')
+    if (state === 'drained') return fail('shutting_down', 'an operator drains this node')
     if (!this.#configuration.hasLease) {
       return fail('configuration_stale', 'this node has no lease on the configuration in force')
     }
@@ -204,6 +206,13 @@
     }
   }
 
+  /** A drain is read from the configuration, so that it also holds for a node that is still starting. */
+  get #state (): NodeStatus['state'] {
+    const { nodeId } = this.#options.settings.node
+    const isDrained = this.#configuration.drains.some(drain => drain.kind === 'vm' && drain.id === nodeId)
+    return this.#phase === 'serving' && isDrained ? 'drained' : this.#phase
+  }
+
   #createRouter (): RequestRouter {
     const { settings, routingSettings, random, metrics } = this.#options
     const { region, availabilityZone } = settings.node
@@ -255,7 +264,7 @@
 
   #receive (fromNodeId: string, message: PeerMessage): void {
     switch (message.kind) {
-      case 'hello': this.#receiveHello(fromNodeId, message); break
+      case 'hello': this.#receiveHello(message); break
       case 'raft': this.#control?.receiveRaft(message); break
       case 'control_request': this.#answerPeer(fromNodeId, message); break
       case 'control_response': this.#controlClient.receive(message); break
@@ -266,7 +275,7 @@
     }
   }
 
-  #receiveHello (fromNodeId: string, message: Extract<PeerMessage, { kind: 'hello' }>): void {
+  #receiveHello (message: Extract<PeerMessage, { kind: 'hello' }>): void {
     if (message.control !== null) this.#control?.receiveHello(message.control)
   }
 
@@ -334,10 +343,6 @@
     this.#router.setOrganisations(new Map(weights))
     this.#registry.setDraining(new Set(drains.filter(drain => drain.kind === 'backend-server').map(drain => drain.id)))
     this.#requests.wake()
-    const { nodeId } = this.#options.settings.node
-    const isDrained = drains.some(drain => drain.kind === 'vm' && drain.id === nodeId)
-    if (this.#state === 'serving' && isDrained) this.#state = 'drained'
-    else if (this.#state === 'drained' && !isDrained) this.#state = 'serving'
   }
 
   async #awaitOpenRequests (): Promise<void> {
@@ -357,7 +362,3 @@
     await this.#backendClient.close()
   }
 }
-
-async function pause (durationMs: number): Promise<void> {
-  await new Promise<void>(resolve => { setTimeout(resolve, durationMs) })
-}
--- a/packages/node/test/peer-links.test.ts
+++ b/packages/node/test/peer-links.test.ts
@@ -4,6 +4,7 @@
 import { PeerLinks } from '../src/peer-links.js'
 import { encodeFrame, type PeerMessage } from '../src/peer-messages.js'
 import { SystemClock } from '../src/system-clock.js'
+import { freePort, until } from './http-fixture.js'
 
 const HOST = '127.0.0.1'
 const request: PeerMessage = { kind: 'feed_request', version: 1, sentAtMs: 2 }
@@ -28,18 +29,6 @@
   }
 }
 
-async function freePort (): Promise<number> {
-  const server = createServer()
-  await new Promise<void>(resolve => { server.listen(0, HOST, resolve) })
-  const { port } = server.address() as AddressInfo
-  await new Promise(resolve => server.close(resolve))
-  return port
-}
-
-async function until (check: () => boolean): Promise<void> {
-  while (!check()) await new Promise(resolve => setTimeout(resolve, 5))
-}
-
 for (const readsNumberedFields of [true, undefined]) {
   const title = readsNumberedFields === true
     ? 'a peer that reads numbered fields gets them after its hello'
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,6 +1,7 @@
 export * from './backend-behaviour.js'
 export * from './backend-server.js'
 export * from './entry-client.js'
+export * from './free-ports.js'
 export * from './loopback-server.js'
 export * from './orders.js'
 export * from './relay.js'
