Run the whole path on the users' platform: batch scheduler, its processes, and the adapter

Cause: the platform speaks of jobs of several steps on workers that announce themselves, which the product did not have. New packages: batch (decisions and replicated state), batch-node (discovery from seeds, links, metrics, logs); platform/ decodes the wire once. ControlService and the new BatchService share ReplicaHost.

--- a/ava.config.js
+++ b/ava.config.js
@@ -1,5 +1,5 @@
 export default {
-  files: ['packages/*/test/**/*.test.ts'],
+  files: ['packages/*/test/**/*.test.ts', 'platform/test/**/*.test.ts'],
   extensions: { ts: 'module' },
   nodeArguments: ['--import=tsx', '--conditions=source'],
   workerThreads: false,
--- /dev/null
+++ b/packages/batch-node/src/index.ts
@@ -0,0 +1,6 @@
+export * from './batch-node.js'
+export * from './messages.js'
+export * from './metrics.js'
+export * from './ports.js'
+export * from './stdout-log.js'
+export * from './suspend-aware-clock.js'
--- /dev/null
+++ b/packages/batch/src/job-record.ts
@@ -0,0 +1,83 @@
+/** Replicated records of jobs, steps and tasks. */
+import { occurrenceCount, type JobSpec, type JobState, type StepSpec } from './jobs.js'
+import type { WorkerLife } from './commands.js'
+
+/** A run that may be on a worker. */
+export interface ActiveRun extends WorkerLife {
+  readonly run: number
+}
+
+/** One task of an occurrence. */
+export interface TaskRecord {
+  lastRun: number
+  failures: number
+  isDone: boolean
+  checkpoint: string
+  /** Workers on which it failed, newest last. */
+  failedOn: string[]
+  active: ActiveRun[]
+}
+
+/** One step of an occurrence. */
+export interface StepRecord {
+  tasks: TaskRecord[]
+  /** The latest run of a gang that counted as a failure, so that each run counts once. */
+  lastFailedRun: number
+}
+
+/** One occurrence of a job. */
+export interface OccurrenceRecord {
+  steps: StepRecord[]
+}
+
+/** A job that was accepted. */
+export interface JobRecord {
+  readonly spec: JobSpec
+  readonly queueAddress: string
+  /** Service of the queue at the latest configuration that had it. */
+  service: string
+  readonly organisation: string
+  readonly acceptedWallMs: number
+  /** Log time of the end, for retention; 0 while the job is open. */
+  endedLogMs: number
+  state: 'open' | 'completed' | 'failed' | 'cancelled'
+  hasStarted: boolean
+  occurrences: Array<OccurrenceRecord | null>
+}
+
+/** Creates the record of an accepted job. */
+export function createJobRecord (
+  fields: Pick<JobRecord, 'spec' | 'queueAddress' | 'service' | 'organisation' | 'acceptedWallMs'>
+): JobRecord {
+  const occurrences = Array.from({ length: occurrenceCount(fields.spec) }, () => null)
+  return { ...fields, endedLogMs: 0, state: 'open', hasStarted: false, occurrences }
+}
+
+/** Creates the record of an occurrence of which nothing has started. */
+export function createOccurrence (spec: JobSpec): OccurrenceRecord {
+  return { steps: spec.steps.map(createStep) }
+}
+
+function createStep (step: StepSpec): StepRecord {
+  return { tasks: Array.from({ length: step.taskCount }, createTask), lastFailedRun: 0 }
+}
+
+function createTask (): TaskRecord {
+  return { lastRun: 0, failures: 0, isDone: false, checkpoint: '', failedOn: [], active: [] }
+}
+
+/** Whether all tasks of a step are done. */
+export function isStepDone (step: StepRecord): boolean {
+  return step.tasks.every(task => task.isDone)
+}
+
+/** Whether every task of every occurrence is done. */
+export function isJobDone (job: JobRecord): boolean {
+  return job.occurrences.every(occurrence => occurrence?.steps.every(isStepDone) ?? false)
+}
+
+/** State as callers see it. */
+export function visibleState (job: JobRecord): JobState {
+  if (job.state !== 'open') return job.state
+  return job.hasStarted ? 'running' : 'queued'
+}
--- /dev/null
+++ b/packages/batch/src/leader.ts
@@ -0,0 +1,425 @@
+/** The batch leader: heartbeats, orders and operations on top of the replicated state. */
+import { fail, succeed, type Clock, type EventLog, type Failure, type Metrics } from '@comfreygrade/core'
+import { AdviceBook, type Ticket } from './advice.js'
+import { runKey, type BatchState } from './batch-state.js'
+import type { Assignment, BatchCommand, CommandResult, MaintenanceWave } from './commands.js'
+import { visibleState } from './job-record.js'
+import { stepKey, type JobSpec } from './jobs.js'
+import type { BatchOperation, BatchResult, QueueRequest } from './operations.js'
+import { OrderBook } from './order-book.js'
+import { queueAddress, validateDocument, type QueueConfiguration } from './queues.js'
+import { ObjectiveOrder } from './ranking.js'
+import { BatchScheduler } from './scheduler.js'
+import type { BatchSettings } from './settings.js'
+import type { WaitingStep } from './waiting-work.js'
+import type { WorkerOrders, WorkerReport } from './worker-report.js'
+import { WorkerTable } from './worker-table.js'
+
+/** What the leader is told. */
+export type LeaderEvent =
+  | { readonly kind: 'operation', readonly requestId: string, readonly operation: BatchOperation }
+  | { readonly kind: 'report', readonly requestId: string, readonly report: WorkerReport }
+  | { readonly kind: 'worker_left', readonly requestId: string, readonly workerId: string }
+  | { readonly kind: 'applied', readonly proposalId: string, readonly result: CommandResult }
+  | { readonly kind: 'rejected', readonly proposalId: string, readonly isCertain: boolean }
+  | {
+    readonly kind: 'advice'
+    readonly stepKey: string
+    readonly tickets: readonly Ticket[] | undefined
+    readonly askedAtMs: number
+  }
+  | { readonly kind: 'tick' }
+
+/** What the leader asks its adapters to do. */
+export type LeaderEffect =
+  | { readonly kind: 'propose', readonly proposalId: string, readonly command: BatchCommand }
+  | { readonly kind: 'reply', readonly requestId: string, readonly result: BatchResult }
+  | { readonly kind: 'reply_worker', readonly requestId: string, readonly orders: WorkerOrders | undefined }
+  | { readonly kind: 'ask_advice', readonly stepKey: string, readonly workerIds: readonly string[] }
+
+/** Options of {@link BatchLeader}. */
+export interface BatchLeaderOptions {
+  readonly term: number
+  readonly state: BatchState
+  readonly settings: BatchSettings
+  readonly clock: Clock
+  readonly metrics: Metrics
+  readonly log: EventLog
+}
+
+/** A heartbeat that waits for its answer. */
+interface OpenReport {
+  readonly requestId: string
+  readonly report: WorkerReport
+  readonly receivedAtMs: number
+}
+
+/** What becomes of a proposal when its command is applied or rejected. */
+type ProposalOutcome =
+  | { readonly kind: 'applied', readonly result: CommandResult }
+  | { readonly kind: 'rejected', readonly isCertain: boolean }
+
+/** Interval of the leader's checks of silent workers and held answers. */
+const TICK_MS = 100
+
+/**
+ * Decides for one term. All times are monotonic milliseconds of the clock that was passed in.
+ *
+ * @example
+ * const leader = new BatchLeader({ term, state, settings, clock, metrics, log })
+ * for (const effect of leader.handle({ kind: 'tick' })) carryOut(effect)
+ */
+export class BatchLeader {
+  readonly #options: BatchLeaderOptions
+  readonly #workers: WorkerTable
+  readonly #orders: OrderBook
+  readonly #advice: AdviceBook
+  readonly #scheduler: BatchScheduler
+  readonly #openReports = new Map<string, OpenReport>()
+  readonly #proposals = new Map<string, (outcome: ProposalOutcome) => void>()
+  /** Workers with commands under way, whose heartbeats are answered after these. */
+  readonly #busyWorkers = new Map<string, number>()
+  #effects: LeaderEffect[] = []
+  #proposalCount = 0
+  #isAssigning = false
+  #isPassDue = true
+  #lastPassMs = -Infinity
+
+  constructor (options: BatchLeaderOptions) {
+    const { state, settings, clock, log } = options
+    this.#options = options
+    this.#workers = new WorkerTable(state, settings, clock, log)
+    this.#advice = new AdviceBook(clock)
+    this.#orders = new OrderBook({ state, settings, clock, advice: this.#advice, fencingToken: options.term })
+    this.#scheduler = new BatchScheduler(settings, clock, new ObjectiveOrder())
+  }
+
+  /** Runs one event to its end and returns what the adapters have to do. */
+  handle (event: LeaderEvent): LeaderEffect[] {
+    this.#effects = []
+    switch (event.kind) {
+      case 'operation': this.#operate(event.requestId, event.operation); break
+      case 'report': this.#receiveReport(event.requestId, event.report); break
+      case 'worker_left': this.#workerLeft(event.requestId, event.workerId); break
+      case 'applied': this.#settle(event.proposalId, { kind: 'applied', result: event.result }); break
+      case 'rejected': this.#settle(event.proposalId, { kind: 'rejected', isCertain: event.isCertain }); break
+      case 'advice': this.#adviceAnswered(event); break
+      case 'tick': this.#tick(); break
+    }
+    this.#passIfDue()
+    this.#answerReports()
+    return this.#effects
+  }
+
+  /** Milliseconds until the next `tick`. */
+  nextTickMs (): number {
+    return this.#isPassDue ? this.#options.settings.passIntervalMs : TICK_MS
+  }
+
+  // Operations
+
+  #operate (requestId: string, operation: BatchOperation): void {
+    switch (operation.kind) {
+      case 'submit': return this.#submit(requestId, operation.request, operation.spec)
+      case 'job_state': return this.#answerState(requestId, operation.request)
+      case 'cancel': return this.#cancel(requestId, operation.request)
+      case 'put_configuration': return this.#putConfiguration(requestId, operation)
+      case 'get_configuration': return this.#getConfiguration(requestId)
+      case 'start_wave': return this.#startWave(requestId, operation.wave)
+      case 'wave_state': return this.#waveState(requestId, operation.waveId)
+    }
+  }
+
+  #submit (requestId: string, request: QueueRequest, fields: Omit<JobSpec, 'jobId'>): void {
+    const address = this.#resolve(request)
+    if ('kind' in address) return this.#refuse(requestId, address)
+    const { queue, jobId, organisation } = address
+    if (jobId === '') return this.#refuse(requestId, { kind: 'invalid_request', detail: 'the path names no job' })
+    if (this.#options.state.job(jobId) !== undefined) return this.#accept(requestId)
+    const spec = { ...fields, jobId }
+    this.#propose({
+      kind: 'submit_job',
+      spec,
+      queueAddress: queueAddress(queue),
+      organisation,
+      acceptedWallMs: this.#options.clock.wallMs()
+    }, outcome => {
+      this.#options.log.info('job submitted', {
+        jobId, queue: queue.name, organisation, priority: queue.priority, tasks: spec.steps.map(step => step.taskCount), outcome: outcome.kind
+      })
+      this.#answerProposal(requestId, outcome)
+    })
+  }
+
+  #cancel (requestId: string, request: QueueRequest): void {
+    const address = this.#resolve(request)
+    if ('kind' in address) return this.#refuse(requestId, address)
+    const job = this.#options.state.job(address.jobId)
+    if (job === undefined) return this.#refuse(requestId, unknownJob(address.jobId))
+    if (job.state !== 'open') return this.#accept(requestId)
+    this.#propose({ kind: 'cancel_job', jobId: address.jobId }, outcome => {
+      this.#options.log.info('job cancelled', { jobId: address.jobId, outcome: outcome.kind })
+      this.#answerProposal(requestId, outcome)
+    })
+  }
+
+  #answerState (requestId: string, request: QueueRequest): void {
+    const address = this.#resolve(request)
+    if ('kind' in address) return this.#refuse(requestId, address)
+    const { queue, jobId } = address
+    if (jobId === '') {
+      const pendingJobs = this.#countPending(queueAddress(queue))
+      return this.#reply(requestId, succeed({ kind: 'queue', pendingJobs }))
+    }
+    const job = this.#options.state.job(jobId)
+    if (job === undefined) return this.#refuse(requestId, unknownJob(jobId))
+    const isRunning = job.state === 'open' && this.#workers.hasStarted(jobId)
+    this.#reply(requestId, succeed({ kind: 'job_state', state: isRunning ? 'running' : visibleState(job) }))
+  }
+
+  #countPending (address: string): number {
+    let count = 0
+    for (const job of this.#options.state.openJobs()) {
+      if (job.queueAddress === address && !job.hasStarted && !this.#workers.hasStarted(job.spec.jobId)) count++
+    }
+    return count
+  }
+
+  #resolve (request: QueueRequest): Failure | { queue: QueueConfiguration, jobId: string, organisation: string } {
+    const { directory } = this.#options.state
+    if (directory === null) return { kind: 'no_configuration', detail: 'no configuration has been accepted yet' }
+    const queue = directory.match(request.host, request.path)
+    if (queue === undefined) return { kind: 'unknown_queue', detail: `no queue at ${request.host}${request.path}` }
+    const organisation = request.apiKey === undefined ? undefined : directory.organisationOf(request.apiKey)
+    if (organisation === undefined && !queue.isAnonymous) {
+      return { kind: 'unknown_key', detail: `the key of the request is not in configuration ${directory.document.version}` }
+    }
+    return { queue, jobId: request.path.slice(queue.pathPrefix.length), organisation: organisation ?? '' }
+  }
+
+  #putConfiguration (requestId: string, { document }: Extract<BatchOperation, { kind: 'put_configuration' }>): void {
+    const valid = validateDocument(document)
+    if (!valid.ok) return this.#refuse(requestId, valid.failure)
+    const { directory } = this.#options.state
+    if (directory !== null && document.version <= directory.document.version) return this.#accept(requestId)
+    this.#propose({ kind: 'put_configuration', document }, outcome => {
+      this.#options.log.info('configuration accepted', { version: document.version, outcome: outcome.kind })
+      this.#answerProposal(requestId, outcome)
+    })
+  }
+
+  #getConfiguration (requestId: string): void {
+    const { directory } = this.#options.state
+    if (directory === null) return this.#refuse(requestId, { kind: 'no_configuration', detail: 'no configuration yet' })
+    this.#reply(requestId, succeed({ kind: 'configuration', source: directory.document.source }))
+  }
+
+  #startWave (requestId: string, wave: MaintenanceWave): void {
+    if (this.#options.state.wave(wave.waveId) !== undefined) return this.#accept(requestId)
+    const startedWallMs = this.#options.clock.wallMs()
+    this.#propose({ kind: 'start_wave', wave, startedWallMs }, outcome => { this.#answerProposal(requestId, outcome) })
+  }
+
+  #waveState (requestId: string, waveId: string): void {
+    const record = this.#options.state.wave(waveId)
+    if (record === undefined) {
+      return this.#refuse(requestId, { kind: 'unknown_wave', detail: `wave ${waveId} is not known` })
+    }
+    const isDone = record.wave.vmIds.every(vmId => record.done.includes(vmId))
+    this.#reply(requestId, succeed({ kind: 'wave', state: isDone ? 'completed' : 'running' }))
+  }
+
+  #answerProposal (requestId: string, outcome: ProposalOutcome): void {
+    if (outcome.kind === 'applied') return this.#accept(requestId)
+    const detail = 'the control leader lost its role before the command was committed'
+    this.#refuse(requestId, outcome.isCertain ? { kind: 'control_unavailable', detail } : { kind: 'outcome_unknown', detail })
+  }
+
+  #accept (requestId: string): void {
+    this.#reply(requestId, succeed({ kind: 'accepted' }))
+  }
+
+  #refuse (requestId: string, failure: Failure): void {
+    this.#options.metrics.increment('refusal', { kind: failure.kind })
+    this.#reply(requestId, fail(failure.kind, failure.detail, failure.retryAfterMs))
+  }
+
+  #reply (requestId: string, result: BatchResult): void {
+    this.#effects.push({ kind: 'reply', requestId, result })
+  }
+
+  // Heartbeats
+
+  #receiveReport (requestId: string, report: WorkerReport): void {
+    const nowMs = this.#options.clock.monotonicMs()
+    const reception = this.#workers.receive(report)
+    for (const life of reception.replaced) this.#workerGone(life, 'replaced by a later life')
+    if (reception.kind === 'ignored') {
+      this.#options.metrics.increment('worker.report_ignored', { reason: reception.reason })
+      this.#effects.push({ kind: 'reply_worker', requestId, orders: undefined })
+      return
+    }
+    const { view } = reception
+    if (reception.isNew) this.#isPassDue = true
+    const earlier = this.#openReports.get(report.workerId)
+    if (earlier !== undefined) this.#effects.push({ kind: 'reply_worker', requestId: earlier.requestId, orders: undefined })
+    this.#openReports.set(report.workerId, { requestId, report, receivedAtMs: nowMs })
+    const certainty = view.leaseCertainty()
+    if (certainty === 'lapsed') this.#leaseLapsed(report)
+    if (certainty !== 'uncertain') this.#recordEnds(report)
+    this.#releaseAbsent(report)
+  }
+
+  /** What ended before the lapse does not count, so the ends are recorded without their runs. */
+  #leaseLapsed (report: WorkerReport): void {
+    const { workerId, incarnation } = report
+    this.#workers.view(workerId)?.restartLease()
+    this.#workerGone({ workerId, incarnation }, 'lease lapsed')
+  }
+
+  #recordEnds (report: WorkerReport): void {
+    const { workerId, incarnation } = report
+    const life = { workerId, incarnation }
+    const lastSequence = this.#options.state.lastEndSequence(life)
+    const ends = report.ends.filter(end => end.sequence > lastSequence)
+    if (ends.length === 0) return
+    for (const end of ends) this.#workers.noteEnd(report, end)
+    this.#proposeFor(workerId, { kind: 'record_ends', life, ends }, () => {
+      for (const { taskKey, run, reason, sequence } of ends) {
+        this.#options.log.info('run ended', { taskKey, run, reason, workerId, sequence })
+      }
+      this.#isPassDue = true
+    })
+  }
+
+  #releaseAbsent (report: WorkerReport): void {
+    const runs = this.#orders.certainlyAbsent(this.#workers.viewOf(report))
+    if (runs.length === 0) return
+    this.#proposeFor(report.workerId, { kind: 'release', runs }, () => { this.#isPassDue = true })
+  }
+
+  #workerLeft (requestId: string, workerId: string): void {
+    const view = this.#workers.view(workerId)
+    this.#effects.push({ kind: 'reply_worker', requestId, orders: undefined })
+    if (view === undefined) return
+    const { incarnation } = view.latest
+    this.#workers.forget(workerId)
+    this.#workerGone({ workerId, incarnation }, 'left')
+  }
+
+  #workerGone (life: { readonly workerId: string, readonly incarnation: number }, reason: string): void {
+    const { log, state } = this.#options
+    const runs = [...state.runsOf(life.workerId)].filter(run => run.incarnation <= life.incarnation)
+    log.info('worker is gone', { ...life, reason, runs: runs.length })
+    if (runs.length === 0) return
+    const checkpoints = this.#workers.latestCheckpoints(runs)
+    this.#proposeFor(life.workerId, { kind: 'worker_gone', life, checkpoints }, () => { this.#isPassDue = true })
+  }
+
+  #answerReports (): void {
+    const { clock, settings } = this.#options
+    for (const [workerId, open] of this.#openReports) {
+      const isBusy = (this.#busyWorkers.get(workerId) ?? 0) > 0
+      if (isBusy && clock.monotonicMs() - open.receivedAtMs < settings.maxReportHoldMs) continue
+      this.#openReports.delete(workerId)
+      const view = this.#workers.viewOf(open.report)
+      this.#effects.push({ kind: 'reply_worker', requestId: open.requestId, orders: this.#orders.ordersFor(view) })
+    }
+  }
+
+  // Scheduling
+
+  #passIfDue (): void {
+    const nowMs = this.#options.clock.monotonicMs()
+    if (!this.#isPassDue || this.#isAssigning) return
+    if (nowMs - this.#lastPassMs < this.#options.settings.passIntervalMs) return
+    this.#isPassDue = false
+    this.#lastPassMs = nowMs
+    const decision = this.#scheduler.pass(this.#options.state, {
+      views: this.#workers.views(),
+      isUsable: view => this.#workers.isUsable(view),
+      isStopping: run => this.#orders.isStopping(run),
+      permittedWorkers: key => this.#advice.permittedWorkers(key)
+    })
+    for (const step of decision.needPermission) this.#askAdvice(step)
+    for (const run of decision.stops) this.#orders.stop(run)
+    this.#assign(decision.assignments)
+  }
+
+  #assign (assignments: readonly Assignment[]): void {
+    if (assignments.length === 0) return
+    this.#isAssigning = true
+    const workerIds = [...new Set(assignments.map(assignment => assignment.workerId))]
+    for (const workerId of workerIds) this.#markBusy(workerId, 1)
+    this.#propose({ kind: 'assign', assignments }, outcome => {
+      this.#isAssigning = false
+      this.#isPassDue = true
+      for (const workerId of workerIds) this.#markBusy(workerId, -1)
+      if (outcome.kind === 'rejected') return
+      for (const assignment of assignments) {
+        const { taskKey, run, workerId } = assignment
+        this.#workers.view(workerId)?.assignedInTerm.add(runKey(assignment))
+        this.#options.log.info('run assigned', { taskKey, run, workerId, reportSequence: this.#workers.view(workerId)?.latest.sequence })
+      }
+    })
+  }
+
+  #askAdvice (step: WaitingStep): void {
+    const key = stepKey(step.job.spec.jobId, step.occurrence, step.stepIndex)
+    const workerIds = this.#workers.adviceCandidates(step).slice(0, this.#options.settings.maxAdviceWorkers)
+    if (workerIds.length === 0 || !this.#advice.startAsking(key)) return
+    this.#effects.push({ kind: 'ask_advice', stepKey: key, workerIds })
+  }
+
+  #adviceAnswered ({ stepKey: key, tickets, askedAtMs }: Extract<LeaderEvent, { kind: 'advice' }>): void {
+    const job = this.#options.state.job(key.slice(0, key.indexOf('.')))
+    const queue = job === undefined ? undefined : this.#options.state.directory?.at(job.queueAddress)
+    const validMs = queue?.advice?.ticketValidMs ?? 0
+    this.#options.log.info('advice answered', { stepKey: key, granted: tickets?.length ?? null })
+    this.#advice.answered(key, tickets, this.#workers.incarnations(), validMs, askedAtMs)
+    this.#isPassDue = true
+  }
+
+  #tick (): void {
+    this.#isPassDue = true
+    for (const life of this.#workers.expired()) {
+      this.#workers.forget(life.workerId)
+      this.#workerGone(life, 'silent beyond its lease')
+    }
+    this.#advice.retain(jobId => this.#options.state.job(jobId)?.state === 'open')
+    this.#orders.forgetEnded()
+  }
+
+  // Proposals
+
+  #proposeFor (workerId: string, command: BatchCommand, applied: () => void): void {
+    this.#markBusy(workerId, 1)
+    this.#propose(command, outcome => {
+      this.#markBusy(workerId, -1)
+      if (outcome.kind === 'applied') applied()
+    })
+  }
+
+  #markBusy (workerId: string, change: 1 | -1): void {
+    const count = (this.#busyWorkers.get(workerId) ?? 0) + change
+    if (count === 0) this.#busyWorkers.delete(workerId)
+    else this.#busyWorkers.set(workerId, count)
+  }
+
+  #propose (command: BatchCommand, settled: (outcome: ProposalOutcome) => void): void {
+    const proposalId = `${this.#options.term}-${++this.#proposalCount}`
+    this.#proposals.set(proposalId, settled)
+    this.#effects.push({ kind: 'propose', proposalId, command })
+  }
+
+  #settle (proposalId: string, outcome: ProposalOutcome): void {
+    const settled = this.#proposals.get(proposalId)
+    this.#proposals.delete(proposalId)
+    settled?.(outcome)
+    if (outcome.kind === 'applied') this.#isPassDue = true
+  }
+}
+
+function unknownJob (jobId: string): Failure {
+  return { kind: 'unknown_job', detail: `job ${jobId} is not known` }
+}
--- /dev/null
+++ b/packages/batch/src/ranking.ts
@@ -0,0 +1,37 @@
+/** The order in which waiting work is considered. */
+import type { WaitingStep } from './waiting-work.js'
+
+/** Order of waiting steps; a policy that varies. */
+export abstract class WorkOrder {
+  /** Negative where `left` comes first. */
+  abstract compare (left: WaitingStep, right: WaitingStep, nowWallMs: number): number
+}
+
+/** First come, first served; the baseline that benchmarks compare with. */
+export class ArrivalOrder extends WorkOrder {
+  override compare (left: WaitingStep, right: WaitingStep): number {
+    return left.startedWallMs - right.startedWallMs
+  }
+}
+
+/** Work that ends later than this multiple of its objective earns nothing for its caller. */
+const WORTHLESS_AFTER_OBJECTIVES = 3
+
+/**
+ * Work that can still meet its objective goes first, by priority and earliest objective; then work that is late but of
+ * use; then the rest. Under overload this keeps early work from making all later work late as well.
+ */
+export class ObjectiveOrder extends WorkOrder {
+  override compare (left: WaitingStep, right: WaitingStep, nowWallMs: number): number {
+    return urgencyClass(left, nowWallMs) - urgencyClass(right, nowWallMs) ||
+      left.priority - right.priority ||
+      left.objectiveWallMs - right.objectiveWallMs
+  }
+}
+
+function urgencyClass (step: WaitingStep, nowWallMs: number): number {
+  const endsAtMs = nowWallMs + step.remainingChainMs
+  if (endsAtMs <= step.objectiveWallMs || step.spec.isLasting) return 0
+  const usefulForMs = (step.objectiveWallMs - step.startedWallMs) * WORTHLESS_AFTER_OBJECTIVES
+  return endsAtMs <= step.startedWallMs + usefulForMs ? 1 : 2
+}
--- /dev/null
+++ b/packages/batch/src/settings.ts
@@ -0,0 +1,59 @@
+/** Numbers of the batch scheduler. */
+
+/** Every number that the leader and its scheduler use. */
+export interface BatchSettings {
+  /** Lease that an answer to a heartbeat grants, counted from its sending. */
+  readonly leaseMs: number
+  /** Largest relative error of a worker's clock. */
+  readonly clockRateBound: number
+  /** Added to a lease before its runs count as ended, for the way of the heartbeat. */
+  readonly leaseMarginMs: number
+  /** Workers drop an answer that comes later than this. */
+  readonly reportTimeoutMs: number
+  /** Bound of the clocks' drift between two heartbeats. */
+  readonly clockDriftPerReportMs: number
+  /** A heartbeat is answered without its commands after this wait, below the worker's limit. */
+  readonly maxReportHoldMs: number
+  /** Wait that a worker keeps before its next heartbeat. */
+  readonly nextReportMs: number
+  /** A worker that has been silent for this long gets no new runs. */
+  readonly silentAfterMs: number
+  /** Time from the start of a term until an absent run of an earlier term is believed to be absent. */
+  readonly inheritedRunGraceMs: number
+  /** Slowdown of a task that runs away from its data, or of a same-rack gang over several racks. */
+  readonly farFactor: number
+  /** Time in which a job of priority 0 within its organisation's guarantee must have begun. */
+  readonly reclaimMs: number
+  /** Interval between two scheduling passes at most. */
+  readonly passIntervalMs: number
+  /** Occurrences start this long after they are due, so that clocks that differ start none early. */
+  readonly dueMarginMs: number
+  /** Retention of ended jobs. */
+  readonly endedJobRetentionMs: number
+  /** Most workers that one call for advice may name. */
+  readonly maxAdviceWorkers: number
+}
+
+/**
+ * Defaults; the node's settings override those that the deployment gives.
+ *
+ * @example
+ * const settings: BatchSettings = { ...defaultBatchSettings, leaseMs: 4_000 }
+ */
+export const defaultBatchSettings: BatchSettings = {
+  leaseMs: 6_000,
+  clockRateBound: 0.02,
+  leaseMarginMs: 400,
+  reportTimeoutMs: 1_000,
+  clockDriftPerReportMs: 1,
+  maxReportHoldMs: 600,
+  nextReportMs: 200,
+  silentAfterMs: 2_500,
+  inheritedRunGraceMs: 2_000,
+  farFactor: 3,
+  reclaimMs: 5_700,
+  passIntervalMs: 20,
+  dueMarginMs: 20,
+  endedJobRetentionMs: 240_000,
+  maxAdviceWorkers: 100
+}
--- /dev/null
+++ b/packages/batch/src/worker-table.ts
@@ -0,0 +1,159 @@
+/** Workers that the leader of this term has heard. */
+import type { Clock, EventLog } from '@comfreygrade/core'
+import type { BatchState } from './batch-state.js'
+import type { Assignment, RunEnd, TaskCheckpoint, WorkerLife } from './commands.js'
+import { couldHold } from './free-capacity.js'
+import type { BatchSettings } from './settings.js'
+import { WorkerHealth } from './worker-health.js'
+import type { WaitingStep } from './waiting-work.js'
+import type { WorkerReport } from './worker-report.js'
+import { WorkerView } from './worker-view.js'
+
+/** What became of a heartbeat. */
+export type Reception =
+  | { readonly kind: 'ignored', readonly reason: 'earlier_life' | 'late', readonly replaced: readonly WorkerLife[] }
+  | { readonly kind: 'taken', readonly view: WorkerView, readonly isNew: boolean, readonly replaced: readonly WorkerLife[] }
+
+/** Views by worker, with the lives that later ones replace. */
+export class WorkerTable {
+  readonly #state: BatchState
+  readonly #settings: BatchSettings
+  readonly #clock: Clock
+  readonly #log: EventLog
+  readonly #health: WorkerHealth
+  readonly #views = new Map<string, WorkerView>()
+  readonly #startedJobs = new Set<string>()
+  readonly #termStartedAtMs: number
+
+  constructor (state: BatchState, settings: BatchSettings, clock: Clock, log: EventLog) {
+    this.#state = state
+    this.#settings = settings
+    this.#clock = clock
+    this.#log = log
+    this.#health = new WorkerHealth(clock, log)
+    this.#termStartedAtMs = clock.monotonicMs()
+  }
+
+  /** Takes a heartbeat. */
+  receive (report: WorkerReport): Reception {
+    const known = this.#views.get(report.workerId)
+    const others = [...this.#views.values()].filter(view => isSamePlace(view.latest, report))
+    if (others.some(view => view.latest.incarnation > report.incarnation)) {
+      return { kind: 'ignored', reason: 'earlier_life', replaced: [] }
+    }
+    const replaced = others.filter(view => view.latest.incarnation < report.incarnation).map(view => lifeOf(view.latest))
+    for (const { workerId } of replaced) this.forget(workerId)
+    if (known === undefined || replaced.some(life => life.workerId === report.workerId)) {
+      return { kind: 'taken', view: this.#add(report), isNew: true, replaced }
+    }
+    const wasLeaving = known.latest.state === 'leaving'
+    const isTaken = known.accept(report, this.#clock.monotonicMs())
+    if (!isTaken) return { kind: 'ignored', reason: 'late', replaced }
+    if (!wasLeaving && report.state === 'leaving') this.#log.info('worker is leaving', { ...lifeOf(report) })
+    this.#noteStarted(report)
+    return { kind: 'taken', view: known, isNew: false, replaced }
+  }
+
+  #add (report: WorkerReport): WorkerView {
+    const view = new WorkerView(report, this.#clock, this.#settings)
+    this.#views.set(report.workerId, view)
+    this.#log.info('worker joined', { ...lifeOf(report), service: report.service, labels: report.labels, state: report.state })
+    this.#noteStarted(report)
+    return view
+  }
+
+  #noteStarted (report: WorkerReport): void {
+    for (const { taskKey } of report.running) this.#startedJobs.add(taskKey.slice(0, taskKey.indexOf('.')))
+  }
+
+  /** Whether a run of the job has been seen on a worker in this term. */
+  hasStarted (jobId: string): boolean {
+    return this.#startedJobs.has(jobId)
+  }
+
+  /** View of a worker, if it has been heard. */
+  view (workerId: string): WorkerView | undefined {
+    return this.#views.get(workerId)
+  }
+
+  /** View of the sender of a heartbeat that was taken. */
+  viewOf (report: WorkerReport): WorkerView {
+    const view = this.#views.get(report.workerId)
+    return view ?? this.#add(report)
+  }
+
+  /** All views. */
+  views (): Iterable<WorkerView> {
+    return this.#views.values()
+  }
+
+  /** Incarnations by worker. */
+  incarnations (): ReadonlyMap<string, number> {
+    return new Map([...this.#views.values()].map(view => [view.latest.workerId, view.latest.incarnation]))
+  }
+
+  /** Removes a worker. */
+  forget (workerId: string): void {
+    this.#views.delete(workerId)
+  }
+
+  /** Whether a worker may get new runs now. */
+  isUsable (view: WorkerView): boolean {
+    const silentMs = this.#clock.monotonicMs() - view.heardAtMs
+    return view.latest.state === 'active' && silentMs < this.#settings.silentAfterMs &&
+      view.leaseCertainty() === 'held' && !this.#health.isQuarantined(view.latest.workerId)
+  }
+
+  /** Takes note of an end for the health of its worker. */
+  noteEnd (life: WorkerLife, end: RunEnd): void {
+    this.#health.noteEnd(life.workerId, end)
+  }
+
+  /** Latest checkpoints that were seen of these runs. */
+  latestCheckpoints (runs: readonly Assignment[]): TaskCheckpoint[] {
+    return runs.flatMap(({ workerId, taskKey, run }) => {
+      const checkpoint = this.#views.get(workerId)?.rowOf(taskKey, run)?.checkpoint ?? ''
+      return checkpoint === '' ? [] : [{ taskKey, checkpoint }]
+    })
+  }
+
+  /** Workers to ask permission for. */
+  adviceCandidates (step: WaitingStep): string[] {
+    const { job, spec } = step
+    return [...this.#views.values()]
+      .filter(({ latest }) => latest.service === job.service && couldHold(latest.capacity, spec) &&
+        (spec.requiredLabel === '' || latest.labels.includes(spec.requiredLabel)))
+      .map(view => view.latest.workerId)
+  }
+
+  /** Lives whose leases have certainly run out. */
+  expired (): WorkerLife[] {
+    const nowMs = this.#clock.monotonicMs()
+    const { leaseMs, clockRateBound, leaseMarginMs } = this.#settings
+    const afterMs = leaseMs * (1 + clockRateBound) + leaseMarginMs
+    const silent = [...this.#views.values()].filter(view => nowMs - view.heardAtMs > afterMs).map(view => lifeOf(view.latest))
+    if (nowMs - this.#termStartedAtMs <= afterMs) return silent
+    return [...silent, ...this.#unheard()]
+  }
+
+  /** Workers that have runs of an earlier term and have not been heard in this one. */
+  #unheard (): WorkerLife[] {
+    const lives: WorkerLife[] = []
+    for (const workerId of this.#state.workersWithRuns()) {
+      if (this.#views.has(workerId)) continue
+      const incarnations = [...this.#state.runsOf(workerId)].map(run => run.incarnation)
+      lives.push({ workerId, incarnation: Math.max(...incarnations) })
+    }
+    return lives
+  }
+}
+
+function lifeOf ({ workerId, incarnation }: WorkerLife): WorkerLife {
+  return { workerId, incarnation }
+}
+
+/** A later life under another ID takes the place of an earlier one on the same VM or at the same address. */
+function isSamePlace (known: WorkerReport, report: WorkerReport): boolean {
+  return known.workerId === report.workerId || known.address === report.address ||
+    (known.vmId !== '' && known.vmId === report.vmId)
+}
--- /dev/null
+++ b/packages/batch/src/worker-view.ts
@@ -0,0 +1,103 @@
+/** What the leader has heard from one life of a worker. */
+import type { Clock } from '@comfreygrade/core'
+import type { WorkerReport, RunningTask } from './worker-report.js'
+import type { BatchSettings } from './settings.js'
+
+/** Whether ends listed now can still count. */
+export type LeaseCertainty = 'held' | 'uncertain' | 'lapsed'
+
+/** Progress of a run, for telling stalled runs from slow ones. */
+export interface RunProgress {
+  readonly firstSeenMs: number
+  percent: number
+  changedMs: number
+}
+
+/**
+ * Volatile view of a worker. Times are the leader's monotonic clock unless a name says otherwise.
+ *
+ * A worker has one heartbeat under way at a time, so a heartbeat that follows another within its time limit proves that
+ * the earlier one was answered.
+ */
+export class WorkerView {
+  readonly #settings: BatchSettings
+  latest: WorkerReport
+  heardAtMs: number
+  readonly progress = new Map<string, RunProgress>()
+  /** Sequence of the heartbeat in whose answer a run was last offered, by run. */
+  readonly offeredAt = new Map<string, number>()
+  /** Runs that the leader of this term assigned. */
+  readonly assignedInTerm = new Set<string>()
+  /** Least (leader's clock - worker's clock) seen: the one of the fastest heartbeat. */
+  #clockOffsetMs: number
+  #grantedAtWorkerMs: number | undefined
+  #sureLeaseEndWorkerMs = -Infinity
+  #possibleLeaseEndWorkerMs = -Infinity
+
+  constructor (report: WorkerReport, clock: Clock, settings: BatchSettings) {
+    this.#settings = settings
+    this.latest = report
+    this.heardAtMs = clock.monotonicMs()
+    this.#clockOffsetMs = this.heardAtMs - report.clockMs
+  }
+
+  /**
+   * Takes a heartbeat.
+   *
+   * @returns whether it is newer than all before and came in time; the answer to a late one is dropped by the worker
+   */
+  accept (report: WorkerReport, nowMs: number): boolean {
+    if (report.sequence < this.latest.sequence) return false
+    const offsetMs = nowMs - report.clockMs
+    this.#clockOffsetMs = Math.min(this.#clockOffsetMs + this.#settings.clockDriftPerReportMs, offsetMs)
+    if (offsetMs - this.#clockOffsetMs > this.#settings.reportTimeoutMs) return false
+    this.#confirmGrant(report)
+    this.latest = report
+    this.heardAtMs = nowMs
+    this.#followProgress(report, nowMs)
+    return true
+  }
+
+  /** Whether the lease has certainly held up to the latest heartbeat. */
+  leaseCertainty (): LeaseCertainty {
+    if (this.#grantedAtWorkerMs === undefined) return 'held'
+    if (this.latest.clockMs < this.#sureLeaseEndWorkerMs) return 'held'
+    return this.latest.clockMs > this.#possibleLeaseEndWorkerMs ? 'lapsed' : 'uncertain'
+  }
+
+  /** Notes that the answer to the latest heartbeat extends the lease. */
+  granted (leaseMs: number): void {
+    this.#grantedAtWorkerMs = this.latest.clockMs
+    this.#possibleLeaseEndWorkerMs = Math.max(this.#possibleLeaseEndWorkerMs, this.latest.clockMs + leaseMs)
+  }
+
+  /** Forgets the leases of before a lapse. */
+  restartLease (): void {
+    this.#grantedAtWorkerMs = undefined
+    this.#sureLeaseEndWorkerMs = -Infinity
+    this.#possibleLeaseEndWorkerMs = -Infinity
+  }
+
+  /** The latest row of a run. */
+  rowOf (taskKey: string, run: number): RunningTask | undefined {
+    return this.latest.running.find(row => row.taskKey === taskKey && row.run === run)
+  }
+
+  #confirmGrant (report: WorkerReport): void {
+    const grantedMs = this.#grantedAtWorkerMs
+    if (grantedMs === undefined || report.clockMs - grantedMs >= this.#settings.reportTimeoutMs) return
+    this.#sureLeaseEndWorkerMs = grantedMs + this.#settings.leaseMs
+  }
+
+  #followProgress (report: WorkerReport, nowMs: number): void {
+    const listed = new Set<string>()
+    for (const { taskKey, run, percent } of report.running) {
+      const key = `${taskKey}#${run}`
+      listed.add(key)
+      const known = this.progress.get(key)
+      if (known === undefined) this.progress.set(key, { firstSeenMs: nowMs, percent, changedMs: nowMs })
+      else if (known.percent !== percent) Object.assign(known, { percent, changedMs: nowMs })
+    }
+    for (const key of this.progress.keys()) if (!listed.has(key)) this.progress.delete(key)
+  }
+}
--- a/packages/consensus/src/messages.ts
+++ b/packages/consensus/src/messages.ts
@@ -113,7 +113,13 @@
   | { readonly kind: 'tick' }
   | { readonly kind: 'message', readonly from: VoterId, readonly message: ConsensusMessage<Command> }
   | { readonly kind: 'propose', readonly proposalId: string, readonly command: Command }
-  | { readonly kind: 'replace_voter', readonly proposalId: string, readonly remove: VoterId, readonly add: VoterId }
+  /** Without a voter to remove the set grows by one. */
+  | {
+    readonly kind: 'replace_voter'
+    readonly proposalId: string
+    readonly remove: VoterId | null
+    readonly add: VoterId
+  }
   /** Everything of the `persist` effect with this number is synced. */
   | { readonly kind: 'persisted', readonly persistId: number }
   /** The state machine wrote a snapshot; the log up to `lastIndex` may be dropped. */
--- a/packages/consensus/src/replacement.ts
+++ b/packages/consensus/src/replacement.ts
@@ -7,7 +7,7 @@
 
 interface PendingReplacement {
   readonly proposalId: string
-  readonly remove: VoterId
+  readonly remove: VoterId | null
   readonly add: VoterId
   /** `catching_up`: not in the log; `joint`: both sets decide; `aborting`: the old set alone is being restored. */
   readonly stage: 'catching_up' | 'joint' | 'aborting'
@@ -43,7 +43,8 @@
     if (this.#pending !== null || isJoint(configuration) || configurationIndex > commitIndex) {
       return this.#state.reject(proposalId, 'change_in_progress')
     }
-    if (!includesVoter(configuration.voters, remove) || includesVoter(configuration.voters, add)) {
+    const isUnknown = remove !== null && !includesVoter(configuration.voters, remove)
+    if (isUnknown || includesVoter(configuration.voters, add)) {
       return this.#state.reject(proposalId, 'invalid_change')
     }
     this.#pending = { proposalId, remove, add, stage: 'catching_up' }
@@ -65,7 +66,7 @@
     if (pending?.stage !== 'catching_up' || !this.#hasCaughtUp(pending.add)) return undefined
     this.#pending = { ...pending, stage: 'joint' }
     const outgoingVoters = this.#state.configuration.voters
-    const voters = outgoingVoters.map(voter => sameVoter(voter, pending.remove) ? pending.add : voter)
+    const voters = incomingVoters(outgoingVoters, pending)
     return { body: { kind: 'voters', voters, outgoingVoters }, proposalId: pending.proposalId }
   }
 
@@ -144,3 +145,8 @@
     this.#replication.setPeers([...allVoters(this.#state.configuration), ...learners, ...this.#leaving])
   }
 }
+
+function incomingVoters (voters: readonly VoterId[], { remove, add }: PendingReplacement): VoterId[] {
+  if (remove === null) return [...voters, add]
+  return voters.map(voter => sameVoter(voter, remove) ? add : voter)
+}
--- a/packages/core/src/errors.ts
+++ b/packages/core/src/errors.ts
@@ -27,6 +27,11 @@
   | 'key_expired'
   | 'key_invalid'
   | 'job_exists'
+  | 'unknown_queue'
+  | 'unknown_key'
+  | 'unknown_job'
+  | 'unknown_wave'
+  | 'no_configuration'
   | 'version_conflict'
   | 'version_gap'
   | 'guarantee_unsatisfiable'
@@ -85,6 +90,11 @@
   key_expired: answer(422, 'unknown', 'never'),
   key_invalid: answer(400, 'not_run', 'never'),
   job_exists: answer(409, 'not_run', 'never'),
+  unknown_queue: answer(404, 'not_run', 'never'),
+  unknown_key: answer(401, 'not_run', 'never'),
+  unknown_job: answer(410, 'not_applicable', 'never'),
+  unknown_wave: answer(404, 'not_applicable', 'never'),
+  no_configuration: answer(503, 'not_run', 'later', 1_000),
   version_conflict: answer(409, 'not_run', 'never'),
   version_gap: answer(409, 'not_run', 'never'),
   guarantee_unsatisfiable: answer(422, 'not_run', 'never'),
--- a/packages/node/src/peer-messages.ts
+++ b/packages/node/src/peer-messages.ts
@@ -11,6 +11,19 @@
   | { readonly kind: 'changes', readonly baseVersion: number, readonly changes: readonly ConfigurationChange[] }
   | { readonly kind: 'full', readonly version: number, readonly document: ConfigurationDocument }
 
+/** What a link needs of every message that it carries. */
+export interface LinkMessage {
+  readonly kind: string
+}
+
+/** First message on every link. */
+export interface LinkHello extends LinkMessage {
+  readonly kind: 'hello'
+  readonly nodeId: string
+  /** Whether the sender reads frames with numbered fields; nodes of before them leave it out. */
+  readonly readsNumberedFields?: boolean
+}
+
 /** Every message between nodes. */
 export type PeerMessage =
   | {
@@ -92,7 +105,9 @@
  * @example
  * socket.write(encodeFrame({ kind: 'ping' }))
  */
-export function encodeFrame (message: PeerMessage, format: FrameFormat = 'named'): Buffer {
+export function encodeFrame<Message extends LinkMessage = PeerMessage> (
+  message: Message, format: FrameFormat = 'named'
+): Buffer {
   const body = format === 'named' ? namedCodec.encode(message) : numberedCodec.encode(message)
   const frame = Buffer.allocUnsafe(FRAME_HEADER_BYTES + body.length)
   frame.writeUInt32BE(body.length, 0)
@@ -101,7 +116,7 @@
 }
 
 /** Splits a byte stream into messages. */
-export class FrameDecoder {
+export class FrameDecoder<Message extends LinkMessage = PeerMessage> {
   #chunks: Buffer[] = []
   #bufferedBytes = 0
 
@@ -110,12 +125,12 @@
    *
    * @throws RangeError for a frame above `MAX_FRAME_BYTES`, and the codec's error for a malformed body
    */
-  push (chunk: Buffer): PeerMessage[] {
+  push (chunk: Buffer): Message[] {
     this.#chunks.push(chunk)
     this.#bufferedBytes += chunk.length
-    const messages: PeerMessage[] = []
+    const messages: Message[] = []
     for (let body = this.#nextBody(); body !== undefined; body = this.#nextBody()) {
-      messages.push(numberedCodec.decode(body) as PeerMessage)
+      messages.push(numberedCodec.decode(body) as Message)
     }
     return messages
   }
