--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import neostandard from 'neostandard'
 
 export default [
-  ...neostandard({ ts: true, ignores: ['**/dist/**', 'coverage/**'] }),
+  ...neostandard({ ts: true, ignores: ['**/dist/**', 'coverage/**', 'target/**', 'journal/**'] }),
   {
     rules: {
       // One thread serves every caller, so a blocking call would stall all of them.
--- a/packages/batch-node/src/metrics.ts
+++ b/packages/batch-node/src/metrics.ts
@@ -4,6 +4,11 @@
 
 /** Longest duration that a histogram tells apart. */
 const HIGHEST_DURATION_MS = 60_000
+const HISTOGRAM = {
+  highestTrackableValue: HIGHEST_DURATION_MS,
+  numberOfSignificantValueDigits: 2,
+  useWebAssembly: false
+} as const
 const PERCENTILES = [50, 90, 99, 99.9]
 
 /** Keeps metrics in memory and renders them in the text format that metric collectors read. */
@@ -23,7 +28,7 @@
   override timing (name: string, durationMs: number, tags: MetricTags = {}): void {
     const key = metricKey(name, tags)
     const known = this.#histograms.get(key)
-    const histogram = known ?? build({ highestTrackableValue: HIGHEST_DURATION_MS, numberOfSignificantValueDigits: 2, useWebAssembly: false })
+    const histogram = known ?? build(HISTOGRAM)
     if (known === undefined) this.#histograms.set(key, histogram)
     histogram.recordValue(Math.min(HIGHEST_DURATION_MS, Math.max(0, Math.round(durationMs))))
   }
--- a/packages/batch/src/fitting.ts
+++ b/packages/batch/src/fitting.ts
@@ -24,22 +24,32 @@
 ): TaskChoice[] {
   const eligible = slots.filter(isEligible)
   if (step.spec.isGang && step.spec.isSameRack) return chooseOneRack(step, eligible)
-  const near = nearData(step, eligible, waitedMs)
-  const choices = chooseEach(step, near)
-  if (step.spec.isGang && choices.length < step.taskIndexes.length) {
-    undo(step, choices)
-    return []
+  const choices = chooseEach(step, nearData(step, eligible, waitedMs))
+  if (!step.spec.isGang || choices.length === step.taskIndexes.length) return choices
+  undo(step, choices)
+  return []
+}
+
+/** Key of a waiting step. */
+export function waitingKey (step: WaitingStep): string {
+  return stepKey(step.job.spec.jobId, step.occurrence, step.stepIndex)
+}
+
+/** Workers by rack. */
+export function slotsByRack (slots: readonly WorkerSlot[]): Map<string, WorkerSlot[]> {
+  const racks = new Map<string, WorkerSlot[]>()
+  for (const slot of slots) {
+    const { rack } = slot.view.latest
+    const group = racks.get(rack)
+    if (group === undefined) racks.set(rack, [slot])
+    else group.push(slot)
   }
-  return choices
+  return racks
 }
 
 /** Returns the capacity of choices that are not used. */
 export function undo (step: WaitingStep, choices: readonly TaskChoice[]): void {
-  const key = stepKey(step.job.spec.jobId, step.occurrence, step.stepIndex)
-  for (const { slot } of choices) {
-    slot.giveBack(step.spec)
-    slot.tasksByStep.set(key, (slot.tasksByStep.get(key) ?? 1) - 1)
-  }
+  for (const { slot } of choices) slot.unplace(waitingKey(step), step.spec)
 }
 
 /** The rack that is left with the fewest free accelerators, so that others keep large pieces. */
@@ -48,31 +58,16 @@
   let bestFree = Infinity
   for (const slots of slotsByRack(eligible).values()) {
     const choices = chooseEach(step, slots)
-    const free = slots.reduce((sum, slot) => sum + slot.acceleratorCount, 0)
+    const free = slots.reduce((sum, slot) => sum + slot.free.acceleratorCount, 0)
     undo(step, choices)
     if (choices.length < step.taskIndexes.length || free >= bestFree) continue
     best = choices
     bestFree = free
   }
-  const key = stepKey(step.job.spec.jobId, step.occurrence, step.stepIndex)
-  for (const { slot } of best) {
-    slot.take(step.spec)
-    slot.tasksByStep.set(key, (slot.tasksByStep.get(key) ?? 0) + 1)
-  }
+  for (const { slot } of best) slot.place(waitingKey(step), step.spec)
   return best
 }
 
-function slotsByRack (slots: readonly WorkerSlot[]): Map<string, WorkerSlot[]> {
-  const racks = new Map<string, WorkerSlot[]>()
-  for (const slot of slots) {
-    const { rack } = slot.view.latest
-    const group = racks.get(rack)
-    if (group === undefined) racks.set(rack, [slot])
-    else group.push(slot)
-  }
-  return racks
-}
-
 /**
  * Work away from its data takes several times as long, so it waits for its rack for as long as one run takes there.
  */
@@ -85,24 +80,23 @@
 
 function chooseEach (step: WaitingStep, eligible: readonly WorkerSlot[]): TaskChoice[] {
   const choices: TaskChoice[] = []
-  const key = stepKey(step.job.spec.jobId, step.occurrence, step.stepIndex)
   for (const index of step.taskIndexes) {
-    const slot = tightest(step, eligible, key)
+    const slot = tightest(step, eligible)
     if (slot === undefined) break
-    slot.take(step.spec)
-    slot.tasksByStep.set(key, (slot.tasksByStep.get(key) ?? 0) + 1)
+    slot.place(waitingKey(step), step.spec)
     choices.push({ index, slot })
   }
   return choices
 }
 
 /** The worker that fits with the least left over. */
-function tightest (step: WaitingStep, eligible: readonly WorkerSlot[], key: string): WorkerSlot | undefined {
+function tightest (step: WaitingStep, eligible: readonly WorkerSlot[]): WorkerSlot | undefined {
   const limit = step.spec.maxTasksPerWorker
+  const key = waitingKey(step)
   let best: WorkerSlot | undefined
   let bestLeft = Infinity
   for (const slot of eligible) {
-    if (!slot.fits(step.spec) || (limit > 0 && (slot.tasksByStep.get(key) ?? 0) >= limit)) continue
+    if (!slot.admits(step.spec) || (limit > 0 && slot.tasksOf(key) >= limit)) continue
     const left = leftOver(slot, step)
     if (left >= bestLeft) continue
     best = slot
@@ -111,12 +105,17 @@
   return best
 }
 
-/** Free accelerators count first, since they are the scarcest; then memory and processors as shares of the worker. */
+/** Weight of a rack without the step's data against free capacity. */
+const AWAY_WEIGHT = 10
+/** Accelerators are the scarcest, so free ones weigh more than free memory or processors. */
+const ACCELERATOR_WEIGHT = 2
+
 function leftOver (slot: WorkerSlot, step: WaitingStep): number {
   const { capacity, rack } = slot.view.latest
-  const accelerators = capacity.acceleratorCount === 0 ? 0 : slot.acceleratorCount / capacity.acceleratorCount
-  const memory = slot.memoryMb / Math.max(1, capacity.memoryMb)
-  const cpu = slot.cpuMillicores / Math.max(1, capacity.cpuMillicores)
+  const { free } = slot
+  const accelerators = free.acceleratorCount / Math.max(1, capacity.acceleratorCount)
+  const memory = free.memoryMb / Math.max(1, capacity.memoryMb)
+  const cpu = free.cpuMillicores / Math.max(1, capacity.cpuMillicores)
   const isAway = step.spec.dataRack !== '' && rack !== step.spec.dataRack
-  return accelerators * 2 + memory + cpu + (isAway ? 10 : 0)
+  return accelerators * ACCELERATOR_WEIGHT + memory + cpu + (isAway ? AWAY_WEIGHT : 0)
 }
--- a/packages/batch/src/free-capacity.ts
+++ b/packages/batch/src/free-capacity.ts
@@ -10,28 +10,38 @@
   readonly spec: StepSpec
   readonly priority: number
   readonly isStopping: boolean
+  /** How long it has been at work. */
+  readonly elapsedMs: number
+  /** Estimated time to its end. */
+  readonly remainingMs: number
+}
+
+/** A shape whose parts change during a pass. */
+interface MutableShape {
+  cpuMillicores: number
+  memoryMb: number
+  acceleratorCount: number
 }
 
 /** Free capacity of one worker; changes during a pass. */
 export class WorkerSlot {
   readonly view: WorkerView
   readonly runs: readonly OccupyingRun[]
-  cpuMillicores: number
-  memoryMb: number
-  acceleratorCount: number
+  readonly #free: MutableShape
+  /** Time from now at which the first reservation needs its room; `Infinity` without one. */
+  #reservedInMs = Infinity
+  /** What is left beside the reservations once they need their room. */
+  #spare: MutableShape | undefined
   /** Tasks by step, for limits of tasks per worker. */
-  readonly tasksByStep = new Map<string, number>()
+  readonly #tasksByStep = new Map<string, number>()
 
   constructor (view: WorkerView, runs: readonly OccupyingRun[]) {
     this.view = view
     this.runs = runs
-    const { capacity } = view.latest
-    this.cpuMillicores = capacity.cpuMillicores
-    this.memoryMb = capacity.memoryMb
-    this.acceleratorCount = capacity.acceleratorCount
+    this.#free = { ...view.latest.capacity }
     for (const { assignment, spec } of runs) {
-      this.take(spec)
-      this.count(assignment.taskKey)
+      change(this.#free, spec, -1)
+      this.#count(stepKeyOf(assignment.taskKey), 1)
     }
   }
 
@@ -39,57 +49,125 @@
     return this.view.latest.workerId
   }
 
-  /** Whether one more task of this shape fits. */
+  get free (): TaskShape {
+    return this.#free
+  }
+
+  /** Whether one more task of this shape fits now. */
   fits (spec: StepSpec): boolean {
-    const { shape } = spec
-    return this.memoryMb >= shape.memoryMb && this.acceleratorCount >= shape.acceleratorCount &&
-      (spec.isFiller || this.cpuMillicores >= shape.cpuMillicores)
+    return holds(this.#free, spec)
+  }
+
+  /** Whether one more task fits and leaves the reservations their room. */
+  admits (spec: StepSpec): boolean {
+    if (!holds(this.#free, spec)) return false
+    return this.#spare === undefined || spec.estimateMs <= this.#reservedInMs || holds(this.#spare, spec)
+  }
+
+  /** Tasks of a step that this worker has. */
+  tasksOf (key: string): number {
+    return this.#tasksByStep.get(key) ?? 0
+  }
+
+  /** Places one task of a step. */
+  place (key: string, spec: StepSpec): void {
+    change(this.#free, spec, -1)
+    if (this.#spare !== undefined && spec.estimateMs > this.#reservedInMs) change(this.#spare, spec, -1)
+    this.#count(key, 1)
+  }
+
+  /** Takes one task of a step back. */
+  unplace (key: string, spec: StepSpec): void {
+    change(this.#free, spec, 1)
+    if (this.#spare !== undefined && spec.estimateMs > this.#reservedInMs) change(this.#spare, spec, 1)
+    this.#count(key, -1)
+  }
+
+  /** Counts the room of a run that is to stop as free, or as taken again. */
+  release (run: OccupyingRun, isReleased: boolean): void {
+    change(this.#free, run.spec, isReleased ? 1 : -1)
   }
 
-  /** Takes the capacity of one task. */
-  take (spec: StepSpec): void {
-    this.#add(spec, -1)
+  /** Holds room for a task that is expected to start in `inMs`. */
+  reserve (spec: StepSpec, inMs: number): void {
+    if (this.#spare === undefined || inMs < this.#reservedInMs) this.#reservedInMs = inMs
+    this.#spare ??= this.#freeIn(inMs)
+    change(this.#spare, spec, -1)
   }
 
-  /** Gives the capacity of one task back. */
-  giveBack (spec: StepSpec): void {
-    this.#add(spec, 1)
+  /** Times from now at which one more, two more, ... tasks fit as runs end; at most `limit`. */
+  fittingTimes (spec: StepSpec, limit: number): number[] {
+    const room = { ...(this.#spare ?? this.#free) }
+    const ends = [...this.runs].sort((left, right) => left.remainingMs - right.remainingMs)
+    const times: number[] = []
+    let nowInMs = 0
+    while (times.length < limit) {
+      if (holds(room, spec)) {
+        change(room, spec, -1)
+        times.push(nowInMs)
+        continue
+      }
+      const next = ends.shift()
+      if (next === undefined) break
+      nowInMs = Math.max(nowInMs, next.remainingMs)
+      change(room, next.spec, 1)
+    }
+    return times
   }
 
-  /** Counts a task of its step. */
-  count (taskKey: string): void {
-    const key = stepKeyOf(taskKey)
-    this.tasksByStep.set(key, (this.tasksByStep.get(key) ?? 0) + 1)
+  #freeIn (inMs: number): MutableShape {
+    const room = { ...this.#free }
+    for (const run of this.runs) if (run.remainingMs <= inMs) change(room, run.spec, 1)
+    return room
   }
 
-  #add (spec: StepSpec, sign: 1 | -1): void {
-    this.memoryMb += sign * spec.shape.memoryMb
-    this.acceleratorCount += sign * spec.shape.acceleratorCount
-    if (!spec.isFiller) this.cpuMillicores += sign * spec.shape.cpuMillicores
+  #count (key: string, by: number): void {
+    this.#tasksByStep.set(key, this.tasksOf(key) + by)
   }
 }
 
+/** Whether an empty worker could hold a task. */
+export function couldHold (capacity: TaskShape, spec: StepSpec): boolean {
+  return holds(capacity, spec)
+}
+
+function holds (room: TaskShape, { shape, isFiller }: StepSpec): boolean {
+  return room.memoryMb >= shape.memoryMb && room.acceleratorCount >= shape.acceleratorCount &&
+    (isFiller || room.cpuMillicores >= shape.cpuMillicores)
+}
+
+function change (room: MutableShape, { shape, isFiller }: StepSpec, sign: 1 | -1): void {
+  room.memoryMb += sign * shape.memoryMb
+  room.acceleratorCount += sign * shape.acceleratorCount
+  if (!isFiller) room.cpuMillicores += sign * shape.cpuMillicores
+}
+
 function stepKeyOf (taskKey: string): string {
   return taskKey.slice(0, taskKey.lastIndexOf('.'))
 }
 
-/** Runs that occupy a worker, with their shapes. */
+/** Runs that occupy a worker, with their shapes and expected ends. */
 export function occupyingRuns (
-  state: BatchState, workerId: string, isStopping: (run: Assignment) => boolean
+  state: BatchState, view: WorkerView, isStopping: (run: Assignment) => boolean, nowMs: number
 ): OccupyingRun[] {
   const runs: OccupyingRun[] = []
-  for (const assignment of state.runsOf(workerId)) {
+  for (const assignment of state.runsOf(view.latest.workerId)) {
     const located = state.locate(assignment.taskKey)
     if (located === undefined) continue
-    const { job, stepSpec } = located
+    const { job, stepSpec: spec } = located
     const priority = state.directory?.at(job.queueAddress)?.priority ?? Infinity
-    runs.push({ assignment, spec: stepSpec, priority, isStopping: isStopping(assignment) })
+    const elapsedMs = view.elapsedMs(assignment.taskKey, assignment.run, nowMs) ?? 0
+    const remainingMs = spec.isLasting ? Infinity : remainingOf(view, assignment, spec, elapsedMs)
+    runs.push({ assignment, spec, priority, isStopping: isStopping(assignment), elapsedMs, remainingMs })
   }
   return runs
 }
 
-/** Whether a shape could run on an empty worker. */
-export function couldHold (capacity: TaskShape, spec: StepSpec): boolean {
-  return capacity.memoryMb >= spec.shape.memoryMb && capacity.acceleratorCount >= spec.shape.acceleratorCount &&
-    (spec.isFiller || capacity.cpuMillicores >= spec.shape.cpuMillicores)
+/** Progress from which it tells more of the end than the caller's estimate. */
+const TELLING_PERCENT = 10
+
+function remainingOf (view: WorkerView, { taskKey, run }: Assignment, spec: StepSpec, elapsedMs: number): number {
+  const percent = view.rowOf(taskKey, run)?.percent ?? 0
+  if (percent >= TELLING_PERCENT) return elapsedMs * (100 - percent) / percent
+  return spec.estimateMs * (100 - percent) / 100
 }
--- a/packages/batch/src/leader.ts
+++ b/packages/batch/src/leader.ts
@@ -145,7 +145,12 @@
       acceptedWallMs: this.#options.clock.wallMs()
     }, outcome => {
       this.#options.log.info('job submitted', {
-        jobId, queue: queue.name, organisation, priority: queue.priority, tasks: spec.steps.map(step => step.taskCount), outcome: outcome.kind
+        jobId,
+        queue: queue.name,
+        organisation,
+        priority: queue.priority,
+        tasks: spec.steps.map(step => step.taskCount),
+        outcome: outcome.kind
       })
       this.#answerProposal(requestId, outcome)
     })
--- a/packages/batch/src/order-book.ts
+++ b/packages/batch/src/order-book.ts
@@ -122,6 +122,8 @@
   }
 
   #isMissing (view: WorkerView, run: Assignment): boolean {
+    // A run that is being stopped is neither listed as running nor as ended yet.
+    if (view.seen.has(`${run.taskKey}#${run.run}`)) return false
     const offeredAt = view.offeredAt.get(runKey(run))
     if (offeredAt !== undefined) return view.latest.sequence > offeredAt
     if (this.#isInheritanceSettled()) view.offeredAt.set(runKey(run), view.latest.sequence)
--- a/packages/batch/src/ranking.ts
+++ b/packages/batch/src/ranking.ts
@@ -18,8 +18,8 @@
 const WORTHLESS_AFTER_OBJECTIVES = 3
 
 /**
- * Work that can still meet its objective goes first, by priority and earliest objective; then work that is late but of
- * use; then the rest. Under overload this keeps early work from making all later work late as well.
+ * Guaranteed work and work that can still meet its objective go first, by priority and earliest objective; then work
+ * that is late but of use; then the rest. Under overload this keeps early work from making all later work late as well.
  */
 export class ObjectiveOrder extends WorkOrder {
   override compare (left: WaitingStep, right: WaitingStep, nowWallMs: number): number {
@@ -31,7 +31,7 @@
 
 function urgencyClass (step: WaitingStep, nowWallMs: number): number {
   const endsAtMs = nowWallMs + step.remainingChainMs
-  if (endsAtMs <= step.objectiveWallMs || step.spec.isLasting) return 0
+  if (endsAtMs <= step.objectiveWallMs || step.spec.isLasting || step.isGuaranteed) return 0
   const usefulForMs = (step.objectiveWallMs - step.startedWallMs) * WORTHLESS_AFTER_OBJECTIVES
   return endsAtMs <= step.startedWallMs + usefulForMs ? 1 : 2
 }
--- a/packages/batch/src/reclaim.ts
+++ b/packages/batch/src/reclaim.ts
@@ -1,108 +1,131 @@
-/** Capacity taken back for jobs of priority 0 within the guarantee of their organisation. */
-import type { BatchState } from './batch-state.js'
+/** Capacity taken back from lower priorities for urgent work within a guarantee. */
 import type { Assignment } from './commands.js'
 import type { OccupyingRun, WorkerSlot } from './free-capacity.js'
-import { chooseWorkers, type Eligibility } from './fitting.js'
-import type { JobRecord } from './job-record.js'
+import { chooseWorkers, slotsByRack, undo, type Eligibility, type TaskChoice } from './fitting.js'
 import type { WaitingStep } from './waiting-work.js'
 
-/** Accelerators that the open jobs of priority 0 of each organisation need, against its guarantee. */
-export class GuaranteeLedger {
-  readonly #state: BatchState
-  readonly #neededByOrganisation = new Map<string, number>()
-
-  constructor (state: BatchState) {
-    this.#state = state
-    for (const job of state.openJobs()) {
-      if (!this.#isUrgent(job)) continue
-      const needed = this.#neededByOrganisation.get(job.organisation) ?? 0
-      this.#neededByOrganisation.set(job.organisation, needed + widestStepAccelerators(job))
-    }
-  }
-
-  /** Whether a step may take back capacity: all such jobs of its organisation fit into the guarantee. */
-  covers (step: WaitingStep): boolean {
-    const { job } = step
-    if (!this.#isUrgent(job)) return false
-    const guaranteed = this.#state.directory?.guaranteedAccelerators(job.organisation) ?? 0
-    return (this.#neededByOrganisation.get(job.organisation) ?? 0) <= guaranteed
-  }
-
-  #isUrgent (job: JobRecord): boolean {
-    return this.#state.directory?.at(job.queueAddress)?.priority === 0
-  }
+interface Victim {
+  readonly slot: WorkerSlot
+  readonly run: OccupyingRun
 }
 
-function widestStepAccelerators (job: JobRecord): number {
-  return Math.max(0, ...job.spec.steps.map(step => step.taskCount * step.shape.acceleratorCount))
+/** Runs to stop for a step, and what that throws away. */
+export interface ReclaimPlan {
+  readonly runs: readonly Assignment[]
+  readonly lostCoreSeconds: number
+  /** Room that the plan holds for the step; returned by `undo` where the plan is not carried out. */
+  readonly held: readonly TaskChoice[]
 }
 
 /** Processor cores that one accelerator counts for when the work thrown away is compared. */
 const CORES_PER_ACCELERATOR = 8
+/** Work that a checkpointing run loses at a stop, with the time to restore. */
+const CHECKPOINTED_LOSS_MS = 300
 
 /**
- * Chooses runs to stop so that a step fits. Capacity of runs that are stopping already counts as free, and what the
- * step will take of it is held back from work behind it in the pass.
+ * Plans the stops for a step. Capacity of runs that are stopping already counts as free. The room that the step will
+ * take is held back from work behind it in the pass.
  *
+ * @returns undefined where stops do not make enough room
  * @example
- * const stops = planReclaim(step, slots, slot => slot.view.latest.service === 'print', 0)
+ * const plan = planReclaim(step, slots, slot => slot.view.latest.service === 'print')
  */
 export function planReclaim (
-  step: WaitingStep, slots: readonly WorkerSlot[], isEligible: Eligibility, alreadyPlaced: number
-): Assignment[] {
-  const rest = { ...step, taskIndexes: step.taskIndexes.slice(alreadyPlaced) }
-  const freed = slots.filter(isEligible).flatMap(slot => slot.runs.filter(run => run.isStopping).map(run => ({ slot, run })))
-  giveBackAll(freed)
-  if (chooseWorkers(rest, slots, isEligible, Infinity).length > 0) {
-    takeAll(freed)
-    return []
+  step: WaitingStep, slots: readonly WorkerSlot[], isEligible: Eligibility
+): ReclaimPlan | undefined {
+  const eligible = slots.filter(isEligible)
+  const stopping = eligible.flatMap(slot => slot.runs.filter(run => run.isStopping).map(run => ({ slot, run })))
+  setReleased(stopping, true)
+  const plan = holdFreed(step, eligible) ?? holdWithVictims(step, eligible)
+  setReleased(stopping, false)
+  return plan
+}
+
+function holdFreed (step: WaitingStep, eligible: readonly WorkerSlot[]): ReclaimPlan | undefined {
+  const choices = chooseWorkers(step, eligible, () => true, Infinity)
+  if (choices.length === step.taskIndexes.length) return { runs: [], lostCoreSeconds: 0, held: choices }
+  undo(step, choices)
+  return undefined
+}
+
+/** A same-rack gang takes the rack in which the stops cost least. */
+function holdWithVictims (step: WaitingStep, eligible: readonly WorkerSlot[]): ReclaimPlan | undefined {
+  const isOneRack = step.spec.isGang && step.spec.isSameRack
+  const groups = isOneRack ? [...slotsByRack(eligible).values()] : [eligible]
+  let best: Victim[] | undefined
+  for (const group of groups) {
+    const victims = cheapestVictims(step, group)
+    if (victims !== undefined && (best === undefined || totalLoss(victims) < totalLoss(best))) best = victims
   }
-  const victims = chooseVictims(rest, slots.filter(isEligible))
-  giveBackAll(victims)
-  const choices = chooseWorkers(rest, slots, isEligible, Infinity)
-  takeAll(freed)
-  takeAll(victims)
-  return choices.length === 0 ? [] : keepNeeded(victims, choices.map(choice => choice.slot))
+  if (best === undefined) return undefined
+  setReleased(best, true)
+  const held = chooseWorkers(step, isOneRack ? slotsOf(best, groups) : eligible, () => true, Infinity)
+  setReleased(best, false)
+  return { runs: best.map(({ run }) => run.assignment), lostCoreSeconds: totalLoss(best), held }
 }
 
-interface Victim { readonly slot: WorkerSlot, readonly run: OccupyingRun }
+function slotsOf (victims: readonly Victim[], groups: ReadonlyArray<readonly WorkerSlot[]>): readonly WorkerSlot[] {
+  const slot = victims[0]?.slot
+  return groups.find(group => slot !== undefined && group.includes(slot)) ?? []
+}
 
-function chooseVictims (step: WaitingStep, slots: readonly WorkerSlot[]): Victim[] {
+/** Fits the tasks one by one, each where the least work is thrown away. */
+function cheapestVictims (step: WaitingStep, slots: readonly WorkerSlot[]): Victim[] | undefined {
   const victims: Victim[] = []
-  for (const slot of slots) victims.push(...victimsOn(slot, step))
-  return victims
+  const placed: WorkerSlot[] = []
+  for (let count = 0; count < step.taskIndexes.length; count++) {
+    const next = cheapestSlot(step, slots, victims)
+    if (next === undefined) break
+    setReleased(next.victims, true)
+    victims.push(...next.victims)
+    next.slot.place('', step.spec)
+    placed.push(next.slot)
+  }
+  for (const slot of placed) slot.unplace('', step.spec)
+  setReleased(victims, false)
+  return placed.length < step.taskIndexes.length ? undefined : victims
+}
+
+function cheapestSlot (
+  step: WaitingStep, slots: readonly WorkerSlot[], taken: readonly Victim[]
+): { slot: WorkerSlot, victims: Victim[] } | undefined {
+  let best: { slot: WorkerSlot, victims: Victim[] } | undefined
+  for (const slot of slots) {
+    const victims = victimsOn(slot, step, taken)
+    if (victims === undefined) continue
+    if (best === undefined || totalLoss(victims) < totalLoss(best.victims)) best = { slot, victims }
+  }
+  return best
 }
 
-/** The cheapest runs of one worker whose end makes room for at least one task. */
-function victimsOn (slot: WorkerSlot, step: WaitingStep): Victim[] {
+/** The cheapest runs of one worker whose end makes room for one more task; none where it fits already. */
+function victimsOn (slot: WorkerSlot, step: WaitingStep, taken: readonly Victim[]): Victim[] | undefined {
   const candidates = slot.runs
-    .filter(run => !run.isStopping && run.priority > 0 && !run.spec.isLasting)
-    .sort((left, right) => stopCost(left) - stopCost(right))
+    .filter(run => !run.isStopping && run.priority > step.priority && !run.spec.isLasting &&
+      !taken.some(victim => victim.run === run))
+    .sort((left, right) => lossOf(left) - lossOf(right))
   const victims: Victim[] = []
   for (const run of candidates) {
     if (slot.fits(step.spec)) break
-    slot.giveBack(run.spec)
+    slot.release(run, true)
     victims.push({ slot, run })
   }
   const isEnough = slot.fits(step.spec)
-  takeAll(victims)
-  return isEnough ? victims : []
+  setReleased(victims, false)
+  return isEnough ? victims : undefined
 }
 
-function stopCost ({ spec, priority }: OccupyingRun): number {
-  if (spec.isFiller) return -1
-  const cores = spec.shape.cpuMillicores / 1_000 + spec.shape.acceleratorCount * CORES_PER_ACCELERATOR
-  return cores * (spec.isCheckpointing ? 0.1 : 1) / Math.max(1, priority)
-}
-
-function keepNeeded (victims: readonly Victim[], used: readonly WorkerSlot[]): Assignment[] {
-  return victims.filter(({ slot }) => used.includes(slot)).map(({ run }) => run.assignment)
+function totalLoss (victims: readonly Victim[]): number {
+  return victims.reduce((sum, { run }) => sum + lossOf(run), 0)
 }
 
-function giveBackAll (victims: readonly Victim[]): void {
-  for (const { slot, run } of victims) slot.giveBack(run.spec)
+/** Core-seconds that a stop throws away; a gang loses the work of all its members. */
+function lossOf ({ spec, elapsedMs }: OccupyingRun): number {
+  const cores = spec.shape.cpuMillicores / 1_000 + spec.shape.acceleratorCount * CORES_PER_ACCELERATOR
+  const lostMs = spec.isCheckpointing ? Math.min(elapsedMs, CHECKPOINTED_LOSS_MS) : elapsedMs
+  return cores * (spec.isGang ? spec.taskCount : 1) * lostMs / 1_000
 }
 
-function takeAll (victims: readonly Victim[]): void {
-  for (const { slot, run } of victims) slot.take(run.spec)
+function setReleased (victims: readonly Victim[], isReleased: boolean): void {
+  for (const { slot, run } of victims) slot.release(run, isReleased)
 }
--- a/packages/batch/src/scheduler.ts
+++ b/packages/batch/src/scheduler.ts
@@ -2,11 +2,12 @@
 import type { Clock } from '@comfreygrade/core'
 import type { BatchState } from './batch-state.js'
 import type { Assignment } from './commands.js'
-import { chooseWorkers, type TaskChoice } from './fitting.js'
+import { chooseWorkers, undo, waitingKey, type Eligibility, type TaskChoice } from './fitting.js'
 import { couldHold, occupyingRuns, WorkerSlot } from './free-capacity.js'
-import { stepKey, taskKey } from './jobs.js'
+import { taskKey } from './jobs.js'
 import type { WorkOrder } from './ranking.js'
-import { GuaranteeLedger, planReclaim } from './reclaim.js'
+import { planReclaim } from './reclaim.js'
+import { reserveRoom } from './reservation.js'
 import type { BatchSettings } from './settings.js'
 import { waitingSteps, type WaitingStep } from './waiting-work.js'
 import type { WorkerView } from './worker-view.js'
@@ -17,7 +18,7 @@
   /** Whether a worker may get new runs now. */
   readonly isUsable: (view: WorkerView) => boolean
   readonly isStopping: (run: Assignment) => boolean
-  /** Workers whose permission for a step is in hand; undefined where the queue asks for none. */
+  /** Workers whose permission for a step is in hand; undefined while none is. */
   readonly permittedWorkers: (key: string) => ReadonlySet<string> | undefined
 }
 
@@ -29,6 +30,16 @@
   readonly needPermission: readonly WaitingStep[]
 }
 
+/** One pass under way. */
+interface Pass {
+  readonly slots: readonly WorkerSlot[]
+  readonly nowWallMs: number
+  readonly assignments: Assignment[]
+  readonly stops: Assignment[]
+  readonly needPermission: WaitingStep[]
+  reservations: number
+}
+
 /** Plans starts and stops from the replicated state and the leader's view of the workers. */
 export class BatchScheduler {
   readonly #settings: BatchSettings
@@ -43,32 +54,58 @@
 
   /** Runs a pass; what it returns has no effect until the assignments are committed. */
   pass (state: BatchState, fleet: FleetView): PassDecision {
-    const slots = this.#slots(state, fleet)
     const nowWallMs = this.#clock.wallMs()
+    const slots = this.#slots(state, fleet)
+    const pass: Pass = { slots, nowWallMs, assignments: [], stops: [], needPermission: [], reservations: 0 }
     const steps = waitingSteps(state, this.#clock, this.#settings)
     steps.sort((left, right) => this.#order.compare(left, right, nowWallMs))
-    const ledger = new GuaranteeLedger(state)
-    const assignments: Assignment[] = []
-    const stops: Assignment[] = []
-    const needPermission: WaitingStep[] = []
-    for (const step of steps) {
-      const permitted = fleet.permittedWorkers(keyOf(step))
-      if (step.hasAdvicePolicy && permitted === undefined) needPermission.push(step)
-      if (step.hasAdvicePolicy && permitted === undefined) continue
-      const isEligible = (slot: WorkerSlot): boolean => mayRun(slot, step, permitted)
-      const choices = chooseWorkers(step, slots, isEligible, nowWallMs - step.startedWallMs)
-      assignments.push(...choices.map(choice => toAssignment(step, choice)))
-      if (choices.length === step.taskIndexes.length || !ledger.covers(step)) continue
-      stops.push(...planReclaim(step, slots, isEligible, choices.length))
+    for (const step of steps) this.#place(step, fleet, pass)
+    return pass
+  }
+
+  #place (step: WaitingStep, fleet: FleetView, pass: Pass): void {
+    const permitted = step.hasAdvicePolicy ? fleet.permittedWorkers(waitingKey(step)) : undefined
+    if (step.hasAdvicePolicy && permitted === undefined) {
+      pass.needPermission.push(step)
+      return
     }
-    return { assignments, stops, needPermission }
+    const isEligible: Eligibility = slot => mayRun(slot, step, permitted)
+    const waitedMs = pass.nowWallMs - step.startedWallMs
+    const choices = chooseWorkers(step, pass.slots, isEligible, waitedMs)
+    pass.assignments.push(...choices.map(choice => toAssignment(step, choice)))
+    const placed = new Set(choices.map(choice => choice.index))
+    const rest = { ...step, taskIndexes: step.taskIndexes.filter(index => !placed.has(index)) }
+    if (rest.taskIndexes.length > 0) this.#waitOrReclaim(rest, isEligible, waitedMs, pass)
+  }
+
+  #waitOrReclaim (step: WaitingStep, isEligible: Eligibility, waitedMs: number, pass: Pass): void {
+    if (step.isGuaranteed) {
+      const plan = planReclaim(step, pass.slots, isEligible)
+      if (plan !== undefined && plan.lostCoreSeconds <= this.#reclaimBudget(step, waitedMs, pass.nowWallMs)) {
+        pass.stops.push(...plan.runs)
+        return
+      }
+      if (plan !== undefined) undo(step, plan.held)
+    }
+    if (pass.reservations >= this.#settings.maxReservations) return
+    pass.reservations++
+    reserveRoom(step, step.taskIndexes.length, pass.slots, isEligible)
+  }
+
+  /** Work that may be thrown away for a step: none while it can wait, any once its guarantee is due. */
+  #reclaimBudget (step: WaitingStep, waitedMs: number, nowWallMs: number): number {
+    const { reclaimMs, reclaimLeadMs, reclaimBudgetCoreSeconds, reclaimSlackMs } = this.#settings
+    if (waitedMs >= reclaimMs - reclaimLeadMs) return Infinity
+    const slackMs = step.objectiveWallMs - nowWallMs - step.remainingChainMs
+    return slackMs <= reclaimSlackMs ? reclaimBudgetCoreSeconds : 0
   }
 
   #slots (state: BatchState, fleet: FleetView): WorkerSlot[] {
+    const nowMs = this.#clock.monotonicMs()
     const slots: WorkerSlot[] = []
     for (const view of fleet.views) {
       if (!fleet.isUsable(view)) continue
-      slots.push(new WorkerSlot(view, occupyingRuns(state, view.latest.workerId, fleet.isStopping)))
+      slots.push(new WorkerSlot(view, occupyingRuns(state, view, fleet.isStopping, nowMs)))
     }
     return slots
   }
@@ -82,10 +119,6 @@
     (permitted === undefined || permitted.has(workerId))
 }
 
-function keyOf (step: WaitingStep): string {
-  return stepKey(step.job.spec.jobId, step.occurrence, step.stepIndex)
-}
-
 function toAssignment (step: WaitingStep, { index, slot }: TaskChoice): Assignment {
   const { workerId, incarnation } = slot.view.latest
   const id = { jobId: step.job.spec.jobId, occurrence: step.occurrence, step: step.stepIndex, index }
--- a/packages/batch/src/settings.ts
+++ b/packages/batch/src/settings.ts
@@ -24,6 +24,14 @@
   readonly farFactor: number
   /** Time in which a job of priority 0 within its organisation's guarantee must have begun. */
   readonly reclaimMs: number
+  /** Time that stops and the start after them take, so that a reclaim begins this long before it is due. */
+  readonly reclaimLeadMs: number
+  /** Urgent work with no more slack than this before its objective may take capacity back within the budget. */
+  readonly reclaimSlackMs: number
+  /** Core-seconds of others' work that may be thrown away for one step before its guarantee is due. */
+  readonly reclaimBudgetCoreSeconds: number
+  /** Waiting steps that room is held back for. */
+  readonly maxReservations: number
   /** Interval between two scheduling passes at most. */
   readonly passIntervalMs: number
   /** Occurrences start this long after they are due, so that clocks that differ start none early. */
@@ -52,6 +60,10 @@
   inheritedRunGraceMs: 2_000,
   farFactor: 3,
   reclaimMs: 5_700,
+  reclaimLeadMs: 2_200,
+  reclaimSlackMs: 700,
+  reclaimBudgetCoreSeconds: 600,
+  maxReservations: 4,
   passIntervalMs: 20,
   dueMarginMs: 20,
   endedJobRetentionMs: 240_000,
--- a/packages/batch/src/waiting-work.ts
+++ b/packages/batch/src/waiting-work.ts
@@ -4,6 +4,7 @@
 import type { BatchState } from './batch-state.js'
 import { isStepDone, createOccurrence, type JobRecord, type OccurrenceRecord } from './job-record.js'
 import { occurrenceDueMs, type JobSpec, type StepSpec } from './jobs.js'
+import { GuaranteeLedger } from './guarantee-ledger.js'
 import type { QueueConfiguration } from './queues.js'
 
 /** Tasks of one step that wait for workers. */
@@ -24,6 +25,8 @@
   /** Estimated time from the start of this step to the end of the job. */
   readonly remainingChainMs: number
   readonly hasAdvicePolicy: boolean
+  /** Urgent work that its organisation's guarantee covers. */
+  readonly isGuaranteed: boolean
 }
 
 /** Priority of a queue that the configuration in force does not have. */
@@ -40,20 +43,28 @@
 export function waitingSteps (state: BatchState, clock: Clock, settings: BatchSettings): WaitingStep[] {
   const waiting: WaitingStep[] = []
   const latestDueMs = clock.wallMs() - settings.dueMarginMs
+  const ledger = new GuaranteeLedger(state)
   for (const job of state.openJobs()) {
     const queue = state.directory?.at(job.queueAddress)
+    const isGuaranteed = ledger.covers(job)
     job.occurrences.forEach((record, occurrence) => {
       if (occurrenceDueMs(job.spec, occurrence) > latestDueMs) return
-      collectSteps(job, occurrence, record ?? createOccurrence(job.spec), queue, waiting)
+      collectSteps({ job, occurrence, record: record ?? createOccurrence(job.spec), queue, isGuaranteed }, waiting)
     })
   }
   return waiting
 }
 
-function collectSteps (
-  job: JobRecord, occurrence: number, record: OccurrenceRecord, queue: QueueConfiguration | undefined,
-  waiting: WaitingStep[]
-): void {
+interface OpenOccurrence {
+  readonly job: JobRecord
+  readonly occurrence: number
+  readonly record: OccurrenceRecord
+  readonly queue: QueueConfiguration | undefined
+  readonly isGuaranteed: boolean
+}
+
+function collectSteps (open: OpenOccurrence, waiting: WaitingStep[]): void {
+  const { job, occurrence, record, queue, isGuaranteed } = open
   job.spec.steps.forEach((spec, stepIndex) => {
     const step = record.steps[stepIndex]
     if (step === undefined || isStepDone(step)) return
@@ -74,7 +85,8 @@
       startedWallMs,
       objectiveWallMs: startedWallMs + stretchMs + (queue?.targetLatencyMs ?? 0),
       remainingChainMs: chainFromMs(job.spec, stepIndex),
-      hasAdvicePolicy: queue?.advice !== undefined
+      hasAdvicePolicy: queue?.advice !== undefined,
+      isGuaranteed
     })
   })
 }
--- a/packages/batch/src/worker-health.ts
+++ b/packages/batch/src/worker-health.ts
@@ -14,6 +14,10 @@
   quarantinedUntilMs: number
 }
 
+function newHealth (): Health {
+  return { failedJobs: new Set(), quarantines: 0, quarantinedUntilMs: -Infinity }
+}
+
 /** Counts failures of different jobs, since one job that can never run fails on sound workers. */
 export class WorkerHealth {
   readonly #clock: Clock
@@ -29,7 +33,7 @@
   noteEnd (workerId: string, end: RunEnd): void {
     if (end.reason === 'done') this.#byWorker.delete(workerId)
     if (end.reason !== 'failed') return
-    const health = this.#byWorker.get(workerId) ?? { failedJobs: new Set(), quarantines: 0, quarantinedUntilMs: -Infinity }
+    const health = this.#byWorker.get(workerId) ?? newHealth()
     this.#byWorker.set(workerId, health)
     health.failedJobs.add(end.taskKey.slice(0, end.taskKey.indexOf('.')))
     if (health.failedJobs.size >= FAILED_JOBS_LIMIT || health.quarantines > 0) this.#quarantine(workerId, health)
--- a/packages/batch/src/worker-table.ts
+++ b/packages/batch/src/worker-table.ts
@@ -41,7 +41,8 @@
     if (others.some(view => view.latest.incarnation > report.incarnation)) {
       return { kind: 'ignored', reason: 'earlier_life', replaced: [] }
     }
-    const replaced = others.filter(view => view.latest.incarnation < report.incarnation).map(view => lifeOf(view.latest))
+    const earlier = others.filter(view => view.latest.incarnation < report.incarnation)
+    const replaced = earlier.map(view => lifeOf(view.latest))
     for (const { workerId } of replaced) this.forget(workerId)
     if (known === undefined || replaced.some(life => life.workerId === report.workerId)) {
       return { kind: 'taken', view: this.#add(report), isNew: true, replaced }
@@ -131,7 +132,8 @@
     const nowMs = this.#clock.monotonicMs()
     const { leaseMs, clockRateBound, leaseMarginMs } = this.#settings
     const afterMs = leaseMs * (1 + clockRateBound) + leaseMarginMs
-    const silent = [...this.#views.values()].filter(view => nowMs - view.heardAtMs > afterMs).map(view => lifeOf(view.latest))
+    const silentViews = [...this.#views.values()].filter(view => nowMs - view.heardAtMs > afterMs)
+    const silent = silentViews.map(view => lifeOf(view.latest))
     if (nowMs - this.#termStartedAtMs <= afterMs) return silent
     return [...silent, ...this.#unheard()]
   }
--- a/packages/batch/src/worker-view.ts
+++ b/packages/batch/src/worker-view.ts
@@ -26,6 +26,8 @@
   readonly progress = new Map<string, RunProgress>()
   /** Sequence of the heartbeat in whose answer a run was last offered, by run. */
   readonly offeredAt = new Map<string, number>()
+  /** Runs that a heartbeat of this life has listed; they leave the worker only by an end that it lists. */
+  readonly seen = new Set<string>()
   /** Runs that the leader of this term assigned. */
   readonly assignedInTerm = new Set<string>()
   /** Least (leader's clock - worker's clock) seen: the one of the fastest heartbeat. */
@@ -39,6 +41,7 @@
     this.latest = report
     this.heardAtMs = clock.monotonicMs()
     this.#clockOffsetMs = this.heardAtMs - report.clockMs
+    this.#followProgress(report, this.heardAtMs)
   }
 
   /**
@@ -83,6 +86,12 @@
     return this.latest.running.find(row => row.taskKey === taskKey && row.run === run)
   }
 
+  /** How long a run has been seen at work; undefined before its first row. */
+  elapsedMs (taskKey: string, run: number, nowMs: number): number | undefined {
+    const progress = this.progress.get(`${taskKey}#${run}`)
+    return progress === undefined ? undefined : nowMs - progress.firstSeenMs
+  }
+
   #confirmGrant (report: WorkerReport): void {
     const grantedMs = this.#grantedAtWorkerMs
     if (grantedMs === undefined || report.clockMs - grantedMs >= this.#settings.reportTimeoutMs) return
@@ -94,6 +103,7 @@
     for (const { taskKey, run, percent } of report.running) {
       const key = `${taskKey}#${run}`
       listed.add(key)
+      this.seen.add(key)
       const known = this.progress.get(key)
       if (known === undefined) this.progress.set(key, { firstSeenMs: nowMs, percent, changedMs: nowMs })
       else if (known.percent !== percent) Object.assign(known, { percent, changedMs: nowMs })
