Count leases of earlier leaders before a worker's lease is taken for lapsed

Ruled out: release of absent runs, silence. A run that goes on from one heartbeat to the next now proves that the lease held.

--- a/packages/batch/src/worker-table.ts
+++ b/packages/batch/src/worker-table.ts
@@ -56,7 +56,7 @@
   }
 
   #add (report: WorkerReport): WorkerView {
-    const view = new WorkerView(report, this.#clock, this.#settings)
+    const view = new WorkerView(report, this.#termStartedAtMs, this.#clock, this.#settings)
     this.#views.set(report.workerId, view)
     this.#log.info('worker joined', { ...lifeOf(report), service: report.service, labels: report.labels, state: report.state })
     this.#noteStarted(report)
--- a/packages/batch/src/worker-view.ts
+++ b/packages/batch/src/worker-view.ts
@@ -21,6 +21,7 @@
  */
 export class WorkerView {
   readonly #settings: BatchSettings
+  readonly #termStartedAtMs: number
   latest: WorkerReport
   heardAtMs: number
   readonly progress = new Map<string, RunProgress>()
@@ -35,9 +36,12 @@
   #grantedAtWorkerMs: number | undefined
   #sureLeaseEndWorkerMs = -Infinity
   #possibleLeaseEndWorkerMs = -Infinity
+  /** Whether the latest heartbeat lists a run that an earlier one listed: a lapse would have ended it. */
+  #hasContinuingRun = false
 
-  constructor (report: WorkerReport, clock: Clock, settings: BatchSettings) {
+  constructor (report: WorkerReport, termStartedAtMs: number, clock: Clock, settings: BatchSettings) {
     this.#settings = settings
+    this.#termStartedAtMs = termStartedAtMs
     this.latest = report
     this.heardAtMs = clock.monotonicMs()
     this.#clockOffsetMs = this.heardAtMs - report.clockMs
@@ -55,6 +59,7 @@
     this.#clockOffsetMs = Math.min(this.#clockOffsetMs + this.#settings.clockDriftPerReportMs, offsetMs)
     if (offsetMs - this.#clockOffsetMs > this.#settings.reportTimeoutMs) return false
     this.#confirmGrant(report)
+    this.#hasContinuingRun = report.running.some(({ taskKey, run }) => this.seen.has(`${taskKey}#${run}`))
     this.latest = report
     this.heardAtMs = nowMs
     this.#followProgress(report, nowMs)
@@ -63,9 +68,12 @@
 
   /** Whether the lease has certainly held up to the latest heartbeat. */
   leaseCertainty (): LeaseCertainty {
-    if (this.#grantedAtWorkerMs === undefined) return 'held'
-    if (this.latest.clockMs < this.#sureLeaseEndWorkerMs) return 'held'
-    return this.latest.clockMs > this.#possibleLeaseEndWorkerMs ? 'lapsed' : 'uncertain'
+    if (this.#grantedAtWorkerMs === undefined || this.#hasContinuingRun) return 'held'
+    const { clockMs } = this.latest
+    if (clockMs < this.#sureLeaseEndWorkerMs) return 'held'
+    // An earlier leader may have extended the lease up to the start of this term.
+    const inheritedEndMs = this.#termStartedAtMs - this.#clockOffsetMs + this.#settings.leaseMs
+    return clockMs > Math.max(this.#possibleLeaseEndWorkerMs, inheritedEndMs) ? 'lapsed' : 'uncertain'
   }
 
   /** Notes that the answer to the latest heartbeat extends the lease. */
