Hold a heartbeat for a pass that is due, judge a worker's lease once a heartbeat, test leader and scheduler

Cause: a heartbeat that came between two passes was answered without the work that the next pass, 20 ms later, would have given it, and the worker came back only after 200 ms; a worker heard once counted as uncertain until its second heartbeat.

--- a/packages/batch/src/leader.ts
+++ b/packages/batch/src/leader.ts
@@ -269,7 +269,7 @@
     const earlier = this.#openReports.get(report.workerId)
     if (earlier !== undefined) this.#effects.push({ kind: 'reply_worker', requestId: earlier.requestId, orders: undefined })
     this.#openReports.set(report.workerId, { requestId, report, receivedAtMs: nowMs })
-    const certainty = view.leaseCertainty()
+    const certainty = view.leaseCertainty
     if (certainty === 'lapsed') this.#leaseLapsed(report)
     if (certainty !== 'uncertain') this.#recordEnds(report)
     this.#releaseAbsent(report)
@@ -322,16 +322,22 @@
   }
 
   #answerReports (): void {
-    const { clock, settings } = this.#options
+    const nowMs = this.#options.clock.monotonicMs()
     for (const [workerId, open] of this.#openReports) {
-      const isBusy = (this.#busyWorkers.get(workerId) ?? 0) > 0
-      if (isBusy && clock.monotonicMs() - open.receivedAtMs < settings.maxReportHoldMs) continue
+      if (nowMs - open.receivedAtMs < this.#holdMs(workerId)) continue
       this.#openReports.delete(workerId)
       const view = this.#workers.viewOf(open.report)
       this.#effects.push({ kind: 'reply_worker', requestId: open.requestId, orders: this.#orders.ordersFor(view) })
     }
   }
 
+  /** An answer waits for the worker's own commands, and a little for a pass that is due, which may give it work. */
+  #holdMs (workerId: string): number {
+    const { maxReportHoldMs, maxPassHoldMs } = this.#options.settings
+    if ((this.#busyWorkers.get(workerId) ?? 0) > 0) return maxReportHoldMs
+    return this.#isPassDue || this.#isAssigning ? maxPassHoldMs : 0
+  }
+
   // Scheduling
 
   #passIfDue (): void {
--- a/packages/batch/src/order-book.ts
+++ b/packages/batch/src/order-book.ts
@@ -61,7 +61,7 @@
   ordersFor (view: WorkerView): WorkerOrders {
     const { state, settings, fencingToken } = this.#options
     const { latest } = view
-    const isExtended = view.leaseCertainty() !== 'uncertain'
+    const isExtended = view.leaseCertainty !== 'uncertain'
     if (isExtended) view.granted(settings.leaseMs)
     return {
       ...(isExtended ? { leaseMs: settings.leaseMs } : {}),
--- a/packages/batch/src/settings.ts
+++ b/packages/batch/src/settings.ts
@@ -14,6 +14,8 @@
   readonly clockDriftPerReportMs: number
   /** A heartbeat is answered without its commands after this wait, below the worker's limit. */
   readonly maxReportHoldMs: number
+  /** A heartbeat waits this long for a scheduling pass that is due. */
+  readonly maxPassHoldMs: number
   /** Wait that a worker keeps before its next heartbeat. */
   readonly nextReportMs: number
   /** A worker that has been silent for this long gets no new runs. */
@@ -55,6 +57,7 @@
   reportTimeoutMs: 1_000,
   clockDriftPerReportMs: 1,
   maxReportHoldMs: 600,
+  maxPassHoldMs: 60,
   nextReportMs: 200,
   silentAfterMs: 2_500,
   inheritedRunGraceMs: 2_000,
--- a/packages/batch/src/worker-table.ts
+++ b/packages/batch/src/worker-table.ts
@@ -102,7 +102,7 @@
   isUsable (view: WorkerView): boolean {
     const silentMs = this.#clock.monotonicMs() - view.heardAtMs
     return view.latest.state === 'active' && silentMs < this.#settings.silentAfterMs &&
-      view.leaseCertainty() === 'held' && !this.#health.isQuarantined(view.latest.workerId)
+      view.leaseCertainty === 'held' && !this.#health.isQuarantined(view.latest.workerId)
   }
 
   /** Takes note of an end for the health of its worker. */
--- a/packages/batch/src/worker-view.ts
+++ b/packages/batch/src/worker-view.ts
@@ -36,8 +36,7 @@
   #grantedAtWorkerMs: number | undefined
   #sureLeaseEndWorkerMs = -Infinity
   #possibleLeaseEndWorkerMs = -Infinity
-  /** Whether the latest heartbeat lists a run that an earlier one listed: a lapse would have ended it. */
-  #hasContinuingRun = false
+  #leaseCertainty: LeaseCertainty = 'held'
 
   constructor (report: WorkerReport, termStartedAtMs: number, clock: Clock, settings: BatchSettings) {
     this.#settings = settings
@@ -59,7 +58,7 @@
     this.#clockOffsetMs = Math.min(this.#clockOffsetMs + this.#settings.clockDriftPerReportMs, offsetMs)
     if (offsetMs - this.#clockOffsetMs > this.#settings.reportTimeoutMs) return false
     this.#confirmGrant(report)
-    this.#hasContinuingRun = report.running.some(({ taskKey, run }) => this.seen.has(`${taskKey}#${run}`))
+    this.#leaseCertainty = this.#judgeLease(report)
     this.latest = report
     this.heardAtMs = nowMs
     this.#followProgress(report, nowMs)
@@ -67,9 +66,14 @@
   }
 
   /** Whether the lease has certainly held up to the latest heartbeat. */
-  leaseCertainty (): LeaseCertainty {
-    if (this.#grantedAtWorkerMs === undefined || this.#hasContinuingRun) return 'held'
-    const { clockMs } = this.latest
+  get leaseCertainty (): LeaseCertainty {
+    return this.#leaseCertainty
+  }
+
+  /** A run that an earlier heartbeat listed would have ended with the lease. */
+  #judgeLease ({ running, clockMs }: WorkerReport): LeaseCertainty {
+    const hasContinuingRun = running.some(({ taskKey, run }) => this.seen.has(`${taskKey}#${run}`))
+    if (this.#grantedAtWorkerMs === undefined || hasContinuingRun) return 'held'
     if (clockMs < this.#sureLeaseEndWorkerMs) return 'held'
     // An earlier leader may have extended the lease up to the start of this term.
     const inheritedEndMs = this.#termStartedAtMs - this.#clockOffsetMs + this.#settings.leaseMs
@@ -84,6 +88,7 @@
 
   /** Forgets the leases of before a lapse. */
   restartLease (): void {
+    this.#leaseCertainty = 'held'
     this.#grantedAtWorkerMs = undefined
     this.#sureLeaseEndWorkerMs = -Infinity
     this.#possibleLeaseEndWorkerMs = -Infinity
--- /dev/null
+++ b/packages/batch/test/scheduler.test.ts
@@ -0,0 +1,90 @@
+import test from 'ava'
+import { step } from './fixture.js'
+import { LeaderFixture, rows } from './leader-fixture.js'
+import type { WorkerOrders } from '../src/index.js'
+
+const accelerators = (count: number) => ({ cpuMillicores: 1_000, memoryMb: 1_000, acceleratorCount: count })
+
+/** Workers of one rack, heard. */
+function fleet (count: number): { fixture: LeaderFixture, beatAll: () => WorkerOrders[] } {
+  const fixture = new LeaderFixture()
+  const workerIds = Array.from({ length: count }, (_, index) => `w${index}`)
+  const running = new Map<string, ReturnType<typeof rows>>()
+  const beatAll = (): WorkerOrders[] => {
+    fixture.advance(200)
+    return workerIds.flatMap(workerId => {
+      const orders = fixture.beat(workerId, { running: running.get(workerId) ?? [] })
+      if (orders === undefined) return []
+      running.set(workerId, [...running.get(workerId) ?? [], ...rows(orders.starts)])
+      return [orders]
+    })
+  }
+  beatAll()
+  return { fixture, beatAll }
+}
+
+test('small work does not keep a waiting gang from its room for ever (kartli-yards trouble-1, LOST)', t => {
+  const { fixture, beatAll } = fleet(2)
+  fixture.submit('first', [step({ taskCount: 1, estimateMs: 60_000, shape: accelerators(1) })])
+  beatAll()
+  const gang = step({ taskCount: 2, isGang: true, estimateMs: 1_000, shape: accelerators(8) })
+  fixture.submit('gang', [gang])
+  beatAll()
+  fixture.submit('long', [step({ taskCount: 8, estimateMs: 120_000, shape: accelerators(1) })])
+  const starts = beatAll().flatMap(orders => orders.starts)
+  t.deepEqual(starts.filter(start => start.taskKey.startsWith('long')), [])
+})
+
+test('work that ends before the room is needed uses it meanwhile', t => {
+  const { fixture, beatAll } = fleet(2)
+  fixture.submit('first', [step({ taskCount: 1, estimateMs: 60_000, shape: accelerators(1) })])
+  beatAll()
+  fixture.submit('gang', [step({ taskCount: 2, isGang: true, estimateMs: 1_000, shape: accelerators(8) })])
+  beatAll()
+  fixture.submit('short', [step({ taskCount: 1, estimateMs: 2_000, shape: accelerators(1) })])
+  t.is(beatAll().flatMap(orders => orders.starts).length, 1)
+})
+
+test('urgent work within its guarantee gets its room back before the guarantee is due', t => {
+  const { fixture, beatAll } = fleet(2)
+  fixture.submit('lent', [step({ taskCount: 2, estimateMs: 600_000, shape: accelerators(8) })])
+  beatAll()
+  beatAll()
+  fixture.submit('urgent', [step({ taskCount: 1, estimateMs: 10_000, shape: accelerators(8) })], '/urgent/')
+  let waitedMs = 0
+  let stops = 0
+  while (stops === 0 && waitedMs < 5_700) {
+    stops = beatAll().flatMap(orders => orders.stops).length
+    waitedMs += 200
+  }
+  t.is(stops, 1)
+  t.true(waitedMs <= 4_000, `stopped after ${waitedMs} ms`)
+})
+
+test('urgent work beyond the guarantee of its organisation stops nothing', t => {
+  const { fixture, beatAll } = fleet(2)
+  fixture.submit('lent', [step({ taskCount: 2, estimateMs: 600_000, shape: accelerators(8) })])
+  beatAll()
+  fixture.submit('urgent', [step({ taskCount: 3, estimateMs: 1_000, shape: accelerators(8) })], '/urgent/')
+  for (let waitedMs = 0; waitedMs < 6_000; waitedMs += 200) t.deepEqual(beatAll().flatMap(orders => orders.stops), [])
+})
+
+test('work far from its data waits for its rack for one run time, then goes elsewhere', t => {
+  const { fixture, beatAll } = fleet(1)
+  fixture.beat('far', { rack: 'r2', labels: ['kind', 'r2'], state: 'leaving' })
+  fixture.submit('blocker', [step({ taskCount: 1, estimateMs: 60_000, shape: accelerators(8) })])
+  beatAll()
+  fixture.beat('far', { rack: 'r2', labels: ['kind', 'r2'] })
+  fixture.submit('data', [step({ taskCount: 1, estimateMs: 2_000, dataRack: 'r1' })])
+  fixture.advance(1_000)
+  t.deepEqual(fixture.beat('far', { rack: 'r2', labels: ['kind', 'r2'] })?.starts, [])
+  beatAll()
+  fixture.advance(1_200)
+  t.is(fixture.beat('far', { rack: 'r2', labels: ['kind', 'r2'] })?.starts.length, 1)
+})
+
+test('no worker gets more tasks of a step than the step allows', t => {
+  const { fixture, beatAll } = fleet(2)
+  fixture.submit('apart', [step({ taskCount: 6, maxTasksPerWorker: 2 })])
+  t.deepEqual(beatAll().map(orders => orders.starts.length), [2, 2])
+})
--- a/packages/batch/test/worker-view.test.ts
+++ b/packages/batch/test/worker-view.test.ts
@@ -14,7 +14,9 @@
   return { view, clock }
 }
 
-function beat (view: WorkerView, clock: ManualClock, elapsedMs: number, sequence: number, running = [] as typeof row[]): boolean {
+function beat (
+  view: WorkerView, clock: ManualClock, elapsedMs: number, sequence: number, running: Array<typeof row> = []
+): boolean {
   clock.advance(elapsedMs)
   const clockMs = view.latest.clockMs + elapsedMs
   return view.accept(report('w1', { clockMs, sequence, running }), clock.monotonicMs())
@@ -35,19 +37,19 @@
 test('a quick next heartbeat proves that the lease was extended', t => {
   const { view, clock } = startView()
   beat(view, clock, 200, 2)
-  t.is(view.leaseCertainty(), 'held')
+  t.is(view.leaseCertainty, 'held')
 })
 
 test('after a gap beyond every lease the lease has lapsed, so that ends from before do not count', t => {
   const { view, clock } = startView()
   beat(view, clock, 6_100, 2)
-  t.is(view.leaseCertainty(), 'lapsed')
+  t.is(view.leaseCertainty, 'lapsed')
 })
 
 test('a gap after an answer that may have been lost leaves the lease uncertain', t => {
   const { view, clock } = startView()
   beat(view, clock, 1_500, 2)
-  t.is(view.leaseCertainty(), 'uncertain')
+  t.is(view.leaseCertainty, 'uncertain')
 })
 
 test('a run that goes on proves that the lease held', t => {
@@ -55,7 +57,7 @@
   beat(view, clock, 200, 2, [row])
   view.granted(settings.leaseMs)
   beat(view, clock, 6_100, 3, [row])
-  t.is(view.leaseCertainty(), 'held')
+  t.is(view.leaseCertainty, 'held')
 })
 
 test('leases of an earlier leader count up to the start of the term (kartli-yards trouble-1, TWICE)', t => {
@@ -65,5 +67,5 @@
   view.granted(settings.leaseMs)
   clock.advance(3_100)
   view.accept(report('w1', { clockMs: 7_100, sequence: 2 }), clock.monotonicMs())
-  t.is(view.leaseCertainty(), 'uncertain')
+  t.is(view.leaseCertainty, 'uncertain')
 })
