--- a/packages/batch/src/order-book.ts
+++ b/packages/batch/src/order-book.ts
@@ -31,16 +31,25 @@
     this.#termStartedAtMs = options.clock.monotonicMs()
   }
 
-  /** Takes a run off its worker; its task waits again afterwards. */
+  /** Takes a run off its worker, with all members of its gang; the tasks wait again afterwards. */
   stop (run: Assignment): void {
-    this.#stopping.set(runKey(run), run)
+    for (const member of this.#withGang(run)) this.#stopping.set(runKey(member), member)
+  }
+
+  #withGang (run: Assignment): Assignment[] {
+    const located = this.#options.state.locate(run.taskKey)
+    if (located === undefined || !located.stepSpec.isGang) return [run]
+    const prefix = run.taskKey.slice(0, run.taskKey.lastIndexOf('.'))
+    return located.step.tasks.flatMap((task, index) => task.active
+      .filter(active => active.run === run.run)
+      .map(active => ({ ...active, taskKey: `${prefix}.${index}` })))
   }
 
   /** Whether a run is on its way off its worker. */
   isStopping (run: Assignment): boolean {
     if (this.#stopping.has(runKey(run))) return true
     const located = this.#options.state.locate(run.taskKey)
-    return located === undefined || !isWanted(located)
+    return located === undefined || !isWanted(located, run.run)
   }
 
   /** Forgets stops that are complete. */
@@ -136,8 +145,10 @@
   }
 }
 
-function isWanted ({ job, task }: LocatedTask): boolean {
-  return job.state === 'open' && !task.isDone
+/** A gang that has lost a member cannot go on, and its other members must not wait for it. */
+function isWanted ({ job, stepSpec, step, task }: LocatedTask, run: number): boolean {
+  if (job.state !== 'open' || task.isDone) return false
+  return !stepSpec.isGang || step.tasks.every(member => member.active.some(active => active.run === run))
 }
 
 function isListed (view: WorkerView, { taskKey, run }: Assignment): boolean {
--- a/packages/batch/test/leader.test.ts
+++ b/packages/batch/test/leader.test.ts
@@ -155,3 +155,36 @@
   const result = fixture.operate({ kind: 'job_state', request: { host: HOST, path: '/normal/', apiKey: KEY } })
   t.like(result, { value: { kind: 'queue', pendingJobs: 1 } })
 })
+
+/** Two workers that were given the members of a gang, of which only the first has heard of it. */
+function halfStartedGang (): { fixture: LeaderFixture, starts: ReturnType<typeof rows> } {
+  const fixture = fixtureWithWorker()
+  fixture.beat('w2')
+  const shape = { cpuMillicores: 1, memoryMb: 1, acceleratorCount: 8 }
+  fixture.submit('gang', [step({ taskCount: 2, isGang: true, estimateMs: 60_000, shape })])
+  return { fixture, starts: rows(fixture.beat('w1')?.starts ?? []) }
+}
+
+test('no member of a gang is left to wait when another is taken back (ferreyra-cuotas hunt, GANG)', t => {
+  const { fixture, starts } = halfStartedGang()
+  const shape = { cpuMillicores: 1, memoryMb: 1, acceleratorCount: 8 }
+  fixture.submit('urgent', [step({ taskCount: 1, estimateMs: 100, shape })], '/urgent/')
+  let stops = 0
+  for (let waitedMs = 0; waitedMs < 4_000 && stops === 0; waitedMs += 200) {
+    fixture.advance(200)
+    stops = fixture.beat('w1', { running: starts })?.stops.length ?? 0
+  }
+  t.is(stops, 1)
+  const started = fixture.beat('w2')?.starts.filter(start => start.taskKey.startsWith('gang'))
+  t.deepEqual(started, [])
+})
+
+test('the other members of a gang are stopped when one could not start', t => {
+  const { fixture, starts } = halfStartedGang()
+  fixture.advance(200)
+  const other = fixture.beat('w2')?.starts[0]
+  fixture.advance(200)
+  const ends = [{ sequence: 1, taskKey: other?.taskKey ?? '', run: 1, reason: 'refused' as const, checkpoint: '' }]
+  fixture.beat('w2', { ends })
+  t.deepEqual(fixture.beat('w1', { running: starts })?.stops.map(stop => stop.run), [1])
+})
