--- a/packages/batch-node/src/batch-node.ts
+++ b/packages/batch-node/src/batch-node.ts
@@ -7,7 +7,7 @@
 import { ControlMembers } from './control-members.js'
 import { LeaderClient } from './leader-client.js'
 import type { Ask, AskAnswer, BatchMessage, ControlNodeInfo } from './messages.js'
-import type { AdvicePort } from './ports.js'
+import type { AdvicePort, VmPort } from './ports.js'
 
 /** Disk of a control node. */
 export interface ControlDisk {
@@ -35,6 +35,7 @@
   readonly metrics: Metrics
   readonly log: EventLog
   readonly advice: AdvicePort
+  readonly vms: VmPort
   readonly storageFailed: (error: unknown) => void
 }
 
--- a/packages/batch-node/src/batch-service.ts
+++ b/packages/batch-node/src/batch-service.ts
@@ -9,7 +9,7 @@
 import { fail, type Clock, type EventLog, type Metrics, type Random } from '@comfreygrade/core'
 import { ReplicaHost, StateMachine } from '@comfreygrade/node/adapters'
 import type { Ask, AskAnswer, BatchMessage } from './messages.js'
-import type { AdvicePort } from './ports.js'
+import type { AdvicePort, VmPort } from './ports.js'
 
 /** Options of {@link BatchService}. */
 export interface BatchServiceOptions {
@@ -27,6 +27,7 @@
   readonly metrics: Metrics
   readonly log: EventLog
   readonly advice: AdvicePort
+  readonly vms: VmPort
   readonly send: (nodeId: string, message: BatchMessage) => boolean
   readonly storageFailed: (error: unknown) => void
 }
@@ -163,6 +164,9 @@
           kind: 'orders', orders: effect.orders ?? null, leaderNodeId: this.#options.self.nodeId
         })
         break
+      case 'begin_maintenance':
+        this.#beginMaintenance(effect)
+        break
       case 'ask_advice':
         this.#askAdvice(effect)
         break
@@ -178,6 +182,12 @@
     resolve({ kind: 'result', result: fail('outcome_unknown', 'the control leader lost its majority') })
   }
 
+  async #beginMaintenance ({ call, fencingToken }: Extract<LeaderEffect, { kind: 'begin_maintenance' }>): Promise<void> {
+    const { vms, self } = this.#options
+    const answer = await vms.beginMaintenance(call, { holder: self.nodeId, fencingToken })
+    this.#tell({ kind: 'maintenance_answered', call, answer })
+  }
+
   async #askAdvice ({ stepKey, workerIds }: Extract<LeaderEffect, { kind: 'ask_advice' }>): Promise<void> {
     const askedAtMs = this.#options.clock.monotonicMs()
     const tickets = await this.#options.advice.ask(stepKey, workerIds)
--- a/packages/batch-node/src/ports.ts
+++ b/packages/batch-node/src/ports.ts
@@ -1,5 +1,5 @@
 /** What the batch leader needs from outside. */
-import type { Ticket } from '@comfreygrade/batch'
+import type { MaintenanceAnswer, MaintenanceCall, Ticket } from '@comfreygrade/batch'
 
 /** Service that knows which workers may run a step. */
 export abstract class AdvicePort {
@@ -13,3 +13,21 @@
     return undefined
   }
 }
+
+/** Who calls about a VM: of two callers the one with the higher token goes first. */
+export interface CallerIdentity {
+  readonly holder: string
+  readonly fencingToken: number
+}
+
+/** Interface to the VMs on which workers run. */
+export abstract class VmPort {
+  abstract beginMaintenance (call: MaintenanceCall, caller: CallerIdentity): Promise<MaintenanceAnswer>
+}
+
+/** VMs where the deployment has no such interface. */
+export class NoVms extends VmPort {
+  override async beginMaintenance (): Promise<'failed'> {
+    return 'failed'
+  }
+}
--- a/packages/batch/src/batch-state.ts
+++ b/packages/batch/src/batch-state.ts
@@ -21,7 +21,7 @@
 export interface WaveRecord {
   readonly wave: MaintenanceWave
   readonly startedWallMs: number
-  begun: string[]
+  /** VMs whose maintenance the platform has begun. */
   done: string[]
 }
 
@@ -162,8 +162,7 @@
       case 'release': return this.#release(command)
       case 'worker_gone': return this.#workerGone(command)
       case 'start_wave': return this.#startWave(command)
-      case 'maintenance_begun': return this.#markWave(command.waveId, record => record.begun, command.vmId)
-      case 'maintenance_done': return this.#markWave(command.waveId, record => record.done, command.vmId)
+      case 'maintenance_done': return this.#maintenanceDone(command)
     }
   }
 
@@ -280,14 +279,14 @@
 
   #startWave ({ wave, startedWallMs }: CommandOf<'start_wave'>): CommandResult {
     if (this.#waves.has(wave.waveId)) return { kind: 'unchanged' }
-    this.#waves.set(wave.waveId, { wave, startedWallMs, begun: [], done: [] })
+    this.#waves.set(wave.waveId, { wave, startedWallMs, done: [] })
     return { kind: 'applied' }
   }
 
-  #markWave (waveId: string, listOf: (record: WaveRecord) => string[], vmId: string): CommandResult {
+  #maintenanceDone ({ waveId, vmId }: CommandOf<'maintenance_done'>): CommandResult {
     const record = this.#waves.get(waveId)
-    if (record === undefined || listOf(record).includes(vmId)) return { kind: 'unchanged' }
-    listOf(record).push(vmId)
+    if (record === undefined || record.done.includes(vmId)) return { kind: 'unchanged' }
+    record.done.push(vmId)
     return { kind: 'applied' }
   }
 
--- a/packages/batch/src/commands.ts
+++ b/packages/batch/src/commands.ts
@@ -60,7 +60,7 @@
   /** Nothing of this life runs any more: it crashed, left, or its lease has run out. */
   | { readonly kind: 'worker_gone', readonly life: WorkerLife, readonly checkpoints: readonly TaskCheckpoint[] }
   | { readonly kind: 'start_wave', readonly wave: MaintenanceWave, readonly startedWallMs: number }
-  | { readonly kind: 'maintenance_begun', readonly waveId: string, readonly vmId: string }
+  /** The platform has begun the maintenance of a VM, or there is none to do. */
   | { readonly kind: 'maintenance_done', readonly waveId: string, readonly vmId: string }
 
 /** What a command did. */
--- /dev/null
+++ b/packages/batch/src/evacuation.ts
@@ -0,0 +1,55 @@
+/** Runs that are taken off their workers before these leave or because they stand still. */
+import type { BatchState } from './batch-state.js'
+import type { Assignment } from './commands.js'
+import { occupyingRuns, type OccupyingRun } from './free-capacity.js'
+import type { BatchSettings } from './settings.js'
+import type { WorkerView } from './worker-view.js'
+
+/** Why a run is taken off its worker. */
+export type EvacuationReason = 'worker_leaving' | 'stalled'
+
+/** A run to stop. */
+export interface Evacuation {
+  readonly run: Assignment
+  readonly reason: EvacuationReason
+}
+
+/**
+ * Chooses runs that cannot end where they are. Work that is saved moves at once; work that would be lost stays while
+ * the worker may yet live long enough for it.
+ *
+ * @example
+ * for (const { run } of planEvacuation(state, view, settings, nowMs)) orders.stop(run)
+ */
+export function planEvacuation (
+  state: BatchState, view: WorkerView, settings: BatchSettings, nowMs: number
+): Evacuation[] {
+  const runs = occupyingRuns(state, view, () => false, nowMs)
+  if (view.latest.state === 'leaving') {
+    return runs.filter(run => mustMove(run, view.latest.remainingMs, settings))
+      .map(({ assignment }) => ({ run: assignment, reason: 'worker_leaving' }))
+  }
+  return runs.filter(run => isStalled(run, view, settings, nowMs))
+    .map(({ assignment }) => ({ run: assignment, reason: 'stalled' }))
+}
+
+function mustMove (run: OccupyingRun, timeLeftMs: number | undefined, settings: BatchSettings): boolean {
+  if (timeLeftMs === undefined) return false
+  const { spec, remainingMs } = run
+  if (spec.isLasting || spec.isCheckpointing) return remainingMs > timeLeftMs
+  return remainingMs > timeLeftMs + settings.leavingGraceMs
+}
+
+function isStalled (run: OccupyingRun, view: WorkerView, settings: BatchSettings, nowMs: number): boolean {
+  if (run.spec.isLasting || run.spec.isFiller) return false
+  const unchangedMs = view.unchangedMs(run.assignment.taskKey, run.assignment.run, nowMs)
+  return unchangedMs !== undefined && unchangedMs >= stallLimitMs(run, settings)
+}
+
+/** Members of a gang do not work before all are present, and long work shows its progress more slowly. */
+function stallLimitMs ({ spec }: OccupyingRun, settings: BatchSettings): number {
+  return settings.stalledAfterMs + (spec.isGang ? settings.gangWaitMs : 0) + spec.estimateMs * STALL_ESTIMATE_SHARE
+}
+
+/** Share of the estimated run time without progress that even a much slower worker does not need for one percent. */
+const STALL_ESTIMATE_SHARE = 0.1
--- a/packages/batch/src/fitting.ts
+++ b/packages/batch/src/fitting.ts
@@ -81,7 +81,7 @@
 function chooseEach (step: WaitingStep, eligible: readonly WorkerSlot[]): TaskChoice[] {
   const choices: TaskChoice[] = []
   for (const index of step.taskIndexes) {
-    const slot = tightest(step, eligible)
+    const slot = tightest(step, eligible, step.failedOn(index))
     if (slot === undefined) break
     slot.place(waitingKey(step), step.spec)
     choices.push({ index, slot })
@@ -90,14 +90,16 @@
 }
 
 /** The worker that fits with the least left over. */
-function tightest (step: WaitingStep, eligible: readonly WorkerSlot[]): WorkerSlot | undefined {
+function tightest (
+  step: WaitingStep, eligible: readonly WorkerSlot[], failedOn: readonly string[]
+): WorkerSlot | undefined {
   const limit = step.spec.maxTasksPerWorker
   const key = waitingKey(step)
   let best: WorkerSlot | undefined
   let bestLeft = Infinity
   for (const slot of eligible) {
     if (!slot.admits(step.spec) || (limit > 0 && slot.tasksOf(key) >= limit)) continue
-    const left = leftOver(slot, step)
+    const left = leftOver(slot, step) + (failedOn.includes(slot.workerId) ? FAILED_HERE_WEIGHT : 0)
     if (left >= bestLeft) continue
     best = slot
     bestLeft = left
@@ -107,6 +109,8 @@
 
 /** Weight of a rack without the step's data against free capacity. */
 const AWAY_WEIGHT = 10
+/** Weight of a worker on which the task failed before, so that a sick worker does not use up its attempts. */
+const FAILED_HERE_WEIGHT = 100
 /** Accelerators are the scarcest, so free ones weigh more than free memory or processors. */
 const ACCELERATOR_WEIGHT = 2
 
--- a/packages/batch/src/leader.ts
+++ b/packages/batch/src/leader.ts
@@ -5,6 +5,8 @@
 import type { Assignment, BatchCommand, CommandResult, MaintenanceWave } from './commands.js'
 import { visibleState } from './job-record.js'
 import { stepKey, type JobSpec } from './jobs.js'
+import { planEvacuation } from './evacuation.js'
+import { MaintenancePlanner, type MaintenanceAnswer, type MaintenanceCall } from './maintenance.js'
 import type { BatchOperation, BatchResult, QueueRequest } from './operations.js'
 import { OrderBook } from './order-book.js'
 import { queueAddress, validateDocument, type QueueConfiguration } from './queues.js'
@@ -28,6 +30,7 @@
     readonly tickets: readonly Ticket[] | undefined
     readonly askedAtMs: number
   }
+  | { readonly kind: 'maintenance_answered', readonly call: MaintenanceCall, readonly answer: MaintenanceAnswer }
   | { readonly kind: 'tick' }
 
 /** What the leader asks its adapters to do. */
@@ -35,6 +38,7 @@
   | { readonly kind: 'propose', readonly proposalId: string, readonly command: BatchCommand }
   | { readonly kind: 'reply', readonly requestId: string, readonly result: BatchResult }
   | { readonly kind: 'reply_worker', readonly requestId: string, readonly orders: WorkerOrders | undefined }
+  | { readonly kind: 'begin_maintenance', readonly call: MaintenanceCall, readonly fencingToken: number }
   | { readonly kind: 'ask_advice', readonly stepKey: string, readonly workerIds: readonly string[] }
 
 /** Options of {@link BatchLeader}. */
@@ -75,6 +79,7 @@
   readonly #orders: OrderBook
   readonly #advice: AdviceBook
   readonly #scheduler: BatchScheduler
+  readonly #maintenance: MaintenancePlanner
   readonly #openReports = new Map<string, OpenReport>()
   readonly #proposals = new Map<string, (outcome: ProposalOutcome) => void>()
   /** Workers with commands under way, whose heartbeats are answered after these. */
@@ -92,6 +97,7 @@
     this.#advice = new AdviceBook(clock)
     this.#orders = new OrderBook({ state, settings, clock, advice: this.#advice, fencingToken: options.term })
     this.#scheduler = new BatchScheduler(settings, clock, new ObjectiveOrder())
+    this.#maintenance = new MaintenancePlanner({ state, workers: this.#workers, settings, clock, log })
   }
 
   /** Runs one event to its end and returns what the adapters have to do. */
@@ -104,6 +110,7 @@
       case 'applied': this.#settle(event.proposalId, { kind: 'applied', result: event.result }); break
       case 'rejected': this.#settle(event.proposalId, { kind: 'rejected', isCertain: event.isCertain }); break
       case 'advice': this.#adviceAnswered(event); break
+      case 'maintenance_answered': this.#maintenanceAnswered(event.call, event.answer); break
       case 'tick': this.#tick(); break
     }
     this.#passIfDue()
@@ -348,7 +355,7 @@
     this.#lastPassMs = nowMs
     const decision = this.#scheduler.pass(this.#options.state, {
       views: this.#workers.views(),
-      isUsable: view => this.#workers.isUsable(view),
+      isUsable: view => this.#workers.isUsable(view) && !this.#maintenance.isCordoned(view),
       isStopping: run => this.#orders.isStopping(run),
       permittedWorkers: key => this.#advice.permittedWorkers(key)
     })
@@ -397,10 +404,36 @@
       this.#workers.forget(life.workerId)
       this.#workerGone(life, 'silent beyond its lease')
     }
+    this.#evacuate()
+    this.#maintain()
     this.#advice.retain(jobId => this.#options.state.job(jobId)?.state === 'open')
     this.#orders.forgetEnded()
   }
 
+  /** Takes work off workers on which it cannot end. */
+  #evacuate (): void {
+    const { state, settings, clock, log } = this.#options
+    for (const view of this.#workers.views()) {
+      for (const { run, reason } of planEvacuation(state, view, settings, clock.monotonicMs())) {
+        if (this.#orders.isStopping(run)) continue
+        log.info('run is taken off its worker', { taskKey: run.taskKey, run: run.run, workerId: run.workerId, reason })
+        this.#orders.stop(run)
+      }
+    }
+  }
+
+  #maintain (): void {
+    for (const call of this.#maintenance.dueCalls()) {
+      this.#effects.push({ kind: 'begin_maintenance', call, fencingToken: this.#options.term })
+    }
+  }
+
+  /** The maintenance counts only once the platform has confirmed it. */
+  #maintenanceAnswered (call: MaintenanceCall, answer: MaintenanceAnswer): void {
+    if (!this.#maintenance.answered(call, answer)) return
+    this.#propose({ kind: 'maintenance_done', ...call }, () => {})
+  }
+
   // Proposals
 
   #proposeFor (workerId: string, command: BatchCommand, applied: () => void): void {
--- a/packages/batch/src/order-book.ts
+++ b/packages/batch/src/order-book.ts
@@ -3,6 +3,7 @@
 import type { AdviceBook } from './advice.js'
 import { runKey, type BatchState, type LocatedTask } from './batch-state.js'
 import type { Assignment } from './commands.js'
+import { FillerPacing } from './pacing.js'
 import type { BatchSettings } from './settings.js'
 import type { StartOrder, StopOrder, WorkerOrders } from './worker-report.js'
 import type { WorkerView } from './worker-view.js'
@@ -23,12 +24,14 @@
 export class OrderBook {
   readonly #options: OrderBookOptions
   readonly #termStartedAtMs: number
+  readonly #pacing: FillerPacing
   /** Runs that this leader wants off their workers though their jobs are open. */
   readonly #stopping = new Map<string, Assignment>()
 
   constructor (options: OrderBookOptions) {
     this.#options = options
     this.#termStartedAtMs = options.clock.monotonicMs()
+    this.#pacing = new FillerPacing(options.state)
   }
 
   /** Takes a run off its worker, with all members of its gang; the tasks wait again afterwards. */
@@ -78,7 +81,7 @@
       fencingToken,
       starts: isExtended ? this.#starts(view) : [],
       stops: this.#stops(view),
-      paces: [],
+      paces: this.#pacing.ordersFor(view),
       nextReportMs: settings.nextReportMs
     }
   }
--- a/packages/batch/src/settings.ts
+++ b/packages/batch/src/settings.ts
@@ -38,6 +38,19 @@
   readonly passIntervalMs: number
   /** Occurrences start this long after they are due, so that clocks that differ start none early. */
   readonly dueMarginMs: number
+  /** A leaving worker may live this much longer than it says; work that would be lost stays for that long. */
+  readonly leavingGraceMs: number
+  /** A run without progress for this long stands still; its worker gets no new runs after the second. */
+  readonly stalledAfterMs: number
+  readonly suspectAfterMs: number
+  /** Time for which the members of a gang wait for one another. */
+  readonly gangWaitMs: number
+  /** Calls of an earlier leader about a VM are over this long after the start of a term. */
+  readonly orderLeaseMs: number
+  /** Time from the begin of a maintenance until its worker is surely back. */
+  readonly maintenanceDownMs: number
+  /** Longest wait for the runs of a VM before its maintenance. */
+  readonly maxMaintenancePatienceMs: number
   /** Retention of ended jobs. */
   readonly endedJobRetentionMs: number
   /** Most workers that one call for advice may name. */
@@ -69,6 +82,13 @@
   maxReservations: 4,
   passIntervalMs: 20,
   dueMarginMs: 20,
+  leavingGraceMs: 6_000,
+  stalledAfterMs: 4_000,
+  suspectAfterMs: 1_500,
+  gangWaitMs: 3_000,
+  orderLeaseMs: 3_000,
+  maintenanceDownMs: 3_500,
+  maxMaintenancePatienceMs: 10_000,
   endedJobRetentionMs: 240_000,
   maxAdviceWorkers: 100
 }
--- a/packages/batch/src/waiting-work.ts
+++ b/packages/batch/src/waiting-work.ts
@@ -17,6 +17,8 @@
   readonly taskIndexes: readonly number[]
   /** Next run number: the same for all members of a gang. */
   readonly nextRunOf: (index: number) => number
+  /** Workers on which a task failed before. */
+  readonly failedOn: (index: number) => readonly string[]
   readonly priority: number
   /** Unix time from which the objective counts. */
   readonly startedWallMs: number
@@ -81,6 +83,7 @@
       spec,
       taskIndexes,
       nextRunOf: index => spec.isGang ? gangRun : (step.tasks[index]?.lastRun ?? 0) + 1,
+      failedOn: index => step.tasks[index]?.failedOn ?? [],
       priority: queue?.priority ?? LOWEST_PRIORITY,
       startedWallMs,
       objectiveWallMs: startedWallMs + stretchMs + (queue?.targetLatencyMs ?? 0),
--- a/packages/batch/src/worker-table.ts
+++ b/packages/batch/src/worker-table.ts
@@ -14,6 +14,9 @@
   | { readonly kind: 'ignored', readonly reason: 'earlier_life' | 'late', readonly replaced: readonly WorkerLife[] }
   | { readonly kind: 'taken', readonly view: WorkerView, readonly isNew: boolean, readonly replaced: readonly WorkerLife[] }
 
+/** Share of the estimated run time that one percent of progress may take on a slow worker. */
+const SUSPECT_ESTIMATE_SHARE = 0.05
+
 /** Views by worker, with the lives that later ones replace. */
 export class WorkerTable {
   readonly #state: BatchState
@@ -102,7 +105,20 @@
   isUsable (view: WorkerView): boolean {
     const silentMs = this.#clock.monotonicMs() - view.heardAtMs
     return view.latest.state === 'active' && silentMs < this.#settings.silentAfterMs &&
-      view.leaseCertainty === 'held' && !this.#health.isQuarantined(view.latest.workerId)
+      view.leaseCertainty === 'held' && !this.#health.isQuarantined(view.latest.workerId) &&
+      !this.hasStalledRun(view)
+  }
+
+  /** Whether a run on the worker has stood still for a while: others on it may do the same. */
+  hasStalledRun (view: WorkerView): boolean {
+    const nowMs = this.#clock.monotonicMs()
+    return view.latest.running.some(({ taskKey, run, percent }) => percent > 0 && percent < 100 &&
+      (view.unchangedMs(taskKey, run, nowMs) ?? 0) >= this.#settings.suspectAfterMs + this.#stallMarginMs(taskKey))
+  }
+
+  /** Long work shows its progress more slowly. */
+  #stallMarginMs (taskKey: string): number {
+    return (this.#state.locate(taskKey)?.stepSpec.estimateMs ?? 0) * SUSPECT_ESTIMATE_SHARE
   }
 
   /** Takes note of an end for the health of its worker. */
--- a/packages/batch/src/worker-view.ts
+++ b/packages/batch/src/worker-view.ts
@@ -105,6 +105,12 @@
     return progress === undefined ? undefined : nowMs - progress.firstSeenMs
   }
 
+  /** How long a run has shown no progress; undefined before its first row. */
+  unchangedMs (taskKey: string, run: number, nowMs: number): number | undefined {
+    const progress = this.progress.get(`${taskKey}#${run}`)
+    return progress === undefined ? undefined : nowMs - progress.changedMs
+  }
+
   #confirmGrant (report: WorkerReport): void {
     const grantedMs = this.#grantedAtWorkerMs
     if (grantedMs === undefined || report.clockMs - grantedMs >= this.#settings.reportTimeoutMs) return
--- a/packages/batch/test/leader-fixture.ts
+++ b/packages/batch/test/leader-fixture.ts
@@ -2,7 +2,7 @@
 import { ManualClock, NullEventLog, NullMetrics } from '@comfreygrade/core'
 import {
   BatchLeader, BatchState, defaultBatchSettings, type BatchOperation, type BatchResult, type LeaderEffect,
-  type LeaderEvent, type WorkerOrders, type WorkerReport
+  type LeaderEvent, type MaintenanceCall, type WorkerOrders, type WorkerReport
 } from '../src/index.js'
 import { document, HOST, KEY, report } from './fixture.js'
 import type { StepSpec } from '../src/index.js'
@@ -17,6 +17,7 @@
   readonly clock = new ManualClock(1_000_000, 1_700_000_000_000)
   readonly state = new BatchState(defaultBatchSettings)
   readonly adviceAsked: Array<Extract<LeaderEffect, { kind: 'ask_advice' }>> = []
+  readonly maintenanceCalls: MaintenanceCall[] = []
   leader: BatchLeader
   /** While false, proposals wait in `proposed`. */
   commits = true
@@ -92,6 +93,7 @@
       case 'propose': return this.#propose(effect)
       case 'reply': this.#results.set(effect.requestId, effect.result); break
       case 'reply_worker': this.#orders.set(effect.requestId, effect.orders); break
+      case 'begin_maintenance': this.maintenanceCalls.push(effect.call); break
       case 'ask_advice': this.adviceAsked.push(effect); break
     }
   }
