Use an idle worker at once after a gap in its heartbeats

Cause: without runs there is nothing that a lapsed lease could have ended, yet a worker whose lease was uncertain got no work for up to the lease.

--- a/packages/batch/src/leader.ts
+++ b/packages/batch/src/leader.ts
@@ -16,6 +16,7 @@
 import type { WaitingStep } from './waiting-work.js'
 import type { WorkerOrders, WorkerReport } from './worker-report.js'
 import { WorkerTable } from './worker-table.js'
+import type { WorkerView } from './worker-view.js'
 
 /** What the leader is told. */
 export type LeaderEvent =
@@ -276,17 +277,19 @@
     const earlier = this.#openReports.get(report.workerId)
     if (earlier !== undefined) this.#effects.push({ kind: 'reply_worker', requestId: earlier.requestId, orders: undefined })
     this.#openReports.set(report.workerId, { requestId, report, receivedAtMs: nowMs })
-    const certainty = view.leaseCertainty
-    if (certainty === 'lapsed') this.#leaseLapsed(report)
-    if (certainty !== 'uncertain') this.#recordEnds(report)
+    this.#checkLease(view)
+    if (view.leaseCertainty !== 'uncertain') this.#recordEnds(report)
     this.#releaseAbsent(report)
   }
 
-  /** What ended before the lapse does not count, so the ends are recorded without their runs. */
-  #leaseLapsed (report: WorkerReport): void {
-    const { workerId, incarnation } = report
-    this.#workers.view(workerId)?.restartLease()
-    this.#workerGone({ workerId, incarnation }, 'lease lapsed')
+  /** What ended before a lapse does not count, so its runs are freed before the ends are recorded. */
+  #checkLease (view: WorkerView): void {
+    const { workerId, incarnation } = view.latest
+    if (view.leaseCertainty === 'held') return
+    const hasRuns = [...this.#options.state.runsOf(workerId)].length > 0
+    if (view.leaseCertainty === 'uncertain' && hasRuns) return
+    view.restartLease()
+    if (hasRuns) this.#workerGone({ workerId, incarnation }, 'lease lapsed')
   }
 
   #recordEnds (report: WorkerReport): void {
