--- a/packages/batch-node/src/batch-node.ts
+++ b/packages/batch-node/src/batch-node.ts
@@ -58,12 +58,14 @@
   readonly #members: ControlMembers
   readonly #service: BatchService | undefined
   readonly #client: LeaderClient
+  readonly #startedWallMs: number
   #leaderHint: string | null = null
   #helloTimer: NodeJS.Timeout | undefined
 
   constructor (options: BatchNodeOptions) {
     this.#options = options
     const { clock, metrics, nodeId } = options
+    this.#startedWallMs = Math.floor(clock.wallMs())
     this.#members = new ControlMembers({ clock, wantedVoters: options.wantedVoters, replaceAfterMs: REPLACE_AFTER_MS })
     this.#links = this.#createLinks()
     this.#service = this.#createService()
@@ -105,6 +107,11 @@
     return this.#service?.leaderNodeId != null || this.#links.connectedNodeIds().length > 0
   }
 
+  /** Control nodes that may be lost now with nothing lost; null on a process that does not lead. */
+  get survivableLosses (): number | null {
+    return this.#service?.replica?.survivableLosses ?? null
+  }
+
   /** Dials seeds that the settings name now. */
   setSeeds (seeds: readonly PeerAddress[]): void {
     for (const seed of seeds) this.#links.addPeer(seed)
@@ -195,7 +202,8 @@
     const { disk, nodeId, host, port } = this.#options
     if (disk === undefined) return null
     const isInitialised = (this.#service?.replica?.voters.length ?? 0) > 0
-    return { nodeId, host, port, voter: { nodeId, diskId: disk.diskId }, isInitialised }
+    const voter = { nodeId, diskId: disk.diskId }
+    return { nodeId, host, port, voter, startedWallMs: this.#startedWallMs, isInitialised }
   }
 
   #hello (): BatchMessage {
--- a/packages/batch-node/src/control-members.ts
+++ b/packages/batch-node/src/control-members.ts
@@ -45,7 +45,7 @@
   /** Takes what a node says about itself. */
   announce (info: ControlNodeInfo): void {
     const known = this.#members.get(info.nodeId)
-    if (known !== undefined && known.info.voter.diskId !== info.voter.diskId) this.#leaving.delete(info.nodeId)
+    if (known !== undefined && known.info.startedWallMs !== info.startedWallMs) this.#leaving.delete(info.nodeId)
     this.#members.set(info.nodeId, { info, heardAtMs: this.#nowMs })
   }
 
--- a/packages/batch-node/src/messages.ts
+++ b/packages/batch-node/src/messages.ts
@@ -1,11 +1,13 @@
 /** Messages between the processes of the batch scheduler. */
 import type { BatchCommand, BatchOperation, BatchResult, WorkerOrders, WorkerReport } from '@comfreygrade/batch'
 import type { ConsensusMessage, VoterId } from '@comfreygrade/consensus'
-import type { LinkMessage, PeerAddress } from '@comfreygrade/node/adapters'
+import type { PeerAddress } from '@comfreygrade/node/adapters'
 
 /** A control node as others know it. */
 export interface ControlNodeInfo extends PeerAddress {
   readonly voter: VoterId
+  /** Unix time of the start of this process, which tells a restart from a node that is still leaving. */
+  readonly startedWallMs: number
   /** Whether it has a log: it was started with a voter set, or follows one. */
   readonly isInitialised: boolean
 }
@@ -45,6 +47,3 @@
   | { readonly kind: 'answer', readonly requestId: string, readonly answer: AskAnswer }
   /** The sender is about to stop, and a standby may take its place. */
   | { readonly kind: 'leaving', readonly voter: VoterId }
-
-/** Checked by the compiler: links carry these messages. */
-export type CarriedMessage = BatchMessage & LinkMessage
--- /dev/null
+++ b/packages/batch-node/test/cluster.ts
@@ -0,0 +1,125 @@
+/** Control nodes and entries of one process, on loopback ports and folders of their own. */
+import { mkdtemp, rm } from 'node:fs/promises'
+import { createServer, type AddressInfo } from 'node:net'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { setTimeout as pause } from 'node:timers/promises'
+import { defaultBatchSettings, type BatchCommand, type BatchOperation, type BatchResult } from '@comfreygrade/batch'
+import { defaultReplicaSettings, Replica } from '@comfreygrade/consensus'
+import { NullEventLog, NullMetrics, Random } from '@comfreygrade/core'
+import { FileLog, readOrCreateDiskId, SystemClock, type PeerAddress } from '@comfreygrade/node/adapters'
+import { BatchNode, firstVoters, NoAdvice, NoVms, type ControlDisk } from '../src/index.js'
+
+const HOST = '127.0.0.1'
+const FIRST_DISK_ID = 'first'
+
+/** A cluster whose nodes can be stopped, started and robbed of their disks. */
+export class Cluster {
+  readonly #folder: string
+  readonly #seeds: readonly PeerAddress[]
+  readonly #nodes = new Map<string, BatchNode>()
+
+  private constructor (folder: string, seeds: readonly PeerAddress[]) {
+    this.#folder = folder
+    this.#seeds = seeds
+  }
+
+  static async create (): Promise<Cluster> {
+    const folder = await mkdtemp(join(tmpdir(), 'comfreygrade-batch-'))
+    const seeds = await Promise.all(['a', 'b', 'c'].map(async nodeId => {
+      return { nodeId, host: HOST, port: await freePort() }
+    }))
+    return new Cluster(folder, seeds)
+  }
+
+  /** Starts a control node; only at the first start of the system may it write the first log. */
+  async startControl (nodeId: string, isFirstStart = false): Promise<BatchNode> {
+    const seed = this.#seeds.find(candidate => candidate.nodeId === nodeId)
+    const address = seed ?? { nodeId, host: HOST, port: await freePort() }
+    return await this.#start(address, await this.#openDisk(nodeId, isFirstStart))
+  }
+
+  async startEntry (nodeId: string): Promise<BatchNode> {
+    return await this.#start({ nodeId, host: HOST, port: await freePort() }, undefined)
+  }
+
+  async stop (nodeId: string): Promise<void> {
+    await this.#nodes.get(nodeId)?.stop()
+    this.#nodes.delete(nodeId)
+  }
+
+  async loseDisk (nodeId: string): Promise<void> {
+    await rm(join(this.#folder, nodeId), { recursive: true })
+  }
+
+  /** Repeats an operation until it succeeds. */
+  async until (
+    node: BatchNode, operation: BatchOperation, accept: (result: BatchResult) => boolean = result => result.ok
+  ): Promise<BatchResult> {
+    const deadlineMs = performance.now() + 15_000
+    for (;;) {
+      const result = await node.operate(operation, 1_000)
+      if (accept(result)) return result
+      if (performance.now() > deadlineMs) throw new Error(`no success in 15 s, last: ${JSON.stringify(result)}`)
+      await pause(50)
+    }
+  }
+
+  /** Waits until a condition holds. */
+  async waitFor (condition: () => boolean): Promise<void> {
+    const deadlineMs = performance.now() + 15_000
+    while (!condition()) {
+      if (performance.now() > deadlineMs) throw new Error('the condition did not hold within 15 s')
+      await pause(20)
+    }
+  }
+
+  async close (): Promise<void> {
+    await Promise.all([...this.#nodes.values()].map(async node => { await node.stop() }))
+    await rm(this.#folder, { recursive: true, force: true })
+  }
+
+  async #start (address: PeerAddress, disk: ControlDisk | undefined): Promise<BatchNode> {
+    const clock = new SystemClock()
+    const node = new BatchNode({
+      ...address,
+      seeds: this.#seeds,
+      disk,
+      settings: defaultBatchSettings,
+      replicaSettings: defaultReplicaSettings,
+      wantedVoters: 3,
+      snapshotAfterEntries: 50,
+      clock,
+      leaseClock: clock,
+      random: new Random(address.port),
+      metrics: new NullMetrics(),
+      log: new NullEventLog(),
+      advice: new NoAdvice(),
+      vms: new NoVms(),
+      storageFailed: error => { throw error }
+    })
+    await node.start()
+    this.#nodes.set(address.nodeId, node)
+    return node
+  }
+
+  async #openDisk (nodeId: string, isFirstStart: boolean): Promise<ControlDisk> {
+    const folder = join(this.#folder, nodeId)
+    const diskId = await readOrCreateDiskId(folder, undefined, isFirstStart ? FIRST_DISK_ID : undefined)
+    const storage = new FileLog<BatchCommand>(folder)
+    const found = await storage.recover()
+    if (found.snapshot !== null || found.entries.length > 0) return { diskId, storage, recovered: found }
+    if (!isFirstStart) return { diskId, storage, recovered: Replica.emptyLog() }
+    const first = Replica.initialLog<BatchCommand>(firstVoters(this.#seeds, FIRST_DISK_ID))
+    await storage.persist({ kind: 'persist', persistId: 0, hardState: first.hardState, entries: first.entries })
+    return { diskId, storage, recovered: first }
+  }
+}
+
+async function freePort (): Promise<number> {
+  const server = createServer()
+  await new Promise<void>(resolve => { server.listen(0, HOST, resolve) })
+  const { port } = server.address() as AddressInfo
+  await new Promise<void>(resolve => { server.close(() => { resolve() }) })
+  return port
+}
