--- a/packages/batch-node/test/cluster.ts
+++ b/packages/batch-node/test/cluster.ts
@@ -1,6 +1,5 @@
 /** Control nodes and entries of one process, on loopback ports and folders of their own. */
 import { mkdtemp, rm } from 'node:fs/promises'
-import { createServer, type AddressInfo } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { setTimeout as pause } from 'node:timers/promises'
@@ -8,6 +7,7 @@
 import { defaultReplicaSettings, Replica } from '@comfreygrade/consensus'
 import { NullEventLog, NullMetrics, Random } from '@comfreygrade/core'
 import { FileLog, readOrCreateDiskId, SystemClock, type PeerAddress } from '@comfreygrade/node/adapters'
+import { findFreePorts } from '@comfreygrade/standins'
 import { BatchNode, firstVoters, NoAdvice, NoVms, type ControlDisk } from '../src/index.js'
 
 const HOST = '127.0.0.1'
@@ -117,9 +117,6 @@
 }
 
 async function freePort (): Promise<number> {
-  const server = createServer()
-  await new Promise<void>(resolve => { server.listen(0, HOST, resolve) })
-  const { port } = server.address() as AddressInfo
-  await new Promise<void>(resolve => { server.close(() => { resolve() }) })
-  return port
+  const [port] = await findFreePorts(1)
+  return port as number
 }
