--- a/packages/batch/src/scheduler.ts
+++ b/packages/batch/src/scheduler.ts
@@ -79,9 +79,10 @@
   }
 
   #waitOrReclaim (step: WaitingStep, isEligible: Eligibility, waitedMs: number, pass: Pass): void {
-    if (step.isGuaranteed) {
+    const budget = this.#reclaimBudget(step, waitedMs, pass.nowWallMs)
+    if (budget > 0 || step.isGuaranteed) {
       const plan = planReclaim(step, pass.slots, isEligible)
-      if (plan !== undefined && plan.lostCoreSeconds <= this.#reclaimBudget(step, waitedMs, pass.nowWallMs)) {
+      if (plan !== undefined && plan.lostCoreSeconds <= budget) {
         pass.stops.push(...plan.runs)
         return
       }
@@ -92,12 +93,16 @@
     reserveRoom(step, step.taskIndexes.length, pass.slots, isEligible)
   }
 
-  /** Work that may be thrown away for a step: none while it can wait, any once its guarantee is due. */
+  /**
+   * Work that may be thrown away for a step: any once its guarantee is due, and for other urgent work as much as its
+   * objective is worth, while the objective can still be met.
+   */
   #reclaimBudget (step: WaitingStep, waitedMs: number, nowWallMs: number): number {
     const { reclaimMs, reclaimLeadMs, reclaimBudgetCoreSeconds, reclaimSlackMs } = this.#settings
-    if (waitedMs >= reclaimMs - reclaimLeadMs) return Infinity
+    if (step.isGuaranteed && waitedMs >= reclaimMs - reclaimLeadMs) return Infinity
+    if (step.priority > 0) return 0
     const slackMs = step.objectiveWallMs - nowWallMs - step.remainingChainMs
-    return slackMs <= reclaimSlackMs ? reclaimBudgetCoreSeconds : 0
+    return slackMs >= 0 && slackMs <= reclaimSlackMs ? reclaimBudgetCoreSeconds : 0
   }
 
   #slots (state: BatchState, fleet: FleetView): WorkerSlot[] {
