Log why runs stop and how jobs end, split operations from the leader

The leader's file had grown to 500 lines; operations of callers and operators now have a module of their own.

--- a/packages/batch/src/leader.ts
+++ b/packages/batch/src/leader.ts
@@ -1,17 +1,16 @@
 /** The batch leader: heartbeats, orders and operations on top of the replicated state. */
-import { fail, succeed, type Clock, type EventLog, type Failure, type Metrics } from '@comfreygrade/core'
+import type { Clock, EventLog, Metrics } from '@comfreygrade/core'
 import { AdviceBook, type Ticket } from './advice.js'
 import { runKey, type BatchState } from './batch-state.js'
-import type { Assignment, BatchCommand, CommandResult, MaintenanceWave } from './commands.js'
-import { visibleState } from './job-record.js'
-import { stepKey, type JobSpec } from './jobs.js'
+import type { Assignment, BatchCommand, CommandResult, RunEnd } from './commands.js'
+import { stepKey } from './jobs.js'
 import { planEvacuation } from './evacuation.js'
 import { MaintenancePlanner, type MaintenanceAnswer, type MaintenanceCall } from './maintenance.js'
-import type { BatchOperation, BatchResult, QueueRequest } from './operations.js'
+import { OperationHandler, type ProposalOutcome } from './operation-handler.js'
+import type { BatchOperation, BatchResult } from './operations.js'
 import { OrderBook } from './order-book.js'
-import { queueAddress, validateDocument, type QueueConfiguration } from './queues.js'
 import { ObjectiveOrder } from './ranking.js'
-import { BatchScheduler } from './scheduler.js'
+import { BatchScheduler, type Reclaim } from './scheduler.js'
 import type { BatchSettings } from './settings.js'
 import type { WaitingStep } from './waiting-work.js'
 import type { WorkerOrders, WorkerReport } from './worker-report.js'
@@ -59,11 +58,6 @@
   readonly receivedAtMs: number
 }
 
-/** What becomes of a proposal when its command is applied or rejected. */
-type ProposalOutcome =
-  | { readonly kind: 'applied', readonly result: CommandResult }
-  | { readonly kind: 'rejected', readonly isCertain: boolean }
-
 /** Interval of the leader's checks of silent workers and held answers. */
 const TICK_MS = 100
 
@@ -81,6 +75,7 @@
   readonly #advice: AdviceBook
   readonly #scheduler: BatchScheduler
   readonly #maintenance: MaintenancePlanner
+  readonly #operations: OperationHandler
   readonly #openReports = new Map<string, OpenReport>()
   readonly #proposals = new Map<string, (outcome: ProposalOutcome) => void>()
   /** Workers with commands under way, whose heartbeats are answered after these. */
@@ -98,6 +93,12 @@
     this.#advice = new AdviceBook(clock)
     this.#orders = new OrderBook({ state, settings, clock, advice: this.#advice, fencingToken: options.term })
     this.#scheduler = new BatchScheduler(settings, clock, new ObjectiveOrder())
+    this.#operations = new OperationHandler({
+      ...options,
+      workers: this.#workers,
+      propose: (command, settled) => { this.#propose(command, settled) },
+      reply: (requestId, result) => { this.#effects.push({ kind: 'reply', requestId, result }) }
+    })
     this.#maintenance = new MaintenancePlanner({ state, workers: this.#workers, settings, clock, log })
   }
 
@@ -105,7 +106,7 @@
   handle (event: LeaderEvent): LeaderEffect[] {
     this.#effects = []
     switch (event.kind) {
-      case 'operation': this.#operate(event.requestId, event.operation); break
+      case 'operation': this.#operations.handle(event.requestId, event.operation); break
       case 'report': this.#receiveReport(event.requestId, event.report); break
       case 'worker_left': this.#workerLeft(event.requestId, event.workerId); break
       case 'applied': this.#settle(event.proposalId, { kind: 'applied', result: event.result }); break
@@ -124,143 +125,6 @@
     return this.#isPassDue ? this.#options.settings.passIntervalMs : TICK_MS
   }
 
-  // Operations
-
-  #operate (requestId: string, operation: BatchOperation): void {
-    switch (operation.kind) {
-      case 'submit': return this.#submit(requestId, operation.request, operation.spec)
-      case 'job_state': return this.#answerState(requestId, operation.request)
-      case 'cancel': return this.#cancel(requestId, operation.request)
-      case 'put_configuration': return this.#putConfiguration(requestId, operation)
-      case 'get_configuration': return this.#getConfiguration(requestId)
-      case 'start_wave': return this.#startWave(requestId, operation.wave)
-      case 'wave_state': return this.#waveState(requestId, operation.waveId)
-    }
-  }
-
-  #submit (requestId: string, request: QueueRequest, fields: Omit<JobSpec, 'jobId'>): void {
-    const address = this.#resolve(request)
-    if ('kind' in address) return this.#refuse(requestId, address)
-    const { queue, jobId, organisation } = address
-    if (jobId === '') return this.#refuse(requestId, { kind: 'invalid_request', detail: 'the path names no job' })
-    if (this.#options.state.job(jobId) !== undefined) return this.#accept(requestId)
-    const spec = { ...fields, jobId }
-    this.#propose({
-      kind: 'submit_job',
-      spec,
-      queueAddress: queueAddress(queue),
-      organisation,
-      acceptedWallMs: this.#options.clock.wallMs()
-    }, outcome => {
-      this.#options.log.info('job submitted', {
-        jobId,
-        queue: queue.name,
-        organisation,
-        priority: queue.priority,
-        tasks: spec.steps.map(step => step.taskCount),
-        outcome: outcome.kind
-      })
-      this.#answerProposal(requestId, outcome)
-    })
-  }
-
-  #cancel (requestId: string, request: QueueRequest): void {
-    const address = this.#resolve(request)
-    if ('kind' in address) return this.#refuse(requestId, address)
-    const job = this.#options.state.job(address.jobId)
-    if (job === undefined) return this.#refuse(requestId, unknownJob(address.jobId))
-    if (job.state !== 'open') return this.#accept(requestId)
-    this.#propose({ kind: 'cancel_job', jobId: address.jobId }, outcome => {
-      this.#options.log.info('job cancelled', { jobId: address.jobId, outcome: outcome.kind })
-      this.#answerProposal(requestId, outcome)
-    })
-  }
-
-  #answerState (requestId: string, request: QueueRequest): void {
-    const address = this.#resolve(request)
-    if ('kind' in address) return this.#refuse(requestId, address)
-    const { queue, jobId } = address
-    if (jobId === '') {
-      const pendingJobs = this.#countPending(queueAddress(queue))
-      return this.#reply(requestId, succeed({ kind: 'queue', pendingJobs }))
-    }
-    const job = this.#options.state.job(jobId)
-    if (job === undefined) return this.#refuse(requestId, unknownJob(jobId))
-    const isRunning = job.state === 'open' && this.#workers.hasStarted(jobId)
-    this.#reply(requestId, succeed({ kind: 'job_state', state: isRunning ? 'running' : visibleState(job) }))
-  }
-
-  #countPending (address: string): number {
-    let count = 0
-    for (const job of this.#options.state.openJobs()) {
-      if (job.queueAddress === address && !job.hasStarted && !this.#workers.hasStarted(job.spec.jobId)) count++
-    }
-    return count
-  }
-
-  #resolve (request: QueueRequest): Failure | { queue: QueueConfiguration, jobId: string, organisation: string } {
-    const { directory } = this.#options.state
-    if (directory === null) return { kind: 'no_configuration', detail: 'no configuration has been accepted yet' }
-    const queue = directory.match(request.host, request.path)
-    if (queue === undefined) return { kind: 'unknown_queue', detail: `no queue at ${request.host}${request.path}` }
-    const organisation = request.apiKey === undefined ? undefined : directory.organisationOf(request.apiKey)
-    if (organisation === undefined && !queue.isAnonymous) {
-      return { kind: 'unknown_key', detail: `the key of the request is not in configuration ${directory.document.version}` }
-    }
-    return { queue, jobId: request.path.slice(queue.pathPrefix.length), organisation: organisation ?? '' }
-  }
-
-  #putConfiguration (requestId: string, { document }: Extract<BatchOperation, { kind: 'put_configuration' }>): void {
-    const valid = validateDocument(document)
-    if (!valid.ok) return this.#refuse(requestId, valid.failure)
-    const { directory } = this.#options.state
-    if (directory !== null && document.version <= directory.document.version) return this.#accept(requestId)
-    this.#propose({ kind: 'put_configuration', document }, outcome => {
-      this.#options.log.info('configuration accepted', { version: document.version, outcome: outcome.kind })
-      this.#answerProposal(requestId, outcome)
-    })
-  }
-
-  #getConfiguration (requestId: string): void {
-    const { directory } = this.#options.state
-    if (directory === null) return this.#refuse(requestId, { kind: 'no_configuration', detail: 'no configuration yet' })
-    this.#reply(requestId, succeed({ kind: 'configuration', source: directory.document.source }))
-  }
-
-  #startWave (requestId: string, wave: MaintenanceWave): void {
-    if (this.#options.state.wave(wave.waveId) !== undefined) return this.#accept(requestId)
-    const startedWallMs = this.#options.clock.wallMs()
-    this.#propose({ kind: 'start_wave', wave, startedWallMs }, outcome => { this.#answerProposal(requestId, outcome) })
-  }
-
-  #waveState (requestId: string, waveId: string): void {
-    const record = this.#options.state.wave(waveId)
-    if (record === undefined) {
-      return this.#refuse(requestId, { kind: 'unknown_wave', detail: `wave ${waveId} is not known` })
-    }
-    const isDone = record.wave.vmIds.every(vmId => record.done.includes(vmId))
-    this.#reply(requestId, succeed({ kind: 'wave', state: isDone ? 'completed' : 'running' }))
-  }
-
-  #answerProposal (requestId: string, outcome: ProposalOutcome): void {
-    if (outcome.kind === 'applied') return this.#accept(requestId)
-    const detail = 'the control leader lost its role before the command was committed'
-    this.#refuse(requestId, outcome.isCertain ? { kind: 'control_unavailable', detail } : { kind: 'outcome_unknown', detail })
-  }
-
-  #accept (requestId: string): void {
-    this.#reply(requestId, succeed({ kind: 'accepted' }))
-  }
-
-  #refuse (requestId: string, failure: Failure): void {
-    this.#options.metrics.increment('refusal', { kind: failure.kind })
-    this.#reply(requestId, fail(failure.kind, failure.detail, failure.retryAfterMs))
-  }
-
-  #reply (requestId: string, result: BatchResult): void {
-    this.#effects.push({ kind: 'reply', requestId, result })
-  }
-
   // Heartbeats
 
   #receiveReport (requestId: string, report: WorkerReport): void {
@@ -300,13 +164,23 @@
     if (ends.length === 0) return
     for (const end of ends) this.#workers.noteEnd(report, end)
     this.#proposeFor(workerId, { kind: 'record_ends', life, ends }, () => {
-      for (const { taskKey, run, reason, sequence } of ends) {
-        this.#options.log.info('run ended', { taskKey, run, reason, workerId, sequence })
-      }
+      for (const end of ends) this.#logEnd(end, workerId)
       this.#isPassDue = true
     })
   }
 
+  #logEnd ({ taskKey, run, reason, sequence }: RunEnd, workerId: string): void {
+    const { log, state, clock, metrics } = this.#options
+    metrics.increment('run.ended', { reason })
+    log.info('run ended', { taskKey, run, reason, workerId, sequence })
+    const jobId = taskKey.slice(0, taskKey.indexOf('.'))
+    const job = state.job(jobId)
+    if (job === undefined || job.state === 'open' || job.state === 'cancelled') return
+    const durationMs = clock.wallMs() - job.acceptedWallMs
+    metrics.timing('job_ms', durationMs, { outcome: job.state })
+    log.info('job ended', { jobId, outcome: job.state, durationMs: Math.round(durationMs), lastTaskKey: taskKey })
+  }
+
   #releaseAbsent (report: WorkerReport): void {
     const runs = this.#orders.certainlyAbsent(this.#workers.viewOf(report))
     if (runs.length === 0) return
@@ -363,10 +237,19 @@
       permittedWorkers: key => this.#advice.permittedWorkers(key)
     })
     for (const step of decision.needPermission) this.#askAdvice(step)
-    for (const run of decision.stops) this.#orders.stop(run)
+    for (const reclaim of decision.reclaims) this.#reclaim(reclaim)
     this.#assign(decision.assignments)
   }
 
+  #reclaim ({ run, forStepKey, lostCoreSeconds }: Reclaim): void {
+    const { taskKey, workerId } = run
+    this.#options.metrics.increment('run.reclaimed')
+    this.#options.log.info('run is reclaimed', {
+      taskKey, run: run.run, workerId, forStepKey, lostCoreSeconds: Math.round(lostCoreSeconds)
+    })
+    this.#orders.stop(run)
+  }
+
   #assign (assignments: readonly Assignment[]): void {
     if (assignments.length === 0) return
     this.#isAssigning = true
@@ -377,11 +260,22 @@
       this.#isPassDue = true
       for (const workerId of workerIds) this.#markBusy(workerId, -1)
       if (outcome.kind === 'rejected') return
-      for (const assignment of assignments) {
-        const { taskKey, run, workerId } = assignment
-        this.#workers.view(workerId)?.assignedInTerm.add(runKey(assignment))
-        this.#options.log.info('run assigned', { taskKey, run, workerId, reportSequence: this.#workers.view(workerId)?.latest.sequence })
-      }
+      for (const assignment of assignments) this.#assigned(assignment)
+    })
+  }
+
+  #assigned (assignment: Assignment): void {
+    const { clock, log, state } = this.#options
+    const { taskKey, run, workerId } = assignment
+    const view = this.#workers.view(workerId)
+    view?.assignedInTerm.add(runKey(assignment))
+    log.info('run assigned', {
+      taskKey,
+      run,
+      workerId,
+      reportSequence: view?.latest.sequence,
+      reportAgeMs: view === undefined ? undefined : Math.round(clock.monotonicMs() - view.heardAtMs),
+      configurationVersion: state.directory?.document.version
     })
   }
 
@@ -466,7 +360,3 @@
     if (outcome.kind === 'applied') this.#isPassDue = true
   }
 }
-
-function unknownJob (jobId: string): Failure {
-  return { kind: 'unknown_job', detail: `job ${jobId} is not known` }
-}
--- /dev/null
+++ b/packages/batch/src/operation-handler.ts
@@ -0,0 +1,182 @@
+/** Operations of callers and operators: what is answered from the state and what is proposed to the log. */
+import { fail, succeed, type Clock, type EventLog, type Failure, type Metrics } from '@comfreygrade/core'
+import type { BatchState } from './batch-state.js'
+import type { BatchCommand, CommandResult, MaintenanceWave } from './commands.js'
+import { visibleState } from './job-record.js'
+import type { JobSpec } from './jobs.js'
+import type { BatchOperation, BatchResult, QueueRequest } from './operations.js'
+import { queueAddress, validateDocument, type QueueConfiguration } from './queues.js'
+import type { WorkerTable } from './worker-table.js'
+
+/** What becomes of a proposal when its command is applied or rejected. */
+export type ProposalOutcome =
+  | { readonly kind: 'applied', readonly result: CommandResult }
+  /** `isCertain` where it can never take effect. */
+  | { readonly kind: 'rejected', readonly isCertain: boolean }
+
+/** Options of {@link OperationHandler}. */
+export interface OperationHandlerOptions {
+  readonly state: BatchState
+  readonly workers: WorkerTable
+  readonly clock: Clock
+  readonly metrics: Metrics
+  readonly log: EventLog
+  readonly propose: (command: BatchCommand, settled: (outcome: ProposalOutcome) => void) => void
+  readonly reply: (requestId: string, result: BatchResult) => void
+}
+
+/** The queue, job and organisation that a request names. */
+interface ResolvedRequest {
+  readonly queue: QueueConfiguration
+  readonly jobId: string
+  readonly organisation: string
+}
+
+/** Answers operations on the leader. */
+export class OperationHandler {
+  readonly #options: OperationHandlerOptions
+
+  constructor (options: OperationHandlerOptions) {
+    this.#options = options
+  }
+
+  /** Answers an operation, at once or when its command is committed. */
+  handle (requestId: string, operation: BatchOperation): void {
+    switch (operation.kind) {
+      case 'submit': return this.#submit(requestId, operation.request, operation.spec)
+      case 'job_state': return this.#answerState(requestId, operation.request)
+      case 'cancel': return this.#cancel(requestId, operation.request)
+      case 'put_configuration': return this.#putConfiguration(requestId, operation)
+      case 'get_configuration': return this.#getConfiguration(requestId)
+      case 'start_wave': return this.#startWave(requestId, operation.wave)
+      case 'wave_state': return this.#waveState(requestId, operation.waveId)
+    }
+  }
+
+  #submit (requestId: string, request: QueueRequest, fields: Omit<JobSpec, 'jobId'>): void {
+    const address = this.#resolve(request)
+    if ('kind' in address) return this.#refuse(requestId, address)
+    const { queue, jobId, organisation } = address
+    if (jobId === '') return this.#refuse(requestId, { kind: 'invalid_request', detail: 'the path names no job' })
+    if (this.#options.state.job(jobId) !== undefined) return this.#accept(requestId)
+    const spec = { ...fields, jobId }
+    this.#options.propose({
+      kind: 'submit_job',
+      spec,
+      queueAddress: queueAddress(queue),
+      organisation,
+      acceptedWallMs: this.#options.clock.wallMs()
+    }, outcome => {
+      this.#options.log.info('job submitted', {
+        jobId,
+        queue: queue.name,
+        organisation,
+        priority: queue.priority,
+        tasks: spec.steps.map(step => step.taskCount),
+        outcome: outcome.kind
+      })
+      this.#answerProposal(requestId, outcome)
+    })
+  }
+
+  #cancel (requestId: string, request: QueueRequest): void {
+    const address = this.#resolve(request)
+    if ('kind' in address) return this.#refuse(requestId, address)
+    const job = this.#options.state.job(address.jobId)
+    if (job === undefined) return this.#refuse(requestId, unknownJob(address.jobId))
+    if (job.state !== 'open') return this.#accept(requestId)
+    this.#options.propose({ kind: 'cancel_job', jobId: address.jobId }, outcome => {
+      this.#options.log.info('job cancelled', { jobId: address.jobId, outcome: outcome.kind })
+      this.#answerProposal(requestId, outcome)
+    })
+  }
+
+  #answerState (requestId: string, request: QueueRequest): void {
+    const address = this.#resolve(request)
+    if ('kind' in address) return this.#refuse(requestId, address)
+    const { queue, jobId } = address
+    if (jobId === '') {
+      const pendingJobs = this.#countPending(queueAddress(queue))
+      return this.#reply(requestId, succeed({ kind: 'queue', pendingJobs }))
+    }
+    const job = this.#options.state.job(jobId)
+    if (job === undefined) return this.#refuse(requestId, unknownJob(jobId))
+    const isRunning = job.state === 'open' && this.#options.workers.hasStarted(jobId)
+    this.#reply(requestId, succeed({ kind: 'job_state', state: isRunning ? 'running' : visibleState(job) }))
+  }
+
+  #countPending (address: string): number {
+    let count = 0
+    for (const job of this.#options.state.openJobs()) {
+      if (job.queueAddress === address && !job.hasStarted && !this.#options.workers.hasStarted(job.spec.jobId)) count++
+    }
+    return count
+  }
+
+  #resolve (request: QueueRequest): Failure | ResolvedRequest {
+    const { directory } = this.#options.state
+    if (directory === null) return { kind: 'no_configuration', detail: 'no configuration has been accepted yet' }
+    const queue = directory.match(request.host, request.path)
+    if (queue === undefined) return { kind: 'unknown_queue', detail: `no queue at ${request.host}${request.path}` }
+    const organisation = request.apiKey === undefined ? undefined : directory.organisationOf(request.apiKey)
+    if (organisation === undefined && !queue.isAnonymous) {
+      return { kind: 'unknown_key', detail: `the key of the request is not in configuration ${directory.document.version}` }
+    }
+    return { queue, jobId: request.path.slice(queue.pathPrefix.length), organisation: organisation ?? '' }
+  }
+
+  #putConfiguration (requestId: string, { document }: Extract<BatchOperation, { kind: 'put_configuration' }>): void {
+    const valid = validateDocument(document)
+    if (!valid.ok) return this.#refuse(requestId, valid.failure)
+    const { directory } = this.#options.state
+    if (directory !== null && document.version <= directory.document.version) return this.#accept(requestId)
+    this.#options.propose({ kind: 'put_configuration', document }, outcome => {
+      this.#options.log.info('configuration accepted', { version: document.version, outcome: outcome.kind })
+      this.#answerProposal(requestId, outcome)
+    })
+  }
+
+  #getConfiguration (requestId: string): void {
+    const { directory } = this.#options.state
+    if (directory === null) return this.#refuse(requestId, { kind: 'no_configuration', detail: 'no configuration yet' })
+    this.#reply(requestId, succeed({ kind: 'configuration', source: directory.document.source }))
+  }
+
+  #startWave (requestId: string, wave: MaintenanceWave): void {
+    if (this.#options.state.wave(wave.waveId) !== undefined) return this.#accept(requestId)
+    const startedWallMs = this.#options.clock.wallMs()
+    this.#options.propose({ kind: 'start_wave', wave, startedWallMs }, outcome => { this.#answerProposal(requestId, outcome) })
+  }
+
+  #waveState (requestId: string, waveId: string): void {
+    const record = this.#options.state.wave(waveId)
+    if (record === undefined) {
+      return this.#refuse(requestId, { kind: 'unknown_wave', detail: `wave ${waveId} is not known` })
+    }
+    const isDone = record.wave.vmIds.every(vmId => record.done.includes(vmId))
+    this.#reply(requestId, succeed({ kind: 'wave', state: isDone ? 'completed' : 'running' }))
+  }
+
+  #answerProposal (requestId: string, outcome: ProposalOutcome): void {
+    if (outcome.kind === 'applied') return this.#accept(requestId)
+    const detail = 'the control leader lost its role before the command was committed'
+    this.#refuse(requestId, outcome.isCertain ? { kind: 'control_unavailable', detail } : { kind: 'outcome_unknown', detail })
+  }
+
+  #accept (requestId: string): void {
+    this.#reply(requestId, succeed({ kind: 'accepted' }))
+  }
+
+  #refuse (requestId: string, failure: Failure): void {
+    this.#options.metrics.increment('refusal', { kind: failure.kind })
+    this.#reply(requestId, fail(failure.kind, failure.detail, failure.retryAfterMs))
+  }
+
+  #reply (requestId: string, result: BatchResult): void {
+    this.#options.reply(requestId, result)
+  }
+}
+
+function unknownJob (jobId: string): Failure {
+  return { kind: 'unknown_job', detail: `job ${jobId} is not known` }
+}
--- a/packages/batch/src/scheduler.ts
+++ b/packages/batch/src/scheduler.ts
@@ -22,10 +22,17 @@
   readonly permittedWorkers: (key: string) => ReadonlySet<string> | undefined
 }
 
+/** A run that gives way to urgent work. */
+export interface Reclaim {
+  readonly run: Assignment
+  readonly forStepKey: string
+  readonly lostCoreSeconds: number
+}
+
 /** What a pass decides. */
 export interface PassDecision {
   readonly assignments: readonly Assignment[]
-  readonly stops: readonly Assignment[]
+  readonly reclaims: readonly Reclaim[]
   /** Steps that wait for a permission. */
   readonly needPermission: readonly WaitingStep[]
 }
@@ -35,7 +42,7 @@
   readonly slots: readonly WorkerSlot[]
   readonly nowWallMs: number
   readonly assignments: Assignment[]
-  readonly stops: Assignment[]
+  readonly reclaims: Reclaim[]
   readonly needPermission: WaitingStep[]
   reservations: number
 }
@@ -56,7 +63,7 @@
   pass (state: BatchState, fleet: FleetView): PassDecision {
     const nowWallMs = this.#clock.wallMs()
     const slots = this.#slots(state, fleet)
-    const pass: Pass = { slots, nowWallMs, assignments: [], stops: [], needPermission: [], reservations: 0 }
+    const pass: Pass = { slots, nowWallMs, assignments: [], reclaims: [], needPermission: [], reservations: 0 }
     const steps = waitingSteps(state, this.#clock, this.#settings)
     steps.sort((left, right) => this.#order.compare(left, right, nowWallMs))
     for (const step of steps) this.#place(step, fleet, pass)
@@ -83,7 +90,8 @@
     if (budget > 0 || step.isGuaranteed) {
       const plan = planReclaim(step, pass.slots, isEligible)
       if (plan !== undefined && plan.lostCoreSeconds <= budget) {
-        pass.stops.push(...plan.runs)
+        const { lostCoreSeconds } = plan
+        pass.reclaims.push(...plan.runs.map(run => ({ run, forStepKey: waitingKey(step), lostCoreSeconds })))
         return
       }
       if (plan !== undefined) undo(step, plan.held)
