--- a/packages/batch/src/leader.ts
+++ b/packages/batch/src/leader.ts
@@ -150,7 +150,7 @@
   #checkLease (view: WorkerView): void {
     const { workerId, incarnation } = view.latest
     if (view.leaseCertainty === 'held') return
-    const hasRuns = [...this.#options.state.runsOf(workerId)].length > 0
+    const hasRuns = this.#orders.mayHoldRuns(view)
     if (view.leaseCertainty === 'uncertain' && hasRuns) return
     view.restartLease()
     if (hasRuns) this.#workerGone({ workerId, incarnation }, 'lease lapsed')
--- a/packages/batch/src/order-book.ts
+++ b/packages/batch/src/order-book.ts
@@ -63,6 +63,11 @@
     }
   }
 
+  /** Whether any run may have reached this life of the worker; assignments that no answer has carried have not. */
+  mayHoldRuns (view: WorkerView): boolean {
+    return this.#runsOf(view).some(run => !this.#wasNeverOffered(view, run))
+  }
+
   /** Runs that are not wanted and that the worker certainly does not have. */
   certainlyAbsent (view: WorkerView): Assignment[] {
     return this.#runsOf(view).filter(run =>
--- a/packages/batch/test/leader.test.ts
+++ b/packages/batch/test/leader.test.ts
@@ -188,3 +188,12 @@
   fixture.beat('w2', { ends })
   t.deepEqual(fixture.beat('w1', { running: starts })?.stops.map(stop => stop.run), [1])
 })
+
+test('a start is not held back by a gap in the heartbeats of a worker that has nothing (grown hunt, GANG)', t => {
+  const fixture = new LeaderFixture()
+  fixture.beat('w1')
+  fixture.submit('j1', [step({ taskCount: 1 })])
+  // The answer to the first heartbeat may have been lost: the next one comes after the worker's time limit.
+  fixture.advance(1_200)
+  t.is(fixture.beat('w1')?.starts.length, 1)
+})
