Check silent, leaving and stalled workers by time, not by a timer that every event restarts

Cause: each event set the leader's timer anew, so with a heartbeat every few milliseconds the tick never came: runs of crashed workers stayed assigned, and neither evacuation nor maintenance was planned. Ruled out: lost acknowledgements, fencing, voter replacement. The test, with a heartbeat every 20 ms and no tick, fails before and passes after.

--- a/packages/batch/src/leader.ts
+++ b/packages/batch/src/leader.ts
@@ -58,8 +58,8 @@
   readonly receivedAtMs: number
 }
 
-/** Interval of the leader's checks of silent workers and held answers. */
-const TICK_MS = 100
+/** Interval of the checks of silent, leaving and stalled workers and of maintenance. */
+const FLEET_CHECK_MS = 100
 
 /**
  * Decides for one term. All times are monotonic milliseconds of the clock that was passed in.
@@ -85,6 +85,7 @@
   #isAssigning = false
   #isPassDue = true
   #lastPassMs = -Infinity
+  #lastFleetCheckMs = -Infinity
 
   constructor (options: BatchLeaderOptions) {
     const { state, settings, clock, log } = options
@@ -113,8 +114,9 @@
       case 'rejected': this.#settle(event.proposalId, { kind: 'rejected', isCertain: event.isCertain }); break
       case 'advice': this.#adviceAnswered(event); break
       case 'maintenance_answered': this.#maintenanceAnswered(event.call, event.answer); break
-      case 'tick': this.#tick(); break
+      case 'tick': this.#isPassDue = true; break
     }
+    this.#checkFleetIfDue()
     this.#passIfDue()
     this.#answerReports()
     return this.#effects
@@ -122,7 +124,7 @@
 
   /** Milliseconds until the next `tick`. */
   nextTickMs (): number {
-    return this.#isPassDue ? this.#options.settings.passIntervalMs : TICK_MS
+    return this.#isPassDue ? this.#options.settings.passIntervalMs : FLEET_CHECK_MS
   }
 
   // Heartbeats
@@ -295,7 +297,11 @@
     this.#isPassDue = true
   }
 
-  #tick (): void {
+  /** Runs after any event, since a timer that every event restarts would never fire under load. */
+  #checkFleetIfDue (): void {
+    const nowMs = this.#options.clock.monotonicMs()
+    if (nowMs - this.#lastFleetCheckMs < FLEET_CHECK_MS) return
+    this.#lastFleetCheckMs = nowMs
     this.#isPassDue = true
     for (const life of this.#workers.expired()) {
       this.#workers.forget(life.workerId)
--- a/packages/batch/test/leader.test.ts
+++ b/packages/batch/test/leader.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { document, HOST, KEY, queue, step } from './fixture.js'
+import { document, HOST, KEY, queue, report, step } from './fixture.js'
 import { LeaderFixture, rows } from './leader-fixture.js'
 
 /** A worker that has been heard, so that a pass can use it. */
@@ -197,3 +197,17 @@
   fixture.advance(1_200)
   t.is(fixture.beat('w1')?.starts.length, 1)
 })
+
+test('runs of a silent worker are freed also while other heartbeats leave no pause for a tick (soak seed 5)', t => {
+  const fixture = fixtureWithWorker()
+  fixture.submit('j1', [step({ taskCount: 1 })])
+  const starts = rows(fixture.beat('w1')?.starts ?? [])
+  fixture.beat('w1', { running: starts })
+  for (let elapsedMs = 0; elapsedMs < 8_000; elapsedMs += 20) {
+    fixture.clock.advance(20)
+    const now = fixture.clock.monotonicMs()
+    fixture.tell({ kind: 'report', requestId: `b${now}`, report: report('w2', { clockMs: now, sequence: now }) })
+  }
+  t.is([...fixture.state.runsOf('w1')].length, 0)
+  t.is([...fixture.state.runsOf('w2')].length, 1)
+})
