Open a control disk in one place, name keys once, drop what nothing reads

The job and the step of a key were cut out of it in eight places; jobs.ts has both. Dropped: emptyLog, isInitialised and farFactor, which nothing read.

--- a/packages/batch-node/src/batch-node.ts
+++ b/packages/batch-node/src/batch-node.ts
@@ -1,21 +1,15 @@
 /** Wires the parts of one process: links, control role where it has a disk, and the way to the leader. */
-import type { BatchCommand, BatchOperation, BatchResult, BatchSettings, WorkerReport } from '@comfreygrade/batch'
-import { Replica, type LogStorage, type RecoveredLog, type ReplicaSettings, type VoterId } from '@comfreygrade/consensus'
+import type { BatchOperation, BatchResult, BatchSettings, WorkerReport } from '@comfreygrade/batch'
+import type { ReplicaSettings, VoterId } from '@comfreygrade/consensus'
 import type { Clock, EventLog, Metrics, Random } from '@comfreygrade/core'
 import { PeerLinks, type PeerAddress } from '@comfreygrade/node/adapters'
 import { BatchService } from './batch-service.js'
+import type { ControlDisk } from './control-disk.js'
 import { ControlMembers } from './control-members.js'
 import { LeaderClient } from './leader-client.js'
 import type { Ask, AskAnswer, BatchMessage, ControlNodeInfo } from './messages.js'
 import type { AdvicePort, VmPort } from './ports.js'
 
-/** Disk of a control node. */
-export interface ControlDisk {
-  readonly diskId: string
-  readonly storage: LogStorage<BatchCommand>
-  readonly recovered: RecoveredLog<BatchCommand>
-}
-
 /** Options of {@link BatchNode}. */
 export interface BatchNodeOptions {
   readonly nodeId: string
@@ -199,16 +193,15 @@
 
   #knownNodes (): ControlNodeInfo[] {
     const own = this.#controlInfo()
-    const known = this.#members.nodes(this.#service?.replica?.voters ?? [])
+    const known = this.#members.nodes(this.voters)
     return own === null ? known : [own, ...known]
   }
 
   #controlInfo (): ControlNodeInfo | null {
     const { disk, nodeId, host, port } = this.#options
     if (disk === undefined) return null
-    const isInitialised = (this.#service?.replica?.voters.length ?? 0) > 0
     const voter = { nodeId, diskId: disk.diskId }
-    return { nodeId, host, port, voter, startedWallMs: this.#startedWallMs, isInitialised }
+    return { nodeId, host, port, voter, startedWallMs: this.#startedWallMs }
   }
 
   #hello (): BatchMessage {
@@ -232,7 +225,7 @@
     const service = this.#service
     const own = this.#controlInfo()
     if (service === undefined || own === null || !service.isActiveLeader) return
-    const change = this.#members.nextVoterChange(service.replica?.voters ?? [], own.voter)
+    const change = this.#members.nextVoterChange(this.voters, own.voter)
     if (change === undefined) return
     this.#options.log.warn('voter set is changed', { ...change })
     service.changeVoters(change.remove, change.add)
@@ -256,13 +249,3 @@
     return [...first, ...others]
   }
 }
-
-/** A voter that waits to be added, for a node whose disk is empty after the first start of the system. */
-export function emptyLog (): RecoveredLog<BatchCommand> {
-  return Replica.emptyLog<BatchCommand>()
-}
-
-/** Voters of the first start: every process gets the same seeds then, so each derives the same set without a word. */
-export function firstVoters (seeds: readonly PeerAddress[], diskId: string): VoterId[] {
-  return seeds.map(seed => ({ nodeId: seed.nodeId, diskId })).sort((a, b) => a.nodeId < b.nodeId ? -1 : 1)
-}
--- a/packages/batch-node/src/index.ts
+++ b/packages/batch-node/src/index.ts
@@ -1,4 +1,5 @@
 export * from './batch-node.js'
+export * from './control-disk.js'
 export * from './messages.js'
 export * from './metrics.js'
 export * from './ports.js'
--- a/packages/batch-node/src/messages.ts
+++ b/packages/batch-node/src/messages.ts
@@ -8,8 +8,6 @@
   readonly voter: VoterId
   /** Unix time of the start of this process, which tells a restart from a node that is still leaving. */
   readonly startedWallMs: number
-  /** Whether it has a log: it was started with a voter set, or follows one. */
-  readonly isInitialised: boolean
 }
 
 /** What a process asks of the leader. */
--- a/packages/batch-node/test/cluster.ts
+++ b/packages/batch-node/test/cluster.ts
@@ -3,15 +3,14 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { setTimeout as pause } from 'node:timers/promises'
-import { defaultBatchSettings, type BatchCommand, type BatchOperation, type BatchResult } from '@comfreygrade/batch'
-import { defaultReplicaSettings, Replica, type VoterId } from '@comfreygrade/consensus'
+import { defaultBatchSettings, type BatchOperation, type BatchResult } from '@comfreygrade/batch'
+import { defaultReplicaSettings, type VoterId } from '@comfreygrade/consensus'
 import { NullEventLog, NullMetrics, Random } from '@comfreygrade/core'
-import { FileLog, readOrCreateDiskId, SystemClock, type PeerAddress } from '@comfreygrade/node/adapters'
+import { SystemClock, type PeerAddress } from '@comfreygrade/node/adapters'
 import { findFreePorts } from '@comfreygrade/standins'
-import { BatchNode, firstVoters, NoAdvice, NoVms, type ControlDisk } from '../src/index.js'
+import { BatchNode, NoAdvice, NoVms, openControlDisk, type ControlDisk } from '../src/index.js'
 
 const HOST = '127.0.0.1'
-const FIRST_DISK_ID = 'first'
 
 /** A cluster whose nodes can be stopped, started and robbed of their disks. */
 export class Cluster {
@@ -36,7 +35,7 @@
   async startControl (nodeId: string, isFirstStart = false): Promise<BatchNode> {
     const seed = this.#seeds.find(candidate => candidate.nodeId === nodeId)
     const address = seed ?? { nodeId, host: HOST, port: await freePort() }
-    return await this.#start(address, await this.#openDisk(nodeId, isFirstStart))
+    return await this.#start(address, await openControlDisk(join(this.#folder, nodeId), this.#seeds, isFirstStart))
   }
 
   async startEntry (nodeId: string): Promise<BatchNode> {
@@ -111,18 +110,6 @@
     this.#nodes.set(address.nodeId, node)
     return node
   }
-
-  async #openDisk (nodeId: string, isFirstStart: boolean): Promise<ControlDisk> {
-    const folder = join(this.#folder, nodeId)
-    const diskId = await readOrCreateDiskId(folder, undefined, isFirstStart ? FIRST_DISK_ID : undefined)
-    const storage = new FileLog<BatchCommand>(folder)
-    const found = await storage.recover()
-    if (found.snapshot !== null || found.entries.length > 0) return { diskId, storage, recovered: found }
-    if (!isFirstStart) return { diskId, storage, recovered: Replica.emptyLog() }
-    const first = Replica.initialLog<BatchCommand>(firstVoters(this.#seeds, FIRST_DISK_ID))
-    await storage.persist({ kind: 'persist', persistId: 0, hardState: first.hardState, entries: first.entries })
-    return { diskId, storage, recovered: first }
-  }
 }
 
 async function freePort (): Promise<number> {
--- a/packages/batch-node/test/control-members.test.ts
+++ b/packages/batch-node/test/control-members.test.ts
@@ -5,7 +5,7 @@
 
 const voter = (nodeId: string, diskId = 'first') => ({ nodeId, diskId })
 const info = (nodeId: string, diskId = 'first', startedWallMs = 1): ControlNodeInfo =>
-  ({ nodeId, host: nodeId, port: 7000, voter: voter(nodeId, diskId), startedWallMs, isInitialised: true })
+  ({ nodeId, host: nodeId, port: 7000, voter: voter(nodeId, diskId), startedWallMs })
 const voters = ['a', 'b', 'c'].map(nodeId => voter(nodeId))
 
 function membersOf (...nodeIds: string[]): { members: ControlMembers, clock: ManualClock } {
--- a/packages/batch/src/advice.ts
+++ b/packages/batch/src/advice.ts
@@ -1,5 +1,6 @@
 /** Permissions of queues whose policy lets only some workers run a step. */
 import type { Clock } from '@comfreygrade/core'
+import { jobIdOf } from './jobs.js'
 
 /** A permission for one worker. */
 export interface Ticket {
@@ -78,7 +79,7 @@
   /** Forgets the steps of jobs that have ended. */
   retain (isOpen: (jobId: string) => boolean): void {
     for (const key of this.#steps.keys()) {
-      if (!isOpen(key.slice(0, key.indexOf('.')))) this.#steps.delete(key)
+      if (!isOpen(jobIdOf(key))) this.#steps.delete(key)
     }
   }
 }
--- a/packages/batch/src/free-capacity.ts
+++ b/packages/batch/src/free-capacity.ts
@@ -1,7 +1,7 @@
 /** Capacity of workers during one scheduling pass. */
 import type { BatchState } from './batch-state.js'
 import type { Assignment } from './commands.js'
-import type { StepSpec, TaskShape } from './jobs.js'
+import { stepKeyOf, type StepSpec, type TaskShape } from './jobs.js'
 import type { WorkerView } from './worker-view.js'
 
 /** A run on a worker with what it takes. */
@@ -142,10 +142,6 @@
   if (!isFiller) room.cpuMillicores += sign * shape.cpuMillicores
 }
 
-function stepKeyOf (taskKey: string): string {
-  return taskKey.slice(0, taskKey.lastIndexOf('.'))
-}
-
 /** Runs that occupy a worker, with their shapes and expected ends. */
 export function occupyingRuns (
   state: BatchState, view: WorkerView, isStopping: (run: Assignment) => boolean, nowMs: number
--- a/packages/batch/src/jobs.ts
+++ b/packages/batch/src/jobs.ts
@@ -105,6 +105,26 @@
   return `${jobId}.${occurrence}.${step}`
 }
 
+/**
+ * The step of a task's key.
+ *
+ * @example
+ * stepKeyOf('5c0e.0.1.17') // '5c0e.0.1'
+ */
+export function stepKeyOf (key: string): string {
+  return key.slice(0, key.lastIndexOf('.'))
+}
+
+/**
+ * The job of a key of a task or step.
+ *
+ * @example
+ * jobIdOf('5c0e.0.1.17') // '5c0e'
+ */
+export function jobIdOf (key: string): string {
+  return key.slice(0, key.indexOf('.'))
+}
+
 /** How many times the steps of a job run. */
 export function occurrenceCount (spec: JobSpec): number {
   return spec.schedule?.occurrences ?? 1
--- a/packages/batch/src/leader.ts
+++ b/packages/batch/src/leader.ts
@@ -3,8 +3,9 @@
 import { AdviceBook, type Ticket } from './advice.js'
 import { runKey, type BatchState } from './batch-state.js'
 import type { Assignment, BatchCommand, CommandResult, RunEnd } from './commands.js'
-import { stepKey } from './jobs.js'
+import { jobIdOf } from './jobs.js'
 import { planEvacuation } from './evacuation.js'
+import { waitingKey } from './fitting.js'
 import { MaintenancePlanner, type MaintenanceAnswer, type MaintenanceCall } from './maintenance.js'
 import { OperationHandler, type ProposalOutcome } from './operation-handler.js'
 import type { BatchOperation, BatchResult } from './operations.js'
@@ -175,7 +176,7 @@
     const { log, state, clock, metrics } = this.#options
     metrics.increment('run.ended', { reason })
     log.info('run ended', { taskKey, run, reason, workerId, sequence })
-    const jobId = taskKey.slice(0, taskKey.indexOf('.'))
+    const jobId = jobIdOf(taskKey)
     const job = state.job(jobId)
     if (job === undefined || job.state === 'open' || job.state === 'cancelled') return
     const durationMs = clock.wallMs() - job.acceptedWallMs
@@ -282,14 +283,14 @@
   }
 
   #askAdvice (step: WaitingStep): void {
-    const key = stepKey(step.job.spec.jobId, step.occurrence, step.stepIndex)
+    const key = waitingKey(step)
     const workerIds = this.#workers.adviceCandidates(step).slice(0, this.#options.settings.maxAdviceWorkers)
     if (workerIds.length === 0 || !this.#advice.startAsking(key)) return
     this.#effects.push({ kind: 'ask_advice', stepKey: key, workerIds })
   }
 
   #adviceAnswered ({ stepKey: key, tickets, askedAtMs }: Extract<LeaderEvent, { kind: 'advice' }>): void {
-    const job = this.#options.state.job(key.slice(0, key.indexOf('.')))
+    const job = this.#options.state.job(jobIdOf(key))
     const queue = job === undefined ? undefined : this.#options.state.directory?.at(job.queueAddress)
     const validMs = queue?.advice?.ticketValidMs ?? 0
     this.#options.log.info('advice answered', { stepKey: key, granted: tickets?.length ?? null })
--- a/packages/batch/src/order-book.ts
+++ b/packages/batch/src/order-book.ts
@@ -3,6 +3,7 @@
 import type { AdviceBook } from './advice.js'
 import { runKey, type BatchState, type LocatedTask } from './batch-state.js'
 import type { Assignment } from './commands.js'
+import { stepKeyOf } from './jobs.js'
 import { FillerPacing } from './pacing.js'
 import type { BatchSettings } from './settings.js'
 import type { StartOrder, StopOrder, WorkerOrders } from './worker-report.js'
@@ -42,7 +43,7 @@
   #withGang (run: Assignment): Assignment[] {
     const located = this.#options.state.locate(run.taskKey)
     if (located === undefined || !located.stepSpec.isGang) return [run]
-    const prefix = run.taskKey.slice(0, run.taskKey.lastIndexOf('.'))
+    const prefix = stepKeyOf(run.taskKey)
     return located.step.tasks.flatMap((task, index) => task.active
       .filter(active => active.run === run.run)
       .map(active => ({ ...active, taskKey: `${prefix}.${index}` })))
@@ -111,7 +112,7 @@
     const { job, task } = located
     const order = { taskKey: run.taskKey, run: run.run, payload: job.spec.payload, checkpoint: task.checkpoint }
     if (state.directory?.at(job.queueAddress)?.advice === undefined) return order
-    const key = run.taskKey.slice(0, run.taskKey.lastIndexOf('.'))
+    const key = stepKeyOf(run.taskKey)
     const ticket = advice.ticketFor(key, run.workerId, run.incarnation)
     if (ticket !== undefined) return { ...order, ticket }
     this.stop(run)
--- a/packages/batch/src/settings.ts
+++ b/packages/batch/src/settings.ts
@@ -22,8 +22,6 @@
   readonly silentAfterMs: number
   /** Time from the start of a term until an absent run of an earlier term is believed to be absent. */
   readonly inheritedRunGraceMs: number
-  /** Slowdown of a task that runs away from its data, or of a same-rack gang over several racks. */
-  readonly farFactor: number
   /** Time in which a job of priority 0 within its organisation's guarantee must have begun. */
   readonly reclaimMs: number
   /** Time that stops and the start after them take, so that a reclaim begins this long before it is due. */
@@ -74,7 +72,6 @@
   nextReportMs: 200,
   silentAfterMs: 2_500,
   inheritedRunGraceMs: 2_000,
-  farFactor: 3,
   reclaimMs: 5_700,
   reclaimLeadMs: 2_200,
   reclaimSlackMs: 1_200,
--- a/packages/batch/src/worker-health.ts
+++ b/packages/batch/src/worker-health.ts
@@ -1,6 +1,7 @@
 /** Workers that fail what they run, told apart from jobs that fail everywhere. */
 import type { Clock, EventLog } from '@comfreygrade/core'
 import type { RunEnd } from './commands.js'
+import { jobIdOf } from './jobs.js'
 
 /** Failures of this many jobs in a row, without a success between them, put a worker into quarantine. */
 const FAILED_JOBS_LIMIT = 2
@@ -35,7 +36,7 @@
     if (end.reason !== 'failed') return
     const health = this.#byWorker.get(workerId) ?? newHealth()
     this.#byWorker.set(workerId, health)
-    health.failedJobs.add(end.taskKey.slice(0, end.taskKey.indexOf('.')))
+    health.failedJobs.add(jobIdOf(end.taskKey))
     if (health.failedJobs.size >= FAILED_JOBS_LIMIT || health.quarantines > 0) this.#quarantine(workerId, health)
   }
 
--- a/packages/batch/src/worker-table.ts
+++ b/packages/batch/src/worker-table.ts
@@ -3,6 +3,7 @@
 import type { BatchState } from './batch-state.js'
 import type { Assignment, RunEnd, TaskCheckpoint, WorkerLife } from './commands.js'
 import { couldHold } from './free-capacity.js'
+import { jobIdOf } from './jobs.js'
 import type { BatchSettings } from './settings.js'
 import { WorkerHealth } from './worker-health.js'
 import type { WaitingStep } from './waiting-work.js'
@@ -67,7 +68,7 @@
   }
 
   #noteStarted (report: WorkerReport): void {
-    for (const { taskKey } of report.running) this.#startedJobs.add(taskKey.slice(0, taskKey.indexOf('.')))
+    for (const { taskKey } of report.running) this.#startedJobs.add(jobIdOf(taskKey))
   }
 
   /** Whether a run of the job has been seen on a worker in this term. */
