Carry on the saved work of a lost worker, forget ended runs in views, log each job's end once

Cause: the leader forgot the view of a worker that left, fell silent or came back in a later life before it read its latest checkpoints, and a lapsed lease had already replaced the rows that held them, so that only checkpoints in recorded ends survived. Ruled out: the replicated state (worker_gone adopts the checkpoints that it is given). Tests: lost-worker.test.ts, four ways of losing a worker; all four failed before.

--- a/packages/batch/src/leader.ts
+++ b/packages/batch/src/leader.ts
@@ -2,7 +2,7 @@
 import type { Clock, EventLog, Metrics } from '@comfreygrade/core'
 import { AdviceBook, type Ticket } from './advice.js'
 import { runKey, type BatchState } from './batch-state.js'
-import type { Assignment, BatchCommand, CommandResult, RunEnd } from './commands.js'
+import type { Assignment, BatchCommand, CommandResult, RunEnd, WorkerLife } from './commands.js'
 import { jobIdOf } from './jobs.js'
 import { planEvacuation } from './evacuation.js'
 import { waitingKey } from './fitting.js'
@@ -81,6 +81,8 @@
   readonly #proposals = new Map<string, (outcome: ProposalOutcome) => void>()
   /** Workers with commands under way, whose heartbeats are answered after these. */
   readonly #busyWorkers = new Map<string, number>()
+  /** Jobs whose end is in the log, until their retention is over. */
+  readonly #loggedJobs = new Set<string>()
   #effects: LeaderEffect[] = []
   #proposalCount = 0
   #isAssigning = false
@@ -133,7 +135,7 @@
   #receiveReport (requestId: string, report: WorkerReport): void {
     const nowMs = this.#options.clock.monotonicMs()
     const reception = this.#workers.receive(report)
-    for (const life of reception.replaced) this.#workerGone(life, 'replaced by a later life')
+    for (const replaced of reception.replaced) this.#workerGone(replaced.latest, 'replaced by a later life', replaced)
     if (reception.kind === 'ignored') {
       this.#options.metrics.increment('worker.report_ignored', { reason: reception.reason })
       this.#effects.push({ kind: 'reply_worker', requestId, orders: undefined })
@@ -151,12 +153,11 @@
 
   /** What ended before a lapse does not count, so its runs are freed before the ends are recorded. */
   #checkLease (view: WorkerView): void {
-    const { workerId, incarnation } = view.latest
     if (view.leaseCertainty === 'held') return
     const hasRuns = this.#orders.mayHoldRuns(view)
     if (view.leaseCertainty === 'uncertain' && hasRuns) return
     view.restartLease()
-    if (hasRuns) this.#workerGone({ workerId, incarnation }, 'lease lapsed')
+    if (hasRuns) this.#workerGone(view.latest, 'lease lapsed', view)
   }
 
   #recordEnds (report: WorkerReport): void {
@@ -167,45 +168,62 @@
     if (ends.length === 0) return
     for (const end of ends) this.#workers.noteEnd(report, end)
     this.#proposeFor(workerId, { kind: 'record_ends', life, ends }, () => {
-      for (const end of ends) this.#logEnd(end, workerId)
+      for (const end of ends) this.#endRecorded(end, life)
       this.#isPassDue = true
     })
   }
 
-  #logEnd ({ taskKey, run, reason, sequence }: RunEnd, workerId: string): void {
-    const { log, state, clock, metrics } = this.#options
+  #endRecorded ({ taskKey, run, reason, sequence }: RunEnd, life: WorkerLife): void {
+    const { log, metrics } = this.#options
     metrics.increment('run.ended', { reason })
-    log.info('run ended', { taskKey, run, reason, workerId, sequence })
+    log.info('run ended', { taskKey, run, reason, workerId: life.workerId, sequence })
+    this.#workers.view(life.workerId)?.forgetRun({ ...life, taskKey, run })
+    this.#logJobEnd(taskKey)
+  }
+
+  /** Several ends that are recorded at once may follow the one that ended the job. */
+  #logJobEnd (taskKey: string): void {
+    const { log, state, clock, metrics } = this.#options
     const jobId = jobIdOf(taskKey)
     const job = state.job(jobId)
     if (job === undefined || job.state === 'open' || job.state === 'cancelled') return
+    if (this.#loggedJobs.has(jobId)) return
+    this.#loggedJobs.add(jobId)
     const durationMs = clock.wallMs() - job.acceptedWallMs
     metrics.timing('job_ms', durationMs, { outcome: job.state })
     log.info('job ended', { jobId, outcome: job.state, durationMs: Math.round(durationMs), lastTaskKey: taskKey })
   }
 
   #releaseAbsent (report: WorkerReport): void {
-    const runs = this.#orders.certainlyAbsent(this.#workers.viewOf(report))
+    const view = this.#workers.viewOf(report)
+    const runs = this.#orders.certainlyAbsent(view)
     if (runs.length === 0) return
-    this.#proposeFor(report.workerId, { kind: 'release', runs }, () => { this.#isPassDue = true })
+    this.#proposeFor(report.workerId, { kind: 'release', runs }, () => {
+      for (const run of runs) view.forgetRun(run)
+      this.#isPassDue = true
+    })
   }
 
   #workerLeft (requestId: string, workerId: string): void {
     const view = this.#workers.view(workerId)
     this.#effects.push({ kind: 'reply_worker', requestId, orders: undefined })
     if (view === undefined) return
-    const { incarnation } = view.latest
     this.#workers.forget(workerId)
-    this.#workerGone({ workerId, incarnation }, 'left')
+    this.#workerGone(view.latest, 'left', view)
   }
 
-  #workerGone (life: { readonly workerId: string, readonly incarnation: number }, reason: string): void {
+  /** The work that the life had saved goes on elsewhere from the checkpoints that its heartbeats listed. */
+  #workerGone ({ workerId, incarnation }: WorkerLife, reason: string, view: WorkerView | undefined): void {
     const { log, state } = this.#options
-    const runs = [...state.runsOf(life.workerId)].filter(run => run.incarnation <= life.incarnation)
+    const life = { workerId, incarnation }
+    const runs = [...state.runsOf(workerId)].filter(run => run.incarnation <= incarnation)
     log.info('worker is gone', { ...life, reason, runs: runs.length })
     if (runs.length === 0) return
-    const checkpoints = this.#workers.latestCheckpoints(runs)
-    this.#proposeFor(life.workerId, { kind: 'worker_gone', life, checkpoints }, () => { this.#isPassDue = true })
+    const checkpoints = runs.flatMap(({ taskKey, run }) => {
+      const checkpoint = view?.latestCheckpoint(taskKey, run) ?? ''
+      return checkpoint === '' ? [] : [{ taskKey, checkpoint }]
+    })
+    this.#proposeFor(workerId, { kind: 'worker_gone', life, checkpoints }, () => { this.#isPassDue = true })
   }
 
   #answerReports (): void {
@@ -305,13 +323,21 @@
     this.#lastFleetCheckMs = nowMs
     this.#isPassDue = true
     for (const life of this.#workers.expired()) {
+      const view = this.#workers.view(life.workerId)
       this.#workers.forget(life.workerId)
-      this.#workerGone(life, 'silent beyond its lease')
+      this.#workerGone(life, 'silent beyond its lease', view)
     }
     this.#evacuate()
     this.#maintain()
     this.#advice.retain(jobId => this.#options.state.job(jobId)?.state === 'open')
     this.#orders.forgetEnded()
+    this.#forgetOldJobs()
+  }
+
+  #forgetOldJobs (): void {
+    const isKnown = (jobId: string): boolean => this.#options.state.job(jobId) !== undefined
+    this.#workers.retainJobs(isKnown)
+    for (const jobId of this.#loggedJobs) if (!isKnown(jobId)) this.#loggedJobs.delete(jobId)
   }
 
   /** Takes work off workers on which it cannot end. */
--- a/packages/batch/src/worker-table.ts
+++ b/packages/batch/src/worker-table.ts
@@ -1,7 +1,7 @@
 /** Workers that the leader of this term has heard. */
 import type { Clock, EventLog } from '@comfreygrade/core'
 import type { BatchState } from './batch-state.js'
-import type { Assignment, RunEnd, TaskCheckpoint, WorkerLife } from './commands.js'
+import type { RunEnd, WorkerLife } from './commands.js'
 import { couldHold } from './free-capacity.js'
 import { jobIdOf } from './jobs.js'
 import type { BatchSettings } from './settings.js'
@@ -12,8 +12,8 @@
 
 /** What became of a heartbeat. */
 export type Reception =
-  | { readonly kind: 'ignored', readonly reason: 'earlier_life' | 'late', readonly replaced: readonly WorkerLife[] }
-  | { readonly kind: 'taken', readonly view: WorkerView, readonly isNew: boolean, readonly replaced: readonly WorkerLife[] }
+  | { readonly kind: 'ignored', readonly reason: 'earlier_life' | 'late', readonly replaced: readonly WorkerView[] }
+  | { readonly kind: 'taken', readonly view: WorkerView, readonly isNew: boolean, readonly replaced: readonly WorkerView[] }
 
 /** Share of the estimated run time that one percent of progress may take on a slow worker. */
 const SUSPECT_ESTIMATE_SHARE = 0.05
@@ -45,10 +45,9 @@
     if (others.some(view => view.latest.incarnation > report.incarnation)) {
       return { kind: 'ignored', reason: 'earlier_life', replaced: [] }
     }
-    const earlier = others.filter(view => view.latest.incarnation < report.incarnation)
-    const replaced = earlier.map(view => lifeOf(view.latest))
-    for (const { workerId } of replaced) this.forget(workerId)
-    if (known === undefined || replaced.some(life => life.workerId === report.workerId)) {
+    const replaced = others.filter(view => view.latest.incarnation < report.incarnation)
+    for (const { latest } of replaced) this.forget(latest.workerId)
+    if (known === undefined || replaced.includes(known)) {
       return { kind: 'taken', view: this.#add(report), isNew: true, replaced }
     }
     const wasLeaving = known.latest.state === 'leaving'
@@ -76,6 +75,11 @@
     return this.#startedJobs.has(jobId)
   }
 
+  /** Forgets which jobs have started, but for those that are still known. */
+  retainJobs (isKnown: (jobId: string) => boolean): void {
+    for (const jobId of this.#startedJobs) if (!isKnown(jobId)) this.#startedJobs.delete(jobId)
+  }
+
   /** View of a worker, if it has been heard. */
   view (workerId: string): WorkerView | undefined {
     return this.#views.get(workerId)
@@ -127,14 +131,6 @@
     this.#health.noteEnd(life.workerId, end)
   }
 
-  /** Latest checkpoints that were seen of these runs. */
-  latestCheckpoints (runs: readonly Assignment[]): TaskCheckpoint[] {
-    return runs.flatMap(({ workerId, taskKey, run }) => {
-      const checkpoint = this.#views.get(workerId)?.rowOf(taskKey, run)?.checkpoint ?? ''
-      return checkpoint === '' ? [] : [{ taskKey, checkpoint }]
-    })
-  }
-
   /** Workers to ask permission for. */
   adviceCandidates (step: WaitingStep): string[] {
     const { job, spec } = step
--- a/packages/batch/src/worker-view.ts
+++ b/packages/batch/src/worker-view.ts
@@ -1,5 +1,7 @@
 /** What the leader has heard from one life of a worker. */
 import type { Clock } from '@comfreygrade/core'
+import { runKey } from './batch-state.js'
+import type { Assignment } from './commands.js'
 import type { WorkerReport, RunningTask } from './worker-report.js'
 import type { BatchSettings } from './settings.js'
 
@@ -31,6 +33,8 @@
   readonly seen = new Set<string>()
   /** Runs that the leader of this term assigned. */
   readonly assignedInTerm = new Set<string>()
+  /** Latest checkpoint listed of each run, also of one that is no longer listed. */
+  readonly #checkpoints = new Map<string, string>()
   /** Least (leader's clock - worker's clock) seen: the one of the fastest heartbeat. */
   #clockOffsetMs: number
   #grantedAtWorkerMs: number | undefined
@@ -111,6 +115,20 @@
     return progress === undefined ? undefined : nowMs - progress.changedMs
   }
 
+  /** The latest checkpoint that any heartbeat listed of a run; empty for none. */
+  latestCheckpoint (taskKey: string, run: number): string {
+    return this.#checkpoints.get(`${taskKey}#${run}`) ?? ''
+  }
+
+  /** Forgets a run that is off the worker for good. */
+  forgetRun (run: Assignment): void {
+    const key = `${run.taskKey}#${run.run}`
+    this.seen.delete(key)
+    this.#checkpoints.delete(key)
+    this.offeredAt.delete(runKey(run))
+    this.assignedInTerm.delete(runKey(run))
+  }
+
   #confirmGrant (report: WorkerReport): void {
     const grantedMs = this.#grantedAtWorkerMs
     if (grantedMs === undefined || report.clockMs - grantedMs >= this.#settings.reportTimeoutMs) return
@@ -119,6 +137,9 @@
 
   #followProgress (report: WorkerReport, nowMs: number): void {
     const listed = new Set<string>()
+    for (const { taskKey, run, checkpoint } of [...report.running, ...report.ends]) {
+      if (checkpoint !== '') this.#checkpoints.set(`${taskKey}#${run}`, checkpoint)
+    }
     for (const { taskKey, run, percent } of report.running) {
       const key = `${taskKey}#${run}`
       listed.add(key)
--- /dev/null
+++ b/packages/batch/test/lost-worker.test.ts
@@ -0,0 +1,53 @@
+/** Work that a lost worker had saved goes on elsewhere. */
+import test from 'ava'
+import { step } from './fixture.js'
+import { LeaderFixture, rows } from './leader-fixture.js'
+import type { WorkerReport } from '../src/index.js'
+
+const SAVED = 'saved at half'
+
+/** A worker with one run that has listed a checkpoint, and its rows. */
+function workerWithSavedRun (): { fixture: LeaderFixture, running: WorkerReport['running'] } {
+  const fixture = new LeaderFixture()
+  fixture.beat('w1')
+  fixture.submit('j1', [step({ taskCount: 1, isCheckpointing: true, estimateMs: 60_000 })])
+  const running = rows(fixture.beat('w1')?.starts ?? [], 50).map(row => ({ ...row, checkpoint: SAVED }))
+  fixture.advance(200)
+  fixture.beat('w1', { running })
+  return { fixture, running }
+}
+
+/** The checkpoint that the next start on another worker carries. */
+function checkpointOfRestart (fixture: LeaderFixture): string | undefined {
+  fixture.beat('w2')
+  fixture.advance(200)
+  return fixture.beat('w2')?.starts[0]?.checkpoint
+}
+
+test('the checkpoint of a run survives the silence of its worker', t => {
+  const { fixture } = workerWithSavedRun()
+  for (let elapsedMs = 0; elapsedMs < 7_000; elapsedMs += 200) fixture.advance(200)
+  t.is(checkpointOfRestart(fixture), SAVED)
+})
+
+test('the checkpoint of a run survives a worker that leaves with it', t => {
+  const { fixture } = workerWithSavedRun()
+  fixture.tell({ kind: 'worker_left', requestId: 'left', workerId: 'w1' })
+  t.is(checkpointOfRestart(fixture), SAVED)
+})
+
+test('the checkpoint of a run survives a later life of its worker', t => {
+  const { fixture } = workerWithSavedRun()
+  fixture.advance(200)
+  const orders = fixture.beat('w1', { incarnation: 2_000 })
+  t.is(orders?.starts[0]?.checkpoint, SAVED)
+})
+
+test('the checkpoint of a run survives the lapse of its lease', t => {
+  const { fixture, running } = workerWithSavedRun()
+  const { taskKey, run } = running[0] as WorkerReport['running'][number]
+  fixture.advance(6_300)
+  const ends = [{ sequence: 1, taskKey, run, reason: 'lapsed' as const, checkpoint: '' }]
+  const orders = fixture.beat('w1', { ends })
+  t.is(orders?.starts[0]?.checkpoint, SAVED)
+})
