Drive the lease of the worker test by an injected clock

Shown by a run: the same test with 320 ms of busy waiting after the start ends 'stopped' with isLeaseLost, as seen. Ruled out: the renewal itself (heartbeats were answered before and after the pause). Now the worker's time moves by 100 ms after each answered heartbeat; a worker that did not renew would still be stopped at 300 ms, so the check is as strict.

--- a/packages/standins/test/worker.test.ts
+++ b/packages/standins/test/worker.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava'
 import { request } from 'undici'
+import { ManualClock, type Clock } from '@comfreygrade/core'
 import { FailEverything, FixedRunTime, type OrderKind, RefusePrepare, StandInWorker } from '../src/index.js'
 import { FakeEntry, until } from './fake-entry.js'
 
@@ -17,10 +18,10 @@
   return await answer.body.json() as { results: string[] }
 }
 
-async function started (runMs: number): Promise<Pair> {
+async function started (runMs: number, clock?: Clock): Promise<Pair> {
   const entry = new FakeEntry()
   await entry.start()
-  const worker = new StandInWorker({ entries: [entry.address], runTimes: new FixedRunTime(runMs) })
+  const worker = new StandInWorker({ entries: [entry.address], runTimes: new FixedRunTime(runMs) }, clock)
   await worker.start()
   // Orders are refused without a lease, which the first heartbeat brings.
   await until(() => worker.acceptedHeartbeats > 0)
@@ -33,9 +34,15 @@
 }
 
 test('heartbeats renew a lease, so a task that runs longer than its lease completes', async t => {
-  const pair = await started(600)
+  // The worker's time moves only after a heartbeat is answered, so that a pause of this process ends no lease.
+  const clock = new ManualClock(1_000)
+  const pair = await started(600, clock)
   await send(pair, 'prepare', 'start')
-  await until(() => pair.worker.runs[0]?.endedMs !== undefined)
+  while (pair.worker.runs[0]?.endedMs === undefined) {
+    const answered = pair.worker.acceptedHeartbeats
+    await until(() => pair.worker.acceptedHeartbeats > answered)
+    clock.advance(100)
+  }
   t.is(pair.worker.runs[0]?.state, 'completed')
   await stop(pair)
 })
