--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -5,7 +5,7 @@
 import { compareTables, type Figures, readFigures, writeFigures } from './format-figures.js'
 
 /** Benchmarks by name; each is a module `NAME-bench.js` next to this one. */
-const DECISION_NAMES = ['placement', 'routing', 'consensus', 'control'] as const
+const DECISION_NAMES = ['placement', 'routing', 'consensus', 'control', 'batch'] as const
 /** Benchmarks of node processes. They take minutes, so `all` leaves them out. */
 const CAPACITY_NAMES = ['capacity-idle', 'capacity-workers', 'capacity-changes', 'capacity-inventory', 'capacity-urgent'] as const
 const NAMES = [...DECISION_NAMES, ...CAPACITY_NAMES] as const
