Run a same-rack gang that no rack could hold over several racks

Cause: such a gang was only ever placed, reserved and reclaimed for within one rack, so one of 9 tasks with 8 accelerators on racks of 8 workers never started. Ruled out: the capacity of the fleet (80 workers idle).

--- a/packages/batch/src/fitting.ts
+++ b/packages/batch/src/fitting.ts
@@ -1,6 +1,6 @@
 /** Choice of workers for the tasks of a step. */
 import { stepKey } from './jobs.js'
-import type { WorkerSlot } from './free-capacity.js'
+import { tasksThatFit, type WorkerSlot } from './free-capacity.js'
 import type { WaitingStep } from './waiting-work.js'
 
 /** A task and the worker chosen for it. */
@@ -23,11 +23,28 @@
   step: WaitingStep, slots: readonly WorkerSlot[], isEligible: Eligibility, waitedMs: number
 ): TaskChoice[] {
   const eligible = slots.filter(isEligible)
-  if (step.spec.isGang && step.spec.isSameRack) return chooseOneRack(step, eligible)
-  const choices = chooseEach(step, nearData(step, eligible, waitedMs))
-  if (!step.spec.isGang || choices.length === step.taskIndexes.length) return choices
-  undo(step, choices)
-  return []
+  if (step.spec.isGang) return chooseGang(step, placementGroups(step, nearData(step, eligible, waitedMs)))
+  return chooseEach(step, nearData(step, eligible, waitedMs))
+}
+
+/**
+ * Groups of workers of which one has to take all waiting tasks: racks for a same-rack gang, otherwise all workers. A
+ * gang wider than any rack runs over several, slower, since it would never start otherwise.
+ */
+export function placementGroups (
+  step: WaitingStep, eligible: readonly WorkerSlot[]
+): ReadonlyArray<readonly WorkerSlot[]> {
+  if (!step.spec.isGang || !step.spec.isSameRack) return [eligible]
+  const racks = [...slotsByRack(eligible).values()].filter(slots => couldHoldAll(step, slots))
+  return racks.length > 0 ? racks : [eligible]
+}
+
+/** Whether the workers could take all waiting tasks if they were empty. */
+function couldHoldAll ({ spec, taskIndexes }: WaitingStep, slots: readonly WorkerSlot[]): boolean {
+  const limit = spec.maxTasksPerWorker > 0 ? spec.maxTasksPerWorker : Infinity
+  let room = 0
+  for (const slot of slots) room += Math.min(limit, tasksThatFit(slot.view.latest.capacity, spec))
+  return room >= taskIndexes.length
 }
 
 /** Key of a waiting step. */
@@ -36,7 +53,7 @@
 }
 
 /** Workers by rack. */
-export function slotsByRack (slots: readonly WorkerSlot[]): Map<string, WorkerSlot[]> {
+function slotsByRack (slots: readonly WorkerSlot[]): Map<string, WorkerSlot[]> {
   const racks = new Map<string, WorkerSlot[]>()
   for (const slot of slots) {
     const { rack } = slot.view.latest
@@ -52,11 +69,11 @@
   for (const { slot } of choices) slot.unplace(waitingKey(step), step.spec)
 }
 
-/** The rack that is left with the fewest free accelerators, so that others keep large pieces. */
-function chooseOneRack (step: WaitingStep, eligible: readonly WorkerSlot[]): TaskChoice[] {
+/** The group that is left with the fewest free accelerators, so that others keep large pieces. */
+function chooseGang (step: WaitingStep, groups: ReadonlyArray<readonly WorkerSlot[]>): TaskChoice[] {
   let best: TaskChoice[] = []
   let bestFree = Infinity
-  for (const slots of slotsByRack(eligible).values()) {
+  for (const slots of groups) {
     const choices = chooseEach(step, slots)
     const free = slots.reduce((sum, slot) => sum + slot.free.acceleratorCount, 0)
     undo(step, choices)
--- a/packages/batch/src/free-capacity.ts
+++ b/packages/batch/src/free-capacity.ts
@@ -131,6 +131,14 @@
   return holds(capacity, spec)
 }
 
+/** How many tasks of this shape an empty worker could hold at once. */
+export function tasksThatFit (capacity: TaskShape, { shape, isFiller }: StepSpec): number {
+  const memory = shape.memoryMb > 0 ? capacity.memoryMb / shape.memoryMb : Infinity
+  const accelerators = shape.acceleratorCount > 0 ? capacity.acceleratorCount / shape.acceleratorCount : Infinity
+  const cpu = isFiller || shape.cpuMillicores === 0 ? Infinity : capacity.cpuMillicores / shape.cpuMillicores
+  return Math.floor(Math.min(memory, accelerators, cpu))
+}
+
 function holds (room: TaskShape, { shape, isFiller }: StepSpec): boolean {
   return room.memoryMb >= shape.memoryMb && room.acceleratorCount >= shape.acceleratorCount &&
     (isFiller || room.cpuMillicores >= shape.cpuMillicores)
--- a/packages/batch/src/reclaim.ts
+++ b/packages/batch/src/reclaim.ts
@@ -1,7 +1,7 @@
 /** Capacity taken back from lower priorities for urgent work within a guarantee. */
 import type { Assignment } from './commands.js'
 import type { OccupyingRun, WorkerSlot } from './free-capacity.js'
-import { chooseWorkers, slotsByRack, undo, type Eligibility, type TaskChoice } from './fitting.js'
+import { chooseWorkers, placementGroups, undo, type Eligibility, type TaskChoice } from './fitting.js'
 import type { WaitingStep } from './waiting-work.js'
 
 interface Victim {
@@ -48,25 +48,20 @@
   return undefined
 }
 
-/** A same-rack gang takes the rack in which the stops cost least. */
+/** The group of workers in which the stops cost least. */
 function holdWithVictims (step: WaitingStep, eligible: readonly WorkerSlot[]): ReclaimPlan | undefined {
-  const isOneRack = step.spec.isGang && step.spec.isSameRack
-  const groups = isOneRack ? [...slotsByRack(eligible).values()] : [eligible]
-  let best: Victim[] | undefined
-  for (const group of groups) {
+  let best: { readonly group: readonly WorkerSlot[], readonly victims: Victim[] } | undefined
+  for (const group of placementGroups(step, eligible)) {
     const victims = cheapestVictims(step, group)
-    if (victims !== undefined && (best === undefined || totalLoss(victims) < totalLoss(best))) best = victims
+    if (victims === undefined) continue
+    if (best === undefined || totalLoss(victims) < totalLoss(best.victims)) best = { group, victims }
   }
   if (best === undefined) return undefined
-  setReleased(best, true)
-  const held = chooseWorkers(step, isOneRack ? slotsOf(best, groups) : eligible, () => true, Infinity)
-  setReleased(best, false)
-  return { runs: best.map(({ run }) => run.assignment), lostCoreSeconds: totalLoss(best), held }
-}
-
-function slotsOf (victims: readonly Victim[], groups: ReadonlyArray<readonly WorkerSlot[]>): readonly WorkerSlot[] {
-  const slot = victims[0]?.slot
-  return groups.find(group => slot !== undefined && group.includes(slot)) ?? []
+  const { group, victims } = best
+  setReleased(victims, true)
+  const held = chooseWorkers(step, group, () => true, Infinity)
+  setReleased(victims, false)
+  return { runs: victims.map(({ run }) => run.assignment), lostCoreSeconds: totalLoss(victims), held }
 }
 
 /** Fits the tasks one by one, each where the least work is thrown away. */
--- a/packages/batch/src/reservation.ts
+++ b/packages/batch/src/reservation.ts
@@ -1,5 +1,5 @@
 /** Room held back for work that does not fit yet, so that smaller work does not keep it waiting for ever. */
-import { slotsByRack, type Eligibility } from './fitting.js'
+import { placementGroups, type Eligibility } from './fitting.js'
 import type { WorkerSlot } from './free-capacity.js'
 import type { WaitingStep } from './waiting-work.js'
 
@@ -20,10 +20,9 @@
   step: WaitingStep, taskCount: number, slots: readonly WorkerSlot[], isEligible: Eligibility
 ): number {
   const eligible = slots.filter(isEligible)
-  const groups = step.spec.isGang && step.spec.isSameRack ? [...slotsByRack(eligible).values()] : [eligible]
   let best: ExpectedStart[] = []
   let bestInMs = Infinity
-  for (const group of groups) {
+  for (const group of placementGroups(step, eligible)) {
     const starts = earliestStarts(step, taskCount, group)
     const inMs = starts.length < taskCount ? Infinity : starts.at(-1)?.inMs ?? Infinity
     if (inMs >= bestInMs) continue
--- a/packages/batch/test/scheduler.test.ts
+++ b/packages/batch/test/scheduler.test.ts
@@ -106,3 +106,12 @@
   fixture.submit('apart', [step({ taskCount: 6, maxTasksPerWorker: 2 })])
   t.deepEqual(beatAll().map(orders => orders.starts.length), [2, 2])
 })
+
+test('a same-rack gang that is wider than any rack runs over several racks', t => {
+  const { fixture, beatAll } = fleet(1)
+  fixture.beat('far', { rack: 'r2', labels: ['kind', 'r2'] })
+  fixture.submit('wide', [step({ taskCount: 2, isGang: true, isSameRack: true, shape: accelerators(8) })])
+  const starts = [...beatAll(), fixture.beat('far', { rack: 'r2', labels: ['kind', 'r2'] })]
+    .flatMap(orders => orders?.starts ?? [])
+  t.is(starts.length, 2)
+})
