Take room back for urgent work as soon as it is foreseeable that none will be free in time

Cause: urgent work waited until its estimated slack was 1.2 s before runs were stopped for it. The budget of 2,500 core-seconds was the same for one task as for a gang of twenty. Now ReclaimPolicy compares the expected start without stops with the slack left when the estimate is off by two, never throws away more than three times the step's own work (1,000 core-seconds at least), and waits 2 s into a term. Tests: three in scheduler.test.ts; the first two fail before, the third without the wait.

--- a/packages/batch/src/free-capacity.ts
+++ b/packages/batch/src/free-capacity.ts
@@ -161,16 +161,20 @@
     const { job, stepSpec: spec } = located
     const priority = state.directory?.at(job.queueAddress)?.priority ?? Infinity
     const elapsedMs = view.elapsedMs(assignment.taskKey, assignment.run, nowMs) ?? 0
-    const remainingMs = spec.isLasting ? Infinity : remainingOf(view, assignment, spec, elapsedMs)
-    runs.push({ assignment, spec, priority, isStopping: isStopping(assignment), elapsedMs, remainingMs })
+    const isLeaving = isStopping(assignment)
+    const remainingMs = isLeaving ? STOP_MS : remainingOf(view, assignment, spec, elapsedMs)
+    runs.push({ assignment, spec, priority, isStopping: isLeaving, elapsedMs, remainingMs })
   }
   return runs
 }
 
+/** Time until the end of a run that is told to stop is listed. */
+const STOP_MS = 300
 /** Progress from which it tells more of the end than the caller's estimate. */
 const TELLING_PERCENT = 10
 
 function remainingOf (view: WorkerView, { taskKey, run }: Assignment, spec: StepSpec, elapsedMs: number): number {
+  if (spec.isLasting) return Infinity
   const percent = view.rowOf(taskKey, run)?.percent ?? 0
   if (percent >= TELLING_PERCENT) return elapsedMs * (100 - percent) / percent
   return spec.estimateMs * (100 - percent) / 100
--- a/packages/batch/src/reservation.ts
+++ b/packages/batch/src/reservation.ts
@@ -8,29 +8,38 @@
   readonly inMs: number
 }
 
+/** Room that a step is expected to have, and when. */
+export interface Reservation {
+  readonly starts: readonly ExpectedStart[]
+  /** Time from now at which all tasks are expected to fit; `Infinity` where they never will. */
+  readonly inMs: number
+}
+
 /**
- * Reserves the workers on which the waiting tasks are expected to fit first; a same-rack gang gets one rack. Work that
- * is estimated to end before the room is needed may use it meanwhile (EASY backfilling).
+ * Finds the workers on which the waiting tasks are expected to fit first; a same-rack gang gets one rack.
  *
- * @returns the time from now at which all tasks are expected to fit; `Infinity` where they never will
  * @example
- * const startsInMs = reserveRoom(step, step.taskIndexes.length, slots, isEligible)
+ * const { inMs } = findReservation(step, slots, isEligible)
  */
-export function reserveRoom (
-  step: WaitingStep, taskCount: number, slots: readonly WorkerSlot[], isEligible: Eligibility
-): number {
+export function findReservation (
+  step: WaitingStep, slots: readonly WorkerSlot[], isEligible: Eligibility
+): Reservation {
   const eligible = slots.filter(isEligible)
-  let best: ExpectedStart[] = []
-  let bestInMs = Infinity
+  const taskCount = step.taskIndexes.length
+  let best: Reservation = { starts: [], inMs: Infinity }
   for (const group of placementGroups(step, eligible)) {
     const starts = earliestStarts(step, taskCount, group)
     const inMs = starts.length < taskCount ? Infinity : starts.at(-1)?.inMs ?? Infinity
-    if (inMs >= bestInMs) continue
-    best = starts
-    bestInMs = inMs
+    if (inMs < best.inMs) best = { starts, inMs }
   }
-  for (const { slot, inMs } of best) slot.reserve(step.spec, step.spec.isGang ? bestInMs : inMs)
-  return bestInMs
+  return best
+}
+
+/**
+ * Holds the room. Work that is estimated to end before the room is needed may use it meanwhile (EASY backfilling).
+ */
+export function reserve ({ spec }: WaitingStep, { starts, inMs }: Reservation): void {
+  for (const start of starts) start.slot.reserve(spec, spec.isGang ? inMs : start.inMs)
 }
 
 function earliestStarts (step: WaitingStep, taskCount: number, slots: readonly WorkerSlot[]): ExpectedStart[] {
--- a/packages/batch/src/scheduler.ts
+++ b/packages/batch/src/scheduler.ts
@@ -7,7 +7,8 @@
 import { taskKey } from './jobs.js'
 import type { WorkOrder } from './ranking.js'
 import { planReclaim } from './reclaim.js'
-import { reserveRoom } from './reservation.js'
+import { ObjectiveReclaim, type ReclaimPolicy } from './reclaim-policy.js'
+import { findReservation, reserve } from './reservation.js'
 import type { BatchSettings } from './settings.js'
 import { waitingSteps, type WaitingStep } from './waiting-work.js'
 import type { WorkerView } from './worker-view.js'
@@ -41,6 +42,7 @@
 interface Pass {
   readonly slots: readonly WorkerSlot[]
   readonly nowWallMs: number
+  readonly isFleetKnown: boolean
   readonly assignments: Assignment[]
   readonly reclaims: Reclaim[]
   readonly needPermission: WaitingStep[]
@@ -52,18 +54,25 @@
   readonly #settings: BatchSettings
   readonly #clock: Clock
   readonly #order: WorkOrder
+  readonly #reclaimPolicy: ReclaimPolicy
+  readonly #createdAtMs: number
 
   constructor (settings: BatchSettings, clock: Clock, order: WorkOrder) {
     this.#settings = settings
     this.#clock = clock
     this.#order = order
+    this.#createdAtMs = clock.monotonicMs()
+    this.#reclaimPolicy = new ObjectiveReclaim(settings)
   }
 
   /** Runs a pass; what it returns has no effect until the assignments are committed. */
   pass (state: BatchState, fleet: FleetView): PassDecision {
     const nowWallMs = this.#clock.wallMs()
     const slots = this.#slots(state, fleet)
-    const pass: Pass = { slots, nowWallMs, assignments: [], reclaims: [], needPermission: [], reservations: 0 }
+    const isFleetKnown = this.#clock.monotonicMs() - this.#createdAtMs >= this.#settings.fleetSettleMs
+    const pass: Pass = {
+      slots, nowWallMs, isFleetKnown, assignments: [], reclaims: [], needPermission: [], reservations: 0
+    }
     const steps = waitingSteps(state, this.#clock, this.#settings)
     steps.sort((left, right) => this.#order.compare(left, right, nowWallMs))
     for (const step of steps) this.#place(step, fleet, pass)
@@ -86,31 +95,27 @@
   }
 
   #waitOrReclaim (step: WaitingStep, isEligible: Eligibility, waitedMs: number, pass: Pass): void {
-    const budget = this.#reclaimBudget(step, waitedMs, pass.nowWallMs)
-    if (budget > 0 || step.isGuaranteed) {
-      const plan = planReclaim(step, pass.slots, isEligible)
-      if (plan !== undefined && plan.lostCoreSeconds <= budget) {
-        const { lostCoreSeconds } = plan
-        pass.reclaims.push(...plan.runs.map(run => ({ run, forStepKey: waitingKey(step), lostCoreSeconds })))
-        return
-      }
-      if (plan !== undefined) undo(step, plan.held)
-    }
+    const reservation = findReservation(step, pass.slots, isEligible)
+    const { nowWallMs, isFleetKnown } = pass
+    const situation = { waitedMs, nowWallMs, startsInMs: reservation.inMs, isFleetKnown }
+    const budget = this.#reclaimPolicy.budgetCoreSeconds(step, situation)
+    if (budget > 0 && this.#reclaim(step, isEligible, budget, pass)) return
     if (pass.reservations >= this.#settings.maxReservations) return
     pass.reservations++
-    reserveRoom(step, step.taskIndexes.length, pass.slots, isEligible)
+    reserve(step, reservation)
   }
 
-  /**
-   * Work that may be thrown away for a step: any once its guarantee is due, and for other urgent work as much as its
-   * objective is worth, while the objective can still be met.
-   */
-  #reclaimBudget (step: WaitingStep, waitedMs: number, nowWallMs: number): number {
-    const { reclaimMs, reclaimLeadMs, reclaimBudgetCoreSeconds, reclaimSlackMs } = this.#settings
-    if (step.isGuaranteed && waitedMs >= reclaimMs - reclaimLeadMs) return Infinity
-    if (step.priority > 0) return 0
-    const slackMs = step.objectiveWallMs - nowWallMs - step.remainingChainMs
-    return slackMs >= 0 && slackMs <= reclaimSlackMs ? reclaimBudgetCoreSeconds : 0
+  /** Returns whether the step has its room, some of it after stops. */
+  #reclaim (step: WaitingStep, isEligible: Eligibility, budget: number, pass: Pass): boolean {
+    const plan = planReclaim(step, pass.slots, isEligible)
+    if (plan === undefined) return false
+    const { runs, lostCoreSeconds, held } = plan
+    if (lostCoreSeconds > budget) {
+      undo(step, held)
+      return false
+    }
+    pass.reclaims.push(...runs.map(run => ({ run, forStepKey: waitingKey(step), lostCoreSeconds })))
+    return true
   }
 
   #slots (state: BatchState, fleet: FleetView): WorkerSlot[] {
--- a/packages/batch/src/settings.ts
+++ b/packages/batch/src/settings.ts
@@ -26,10 +26,12 @@
   readonly reclaimMs: number
   /** Time that stops and the start after them take, so that a reclaim begins this long before it is due. */
   readonly reclaimLeadMs: number
-  /** Urgent work with no more slack than this before its objective may take capacity back within the budget. */
-  readonly reclaimSlackMs: number
-  /** Core-seconds of others' work that may be thrown away for one step before its guarantee is due. */
-  readonly reclaimBudgetCoreSeconds: number
+  /** Time from the start of a term in which most workers have not been heard, so that full room may only seem so. */
+  readonly fleetSettleMs: number
+  /** Work of others that may be thrown away for an urgent step, as a multiple of its own. */
+  readonly reclaimWorkFactor: number
+  /** Core-seconds of others' work that may be thrown away for any urgent step. */
+  readonly leastReclaimBudgetCoreSeconds: number
   /** Waiting steps that room is held back for. */
   readonly maxReservations: number
   /** Interval between two scheduling passes at most. */
@@ -74,8 +76,9 @@
   inheritedRunGraceMs: 2_000,
   reclaimMs: 5_700,
   reclaimLeadMs: 2_200,
-  reclaimSlackMs: 1_200,
-  reclaimBudgetCoreSeconds: 2_500,
+  fleetSettleMs: 2_000,
+  reclaimWorkFactor: 3,
+  leastReclaimBudgetCoreSeconds: 1_000,
   maxReservations: 4,
   passIntervalMs: 20,
   dueMarginMs: 20,
--- a/packages/batch/src/waiting-work.ts
+++ b/packages/batch/src/waiting-work.ts
@@ -26,6 +26,8 @@
   readonly objectiveWallMs: number
   /** Estimated time from the start of this step to the end of the job. */
   readonly remainingChainMs: number
+  /** Part of the time until the objective that rests on the estimate of the run time, without the run itself. */
+  readonly stretchSlackMs: number
   readonly hasAdvicePolicy: boolean
   /** Urgent work that its organisation's guarantee covers. */
   readonly isGuaranteed: boolean
@@ -74,7 +76,8 @@
     const taskIndexes = waitingTasks(record, stepIndex, spec)
     if (taskIndexes.length === 0) return
     const startedWallMs = Math.max(job.acceptedWallMs, occurrenceDueMs(job.spec, occurrence))
-    const stretchMs = longestChainMs(job.spec) * (queue?.slackFactor ?? DEFAULT_SLACK_FACTOR)
+    const chainMs = longestChainMs(job.spec)
+    const stretchMs = chainMs * (queue?.slackFactor ?? DEFAULT_SLACK_FACTOR)
     const gangRun = Math.max(0, ...step.tasks.map(task => task.lastRun)) + 1
     waiting.push({
       job,
@@ -88,6 +91,7 @@
       startedWallMs,
       objectiveWallMs: startedWallMs + stretchMs + (queue?.targetLatencyMs ?? 0),
       remainingChainMs: chainFromMs(job.spec, stepIndex),
+      stretchSlackMs: stretchMs - chainMs,
       hasAdvicePolicy: queue?.advice !== undefined,
       isGuaranteed
     })
--- a/packages/batch/test/scheduler.test.ts
+++ b/packages/batch/test/scheduler.test.ts
@@ -87,6 +87,40 @@
   for (let waitedMs = 0; waitedMs < 6_000; waitedMs += 200) t.deepEqual(beatAll().flatMap(orders => orders.stops), [])
 })
 
+test('urgent work takes room back at once where none will be free in time (ferreyra-cuotas quiet-1)', t => {
+  const beatAll = burstBeyondGuarantee(4_000)
+  let waitedMs = 0
+  while (beatAll().every(orders => orders.stops.length === 0)) waitedMs += 200
+  t.true(waitedMs <= 400, `stopped after ${waitedMs} ms`)
+})
+
+test('urgent work waits for room that will be free in time, so that nothing is thrown away', t => {
+  const { fixture, beatAll } = fleet(1)
+  fixture.submit('ending', [step({ taskCount: 1, estimateMs: 1_500, shape: accelerators(8) })])
+  beatAll()
+  fixture.submit('urgent', [step({ taskCount: 1, estimateMs: 4_000, shape: accelerators(8) })], '/urgent/')
+  for (let waitedMs = 0; waitedMs < 1_000; waitedMs += 200) {
+    t.deepEqual(beatAll().flatMap(orders => orders.stops), [])
+  }
+})
+
+test('a new leader takes no room back before it has heard the fleet (kartli-yards trouble-1)', t => {
+  const { fixture, beatAll } = fleet(2)
+  fixture.submit('lent', [step({ taskCount: 1, estimateMs: 600_000, shape: accelerators(8) })])
+  beatAll()
+  beatAll()
+  fixture.changeLeader()
+  const holder = [...fixture.state.runsOf('w0')].length === 1 ? 'w0' : 'w1'
+  const running = [{ taskKey: 'lent.0.0.0', run: 1, checkpoint: '', percent: 1, usage: 0 }]
+  fixture.submit('urgent', [step({ taskCount: 1, estimateMs: 4_000, shape: accelerators(8) })], '/urgent/')
+  for (let waitedMs = 0; waitedMs < 1_000; waitedMs += 200) {
+    fixture.advance(200)
+    t.deepEqual(fixture.beat(holder, { running })?.stops, [])
+  }
+  const other = holder === 'w0' ? 'w1' : 'w0'
+  t.is(fixture.beat(other)?.starts.length, 1)
+})
+
 test('work far from its data waits for its rack for one run time, then goes elsewhere', t => {
   const { fixture, beatAll } = fleet(1)
   fixture.beat('far', { rack: 'r2', labels: ['kind', 'r2'], state: 'leaving' })
