Keep room that was freed for a step for that step

Cause: once stops were ordered for an urgent step, its expected start was near, so no further room was taken back for it and it had to reserve like any other; with four steps before it, or one with an earlier objective, others started in the freed room. Ruled out: slow stops (200 ms, listed 50 ms later). Test: scheduler.test.ts replays the theft; it fails before. Its fleet now lists a progress of 1 percent, so that estimates count as they do for long work, and is heard for 2 s first.

--- a/packages/batch/src/reclaim.ts
+++ b/packages/batch/src/reclaim.ts
@@ -34,11 +34,27 @@
   step: WaitingStep, slots: readonly WorkerSlot[], isEligible: Eligibility
 ): ReclaimPlan | undefined {
   const eligible = slots.filter(isEligible)
-  const stopping = eligible.flatMap(slot => slot.runs.filter(run => run.isStopping).map(run => ({ slot, run })))
+  return whileStoppingIsFree(eligible, () => holdFreed(step, eligible) ?? holdWithVictims(step, eligible))
+}
+
+/**
+ * Holds room of runs that are stopping, and free room, for a step.
+ *
+ * @returns whether it is enough for all waiting tasks
+ * @example
+ * if (holdFreedRoom(step, slots, isEligible)) return
+ */
+export function holdFreedRoom (step: WaitingStep, slots: readonly WorkerSlot[], isEligible: Eligibility): boolean {
+  const eligible = slots.filter(isEligible)
+  return whileStoppingIsFree(eligible, () => holdFreed(step, eligible)) !== undefined
+}
+
+function whileStoppingIsFree<T> (slots: readonly WorkerSlot[], plan: () => T): T {
+  const stopping = slots.flatMap(slot => slot.runs.filter(run => run.isStopping).map(run => ({ slot, run })))
   setReleased(stopping, true)
-  const plan = holdFreed(step, eligible) ?? holdWithVictims(step, eligible)
+  const result = plan()
   setReleased(stopping, false)
-  return plan
+  return result
 }
 
 function holdFreed (step: WaitingStep, eligible: readonly WorkerSlot[]): ReclaimPlan | undefined {
--- a/packages/batch/src/scheduler.ts
+++ b/packages/batch/src/scheduler.ts
@@ -6,7 +6,7 @@
 import { couldHold, occupyingRuns, WorkerSlot } from './free-capacity.js'
 import { taskKey } from './jobs.js'
 import type { WorkOrder } from './ranking.js'
-import { planReclaim } from './reclaim.js'
+import { holdFreedRoom, planReclaim } from './reclaim.js'
 import { ObjectiveReclaim, type ReclaimPolicy } from './reclaim-policy.js'
 import { findReservation, reserve } from './reservation.js'
 import type { BatchSettings } from './settings.js'
@@ -49,6 +49,9 @@
   reservations: number
 }
 
+/** Longest time from the order of stops until the step that they make room for has started. */
+const CLAIM_MS = 2_000
+
 /** Plans starts and stops from the replicated state and the leader's view of the workers. */
 export class BatchScheduler {
   readonly #settings: BatchSettings
@@ -56,6 +59,8 @@
   readonly #order: WorkOrder
   readonly #reclaimPolicy: ReclaimPolicy
   readonly #createdAtMs: number
+  /** Steps for which runs were stopped, with the end of their claim on the freed room. */
+  readonly #claims = new Map<string, number>()
 
   constructor (settings: BatchSettings, clock: Clock, order: WorkOrder) {
     this.#settings = settings
@@ -73,12 +78,24 @@
     const pass: Pass = {
       slots, nowWallMs, isFleetKnown, assignments: [], reclaims: [], needPermission: [], reservations: 0
     }
+    this.#dropOldClaims()
     const steps = waitingSteps(state, this.#clock, this.#settings)
-    steps.sort((left, right) => this.#order.compare(left, right, nowWallMs))
+    steps.sort((left, right) => this.#compare(left, right, nowWallMs))
     for (const step of steps) this.#place(step, fleet, pass)
     return pass
   }
 
+  /** Steps for which runs were stopped go first, so that nobody else takes the room that was freed for them. */
+  #compare (left: WaitingStep, right: WaitingStep, nowWallMs: number): number {
+    return Number(this.#claims.has(waitingKey(right))) - Number(this.#claims.has(waitingKey(left))) ||
+      this.#order.compare(left, right, nowWallMs)
+  }
+
+  #dropOldClaims (): void {
+    const nowMs = this.#clock.monotonicMs()
+    for (const [key, expiresAtMs] of this.#claims) if (expiresAtMs <= nowMs) this.#claims.delete(key)
+  }
+
   #place (step: WaitingStep, fleet: FleetView, pass: Pass): void {
     const permitted = step.hasAdvicePolicy ? fleet.permittedWorkers(waitingKey(step)) : undefined
     if (step.hasAdvicePolicy && permitted === undefined) {
@@ -95,6 +112,7 @@
   }
 
   #waitOrReclaim (step: WaitingStep, isEligible: Eligibility, waitedMs: number, pass: Pass): void {
+    if (this.#claims.has(waitingKey(step)) && holdFreedRoom(step, pass.slots, isEligible)) return
     const reservation = findReservation(step, pass.slots, isEligible)
     const { nowWallMs, isFleetKnown } = pass
     const situation = { waitedMs, nowWallMs, startsInMs: reservation.inMs, isFleetKnown }
@@ -114,6 +132,7 @@
       undo(step, held)
       return false
     }
+    if (runs.length > 0) this.#claims.set(waitingKey(step), this.#clock.monotonicMs() + CLAIM_MS)
     pass.reclaims.push(...runs.map(run => ({ run, forStepKey: waitingKey(step), lostCoreSeconds })))
     return true
   }
--- a/packages/batch/test/scheduler.test.ts
+++ b/packages/batch/test/scheduler.test.ts
@@ -17,11 +17,14 @@
       running.set(workerId, progressed)
       const orders = fixture.beat(workerId, { running: progressed })
       if (orders === undefined) return []
-      running.set(workerId, [...running.get(workerId) ?? [], ...rows(orders.starts)])
+      running.set(workerId, [...running.get(workerId) ?? [], ...rows(orders.starts, 1)])
       return [orders]
     })
   }
   beatAll()
+  // The leader has had time to hear the fleet.
+  fixture.advance(2_000)
+  beatAll()
   return { fixture, beatAll }
 }
 
@@ -104,6 +107,19 @@
   }
 })
 
+test('room that was freed for urgent work is not taken by work that comes later (ferreyra-cuotas scale-2)', t => {
+  const { fixture, beatAll } = fleet(1)
+  fixture.submit('lent', [step({ taskCount: 1, estimateMs: 600_000, shape: accelerators(8) })])
+  beatAll()
+  beatAll()
+  fixture.submit('first', [step({ taskCount: 1, estimateMs: 4_000, shape: accelerators(8) })], '/urgent/')
+  t.is(beatAll().flatMap(orders => orders.stops).length, 1)
+  fixture.submit('second', [step({ taskCount: 1, estimateMs: 1_000, shape: accelerators(8) })], '/urgent/')
+  fixture.advance(200)
+  const ends = [{ sequence: 1, taskKey: 'lent.0.0.0', run: 1, reason: 'stopped' as const, checkpoint: '' }]
+  t.deepEqual(fixture.beat('w0', { ends })?.starts.map(start => start.taskKey), ['first.0.0.0'])
+})
+
 test('a new leader takes no room back before it has heard the fleet (kartli-yards trouble-1)', t => {
   const { fixture, beatAll } = fleet(2)
   fixture.submit('lent', [step({ taskCount: 1, estimateMs: 600_000, shape: accelerators(8) })])
