Let a same-rack gang wait 2.5 s for a rack before it runs over several

Ruled out: waiting as long as spreading costs, since an idle fleet must start the job within seconds. WaitingStep has the time waited, so that placing, reserving and taking back agree on it. Test: the scheduler test now asks for a start between 2.5 and 5 s.

--- a/packages/batch/src/fitting.ts
+++ b/packages/batch/src/fitting.ts
@@ -17,26 +17,30 @@
  * what is chosen is taken from the slots.
  *
  * @example
- * const choices = chooseWorkers(step, slots, slot => slot.view.latest.service === step.job.service, 0)
+ * const choices = chooseWorkers(step, slots, slot => slot.view.latest.service === step.job.service)
  */
 export function chooseWorkers (
-  step: WaitingStep, slots: readonly WorkerSlot[], isEligible: Eligibility, waitedMs: number
+  step: WaitingStep, slots: readonly WorkerSlot[], isEligible: Eligibility
 ): TaskChoice[] {
-  const eligible = slots.filter(isEligible)
-  if (step.spec.isGang) return chooseGang(step, placementGroups(step, nearData(step, eligible, waitedMs)))
-  return chooseEach(step, nearData(step, eligible, waitedMs))
+  const near = preferredWorkers(step, slots, isEligible)
+  return step.spec.isGang ? chooseGang(step, placementGroups(step, near)) : chooseEach(step, near)
 }
 
+/** Time in which a worker that crashed is usually back. */
+const RACK_PATIENCE_MS = 2_500
+
 /**
  * Groups of workers of which one has to take all waiting tasks: racks for a same-rack gang, otherwise all workers. A
- * gang wider than any rack runs over several, slower, since it would never start otherwise.
+ * gang wider than any rack runs over several, since it would never start otherwise. That takes several times as long,
+ * so it first waits a while for lost workers to come back.
  */
 export function placementGroups (
   step: WaitingStep, eligible: readonly WorkerSlot[]
 ): ReadonlyArray<readonly WorkerSlot[]> {
   if (!step.spec.isGang || !step.spec.isSameRack) return [eligible]
   const racks = [...slotsByRack(eligible).values()].filter(slots => couldHoldAll(step, slots))
-  return racks.length > 0 ? racks : [eligible]
+  if (racks.length > 0) return racks
+  return step.waitedMs >= RACK_PATIENCE_MS ? [eligible] : []
 }
 
 /** Whether the workers could take all waiting tasks if they were empty. */
@@ -86,11 +90,15 @@
 }
 
 /**
- * Work away from its data takes several times as long, so it waits for its rack for as long as one run takes there.
+ * Workers that may run a step now. Work away from its data takes several times as long, so it waits for its rack for as
+ * long as one run takes there.
  */
-function nearData (step: WaitingStep, eligible: readonly WorkerSlot[], waitedMs: number): readonly WorkerSlot[] {
+export function preferredWorkers (
+  step: WaitingStep, slots: readonly WorkerSlot[], isEligible: Eligibility
+): readonly WorkerSlot[] {
+  const eligible = slots.filter(isEligible)
   const { dataRack, estimateMs } = step.spec
-  if (dataRack === '' || waitedMs > estimateMs) return eligible
+  if (dataRack === '' || step.waitedMs > estimateMs) return eligible
   const near = eligible.filter(slot => slot.view.latest.rack === dataRack)
   return near.length > 0 ? near : eligible
 }
--- a/packages/batch/src/reclaim-policy.ts
+++ b/packages/batch/src/reclaim-policy.ts
@@ -4,7 +4,6 @@
 
 /** What is known of a step that does not fit now. */
 export interface WaitingSituation {
-  readonly waitedMs: number
   readonly nowWallMs: number
   /** Time until its tasks are expected to fit without any stop. */
   readonly startsInMs: number
@@ -39,9 +38,9 @@
   }
 
   override budgetCoreSeconds (step: WaitingStep, situation: WaitingSituation): number {
-    const { waitedMs, nowWallMs, startsInMs, isFleetKnown } = situation
+    const { nowWallMs, startsInMs, isFleetKnown } = situation
     const { reclaimMs, reclaimLeadMs } = this.#settings
-    if (step.isGuaranteed && waitedMs >= reclaimMs - reclaimLeadMs) return Infinity
+    if (step.isGuaranteed && step.waitedMs >= reclaimMs - reclaimLeadMs) return Infinity
     if (step.priority > 0 || !isFleetKnown || startsInMs <= STOP_AND_START_MS) return 0
     const slackMs = step.objectiveWallMs - nowWallMs - step.remainingChainMs
     const leastSlackMs = slackMs - step.stretchSlackMs * (1 - 1 / ESTIMATE_ERROR_FACTOR)
--- a/packages/batch/src/reclaim.ts
+++ b/packages/batch/src/reclaim.ts
@@ -1,7 +1,7 @@
 /** Capacity taken back from lower priorities for urgent work within a guarantee. */
 import type { Assignment } from './commands.js'
 import type { OccupyingRun, WorkerSlot } from './free-capacity.js'
-import { chooseWorkers, placementGroups, undo, type Eligibility, type TaskChoice } from './fitting.js'
+import { chooseWorkers, placementGroups, preferredWorkers, undo, type Eligibility, type TaskChoice } from './fitting.js'
 import type { WaitingStep } from './waiting-work.js'
 
 interface Victim {
@@ -33,7 +33,7 @@
 export function planReclaim (
   step: WaitingStep, slots: readonly WorkerSlot[], isEligible: Eligibility
 ): ReclaimPlan | undefined {
-  const eligible = slots.filter(isEligible)
+  const eligible = preferredWorkers(step, slots, isEligible)
   return whileStoppingIsFree(eligible, () => holdFreed(step, eligible) ?? holdWithVictims(step, eligible))
 }
 
@@ -45,7 +45,7 @@
  * if (holdFreedRoom(step, slots, isEligible)) return
  */
 export function holdFreedRoom (step: WaitingStep, slots: readonly WorkerSlot[], isEligible: Eligibility): boolean {
-  const eligible = slots.filter(isEligible)
+  const eligible = preferredWorkers(step, slots, isEligible)
   return whileStoppingIsFree(eligible, () => holdFreed(step, eligible)) !== undefined
 }
 
@@ -58,7 +58,7 @@
 }
 
 function holdFreed (step: WaitingStep, eligible: readonly WorkerSlot[]): ReclaimPlan | undefined {
-  const choices = chooseWorkers(step, eligible, () => true, Infinity)
+  const choices = chooseWorkers(step, eligible, () => true)
   if (choices.length === step.taskIndexes.length) return { runs: [], lostCoreSeconds: 0, held: choices }
   undo(step, choices)
   return undefined
@@ -75,7 +75,7 @@
   if (best === undefined) return undefined
   const { group, victims } = best
   setReleased(victims, true)
-  const held = chooseWorkers(step, group, () => true, Infinity)
+  const held = chooseWorkers(step, group, () => true)
   setReleased(victims, false)
   return { runs: victims.map(({ run }) => run.assignment), lostCoreSeconds: totalLoss(victims), held }
 }
--- a/packages/batch/src/scheduler.ts
+++ b/packages/batch/src/scheduler.ts
@@ -103,19 +103,18 @@
       return
     }
     const isEligible: Eligibility = slot => mayRun(slot, step, permitted)
-    const waitedMs = pass.nowWallMs - step.startedWallMs
-    const choices = chooseWorkers(step, pass.slots, isEligible, waitedMs)
+    const choices = chooseWorkers(step, pass.slots, isEligible)
     pass.assignments.push(...choices.map(choice => toAssignment(step, choice)))
     const placed = new Set(choices.map(choice => choice.index))
     const rest = { ...step, taskIndexes: step.taskIndexes.filter(index => !placed.has(index)) }
-    if (rest.taskIndexes.length > 0) this.#waitOrReclaim(rest, isEligible, waitedMs, pass)
+    if (rest.taskIndexes.length > 0) this.#waitOrReclaim(rest, isEligible, pass)
   }
 
-  #waitOrReclaim (step: WaitingStep, isEligible: Eligibility, waitedMs: number, pass: Pass): void {
+  #waitOrReclaim (step: WaitingStep, isEligible: Eligibility, pass: Pass): void {
     if (this.#claims.has(waitingKey(step)) && holdFreedRoom(step, pass.slots, isEligible)) return
     const reservation = findReservation(step, pass.slots, isEligible)
     const { nowWallMs, isFleetKnown } = pass
-    const situation = { waitedMs, nowWallMs, startsInMs: reservation.inMs, isFleetKnown }
+    const situation = { nowWallMs, startsInMs: reservation.inMs, isFleetKnown }
     const budget = this.#reclaimPolicy.budgetCoreSeconds(step, situation)
     if (budget > 0 && this.#reclaim(step, isEligible, budget, pass)) return
     if (pass.reservations >= this.#settings.maxReservations) return
--- a/packages/batch/src/waiting-work.ts
+++ b/packages/batch/src/waiting-work.ts
@@ -22,6 +22,7 @@
   readonly priority: number
   /** Unix time from which the objective counts. */
   readonly startedWallMs: number
+  readonly waitedMs: number
   /** Unix time of the completion objective. */
   readonly objectiveWallMs: number
   /** Estimated time from the start of this step to the end of the job. */
@@ -46,20 +47,23 @@
  */
 export function waitingSteps (state: BatchState, clock: Clock, settings: BatchSettings): WaitingStep[] {
   const waiting: WaitingStep[] = []
-  const latestDueMs = clock.wallMs() - settings.dueMarginMs
+  const nowWallMs = clock.wallMs()
+  const latestDueMs = nowWallMs - settings.dueMarginMs
   const ledger = new GuaranteeLedger(state)
   for (const job of state.openJobs()) {
     const queue = state.directory?.at(job.queueAddress)
     const isGuaranteed = ledger.covers(job)
     job.occurrences.forEach((record, occurrence) => {
       if (occurrenceDueMs(job.spec, occurrence) > latestDueMs) return
-      collectSteps({ job, occurrence, record: record ?? createOccurrence(job.spec), queue, isGuaranteed }, waiting)
+      const open = { nowWallMs, job, occurrence, record: record ?? createOccurrence(job.spec), queue, isGuaranteed }
+      collectSteps(open, waiting)
     })
   }
   return waiting
 }
 
 interface OpenOccurrence {
+  readonly nowWallMs: number
   readonly job: JobRecord
   readonly occurrence: number
   readonly record: OccurrenceRecord
@@ -68,7 +72,7 @@
 }
 
 function collectSteps (open: OpenOccurrence, waiting: WaitingStep[]): void {
-  const { job, occurrence, record, queue, isGuaranteed } = open
+  const { nowWallMs, job, occurrence, record, queue, isGuaranteed } = open
   job.spec.steps.forEach((spec, stepIndex) => {
     const step = record.steps[stepIndex]
     if (step === undefined || isStepDone(step)) return
@@ -89,6 +93,7 @@
       failedOn: index => step.tasks[index]?.failedOn ?? [],
       priority: queue?.priority ?? LOWEST_PRIORITY,
       startedWallMs,
+      waitedMs: nowWallMs - startedWallMs,
       objectiveWallMs: startedWallMs + stretchMs + (queue?.targetLatencyMs ?? 0),
       remainingChainMs: chainFromMs(job.spec, stepIndex),
       stretchSlackMs: stretchMs - chainMs,
--- a/packages/batch/test/scheduler.test.ts
+++ b/packages/batch/test/scheduler.test.ts
@@ -157,11 +157,14 @@
   t.deepEqual(beatAll().map(orders => orders.starts.length), [2, 2])
 })
 
-test('a same-rack gang that is wider than any rack runs over several racks', t => {
+test('a same-rack gang that is wider than any rack waits for lost workers, then runs over several racks', t => {
   const { fixture, beatAll } = fleet(1)
-  fixture.beat('far', { rack: 'r2', labels: ['kind', 'r2'] })
-  fixture.submit('wide', [step({ taskCount: 2, isGang: true, isSameRack: true, shape: accelerators(8) })])
-  const starts = [...beatAll(), fixture.beat('far', { rack: 'r2', labels: ['kind', 'r2'] })]
+  const beatEach = () => [...beatAll(), fixture.beat('far', { rack: 'r2', labels: ['kind', 'r2'] })]
     .flatMap(orders => orders?.starts ?? [])
-  t.is(starts.length, 2)
+  beatEach()
+  fixture.submit('wide', [step({ taskCount: 2, isGang: true, isSameRack: true, shape: accelerators(8) })])
+  const submittedMs = fixture.clock.monotonicMs()
+  const waitedMs = (): number => fixture.clock.monotonicMs() - submittedMs
+  while (beatEach().length === 0 && waitedMs() < 10_000);
+  t.true(waitedMs() >= 2_500 && waitedMs() < 5_000, `started after ${waitedMs()} ms`)
 })
