Find the candidates of a step once a pass, end a pass after 64 steps that do not fit

Cause: each of placing, reserving and taking back filtered all workers again, expected starts were computed for every waiting step, and a pass over a long queue had no bound. A pass without waiting work no longer looks at workers. Steps that no worker could hold do not count against the 64.

--- a/packages/batch/src/fitting.ts
+++ b/packages/batch/src/fitting.ts
@@ -9,38 +9,49 @@
   readonly slot: WorkerSlot
 }
 
-/** Whether a worker may run a step at all. */
-export type Eligibility = (slot: WorkerSlot) => boolean
+/** Workers that may run a step now. */
+export interface Candidates {
+  readonly workers: readonly WorkerSlot[]
+  /** Groups of them of which one has to take all waiting tasks, where the step is a gang. */
+  readonly groups: ReadonlyArray<readonly WorkerSlot[]>
+}
+
+/** Time in which a worker that crashed is usually back. */
+const RACK_PATIENCE_MS = 2_500
 
 /**
- * Chooses workers for the waiting tasks: all members of a gang or none, of other steps as many as fit. The capacity of
- * what is chosen is taken from the slots.
+ * The candidates among the workers that could hold a task of the step.
  *
  * @example
- * const choices = chooseWorkers(step, slots, slot => slot.view.latest.service === step.job.service)
+ * const candidates = candidatesFor(step, slots.filter(slot => slot.view.latest.service === step.job.service))
  */
-export function chooseWorkers (
-  step: WaitingStep, slots: readonly WorkerSlot[], isEligible: Eligibility
-): TaskChoice[] {
-  const near = preferredWorkers(step, slots, isEligible)
-  return step.spec.isGang ? chooseGang(step, placementGroups(step, near)) : chooseEach(step, near)
+export function candidatesFor (step: WaitingStep, eligible: readonly WorkerSlot[]): Candidates {
+  const workers = nearData(step, eligible)
+  return { workers, groups: step.spec.isGang ? placementGroups(step, workers) : [workers] }
 }
 
-/** Time in which a worker that crashed is usually back. */
-const RACK_PATIENCE_MS = 2_500
+/** These workers and no others as candidates. */
+export function onlyCandidates (workers: readonly WorkerSlot[]): Candidates {
+  return { workers, groups: [workers] }
+}
 
 /**
- * Groups of workers of which one has to take all waiting tasks: racks for a same-rack gang, otherwise all workers. A
- * gang wider than any rack runs over several, since it would never start otherwise. That takes several times as long,
- * so it first waits a while for lost workers to come back.
+ * Chooses workers for the waiting tasks: all members of a gang or none, of other steps as many as fit. The capacity of
+ * what is chosen is taken from the slots.
+ */
+export function chooseWorkers (step: WaitingStep, { workers, groups }: Candidates): TaskChoice[] {
+  return step.spec.isGang ? chooseGang(step, groups) : chooseEach(step, workers)
+}
+
+/**
+ * Racks for a same-rack gang, otherwise all workers. A gang wider than any rack runs over several, since it would never
+ * start otherwise. That takes several times as long, so it first waits a while for lost workers to come back.
  */
-export function placementGroups (
-  step: WaitingStep, eligible: readonly WorkerSlot[]
-): ReadonlyArray<readonly WorkerSlot[]> {
-  if (!step.spec.isGang || !step.spec.isSameRack) return [eligible]
-  const racks = [...slotsByRack(eligible).values()].filter(slots => couldHoldAll(step, slots))
+function placementGroups (step: WaitingStep, workers: readonly WorkerSlot[]): ReadonlyArray<readonly WorkerSlot[]> {
+  if (!step.spec.isSameRack) return [workers]
+  const racks = [...slotsByRack(workers).values()].filter(slots => couldHoldAll(step, slots))
   if (racks.length > 0) return racks
-  return step.waitedMs >= RACK_PATIENCE_MS ? [eligible] : []
+  return step.waitedMs >= RACK_PATIENCE_MS ? [workers] : []
 }
 
 /** Whether the workers could take all waiting tasks if they were empty. */
@@ -89,14 +100,8 @@
   return best
 }
 
-/**
- * Workers that may run a step now. Work away from its data takes several times as long, so it waits for its rack for as
- * long as one run takes there.
- */
-export function preferredWorkers (
-  step: WaitingStep, slots: readonly WorkerSlot[], isEligible: Eligibility
-): readonly WorkerSlot[] {
-  const eligible = slots.filter(isEligible)
+/** Work away from its data takes several times as long, so it waits for its rack for as long as one run takes there. */
+function nearData (step: WaitingStep, eligible: readonly WorkerSlot[]): readonly WorkerSlot[] {
   const { dataRack, estimateMs } = step.spec
   if (dataRack === '' || step.waitedMs > estimateMs) return eligible
   const near = eligible.filter(slot => slot.view.latest.rack === dataRack)
--- a/packages/batch/src/reclaim-policy.ts
+++ b/packages/batch/src/reclaim-policy.ts
@@ -13,6 +13,9 @@
 
 /** Decides on the work that may be thrown away for a step; a policy that varies. */
 export abstract class ReclaimPolicy {
+  /** Whether there may be such work at all, whatever the situation. */
+  abstract mayReclaim (step: WaitingStep): boolean
+
   /** Core-seconds that may be thrown away now; 0 where the step waits. */
   abstract budgetCoreSeconds (step: WaitingStep, situation: WaitingSituation): number
 }
@@ -37,6 +40,10 @@
     this.#settings = settings
   }
 
+  override mayReclaim (step: WaitingStep): boolean {
+    return step.priority === 0
+  }
+
   override budgetCoreSeconds (step: WaitingStep, situation: WaitingSituation): number {
     const { nowWallMs, startsInMs, isFleetKnown } = situation
     const { reclaimMs, reclaimLeadMs } = this.#settings
--- a/packages/batch/src/reclaim.ts
+++ b/packages/batch/src/reclaim.ts
@@ -1,7 +1,7 @@
 /** Capacity taken back from lower priorities for urgent work within a guarantee. */
 import type { Assignment } from './commands.js'
 import type { OccupyingRun, WorkerSlot } from './free-capacity.js'
-import { chooseWorkers, placementGroups, preferredWorkers, undo, type Eligibility, type TaskChoice } from './fitting.js'
+import { chooseWorkers, onlyCandidates, undo, type Candidates, type TaskChoice } from './fitting.js'
 import type { WaitingStep } from './waiting-work.js'
 
 interface Victim {
@@ -28,13 +28,10 @@
  *
  * @returns undefined where stops do not make enough room
  * @example
- * const plan = planReclaim(step, slots, slot => slot.view.latest.service === 'print')
+ * const plan = planReclaim(step, candidatesFor(step, slots))
  */
-export function planReclaim (
-  step: WaitingStep, slots: readonly WorkerSlot[], isEligible: Eligibility
-): ReclaimPlan | undefined {
-  const eligible = preferredWorkers(step, slots, isEligible)
-  return whileStoppingIsFree(eligible, () => holdFreed(step, eligible) ?? holdWithVictims(step, eligible))
+export function planReclaim (step: WaitingStep, candidates: Candidates): ReclaimPlan | undefined {
+  return whileStoppingIsFree(candidates, () => holdFreed(step, candidates) ?? holdWithVictims(step, candidates))
 }
 
 /**
@@ -42,32 +39,31 @@
  *
  * @returns whether it is enough for all waiting tasks
  * @example
- * if (holdFreedRoom(step, slots, isEligible)) return
+ * if (holdFreedRoom(step, candidates)) return
  */
-export function holdFreedRoom (step: WaitingStep, slots: readonly WorkerSlot[], isEligible: Eligibility): boolean {
-  const eligible = preferredWorkers(step, slots, isEligible)
-  return whileStoppingIsFree(eligible, () => holdFreed(step, eligible)) !== undefined
+export function holdFreedRoom (step: WaitingStep, candidates: Candidates): boolean {
+  return whileStoppingIsFree(candidates, () => holdFreed(step, candidates)) !== undefined
 }
 
-function whileStoppingIsFree<T> (slots: readonly WorkerSlot[], plan: () => T): T {
-  const stopping = slots.flatMap(slot => slot.runs.filter(run => run.isStopping).map(run => ({ slot, run })))
+function whileStoppingIsFree<T> ({ workers }: Candidates, plan: () => T): T {
+  const stopping = workers.flatMap(slot => slot.runs.filter(run => run.isStopping).map(run => ({ slot, run })))
   setReleased(stopping, true)
   const result = plan()
   setReleased(stopping, false)
   return result
 }
 
-function holdFreed (step: WaitingStep, eligible: readonly WorkerSlot[]): ReclaimPlan | undefined {
-  const choices = chooseWorkers(step, eligible, () => true)
+function holdFreed (step: WaitingStep, candidates: Candidates): ReclaimPlan | undefined {
+  const choices = chooseWorkers(step, candidates)
   if (choices.length === step.taskIndexes.length) return { runs: [], lostCoreSeconds: 0, held: choices }
   undo(step, choices)
   return undefined
 }
 
 /** The group of workers in which the stops cost least. */
-function holdWithVictims (step: WaitingStep, eligible: readonly WorkerSlot[]): ReclaimPlan | undefined {
+function holdWithVictims (step: WaitingStep, { groups }: Candidates): ReclaimPlan | undefined {
   let best: { readonly group: readonly WorkerSlot[], readonly victims: Victim[] } | undefined
-  for (const group of placementGroups(step, eligible)) {
+  for (const group of groups) {
     const victims = cheapestVictims(step, group)
     if (victims === undefined) continue
     if (best === undefined || totalLoss(victims) < totalLoss(best.victims)) best = { group, victims }
@@ -75,7 +71,7 @@
   if (best === undefined) return undefined
   const { group, victims } = best
   setReleased(victims, true)
-  const held = chooseWorkers(step, group, () => true)
+  const held = chooseWorkers(step, onlyCandidates(group))
   setReleased(victims, false)
   return { runs: victims.map(({ run }) => run.assignment), lostCoreSeconds: totalLoss(victims), held }
 }
--- a/packages/batch/src/reservation.ts
+++ b/packages/batch/src/reservation.ts
@@ -1,5 +1,5 @@
 /** Room held back for work that does not fit yet, so that smaller work does not keep it waiting for ever. */
-import { placementGroups, type Eligibility } from './fitting.js'
+import type { Candidates } from './fitting.js'
 import type { WorkerSlot } from './free-capacity.js'
 import type { WaitingStep } from './waiting-work.js'
 
@@ -19,15 +19,12 @@
  * Finds the workers on which the waiting tasks are expected to fit first; a same-rack gang gets one rack.
  *
  * @example
- * const { inMs } = findReservation(step, slots, isEligible)
+ * const { inMs } = findReservation(step, candidates)
  */
-export function findReservation (
-  step: WaitingStep, slots: readonly WorkerSlot[], isEligible: Eligibility
-): Reservation {
-  const eligible = slots.filter(isEligible)
+export function findReservation (step: WaitingStep, { groups }: Candidates): Reservation {
   const taskCount = step.taskIndexes.length
   let best: Reservation = { starts: [], inMs: Infinity }
-  for (const group of placementGroups(step, eligible)) {
+  for (const group of groups) {
     const starts = earliestStarts(step, taskCount, group)
     const inMs = starts.length < taskCount ? Infinity : starts.at(-1)?.inMs ?? Infinity
     if (inMs < best.inMs) best = { starts, inMs }
--- a/packages/batch/src/scheduler.ts
+++ b/packages/batch/src/scheduler.ts
@@ -2,7 +2,7 @@
 import type { Clock } from '@comfreygrade/core'
 import type { BatchState } from './batch-state.js'
 import type { Assignment } from './commands.js'
-import { chooseWorkers, undo, waitingKey, type Eligibility, type TaskChoice } from './fitting.js'
+import { candidatesFor, chooseWorkers, undo, waitingKey, type Candidates, type TaskChoice } from './fitting.js'
 import { couldHold, occupyingRuns, WorkerSlot } from './free-capacity.js'
 import { taskKey } from './jobs.js'
 import type { WorkOrder } from './ranking.js'
@@ -47,8 +47,12 @@
   readonly reclaims: Reclaim[]
   readonly needPermission: WaitingStep[]
   reservations: number
+  /** Steps that did not fit. */
+  vainTrials: number
 }
 
+/** Steps that do not fit are tried up to this number, so that a pass over a long queue stays short. */
+const MAX_VAIN_TRIALS = 64
 /** Longest time from the order of stops until the step that they make room for has started. */
 const CLAIM_MS = 2_000
 
@@ -73,15 +77,18 @@
   /** Runs a pass; what it returns has no effect until the assignments are committed. */
   pass (state: BatchState, fleet: FleetView): PassDecision {
     const nowWallMs = this.#clock.wallMs()
-    const slots = this.#slots(state, fleet)
+    this.#dropOldClaims()
+    const steps = waitingSteps(state, this.#clock, this.#settings)
+    const slots = steps.length === 0 ? [] : this.#slots(state, fleet)
     const isFleetKnown = this.#clock.monotonicMs() - this.#createdAtMs >= this.#settings.fleetSettleMs
     const pass: Pass = {
-      slots, nowWallMs, isFleetKnown, assignments: [], reclaims: [], needPermission: [], reservations: 0
+      slots, nowWallMs, isFleetKnown, assignments: [], reclaims: [], needPermission: [], reservations: 0, vainTrials: 0
     }
-    this.#dropOldClaims()
-    const steps = waitingSteps(state, this.#clock, this.#settings)
     steps.sort((left, right) => this.#compare(left, right, nowWallMs))
-    for (const step of steps) this.#place(step, fleet, pass)
+    for (const step of steps) {
+      if (pass.vainTrials >= MAX_VAIN_TRIALS) break
+      this.#place(step, fleet, pass)
+    }
     return pass
   }
 
@@ -102,29 +109,34 @@
       pass.needPermission.push(step)
       return
     }
-    const isEligible: Eligibility = slot => mayRun(slot, step, permitted)
-    const choices = chooseWorkers(step, pass.slots, isEligible)
+    const eligible = pass.slots.filter(slot => mayRun(slot, step, permitted))
+    if (eligible.length === 0) return
+    const candidates = candidatesFor(step, eligible)
+    const choices = chooseWorkers(step, candidates)
     pass.assignments.push(...choices.map(choice => toAssignment(step, choice)))
     const placed = new Set(choices.map(choice => choice.index))
     const rest = { ...step, taskIndexes: step.taskIndexes.filter(index => !placed.has(index)) }
-    if (rest.taskIndexes.length > 0) this.#waitOrReclaim(rest, isEligible, pass)
+    if (rest.taskIndexes.length > 0) this.#waitOrReclaim(rest, candidates, pass)
   }
 
-  #waitOrReclaim (step: WaitingStep, isEligible: Eligibility, pass: Pass): void {
-    if (this.#claims.has(waitingKey(step)) && holdFreedRoom(step, pass.slots, isEligible)) return
-    const reservation = findReservation(step, pass.slots, isEligible)
+  #waitOrReclaim (step: WaitingStep, candidates: Candidates, pass: Pass): void {
+    pass.vainTrials++
+    if (this.#claims.has(waitingKey(step)) && holdFreedRoom(step, candidates)) return
+    const mayReserve = pass.reservations < this.#settings.maxReservations
+    if (!mayReserve && !this.#reclaimPolicy.mayReclaim(step)) return
+    const reservation = findReservation(step, candidates)
     const { nowWallMs, isFleetKnown } = pass
     const situation = { nowWallMs, startsInMs: reservation.inMs, isFleetKnown }
     const budget = this.#reclaimPolicy.budgetCoreSeconds(step, situation)
-    if (budget > 0 && this.#reclaim(step, isEligible, budget, pass)) return
-    if (pass.reservations >= this.#settings.maxReservations) return
+    if (budget > 0 && this.#reclaim(step, candidates, budget, pass)) return
+    if (!mayReserve) return
     pass.reservations++
     reserve(step, reservation)
   }
 
   /** Returns whether the step has its room, some of it after stops. */
-  #reclaim (step: WaitingStep, isEligible: Eligibility, budget: number, pass: Pass): boolean {
-    const plan = planReclaim(step, pass.slots, isEligible)
+  #reclaim (step: WaitingStep, candidates: Candidates, budget: number, pass: Pass): boolean {
+    const plan = planReclaim(step, candidates)
     if (plan === undefined) return false
     const { runs, lostCoreSeconds, held } = plan
     if (lostCoreSeconds > budget) {
