Let heartbeats of idle workers wait for work, and bound heartbeats by the size of the fleet

Now the answer to a worker without runs and ends waits up to 600 ms for work, all workers together send 3,000 heartbeats a second at most, and passes take a fourth of the leader's time at most. ReportDesk decides when a heartbeat is answered. A worker with runs is answered as before, since it lists an end only after the outstanding answer. The fixture of the other tests answers idle workers at once, as before.

--- a/packages/batch/src/batch-state.ts
+++ b/packages/batch/src/batch-state.ts
@@ -119,6 +119,11 @@
     return this.#runs.get(workerId)?.values() ?? []
   }
 
+  /** Whether any run may be on a worker. */
+  hasRuns (workerId: string): boolean {
+    return this.#runs.has(workerId)
+  }
+
   /** Workers that may have runs. */
   workersWithRuns (): Iterable<string> {
     return this.#runs.keys()
--- a/packages/batch/src/leader.ts
+++ b/packages/batch/src/leader.ts
@@ -11,6 +11,7 @@
 import type { BatchOperation, BatchResult } from './operations.js'
 import { OrderBook } from './order-book.js'
 import { ObjectiveOrder } from './ranking.js'
+import { ReportDesk } from './report-desk.js'
 import { BatchScheduler, type Reclaim } from './scheduler.js'
 import type { BatchSettings } from './settings.js'
 import type { WaitingStep } from './waiting-work.js'
@@ -52,13 +53,8 @@
   readonly log: EventLog
 }
 
-/** A heartbeat that waits for its answer. */
-interface OpenReport {
-  readonly requestId: string
-  readonly report: WorkerReport
-  readonly receivedAtMs: number
-}
-
+/** Passes take at most one part in this number of the leader's time, so that heartbeats are answered in time. */
+const PASS_TIME_FACTOR = 4
 /** Interval of the checks of silent, leaving and stalled workers and of maintenance. */
 const FLEET_CHECK_MS = 100
 
@@ -77,7 +73,7 @@
   readonly #scheduler: BatchScheduler
   readonly #maintenance: MaintenancePlanner
   readonly #operations: OperationHandler
-  readonly #openReports = new Map<string, OpenReport>()
+  readonly #reports: ReportDesk
   readonly #proposals = new Map<string, (outcome: ProposalOutcome) => void>()
   /** Workers with commands under way, whose heartbeats are answered after these. */
   readonly #busyWorkers = new Map<string, number>()
@@ -87,7 +83,7 @@
   #proposalCount = 0
   #isAssigning = false
   #isPassDue = true
-  #lastPassMs = -Infinity
+  #nextPassMs = -Infinity
   #lastFleetCheckMs = -Infinity
 
   constructor (options: BatchLeaderOptions) {
@@ -95,6 +91,12 @@
     this.#options = options
     this.#workers = new WorkerTable(state, settings, clock, log)
     this.#advice = new AdviceBook(clock)
+    this.#reports = new ReportDesk({
+      settings,
+      clock,
+      isBusy: workerId => this.#busyWorkers.has(workerId),
+      isPassPending: () => this.#isPassDue || this.#isAssigning
+    })
     this.#orders = new OrderBook({ state, settings, clock, advice: this.#advice, fencingToken: options.term })
     this.#scheduler = new BatchScheduler(settings, clock, new ObjectiveOrder())
     this.#operations = new OperationHandler({
@@ -143,12 +145,11 @@
     }
     const { view } = reception
     if (reception.isNew) this.#isPassDue = true
-    const earlier = this.#openReports.get(report.workerId)
-    if (earlier !== undefined) this.#effects.push({ kind: 'reply_worker', requestId: earlier.requestId, orders: undefined })
-    this.#openReports.set(report.workerId, { requestId, report, receivedAtMs: nowMs })
     this.#checkLease(view)
     if (view.leaseCertainty !== 'uncertain') this.#recordEnds(report)
     this.#releaseAbsent(report)
+    const earlier = this.#reports.take({ requestId, report, receivedAtMs: nowMs }, this.#isIdle(view))
+    if (earlier !== undefined) this.#effects.push({ kind: 'reply_worker', requestId: earlier.requestId, orders: undefined })
   }
 
   /** What ended before a lapse does not count, so its runs are freed before the ends are recorded. */
@@ -226,21 +227,25 @@
     this.#proposeFor(workerId, { kind: 'worker_gone', life, checkpoints }, () => { this.#isPassDue = true })
   }
 
+  /** A worker with nothing to run, end or be told, whose next end cannot be held up by a wait. */
+  #isIdle ({ latest }: WorkerView): boolean {
+    return latest.state === 'active' && latest.running.length === 0 && latest.ends.length === 0 &&
+      !this.#busyWorkers.has(latest.workerId) && !this.#options.state.hasRuns(latest.workerId)
+  }
+
   #answerReports (): void {
-    const nowMs = this.#options.clock.monotonicMs()
-    for (const [workerId, open] of this.#openReports) {
-      if (nowMs - open.receivedAtMs < this.#holdMs(workerId)) continue
-      this.#openReports.delete(workerId)
-      const view = this.#workers.viewOf(open.report)
-      this.#effects.push({ kind: 'reply_worker', requestId: open.requestId, orders: this.#orders.ordersFor(view) })
+    for (const { requestId, report } of this.#reports.takeDue()) {
+      const view = this.#workers.viewOf(report)
+      const orders = { ...this.#orders.ordersFor(view), nextReportMs: this.#nextReportMs(view) }
+      this.#effects.push({ kind: 'reply_worker', requestId, orders })
     }
   }
 
-  /** An answer waits for the worker's own commands, and a little for a pass that is due, which may give it work. */
-  #holdMs (workerId: string): number {
-    const { maxReportHoldMs, maxPassHoldMs } = this.#options.settings
-    if ((this.#busyWorkers.get(workerId) ?? 0) > 0) return maxReportHoldMs
-    return this.#isPassDue || this.#isAssigning ? maxPassHoldMs : 0
+  /** The interval grows with the fleet, so that heartbeats take a bounded share of the leader's processor. */
+  #nextReportMs (view: WorkerView): number {
+    const { nextReportMs, nextIdleReportMs, maxReportsPerSecond } = this.#options.settings
+    const leastMs = this.#isIdle(view) ? nextIdleReportMs : nextReportMs
+    return Math.max(leastMs, Math.round(this.#workers.count * 1_000 / maxReportsPerSecond))
   }
 
   // Scheduling
@@ -248,9 +253,8 @@
   #passIfDue (): void {
     const nowMs = this.#options.clock.monotonicMs()
     if (!this.#isPassDue || this.#isAssigning) return
-    if (nowMs - this.#lastPassMs < this.#options.settings.passIntervalMs) return
+    if (nowMs < this.#nextPassMs) return
     this.#isPassDue = false
-    this.#lastPassMs = nowMs
     const decision = this.#scheduler.pass(this.#options.state, {
       views: this.#workers.views(),
       isUsable: view => this.#workers.isUsable(view) && !this.#maintenance.isCordoned(view),
@@ -260,6 +264,8 @@
     for (const step of decision.needPermission) this.#askAdvice(step)
     for (const reclaim of decision.reclaims) this.#reclaim(reclaim)
     this.#assign(decision.assignments)
+    const tookMs = this.#options.clock.monotonicMs() - nowMs
+    this.#nextPassMs = nowMs + Math.max(this.#options.settings.passIntervalMs, tookMs * PASS_TIME_FACTOR)
   }
 
   #reclaim ({ run, forStepKey, lostCoreSeconds }: Reclaim): void {
@@ -279,7 +285,10 @@
     this.#propose({ kind: 'assign', assignments }, outcome => {
       this.#isAssigning = false
       this.#isPassDue = true
-      for (const workerId of workerIds) this.#markBusy(workerId, -1)
+      for (const workerId of workerIds) {
+        this.#markBusy(workerId, -1)
+        this.#reports.wake(workerId)
+      }
       if (outcome.kind === 'rejected') return
       for (const assignment of assignments) this.#assigned(assignment)
     })
--- a/packages/batch/src/order-book.ts
+++ b/packages/batch/src/order-book.ts
@@ -76,7 +76,7 @@
   }
 
   /** The answer to the latest heartbeat of a worker. */
-  ordersFor (view: WorkerView): WorkerOrders {
+  ordersFor (view: WorkerView): Omit<WorkerOrders, 'nextReportMs'> {
     const { state, settings, fencingToken } = this.#options
     const { latest } = view
     const isExtended = view.leaseCertainty !== 'uncertain'
@@ -87,8 +87,7 @@
       fencingToken,
       starts: isExtended ? this.#starts(view) : [],
       stops: this.#stops(view),
-      paces: this.#pacing.ordersFor(view),
-      nextReportMs: settings.nextReportMs
+      paces: this.#pacing.ordersFor(view)
     }
   }
 
--- a/packages/batch/src/settings.ts
+++ b/packages/batch/src/settings.ts
@@ -16,8 +16,14 @@
   readonly maxReportHoldMs: number
   /** A heartbeat waits this long for a scheduling pass that is due. */
   readonly maxPassHoldMs: number
+  /** A heartbeat of a worker without work waits this long for work, below the worker's limit. */
+  readonly maxIdleHoldMs: number
   /** Wait that a worker keeps before its next heartbeat. */
   readonly nextReportMs: number
+  /** The same for a worker without work, whose heartbeat then waits for work. */
+  readonly nextIdleReportMs: number
+  /** Heartbeats that the leader takes from all workers; the wait grows where there are many. */
+  readonly maxReportsPerSecond: number
   /** A worker that has been silent for this long gets no new runs. */
   readonly silentAfterMs: number
   /** Time from the start of a term until an absent run of an earlier term is believed to be absent. */
@@ -71,7 +77,10 @@
   clockDriftPerReportMs: 1,
   maxReportHoldMs: 600,
   maxPassHoldMs: 60,
+  maxIdleHoldMs: 600,
   nextReportMs: 200,
+  nextIdleReportMs: 50,
+  maxReportsPerSecond: 3_000,
   silentAfterMs: 2_500,
   inheritedRunGraceMs: 2_000,
   reclaimMs: 5_700,
--- a/packages/batch/test/leader-fixture.ts
+++ b/packages/batch/test/leader-fixture.ts
@@ -1,8 +1,8 @@
 /** A leader whose proposals commit at once, for tests of its decisions. */
 import { ManualClock, NullEventLog, NullMetrics } from '@comfreygrade/core'
 import {
-  BatchLeader, BatchState, defaultBatchSettings, type BatchOperation, type BatchResult, type LeaderEffect,
-  type LeaderEvent, type MaintenanceCall, type WorkerOrders, type WorkerReport
+  BatchLeader, BatchState, defaultBatchSettings, type BatchOperation, type BatchResult, type BatchSettings,
+  type LeaderEffect, type LeaderEvent, type MaintenanceCall, type WorkerOrders, type WorkerReport
 } from '../src/index.js'
 import { document, HOST, KEY, report } from './fixture.js'
 import type { StepSpec } from '../src/index.js'
@@ -24,10 +24,13 @@
   readonly proposed: Array<Extract<LeaderEffect, { kind: 'propose' }>> = []
   readonly #results = new Map<string, BatchResult>()
   readonly #orders = new Map<string, WorkerOrders | undefined>()
+  readonly #settings: BatchSettings
   #term = 1
   #requests = 0
 
-  constructor (first = document()) {
+  /** Idle workers are answered as soon as others, unless a test is about their wait. */
+  constructor (first = document(), settings: Partial<BatchSettings> = { maxIdleHoldMs: HOLD_MS }) {
+    this.#settings = { ...defaultBatchSettings, ...settings }
     this.state.apply({ kind: 'put_configuration', document: first }, 0)
     this.leader = this.#createLeader()
   }
@@ -57,15 +60,25 @@
 
   /** Sends a heartbeat; its clock and number follow this fixture's clock. */
   beat (workerId: string, fields: Partial<WorkerReport> = {}): WorkerOrders | undefined {
-    const requestId = `r${++this.#requests}`
     const now = this.clock.monotonicMs()
-    const heartbeat = report(workerId, { clockMs: now, sequence: Math.round(now), ...fields })
-    this.tell({ kind: 'report', requestId, report: heartbeat })
+    const requestId = this.send(report(workerId, { clockMs: now, sequence: Math.round(now), ...fields }))
     this.advance(PASS_MS)
     this.advance(HOLD_MS)
     return this.#orders.get(requestId)
   }
 
+  /** Sends a heartbeat and does not wait for its answer, which `answerTo` has later. */
+  send (heartbeat: WorkerReport): string {
+    const requestId = `r${++this.#requests}`
+    this.tell({ kind: 'report', requestId, report: heartbeat })
+    return requestId
+  }
+
+  /** Orders that a heartbeat was answered with; undefined while it waits. */
+  answerTo (requestId: string): WorkerOrders | undefined {
+    return this.#orders.get(requestId)
+  }
+
   /** Lets time pass and ticks. */
   advance (elapsedMs: number): void {
     this.clock.advance(elapsedMs)
@@ -81,7 +94,7 @@
     return new BatchLeader({
       term: this.#term,
       state,
-      settings: defaultBatchSettings,
+      settings: this.#settings,
       clock,
       metrics: new NullMetrics(),
       log: new NullEventLog()
--- a/packages/bench/src/batch-worker.ts
+++ b/packages/bench/src/batch-worker.ts
@@ -22,6 +22,7 @@
   abstract ended (worker: SimulatedWorker, run: SimulatedRun, reason: EndReason, atMs: number): void
 }
 
+/** Pause after an answer without orders. */
 const HEARTBEAT_MS = 200
 const AFTER_END_MS = 50
 const STOP_MS = 200
@@ -95,7 +96,7 @@
   /** Carries out the answer to a heartbeat. */
   obey (orders: WorkerOrders | undefined, nowMs: number): void {
     this.#isWaiting = false
-    this.#nextHeartbeatMs = nowMs + HEARTBEAT_MS
+    this.#nextHeartbeatMs = nowMs + (orders?.nextReportMs ?? HEARTBEAT_MS)
     if (orders === undefined) return
     this.#ends = this.#ends.filter(end => end.sequence > orders.recordedEndSequence)
     for (const { taskKey } of orders.stops) {
