--- a/packages/batch/src/evacuation.ts
+++ b/packages/batch/src/evacuation.ts
@@ -12,6 +12,12 @@
 export interface Evacuation {
   readonly run: Assignment
   readonly reason: EvacuationReason
+  /** Time without progress of a stalled run, and progress at its last change. */
+  readonly unchangedMs?: number
+  readonly percent?: number
+  /** Expected time to its end, and what is left of a leaving worker's time. */
+  readonly remainingMs?: number
+  readonly workerRemainingMs?: number
 }
 
 /**
@@ -28,12 +34,18 @@
   // Most workers have nothing that stands still, and looking at every run of a large fleet is costly.
   if (!isLeaving && view.runsUnchangedSince(nowMs - settings.stalledAfterMs).length === 0) return []
   const runs = occupyingRuns(state, view, () => false, nowMs)
-  if (isLeaving) {
-    return runs.filter(run => mustMove(run, view.latest.remainingMs, settings))
-      .map(({ assignment }) => ({ run: assignment, reason: 'worker_leaving' }))
-  }
-  return runs.filter(run => isStalled(run, view, settings, nowMs))
-    .map(({ assignment }) => ({ run: assignment, reason: 'stalled' }))
+  if (isLeaving) return runs.filter(run => mustMove(run, view.latest.remainingMs, settings)).map(run => leaving(run, view))
+  return runs.filter(run => isStalled(run, view, settings, nowMs)).map(run => stalled(run, view, nowMs))
+}
+
+function leaving ({ assignment, remainingMs }: OccupyingRun, view: WorkerView): Evacuation {
+  return { run: assignment, reason: 'worker_leaving', remainingMs, workerRemainingMs: view.latest.remainingMs }
+}
+
+function stalled ({ assignment }: OccupyingRun, view: WorkerView, nowMs: number): Evacuation {
+  const { taskKey, run } = assignment
+  const unchangedMs = view.unchangedMs(taskKey, run, nowMs)
+  return { run: assignment, reason: 'stalled', unchangedMs, percent: view.rowOf(taskKey, run)?.percent }
 }
 
 function mustMove (run: OccupyingRun, timeLeftMs: number | undefined, settings: BatchSettings): boolean {
--- a/packages/batch/src/leader.ts
+++ b/packages/batch/src/leader.ts
@@ -353,9 +353,10 @@
   #evacuate (): void {
     const { state, settings, clock, log } = this.#options
     for (const view of this.#workers.views()) {
-      for (const { run, reason } of planEvacuation(state, view, settings, clock.monotonicMs())) {
+      for (const { run, ...inputs } of planEvacuation(state, view, settings, clock.monotonicMs())) {
         if (this.#orders.isStopping(run)) continue
-        log.info('run is taken off its worker', { taskKey: run.taskKey, run: run.run, workerId: run.workerId, reason })
+        const { taskKey, workerId } = run
+        log.info('run is taken off its worker', { taskKey, run: run.run, workerId, ...inputs })
         this.#orders.stop(run)
       }
     }
