Do not take a gang member for stalled once its own work is done

Cause: members of a gang end together, so the fast ones stay at 100 percent until the slowest is done; after 4 s and more without progress the gang was taken off and started anew. Test: upkeep.test.ts, fails before.

--- a/packages/batch/src/evacuation.ts
+++ b/packages/batch/src/evacuation.ts
@@ -34,7 +34,9 @@
   // Most workers have nothing that stands still, and looking at every run of a large fleet is costly.
   if (!isLeaving && view.runsUnchangedSince(nowMs - settings.stalledAfterMs).length === 0) return []
   const runs = occupyingRuns(state, view, () => false, nowMs)
-  if (isLeaving) return runs.filter(run => mustMove(run, view.latest.remainingMs, settings)).map(run => leaving(run, view))
+  if (isLeaving) {
+    return runs.filter(run => mustMove(run, view.latest.remainingMs, settings)).map(run => leaving(run, view))
+  }
   return runs.filter(run => isStalled(run, view, settings, nowMs)).map(run => stalled(run, view, nowMs))
 }
 
@@ -56,8 +58,11 @@
 }
 
 function isStalled (run: OccupyingRun, view: WorkerView, settings: BatchSettings, nowMs: number): boolean {
-  if (run.spec.isLasting || run.spec.isFiller) return false
-  const unchangedMs = view.unchangedMs(run.assignment.taskKey, run.assignment.run, nowMs)
+  const { spec, assignment: { taskKey, run: runNumber } } = run
+  if (spec.isLasting || spec.isFiller) return false
+  // Members of a gang end together, so a fast one waits with all its work done.
+  if (spec.isGang && (view.rowOf(taskKey, runNumber)?.percent ?? 0) >= ALL_PERCENT) return false
+  const unchangedMs = view.unchangedMs(taskKey, runNumber, nowMs)
   return unchangedMs !== undefined && unchangedMs >= stallLimitMs(run, settings)
 }
 
@@ -66,5 +71,7 @@
   return settings.stalledAfterMs + (spec.isGang ? settings.gangWaitMs : 0) + spec.estimateMs * STALL_ESTIMATE_SHARE
 }
 
+/** Progress of a task with all its work done. */
+const ALL_PERCENT = 100
 /** Share of the estimated run time without progress that even a much slower worker does not need for one percent. */
 const STALL_ESTIMATE_SHARE = 0.1
--- a/packages/batch/test/upkeep.test.ts
+++ b/packages/batch/test/upkeep.test.ts
@@ -90,6 +90,18 @@
   t.deepEqual(fixture.beat('w1', { running: starts })?.stops.map(stop => stop.taskKey), ['j1.0.0.0'])
 })
 
+test('a member of a gang that has done its work is not taken off while another works on (kartli-yards trouble-1)', t => {
+  const fixture = new LeaderFixture()
+  fixture.beat('w1')
+  fixture.submit('gang', [step({ taskCount: 2, isGang: true, estimateMs: 2_000 })])
+  const [fast, slow] = rows(fixture.beat('w1')?.starts ?? [], 100)
+  if (fast === undefined || slow === undefined) return t.fail('the gang did not start')
+  for (let percent = 10; percent < 90; percent++) {
+    fixture.advance(200)
+    t.deepEqual(fixture.beat('w1', { running: [fast, { ...slow, percent }] })?.stops, [])
+  }
+})
+
 test('fillers slow down while a lasting task is over its target, and speed up again after', t => {
   const fixture = new LeaderFixture()
   fixture.beat('w1')
