--- a/packages/standins/src/relay.ts
+++ b/packages/standins/src/relay.ts
@@ -1,13 +1,20 @@
-/** A TCP relay on loopback that can fall silent, for tests of partitions and of connections that die unnoticed. */
+/** A TCP relay on loopback that delays, cuts, resets or silences connections, for tests of networks that fail. */
 import { type AddressInfo, connect, createServer, type Server, type Socket } from 'node:net'
 import { LOOPBACK_HOST } from './loopback-server.js'
 
 /** Which bytes are held back. */
 export type BlockedDirection = 'to_target' | 'to_client' | 'both'
 
+/** Where a relay listens and forwards to. */
+export interface RelayHosts {
+  readonly host: string
+  readonly targetHost: string
+}
+
 /** Forwards TCP connections to a target port until told to hold bytes back. */
 export class Relay {
   readonly #server: Server
+  readonly #hosts: RelayHosts
   readonly #connections = new Set<RelayedConnection>()
   #blocked: BlockedDirection | undefined
   #port = 0
@@ -20,7 +27,8 @@
    * relay.restore()
    * await relay.stop()
    */
-  constructor (targetPort: number) {
+  constructor (targetPort: number, hosts: RelayHosts = { host: LOOPBACK_HOST, targetHost: LOOPBACK_HOST }) {
+    this.#hosts = hosts
     this.#server = createServer({ allowHalfOpen: true }, client => this.#accept(client, targetPort))
   }
 
@@ -38,7 +46,7 @@
   async start (port = 0): Promise<number> {
     await new Promise<void>((resolve, reject) => {
       this.#server.once('error', reject)
-      this.#server.listen(port, LOOPBACK_HOST, resolve)
+      this.#server.listen(port, this.#hosts.host, resolve)
     })
     this.#port = (this.#server.address() as AddressInfo).port
     return this.#port
@@ -61,6 +69,11 @@
     for (const connection of this.#connections) connection.silence()
   }
 
+  /** Resets the open connections. */
+  resetOpenConnections (): void {
+    for (const connection of this.#connections) connection.reset()
+  }
+
   /** Closes the port and every connection. */
   async stop (): Promise<void> {
     const closed = new Promise<void>(resolve => this.#server.close(() => resolve()))
@@ -69,7 +82,7 @@
   }
 
   #accept (client: Socket, targetPort: number): void {
-    const target = connect({ port: targetPort, host: LOOPBACK_HOST, allowHalfOpen: true })
+    const target = connect({ port: targetPort, host: this.#hosts.targetHost, allowHalfOpen: true })
     const connection = new RelayedConnection(client, target, () => this.#connections.delete(connection))
     this.#connections.add(connection)
     if (this.#blocked !== undefined) connection.block(this.#blocked)
@@ -108,6 +121,11 @@
     this.#isSilenced = true
   }
 
+  reset (): void {
+    this.#toTarget.reset()
+    this.#toClient.reset()
+  }
+
   destroy (): void {
     this.#toTarget.destroy()
     this.#toClient.destroy()
@@ -144,6 +162,10 @@
     this.#from.destroy()
   }
 
+  reset (): void {
+    this.#from.resetAndDestroy()
+  }
+
   /** A paused socket still reports its end and its loss, so they are held back here. */
   #forwardClosure (): void {
     if (this.#isBlocked) return
