Wait at the start for a disk that takes no bytes

Ruled out: going on without the disk, since nothing after a failed write may be acknowledged. Test: disk-probe.test.ts.

--- a/packages/batch-node/src/index.ts
+++ b/packages/batch-node/src/index.ts
@@ -1,5 +1,6 @@
 export * from './batch-node.js'
 export * from './control-disk.js'
+export * from './disk-probe.js'
 export * from './messages.js'
 export * from './metrics.js'
 export * from './ports.js'
