--- a/packages/batch/src/leader.ts
+++ b/packages/batch/src/leader.ts
@@ -2,7 +2,7 @@
 import type { Clock, EventLog, Metrics } from '@comfreygrade/core'
 import { AdviceBook, type Ticket } from './advice.js'
 import { runKey, type BatchState } from './batch-state.js'
-import type { Assignment, BatchCommand, CommandResult, RunEnd, WorkerLife } from './commands.js'
+import type { Assignment, BatchCommand, CommandResult } from './commands.js'
 import { jobIdOf } from './jobs.js'
 import { planEvacuation } from './evacuation.js'
 import { waitingKey } from './fitting.js'
@@ -11,13 +11,12 @@
 import type { BatchOperation, BatchResult } from './operations.js'
 import { OrderBook } from './order-book.js'
 import { ObjectiveOrder } from './ranking.js'
-import { ReportDesk } from './report-desk.js'
+import { ReportHandler } from './report-handler.js'
 import { BatchScheduler, type Reclaim } from './scheduler.js'
 import type { BatchSettings } from './settings.js'
 import type { WaitingStep } from './waiting-work.js'
 import type { WorkerOrders, WorkerReport } from './worker-report.js'
 import { WorkerTable } from './worker-table.js'
-import type { WorkerView } from './worker-view.js'
 
 /** What the leader is told. */
 export type LeaderEvent =
@@ -73,12 +72,8 @@
   readonly #scheduler: BatchScheduler
   readonly #maintenance: MaintenancePlanner
   readonly #operations: OperationHandler
-  readonly #reports: ReportDesk
+  readonly #reports: ReportHandler
   readonly #proposals = new Map<string, (outcome: ProposalOutcome) => void>()
-  /** Workers with commands under way, whose heartbeats are answered after these. */
-  readonly #busyWorkers = new Map<string, number>()
-  /** Jobs whose end is in the log, until their retention is over. */
-  readonly #loggedJobs = new Set<string>()
   #effects: LeaderEffect[] = []
   #proposalCount = 0
   #isAssigning = false
@@ -91,12 +86,6 @@
     this.#options = options
     this.#workers = new WorkerTable(state, settings, clock, log)
     this.#advice = new AdviceBook(clock)
-    this.#reports = new ReportDesk({
-      settings,
-      clock,
-      isBusy: workerId => this.#busyWorkers.has(workerId),
-      isPassPending: () => this.#isPassDue || this.#isAssigning
-    })
     this.#orders = new OrderBook({ state, settings, clock, advice: this.#advice, fencingToken: options.term })
     this.#scheduler = new BatchScheduler(settings, clock, new ObjectiveOrder())
     this.#operations = new OperationHandler({
@@ -105,6 +94,15 @@
       propose: (command, settled) => { this.#propose(command, settled) },
       reply: (requestId, result) => { this.#effects.push({ kind: 'reply', requestId, result }) }
     })
+    this.#reports = new ReportHandler({
+      ...options,
+      workers: this.#workers,
+      orders: this.#orders,
+      propose: (command, settled) => { this.#propose(command, settled) },
+      reply: (requestId, orders) => { this.#effects.push({ kind: 'reply_worker', requestId, orders }) },
+      passNeeded: () => { this.#isPassDue = true },
+      isPassPending: () => this.#isPassDue || this.#isAssigning
+    })
     this.#maintenance = new MaintenancePlanner({ state, workers: this.#workers, settings, clock, log })
   }
 
@@ -113,8 +111,8 @@
     this.#effects = []
     switch (event.kind) {
       case 'operation': this.#operations.handle(event.requestId, event.operation); break
-      case 'report': this.#receiveReport(event.requestId, event.report); break
-      case 'worker_left': this.#workerLeft(event.requestId, event.workerId); break
+      case 'report': this.#reports.receive(event.requestId, event.report); break
+      case 'worker_left': this.#reports.workerLeft(event.requestId, event.workerId); break
       case 'applied': this.#settle(event.proposalId, { kind: 'applied', result: event.result }); break
       case 'rejected': this.#settle(event.proposalId, { kind: 'rejected', isCertain: event.isCertain }); break
       case 'advice': this.#adviceAnswered(event); break
@@ -123,7 +121,7 @@
     }
     this.#checkFleetIfDue()
     this.#passIfDue()
-    this.#answerReports()
+    this.#reports.answerDue()
     return this.#effects
   }
 
@@ -132,124 +130,6 @@
     return this.#isPassDue ? this.#options.settings.passIntervalMs : FLEET_CHECK_MS
   }
 
-  // Heartbeats
-
-  #receiveReport (requestId: string, report: WorkerReport): void {
-    const nowMs = this.#options.clock.monotonicMs()
-    const reception = this.#workers.receive(report)
-    for (const replaced of reception.replaced) this.#workerGone(replaced.latest, 'replaced by a later life', replaced)
-    if (reception.kind === 'ignored') {
-      const { workerId, sequence } = report
-      this.#options.metrics.increment('worker.report_ignored', { reason: reception.reason })
-      this.#options.log.info('heartbeat ignored', { workerId, sequence, reason: reception.reason })
-      this.#effects.push({ kind: 'reply_worker', requestId, orders: undefined })
-      return
-    }
-    const { view } = reception
-    if (reception.isNew) this.#isPassDue = true
-    this.#checkLease(view)
-    if (view.leaseCertainty !== 'uncertain' && view.isConfirmed) this.#recordEnds(report)
-    this.#releaseAbsent(report)
-    const earlier = this.#reports.take({ requestId, report, receivedAtMs: nowMs }, this.#isIdle(view))
-    if (earlier !== undefined) this.#effects.push({ kind: 'reply_worker', requestId: earlier.requestId, orders: undefined })
-  }
-
-  /** What ended before a lapse does not count, so its runs are freed before the ends are recorded. */
-  #checkLease (view: WorkerView): void {
-    if (view.leaseCertainty === 'held') return
-    const hasRuns = this.#orders.mayHoldRuns(view)
-    if (view.leaseCertainty === 'uncertain' && hasRuns) return
-    view.restartLease()
-    if (hasRuns) this.#workerGone(view.latest, 'lease lapsed', view)
-  }
-
-  #recordEnds (report: WorkerReport): void {
-    const { workerId, incarnation } = report
-    const life = { workerId, incarnation }
-    const lastSequence = this.#options.state.lastEndSequence(life)
-    const ends = report.ends.filter(end => end.sequence > lastSequence)
-    if (ends.length === 0) return
-    for (const end of ends) this.#workers.noteEnd(report, end)
-    this.#proposeFor(workerId, { kind: 'record_ends', life, ends }, () => {
-      for (const end of ends) this.#endRecorded(end, life)
-      this.#isPassDue = true
-    })
-  }
-
-  #endRecorded ({ taskKey, run, reason, sequence }: RunEnd, life: WorkerLife): void {
-    const { log, metrics } = this.#options
-    metrics.increment('run.ended', { reason })
-    log.info('run ended', { taskKey, run, reason, workerId: life.workerId, sequence })
-    this.#workers.view(life.workerId)?.forgetRun({ ...life, taskKey, run })
-    this.#logJobEnd(taskKey)
-  }
-
-  /** Several ends that are recorded at once may follow the one that ended the job. */
-  #logJobEnd (taskKey: string): void {
-    const { log, state, clock, metrics } = this.#options
-    const jobId = jobIdOf(taskKey)
-    const job = state.job(jobId)
-    if (job === undefined || job.state === 'open' || job.state === 'cancelled') return
-    if (this.#loggedJobs.has(jobId)) return
-    this.#loggedJobs.add(jobId)
-    const durationMs = clock.wallMs() - job.acceptedWallMs
-    metrics.timing('job_ms', durationMs, { outcome: job.state })
-    log.info('job ended', { jobId, outcome: job.state, durationMs: Math.round(durationMs), lastTaskKey: taskKey })
-  }
-
-  #releaseAbsent (report: WorkerReport): void {
-    const view = this.#workers.viewOf(report)
-    const runs = this.#orders.certainlyAbsent(view)
-    if (runs.length === 0) return
-    this.#proposeFor(report.workerId, { kind: 'release', runs }, () => {
-      for (const run of runs) view.forgetRun(run)
-      this.#isPassDue = true
-    })
-  }
-
-  #workerLeft (requestId: string, workerId: string): void {
-    const view = this.#workers.view(workerId)
-    this.#effects.push({ kind: 'reply_worker', requestId, orders: undefined })
-    if (view === undefined) return
-    this.#workers.forget(workerId)
-    this.#workerGone(view.latest, 'left', view)
-  }
-
-  /** The work that the life had saved goes on elsewhere from the checkpoints that its heartbeats listed. */
-  #workerGone ({ workerId, incarnation }: WorkerLife, reason: string, view: WorkerView | undefined): void {
-    const { log, state } = this.#options
-    const life = { workerId, incarnation }
-    const runs = [...state.runsOf(workerId)].filter(run => run.incarnation <= incarnation)
-    log.info('worker is gone', { ...life, reason, runs: runs.length })
-    if (runs.length === 0) return
-    const checkpoints = runs.flatMap(({ taskKey, run }) => {
-      const checkpoint = view?.latestCheckpoint(taskKey, run) ?? ''
-      return checkpoint === '' ? [] : [{ taskKey, checkpoint }]
-    })
-    this.#proposeFor(workerId, { kind: 'worker_gone', life, checkpoints }, () => { this.#isPassDue = true })
-  }
-
-  /** A worker with nothing to run, end or be told, whose next end cannot be held up by a wait. */
-  #isIdle ({ latest }: WorkerView): boolean {
-    return latest.state === 'active' && latest.running.length === 0 && latest.ends.length === 0 &&
-      !this.#busyWorkers.has(latest.workerId) && !this.#options.state.hasRuns(latest.workerId)
-  }
-
-  #answerReports (): void {
-    for (const { requestId, report } of this.#reports.takeDue()) {
-      const view = this.#workers.viewOf(report)
-      const orders = { ...this.#orders.ordersFor(view), nextReportMs: this.#nextReportMs(view) }
-      this.#effects.push({ kind: 'reply_worker', requestId, orders })
-    }
-  }
-
-  /** The interval grows with the fleet, so that heartbeats take a bounded share of the leader's processor. */
-  #nextReportMs (view: WorkerView): number {
-    const { nextReportMs, nextIdleReportMs, maxReportsPerSecond } = this.#options.settings
-    const leastMs = this.#isIdle(view) ? nextIdleReportMs : nextReportMs
-    return Math.max(leastMs, Math.round(this.#workers.count * 1_000 / maxReportsPerSecond))
-  }
-
   // Scheduling
 
   #passIfDue (): void {
@@ -283,14 +163,11 @@
     if (assignments.length === 0) return
     this.#isAssigning = true
     const workerIds = [...new Set(assignments.map(assignment => assignment.workerId))]
-    for (const workerId of workerIds) this.#markBusy(workerId, 1)
+    for (const workerId of workerIds) this.#reports.markBusy(workerId, 1)
     this.#propose({ kind: 'assign', assignments }, outcome => {
       this.#isAssigning = false
       this.#isPassDue = true
-      for (const workerId of workerIds) {
-        this.#markBusy(workerId, -1)
-        this.#reports.wake(workerId)
-      }
+      for (const workerId of workerIds) this.#reports.assigned(workerId)
       if (outcome.kind === 'rejected') return
       for (const assignment of assignments) this.#assigned(assignment)
     })
@@ -333,21 +210,12 @@
     if (nowMs - this.#lastFleetCheckMs < FLEET_CHECK_MS) return
     this.#lastFleetCheckMs = nowMs
     this.#isPassDue = true
-    for (const life of this.#workers.expired()) {
-      if (this.#busyWorkers.has(life.workerId)) continue
-      this.#workerGone(life, 'silent beyond its lease', this.#workers.view(life.workerId))
-    }
+    this.#reports.releaseExpired()
     this.#evacuate()
     this.#maintain()
     this.#advice.retain(jobId => this.#options.state.job(jobId)?.state === 'open')
     this.#orders.forgetEnded()
-    this.#forgetOldJobs()
-  }
-
-  #forgetOldJobs (): void {
-    const isKnown = (jobId: string): boolean => this.#options.state.job(jobId) !== undefined
-    this.#workers.retainJobs(isKnown)
-    for (const jobId of this.#loggedJobs) if (!isKnown(jobId)) this.#loggedJobs.delete(jobId)
+    this.#reports.forgetOldJobs()
   }
 
   /** Takes work off workers on which it cannot end. */
@@ -377,20 +245,6 @@
 
   // Proposals
 
-  #proposeFor (workerId: string, command: BatchCommand, applied: () => void): void {
-    this.#markBusy(workerId, 1)
-    this.#propose(command, outcome => {
-      this.#markBusy(workerId, -1)
-      if (outcome.kind === 'applied') applied()
-    })
-  }
-
-  #markBusy (workerId: string, change: 1 | -1): void {
-    const count = (this.#busyWorkers.get(workerId) ?? 0) + change
-    if (count === 0) this.#busyWorkers.delete(workerId)
-    else this.#busyWorkers.set(workerId, count)
-  }
-
   #propose (command: BatchCommand, settled: (outcome: ProposalOutcome) => void): void {
     const proposalId = `${this.#options.term}-${++this.#proposalCount}`
     this.#proposals.set(proposalId, settled)
--- a/packages/batch/test/scheduler.test.ts
+++ b/packages/batch/test/scheduler.test.ts
@@ -171,15 +171,24 @@
   t.true(waitedMs() >= 2_000 && waitedMs() < 3_000, `started after ${waitedMs()} ms`)
 })
 
-test('a same-rack gang does not wait for long beside idle workers of several racks (kartli-yards hunt, LOST)', t => {
+/** Two racks of two workers, whose runs make no progress to speak of. */
+function twoRacks (): { fixture: LeaderFixture, beatEach: () => WorkerOrders[] } {
   const fixture = new LeaderFixture()
   const racks = { w0: 'r1', w1: 'r1', w2: 'r2', w3: 'r2' }
   const running = new Map<string, ReturnType<typeof rows>>()
-  const beatEach = () => Object.entries(racks).flatMap(([workerId, rack]) => {
+  const beatEach = (): WorkerOrders[] => Object.entries(racks).flatMap(([workerId, rack]) => {
     const orders = fixture.beat(workerId, { rack, labels: ['kind', rack], running: running.get(workerId) ?? [] })
     running.set(workerId, [...running.get(workerId) ?? [], ...rows(orders?.starts ?? [], 1)])
-    return orders?.starts ?? []
+    return orders ?? []
   })
+  return { fixture, beatEach }
+}
+
+const startsOf = (answers: readonly WorkerOrders[]) => answers.flatMap(orders => orders.starts)
+const stopsOf = (answers: readonly WorkerOrders[]) => answers.flatMap(orders => orders.stops)
+
+test('a same-rack gang does not wait for long beside idle workers of several racks (kartli-yards hunt, LOST)', t => {
+  const { fixture, beatEach } = twoRacks()
   beatEach()
   const long = step({ taskCount: 2, estimateMs: 600_000, maxTasksPerWorker: 1, requiredLabel: 'kind' })
   fixture.submit('long-1', [{ ...long, taskCount: 1, dataRack: 'r1' }])
@@ -188,19 +197,12 @@
   fixture.submit('gang', [step({ taskCount: 2, isGang: true, isSameRack: true, shape: accelerators(8) })])
   const submittedMs = fixture.clock.monotonicMs()
   const waitedMs = (): number => fixture.clock.monotonicMs() - submittedMs
-  while (!beatEach().some(start => start.taskKey.startsWith('gang')) && waitedMs() < 10_000);
+  while (!startsOf(beatEach()).some(start => start.taskKey.startsWith('gang')) && waitedMs() < 10_000);
   t.true(waitedMs() >= 2_000 && waitedMs() < 3_000, `started after ${waitedMs()} ms`)
 })
 
 test('a guarantee that is due is honoured over several racks where none can be freed', t => {
-  const fixture = new LeaderFixture()
-  const racks = { w0: 'r1', w1: 'r1', w2: 'r2', w3: 'r2' }
-  const running = new Map<string, ReturnType<typeof rows>>()
-  const beatEach = () => Object.entries(racks).flatMap(([workerId, rack]) => {
-    const orders = fixture.beat(workerId, { rack, labels: ['kind', rack], running: running.get(workerId) ?? [] })
-    running.set(workerId, [...running.get(workerId) ?? [], ...rows(orders?.starts ?? [], 1)])
-    return orders?.stops ?? []
-  })
+  const { fixture, beatEach } = twoRacks()
   beatEach()
   const whole = step({ taskCount: 1, estimateMs: 600_000, shape: accelerators(8) })
   // The jobs of priority 0 hold one worker of each rack and cannot be stopped; lent work has the others.
@@ -211,6 +213,6 @@
   fixture.operate({ kind: 'put_configuration', document: { ...document(2), organisations: guaranteed(32) } })
   fixture.submit('gang', [step({ taskCount: 2, isGang: true, isSameRack: true, shape: accelerators(8) })], '/urgent/')
   const stopped = new Set<string>()
-  for (let count = 0; count < 15; count++) for (const { taskKey } of beatEach()) stopped.add(taskKey)
+  for (let count = 0; count < 15; count++) for (const { taskKey } of stopsOf(beatEach())) stopped.add(taskKey)
   t.deepEqual([...stopped].sort(), ['lent.0.0.0', 'lent.0.0.1'])
 })
