Move lasting tasks off a VM before its maintenance, as many as their step can spare

Cause: a VM that was next for maintenance was emptied by waiting, and lasting tasks never end, so the call killed them whatever mayMiss said; cordonedViews was meant for moving them and had no caller. Ruled out: reclaims and evacuations, which leave lasting tasks on sound workers alone. Now saved work moves at once and lasting tasks one by one while enough others of their step are at work; the call waits for those that cannot be spared, late if need be. Tests: two in upkeep.test.ts, both fail before.

--- a/packages/batch/src/evacuation.ts
+++ b/packages/batch/src/evacuation.ts
@@ -6,7 +6,7 @@
 import type { WorkerView } from './worker-view.js'
 
 /** Why a run is taken off its worker. */
-export type EvacuationReason = 'worker_leaving' | 'stalled'
+export type EvacuationReason = 'worker_leaving' | 'stalled' | 'maintenance'
 
 /** A run to stop. */
 export interface Evacuation {
@@ -40,6 +40,16 @@
   return runs.filter(run => isStalled(run, view, settings, nowMs)).map(run => stalled(run, view, nowMs))
 }
 
+/**
+ * Chooses runs that move off a VM before its maintenance: saved work, and lasting tasks, of which the caller stops only
+ * as many as their steps can spare. Other work stays while it may end.
+ */
+export function planEmptying (state: BatchState, view: WorkerView, nowMs: number): Evacuation[] {
+  return occupyingRuns(state, view, () => false, nowMs)
+    .filter(({ spec }) => spec.isLasting || spec.isCheckpointing)
+    .map(({ assignment }) => ({ run: assignment, reason: 'maintenance' }))
+}
+
 function leaving ({ assignment, remainingMs }: OccupyingRun, view: WorkerView): Evacuation {
   return { run: assignment, reason: 'worker_leaving', remainingMs, workerRemainingMs: view.latest.remainingMs }
 }
--- a/packages/batch/src/leader.ts
+++ b/packages/batch/src/leader.ts
@@ -4,8 +4,9 @@
 import { runKey, type BatchState } from './batch-state.js'
 import type { Assignment, BatchCommand, CommandResult } from './commands.js'
 import { jobIdOf } from './jobs.js'
-import { planEvacuation } from './evacuation.js'
+import { planEmptying, planEvacuation, type Evacuation } from './evacuation.js'
 import { waitingKey } from './fitting.js'
+import { LastingAvailability } from './lasting-availability.js'
 import { MaintenancePlanner, type MaintenanceAnswer, type MaintenanceCall } from './maintenance.js'
 import { OperationHandler, type ProposalOutcome } from './operation-handler.js'
 import type { BatchOperation, BatchResult } from './operations.js'
@@ -71,6 +72,7 @@
   readonly #advice: AdviceBook
   readonly #scheduler: BatchScheduler
   readonly #maintenance: MaintenancePlanner
+  readonly #availability: LastingAvailability
   readonly #operations: OperationHandler
   readonly #reports: ReportHandler
   readonly #proposals = new Map<string, (outcome: ProposalOutcome) => void>()
@@ -103,7 +105,10 @@
       passNeeded: () => { this.#isPassDue = true },
       isPassPending: () => this.#isPassDue || this.#isAssigning
     })
-    this.#maintenance = new MaintenancePlanner({ state, workers: this.#workers, settings, clock, log })
+    this.#availability = new LastingAvailability(state, this.#workers, run => this.#orders.isStopping(run))
+    this.#maintenance = new MaintenancePlanner({
+      state, workers: this.#workers, settings, clock, log, maySpare: run => this.#availability.maySpare(run)
+    })
   }
 
   /** Runs one event to its end and returns what the adapters have to do. */
@@ -220,14 +225,22 @@
 
   /** Takes work off workers on which it cannot end. */
   #evacuate (): void {
-    const { state, settings, clock, log } = this.#options
-    for (const view of this.#workers.views()) {
-      for (const { run, ...inputs } of planEvacuation(state, view, settings, clock.monotonicMs())) {
-        if (this.#orders.isStopping(run)) continue
-        const { taskKey, workerId } = run
-        log.info('run is taken off its worker', { taskKey, run: run.run, workerId, ...inputs })
-        this.#orders.stop(run)
-      }
+    const { state, settings, clock } = this.#options
+    for (const view of this.#workers.views()) this.#takeOff(planEvacuation(state, view, settings, clock.monotonicMs()))
+    for (const view of this.#maintenance.cordonedViews()) this.#empty(planEmptying(state, view, clock.monotonicMs()))
+  }
+
+  #empty (evacuations: readonly Evacuation[]): void {
+    // Each stop counts when the next one is judged.
+    for (const evacuation of evacuations) if (this.#availability.maySpare(evacuation.run)) this.#takeOff([evacuation])
+  }
+
+  #takeOff (evacuations: readonly Evacuation[]): void {
+    for (const { run, ...inputs } of evacuations) {
+      if (this.#orders.isStopping(run)) continue
+      const { taskKey, workerId } = run
+      this.#options.log.info('run is taken off its worker', { taskKey, run: run.run, workerId, ...inputs })
+      this.#orders.stop(run)
     }
   }
 
--- a/packages/batch/src/maintenance.ts
+++ b/packages/batch/src/maintenance.ts
@@ -1,6 +1,7 @@
 /** Waves of maintenance: each VM restarts in time, few at once, and its work is moved first. */
 import type { Clock, EventLog } from '@comfreygrade/core'
 import type { BatchState, WaveRecord } from './batch-state.js'
+import type { Assignment } from './commands.js'
 import type { BatchSettings } from './settings.js'
 import type { WorkerTable } from './worker-table.js'
 import type { WorkerView } from './worker-view.js'
@@ -33,6 +34,8 @@
 export interface MaintenancePlannerOptions {
   readonly state: BatchState
   readonly workers: WorkerTable
+  /** Whether an order may end the run, as far as its step allows. */
+  readonly maySpare: (run: Assignment) => boolean
   readonly settings: BatchSettings
   readonly clock: Clock
   readonly log: EventLog
@@ -62,7 +65,7 @@
 
   /** Workers whose runs should move now, since their VM is next. */
   cordonedViews (): WorkerView[] {
-    return [...this.#options.workers.views()].filter(view => this.isCordoned(view))
+    return this.#vms.size === 0 ? [] : [...this.#options.workers.views()].filter(view => this.isCordoned(view))
   }
 
   /** Calls that are due; a new leader waits until calls of an earlier one can no longer be under way. */
@@ -115,8 +118,10 @@
 
   #isReady (record: WaveRecord, vmId: string, progress: VmProgress, nowMs: number): boolean {
     const view = [...this.#options.workers.views()].find(candidate => candidate.latest.vmId === vmId)
-    const runs = view === undefined ? 0 : [...this.#options.state.runsOf(view.latest.workerId)].length
-    return runs === 0 || nowMs - progress.cordonedAtMs >= this.#patienceMs(record)
+    const runs = view === undefined ? [] : [...this.#options.state.runsOf(view.latest.workerId)]
+    if (runs.length === 0) return true
+    // A late wave is better than too many tasks of a lasting step away at once.
+    return nowMs - progress.cordonedAtMs >= this.#patienceMs(record) && runs.every(run => this.#options.maySpare(run))
   }
 
   /** Time for one VM: what is left of the wave, shared by the VMs that follow one another. */
--- a/packages/batch/src/report-handler.ts
+++ b/packages/batch/src/report-handler.ts
@@ -131,7 +131,8 @@
     const { log, state } = this.#options
     const life = { workerId, incarnation }
     const runs = [...state.runsOf(workerId)].filter(run => run.incarnation <= incarnation)
-    log.info('worker is gone', { ...life, reason, runs: runs.length })
+    const silentMs = view === undefined ? undefined : Math.round(this.#options.clock.monotonicMs() - view.heardAtMs)
+    log.info('worker is gone', { ...life, reason, runs: runs.length, silentMs })
     if (runs.length === 0) return
     const checkpoints = runs.flatMap(({ taskKey, run }) => {
       const checkpoint = view?.latestCheckpoint(taskKey, run) ?? ''
--- a/packages/batch/test/upkeep.test.ts
+++ b/packages/batch/test/upkeep.test.ts
@@ -55,6 +55,38 @@
   t.is(fixture.beat('w2')?.starts.length, 1)
 })
 
+/** A lasting step of two tasks, one at work on each worker of the wave; `maxUnavailable` of them may be away. */
+function fixtureWithLasting (maxUnavailable: number) {
+  const fixture = new LeaderFixture()
+  fixture.beat('w1')
+  fixture.beat('w2')
+  fixture.submit('web', [step({ isLasting: true, maxTasksPerWorker: 1, maxUnavailable })])
+  const startedOn = new Map(['w1', 'w2'].map(workerId => [workerId, rows(fixture.beat(workerId)?.starts ?? [], 100)]))
+  const beat = (workerId: string) => fixture.beat(workerId, { running: startedOn.get(workerId) ?? [] })
+  beat('w1')
+  beat('w2')
+  fixture.operate({ kind: 'start_wave', wave: { ...wave, durationMs: 4_000 } })
+  // The VM is cordoned in one check of the fleet and emptied in the next.
+  fixture.advance(3_500)
+  fixture.advance(200)
+  return { fixture, beat }
+}
+
+test('maintenance moves a lasting task only while enough others of its step are at work (AVAIL)', t => {
+  const { beat } = fixtureWithLasting(1)
+  t.is(beat('w1')?.stops.length, 1)
+  t.is(beat('w2')?.stops.length, 0)
+})
+
+test('maintenance waits, late if need be, for lasting tasks that may not be away (AVAIL)', t => {
+  const { fixture, beat } = fixtureWithLasting(0)
+  for (let elapsedMs = 0; elapsedMs < 10_000; elapsedMs += 200) {
+    for (const workerId of ['w1', 'w2']) t.deepEqual(beat(workerId)?.stops, [])
+    fixture.advance(30)
+  }
+  t.deepEqual(fixture.maintenanceCalls, [])
+})
+
 test('a fenced leader calls no more', t => {
   const fixture = fixtureWithWave()
   fixture.advance(3_500)
