Ignore heartbeats of a worker that has left

Heartbeats of leaving workers may come seconds late, and two such, after the worker was forgotten, made a new view whose second one was taken for fresh, so the end was acknowledged although the task ran again. Ruled out: the order of recorded ends and the worker's leaving (both go through the log in order). Test: lost-worker.test.ts, fails before.

--- a/packages/batch/src/report-handler.ts
+++ b/packages/batch/src/report-handler.ts
@@ -122,7 +122,7 @@
     const view = this.#options.workers.view(workerId)
     this.#options.reply(requestId, undefined)
     if (view === undefined) return
-    this.#options.workers.forget(workerId)
+    this.#options.workers.leave(view.latest)
     this.#workerGone(view.latest, 'left', view)
   }
 
--- a/packages/batch/src/worker-table.ts
+++ b/packages/batch/src/worker-table.ts
@@ -13,7 +13,7 @@
 
 /** What became of a heartbeat. */
 export type Reception =
-  | { readonly kind: 'ignored', readonly reason: 'earlier_life' | 'late', readonly replaced: readonly WorkerView[] }
+  | { readonly kind: 'ignored', readonly reason: 'earlier_life' | 'late' | 'left', readonly replaced: readonly WorkerView[] }
   | { readonly kind: 'taken', readonly view: WorkerView, readonly isNew: boolean, readonly replaced: readonly WorkerView[] }
 
 /** Longer than a heartbeat may be held up on its way. */
@@ -21,6 +21,11 @@
 /** Share of the estimated run time that one percent of progress may take on a slow worker. */
 const SUSPECT_ESTIMATE_SHARE = 0.05
 
+/** A life that has said that it leaves for good. */
+interface LeftLife extends WorkerLife {
+  readonly leftAtMs: number
+}
+
 /** Views by worker, with the lives that later ones replace. */
 export class WorkerTable {
   readonly #state: BatchState
@@ -30,6 +35,7 @@
   readonly #health: WorkerHealth
   readonly #views = new Map<string, WorkerView>()
   readonly #places = new WorkerPlaces()
+  readonly #leftLives = new Map<string, LeftLife>()
   readonly #startedJobs = new Set<string>()
   readonly #termStartedAtMs: number
 
@@ -44,6 +50,7 @@
 
   /** Takes a heartbeat. */
   receive (report: WorkerReport): Reception {
+    if (this.#hasLeft(report)) return { kind: 'ignored', reason: 'left', replaced: [] }
     const known = this.#views.get(report.workerId)
     const others = this.#viewsAt(report)
     if (others.some(view => view.latest.incarnation > report.incarnation)) {
@@ -123,6 +130,17 @@
     return new Map([...this.#views.values()].map(view => [view.latest.workerId, view.latest.incarnation]))
   }
 
+  #hasLeft ({ workerId, incarnation }: WorkerLife): boolean {
+    const left = this.#leftLives.get(workerId)
+    return left !== undefined && incarnation <= left.incarnation
+  }
+
+  /** Removes a worker that has left; what still comes from this life counts for nothing. */
+  leave ({ workerId, incarnation }: WorkerLife): void {
+    this.#leftLives.set(workerId, { workerId, incarnation, leftAtMs: this.#clock.monotonicMs() })
+    this.forget(workerId)
+  }
+
   /** Removes a worker. */
   forget (workerId: string): void {
     const view = this.#views.get(workerId)
@@ -180,6 +198,9 @@
       if (silentMs > afterMs && this.#state.hasRuns(view.latest.workerId)) lives.push(lifeOf(view.latest))
       if (silentMs > FORGET_SILENT_AFTER_MS) this.forget(view.latest.workerId)
     }
+    for (const { workerId, leftAtMs } of this.#leftLives.values()) {
+      if (nowMs - leftAtMs > FORGET_SILENT_AFTER_MS) this.#leftLives.delete(workerId)
+    }
     return nowMs - this.#termStartedAtMs <= afterMs ? lives : [...lives, ...this.#unheard()]
   }
 
--- a/packages/batch/test/lost-worker.test.ts
+++ b/packages/batch/test/lost-worker.test.ts
@@ -75,3 +75,18 @@
   t.is(fixture.beat('w1', { ends: [DONE] })?.recordedEndSequence, 1)
   t.is(fixture.state.job('j1')?.state, 'completed')
 })
+
+test('heartbeats that come after a worker has left are not acknowledged (ferreyra-cuotas hunt, TWICE)', t => {
+  const { fixture } = workerWithSavedRun()
+  const endedMs = fixture.clock.monotonicMs() + 100
+  fixture.advance(200)
+  fixture.tell({ kind: 'worker_left', requestId: 'left', workerId: 'w1' })
+  t.is(checkpointOfRestart(fixture), SAVED)
+  for (const delayMs of [0, 100, 200]) {
+    const clockMs = endedMs + delayMs
+    const orders = fixture.beat('w1', { state: 'leaving', clockMs, sequence: Math.round(clockMs), ends: [DONE] })
+    t.is(orders?.recordedEndSequence ?? 0, 0)
+  }
+  // A later life of the same worker is taken.
+  t.not(fixture.beat('w1', { incarnation: 2_000 }), undefined)
+})
