Give the size of a task, the key of a run and full progress one place each

The options of BatchNode repeated those of BatchService field by field. Dropped: ArrivalOrder, which nothing used, and a result of learn() that nobody read.

--- a/packages/batch-node/src/batch-node.ts
+++ b/packages/batch-node/src/batch-node.ts
@@ -1,17 +1,15 @@
 /** Wires the parts of one process: links, control role where it has a disk, and the way to the leader. */
-import type { BatchOperation, BatchResult, BatchSettings, WorkerReport } from '@comfreygrade/batch'
-import type { ReplicaSettings, VoterId } from '@comfreygrade/consensus'
-import type { Clock, EventLog, Metrics, Random } from '@comfreygrade/core'
+import type { BatchOperation, BatchResult, WorkerReport } from '@comfreygrade/batch'
+import type { VoterId } from '@comfreygrade/consensus'
 import { PeerLinks, type PeerAddress } from '@comfreygrade/node/adapters'
-import { BatchService } from './batch-service.js'
+import { BatchService, type BatchServiceOptions } from './batch-service.js'
 import type { ControlDisk } from './control-disk.js'
 import { ControlMembers } from './control-members.js'
 import { LeaderClient } from './leader-client.js'
 import type { Ask, AskAnswer, BatchMessage, ControlNodeInfo } from './messages.js'
-import type { AdvicePort, VmPort } from './ports.js'
 
 /** Options of {@link BatchNode}. */
-export interface BatchNodeOptions {
+export interface BatchNodeOptions extends Omit<BatchServiceOptions, 'self' | 'storage' | 'recovered' | 'send'> {
   readonly nodeId: string
   readonly host: string
   readonly port: number
@@ -19,18 +17,7 @@
   readonly seeds: readonly PeerAddress[]
   /** Absent on a process without a disk. */
   readonly disk?: ControlDisk
-  readonly settings: BatchSettings
-  readonly replicaSettings: ReplicaSettings
   readonly wantedVoters: number
-  readonly snapshotAfterEntries: number
-  readonly clock: Clock
-  readonly leaseClock: Clock
-  readonly random: Random
-  readonly metrics: Metrics
-  readonly log: EventLog
-  readonly advice: AdvicePort
-  readonly vms: VmPort
-  readonly storageFailed: (error: unknown) => void
 }
 
 /** Interval of `hello`, which also tells processes of new control nodes. */
--- a/packages/batch-node/src/control-members.ts
+++ b/packages/batch-node/src/control-members.ts
@@ -49,11 +49,9 @@
     this.#members.set(info.nodeId, { info, heardAtMs: this.#nowMs })
   }
 
-  /** Takes what another node says about a third one; returns whether it was new. */
-  learn (info: ControlNodeInfo): boolean {
-    if (this.#members.has(info.nodeId)) return false
-    this.#members.set(info.nodeId, { info, heardAtMs: this.#nowMs })
-    return true
+  /** Takes what another node says about a third one that is not known yet. */
+  learn (info: ControlNodeInfo): void {
+    if (!this.#members.has(info.nodeId)) this.#members.set(info.nodeId, { info, heardAtMs: this.#nowMs })
   }
 
   /** Notes any sign of life. */
--- a/packages/batch/src/batch-state.ts
+++ b/packages/batch/src/batch-state.ts
@@ -354,6 +354,16 @@
     active.incarnation === assignment.incarnation
 }
 
+/**
+ * Key of a run within one life of a worker.
+ *
+ * @example
+ * runInLife({ taskKey: '5c0e.0.0.0', run: 2 }) // '5c0e.0.0.0#2'
+ */
+export function runInLife ({ taskKey, run }: Pick<Assignment, 'taskKey' | 'run'>): string {
+  return `${taskKey}#${run}`
+}
+
 /**
  * Key of a run on a worker.
  *
@@ -361,5 +371,5 @@
  * runKey({ taskKey: '5c0e.0.0.0', run: 2, workerId: 'w1', incarnation: 9 }) // '5c0e.0.0.0#2@9'
  */
 export function runKey ({ taskKey, run, incarnation }: Assignment): string {
-  return `${taskKey}#${run}@${incarnation}`
+  return `${runInLife({ taskKey, run })}@${incarnation}`
 }
--- a/packages/batch/src/evacuation.ts
+++ b/packages/batch/src/evacuation.ts
@@ -3,6 +3,7 @@
 import type { Assignment } from './commands.js'
 import { occupyingRuns, type OccupyingRun } from './free-capacity.js'
 import type { BatchSettings } from './settings.js'
+import { FULL_PROGRESS_PERCENT } from './worker-report.js'
 import type { WorkerView } from './worker-view.js'
 
 /** Why a run is taken off its worker. */
@@ -71,7 +72,7 @@
   const { spec, assignment: { taskKey, run: runNumber } } = run
   if (spec.isLasting || spec.isFiller) return false
   // Members of a gang end together, so a fast one waits with all its work done.
-  if (spec.isGang && (view.rowOf(taskKey, runNumber)?.percent ?? 0) >= ALL_PERCENT) return false
+  if (spec.isGang && (view.rowOf(taskKey, runNumber)?.percent ?? 0) >= FULL_PROGRESS_PERCENT) return false
   const unchangedMs = view.unchangedMs(taskKey, runNumber, nowMs)
   return unchangedMs !== undefined && unchangedMs >= stallLimitMs(run, settings)
 }
@@ -81,7 +82,5 @@
   return settings.stalledAfterMs + (spec.isGang ? settings.gangWaitMs : 0) + spec.estimateMs * STALL_ESTIMATE_SHARE
 }
 
-/** Progress of a task with all its work done. */
-const ALL_PERCENT = 100
 /** Share of the estimated run time without progress that even a much slower worker does not need for one percent. */
 const STALL_ESTIMATE_SHARE = 0.1
--- a/packages/batch/src/jobs.ts
+++ b/packages/batch/src/jobs.ts
@@ -7,6 +7,19 @@
   readonly acceleratorCount: number
 }
 
+/** Processor cores that one accelerator counts for where work is compared. */
+const CORES_PER_ACCELERATOR = 8
+
+/**
+ * Size of a task in cores, accelerators included.
+ *
+ * @example
+ * coresOf({ cpuMillicores: 2_500, memoryMb: 512, acceleratorCount: 1 }) // 10.5
+ */
+export function coresOf ({ cpuMillicores, acceleratorCount }: TaskShape): number {
+  return cpuMillicores / 1_000 + acceleratorCount * CORES_PER_ACCELERATOR
+}
+
 /** A set of like tasks of a job. */
 export interface StepSpec {
   readonly taskCount: number
--- a/packages/batch/src/lasting-availability.ts
+++ b/packages/batch/src/lasting-availability.ts
@@ -2,11 +2,9 @@
 import type { BatchState, LocatedTask } from './batch-state.js'
 import type { Assignment } from './commands.js'
 import { stepKeyOf } from './jobs.js'
+import { FULL_PROGRESS_PERCENT } from './worker-report.js'
 import type { WorkerTable } from './worker-table.js'
 
-/** A lasting task is at work at this progress. */
-const AT_WORK_PERCENT = 100
-
 /** Looks at the lasting tasks of all workers. */
 export class LastingAvailability {
   readonly #state: BatchState
@@ -45,6 +43,6 @@
 
   #isAtWork (run: Assignment): boolean {
     const row = this.#workers.view(run.workerId)?.rowOf(run.taskKey, run.run)
-    return row !== undefined && row.percent >= AT_WORK_PERCENT && !this.#isStopping(run)
+    return row !== undefined && row.percent >= FULL_PROGRESS_PERCENT && !this.#isStopping(run)
   }
 }
--- a/packages/batch/src/order-book.ts
+++ b/packages/batch/src/order-book.ts
@@ -1,7 +1,7 @@
 /** Orders for workers: what the answer to a heartbeat has to say. */
 import type { Clock } from '@comfreygrade/core'
 import type { AdviceBook } from './advice.js'
-import { runKey, type BatchState, type LocatedTask } from './batch-state.js'
+import { runInLife, runKey, type BatchState, type LocatedTask } from './batch-state.js'
 import type { Assignment } from './commands.js'
 import { stepKeyOf } from './jobs.js'
 import { FillerPacing } from './pacing.js'
@@ -119,10 +119,10 @@
   }
 
   #stops (view: WorkerView): StopOrder[] {
-    const known = new Map(this.#runsOf(view).map(run => [`${run.taskKey}#${run.run}`, run]))
+    const known = new Map(this.#runsOf(view).map(run => [runInLife(run), run]))
     const stops: StopOrder[] = []
     for (const { taskKey, run } of view.latest.running) {
-      const active = known.get(`${taskKey}#${run}`)
+      const active = known.get(runInLife({ taskKey, run }))
       if (active === undefined || this.isStopping(active)) stops.push({ taskKey, run })
     }
     return stops
@@ -140,7 +140,7 @@
 
   #isMissing (view: WorkerView, run: Assignment): boolean {
     // A run that is being stopped is neither listed as running nor as ended yet.
-    if (view.seen.has(`${run.taskKey}#${run.run}`)) return false
+    if (view.seen.has(runInLife(run))) return false
     const offeredAt = view.offeredAt.get(runKey(run))
     if (offeredAt !== undefined) return view.latest.sequence > offeredAt
     if (this.#isInheritanceSettled()) view.offeredAt.set(runKey(run), view.latest.sequence)
--- a/packages/batch/src/pacing.ts
+++ b/packages/batch/src/pacing.ts
@@ -1,5 +1,5 @@
 /** Slows fillers down where they disturb lasting tasks that serve users. */
-import type { BatchState } from './batch-state.js'
+import { runInLife, type BatchState } from './batch-state.js'
 import type { StepSpec } from './jobs.js'
 import type { PaceOrder, RunningTask } from './worker-report.js'
 import type { WorkerView } from './worker-view.js'
@@ -66,7 +66,7 @@
     const next = new Map<string, number>()
     const orders: PaceOrder[] = []
     for (const { row: { taskKey, run } } of fillers) {
-      const key = `${taskKey}#${run}`
+      const key = runInLife({ taskKey, run })
       next.set(key, percent)
       if ((known.get(key) ?? FULL_PERCENT) !== percent) orders.push({ taskKey, run, percent })
     }
--- a/packages/batch/src/ranking.ts
+++ b/packages/batch/src/ranking.ts
@@ -7,13 +7,6 @@
   abstract compare (left: WaitingStep, right: WaitingStep, nowWallMs: number): number
 }
 
-/** First come, first served; the baseline that benchmarks compare with. */
-export class ArrivalOrder extends WorkOrder {
-  override compare (left: WaitingStep, right: WaitingStep): number {
-    return left.startedWallMs - right.startedWallMs
-  }
-}
-
 /** Work that ends later than this multiple of its objective earns nothing for its caller. */
 const WORTHLESS_AFTER_OBJECTIVES = 3
 
--- a/packages/batch/src/reclaim-policy.ts
+++ b/packages/batch/src/reclaim-policy.ts
@@ -1,4 +1,5 @@
 /** How much of others' work may be thrown away for waiting work, and when. */
+import { coresOf } from './jobs.js'
 import type { BatchSettings } from './settings.js'
 import type { WaitingStep } from './waiting-work.js'
 
@@ -24,8 +25,6 @@
 const ESTIMATE_ERROR_FACTOR = 2
 /** Time from a stop's order until its room can be used: a heartbeat, the stop, and the heartbeat that lists it. */
 const STOP_AND_START_MS = 600
-/** Cores that one accelerator counts for. */
-const CORES_PER_ACCELERATOR = 8
 
 /**
  * A guarantee that falls due is worth any work. Other urgent work takes room where it would otherwise miss its
@@ -58,8 +57,7 @@
 
   #worthOf ({ spec, taskIndexes, remainingChainMs }: WaitingStep): number {
     const { reclaimWorkFactor, leastReclaimBudgetCoreSeconds } = this.#settings
-    const cores = spec.shape.cpuMillicores / 1_000 + spec.shape.acceleratorCount * CORES_PER_ACCELERATOR
-    const ownCoreSeconds = cores * taskIndexes.length * remainingChainMs / 1_000
+    const ownCoreSeconds = coresOf(spec.shape) * taskIndexes.length * remainingChainMs / 1_000
     return Math.max(leastReclaimBudgetCoreSeconds, ownCoreSeconds * reclaimWorkFactor)
   }
 }
--- a/packages/batch/src/reclaim.ts
+++ b/packages/batch/src/reclaim.ts
@@ -2,6 +2,7 @@
 import type { Assignment } from './commands.js'
 import type { OccupyingRun, WorkerSlot } from './free-capacity.js'
 import { chooseWorkers, onlyCandidates, undo, type Candidates, type TaskChoice } from './fitting.js'
+import { coresOf } from './jobs.js'
 import type { WaitingStep } from './waiting-work.js'
 
 interface Victim {
@@ -17,8 +18,6 @@
   readonly held: readonly TaskChoice[]
 }
 
-/** Processor cores that one accelerator counts for when the work thrown away is compared. */
-const CORES_PER_ACCELERATOR = 8
 /** Work that a checkpointing run loses at a stop, with the time to restore. */
 const CHECKPOINTED_LOSS_MS = 300
 
@@ -128,9 +127,8 @@
 
 /** Core-seconds that a stop throws away; a gang loses the work of all its members. */
 function lossOf ({ spec, elapsedMs }: OccupyingRun): number {
-  const cores = spec.shape.cpuMillicores / 1_000 + spec.shape.acceleratorCount * CORES_PER_ACCELERATOR
   const lostMs = spec.isCheckpointing ? Math.min(elapsedMs, CHECKPOINTED_LOSS_MS) : elapsedMs
-  return cores * (spec.isGang ? spec.taskCount : 1) * lostMs / 1_000
+  return coresOf(spec.shape) * (spec.isGang ? spec.taskCount : 1) * lostMs / 1_000
 }
 
 function setReleased (victims: readonly Victim[], isReleased: boolean): void {
--- a/packages/batch/src/worker-report.ts
+++ b/packages/batch/src/worker-report.ts
@@ -2,6 +2,9 @@
 import type { TaskShape } from './jobs.js'
 import type { RunEnd, WorkerLife } from './commands.js'
 
+/** Progress of a task with all its work done, and of a lasting task that is at work. */
+export const FULL_PROGRESS_PERCENT = 100
+
 /** A run that a worker lists. */
 export interface RunningTask {
   readonly taskKey: string
--- a/packages/batch/src/worker-table.ts
+++ b/packages/batch/src/worker-table.ts
@@ -7,7 +7,7 @@
 import type { BatchSettings } from './settings.js'
 import { WorkerHealth } from './worker-health.js'
 import type { WaitingStep } from './waiting-work.js'
-import type { WorkerReport } from './worker-report.js'
+import { FULL_PROGRESS_PERCENT, type WorkerReport } from './worker-report.js'
 import { WorkerPlaces } from './worker-places.js'
 import { WorkerView } from './worker-view.js'
 
@@ -161,7 +161,7 @@
   hasStalledRun (view: WorkerView): boolean {
     const changedBeforeMs = this.#clock.monotonicMs() - this.#settings.suspectAfterMs
     return view.runsUnchangedSince(changedBeforeMs).some(({ taskKey, percent, changedMs }) =>
-      percent > 0 && percent < 100 && changedMs <= changedBeforeMs - this.#stallMarginMs(taskKey))
+      percent > 0 && percent < FULL_PROGRESS_PERCENT && changedMs <= changedBeforeMs - this.#stallMarginMs(taskKey))
   }
 
   /** Long work shows its progress more slowly. */
--- a/packages/batch/src/worker-view.ts
+++ b/packages/batch/src/worker-view.ts
@@ -1,6 +1,6 @@
 /** What the leader has heard from one life of a worker. */
 import type { Clock } from '@comfreygrade/core'
-import { runKey } from './batch-state.js'
+import { runInLife, runKey } from './batch-state.js'
 import type { Assignment } from './commands.js'
 import type { WorkerReport, RunningTask } from './worker-report.js'
 import type { BatchSettings } from './settings.js'
@@ -94,7 +94,7 @@
 
   /** A run that an earlier heartbeat listed would have ended with the lease. */
   #judgeLease ({ running, clockMs }: WorkerReport): LeaseCertainty {
-    const hasContinuingRun = running.some(({ taskKey, run }) => this.seen.has(`${taskKey}#${run}`))
+    const hasContinuingRun = running.some(row => this.seen.has(runInLife(row)))
     if (this.#grantedAtWorkerMs === undefined || hasContinuingRun) return 'held'
     if (clockMs < this.#sureLeaseEndWorkerMs) return 'held'
     // An earlier leader may have extended the lease up to the start of this term.
@@ -123,24 +123,24 @@
 
   /** How long a run has been seen at work; undefined before its first row. */
   elapsedMs (taskKey: string, run: number, nowMs: number): number | undefined {
-    const progress = this.progress.get(`${taskKey}#${run}`)
+    const progress = this.progress.get(runInLife({ taskKey, run }))
     return progress === undefined ? undefined : nowMs - progress.firstSeenMs
   }
 
   /** How long a run has shown no progress; undefined before its first row. */
   unchangedMs (taskKey: string, run: number, nowMs: number): number | undefined {
-    const progress = this.progress.get(`${taskKey}#${run}`)
+    const progress = this.progress.get(runInLife({ taskKey, run }))
     return progress === undefined ? undefined : nowMs - progress.changedMs
   }
 
   /** The latest checkpoint that any heartbeat listed of a run; empty for none. */
   latestCheckpoint (taskKey: string, run: number): string {
-    return this.#checkpoints.get(`${taskKey}#${run}`) ?? ''
+    return this.#checkpoints.get(runInLife({ taskKey, run })) ?? ''
   }
 
   /** Forgets a run that is off the worker for good. */
   forgetRun (run: Assignment): void {
-    const key = `${run.taskKey}#${run.run}`
+    const key = runInLife(run)
     this.seen.delete(key)
     this.#checkpoints.delete(key)
     this.offeredAt.delete(runKey(run))
@@ -163,10 +163,10 @@
   #followProgress (report: WorkerReport, nowMs: number): void {
     const listed = new Set<string>()
     for (const { taskKey, run, checkpoint } of [...report.running, ...report.ends]) {
-      if (checkpoint !== '') this.#checkpoints.set(`${taskKey}#${run}`, checkpoint)
+      if (checkpoint !== '') this.#checkpoints.set(runInLife({ taskKey, run }), checkpoint)
     }
     for (const { taskKey, run, percent } of report.running) {
-      const key = `${taskKey}#${run}`
+      const key = runInLife({ taskKey, run })
       listed.add(key)
       this.seen.add(key)
       const known = this.progress.get(key)
--- a/packages/bench/src/batch-simulation.ts
+++ b/packages/bench/src/batch-simulation.ts
@@ -1,8 +1,8 @@
 /** Plays a day of the batch scheduler in simulated time: the real leader, simulated workers, commits with a delay. */
 import { ManualClock, NullEventLog, NullMetrics, Random } from '@comfreygrade/core'
 import {
-  BatchLeader, BatchState, defaultBatchSettings, jobIdOf, type BatchSettings, type EndReason, type LeaderEffect,
-  type LeaderEvent, type QueueDocument
+  BatchLeader, BatchState, coresOf, defaultBatchSettings, jobIdOf, type BatchSettings, type EndReason,
+  type LeaderEffect, type LeaderEvent, type QueueDocument
 } from '@comfreygrade/batch'
 import type { JobKind, SimulatedJob } from './batch-load.js'
 import { RunModel, SimulatedWorker, type SimulatedRun } from './batch-worker.js'
@@ -39,8 +39,6 @@
 const SPEEDS = [0.8, 1, 1.25]
 /** Run time of a same-rack gang over several racks. */
 const FAR_FACTOR = 3
-/** Processor cores that an accelerator counts for. */
-const CORES_PER_ACCELERATOR = 8
 /** Work later than this multiple of its objective is of no use. */
 const LATE_OBJECTIVES = 3
 /** Share of a job's worth that does not depend on its size. */
@@ -106,7 +104,7 @@
 
   override ended (_worker: SimulatedWorker, run: SimulatedRun, reason: EndReason, atMs: number): void {
     const job = this.#jobOf(run)
-    if (reason !== 'done') this.#thrownAwayCoreMs += coresOf(job) * lostMs(job, run, atMs)
+    if (reason !== 'done') this.#thrownAwayCoreMs += coresOf(job.step.shape) * lostMs(job, run, atMs)
     if (!job.step.isGang) return
     for (const member of this.#membersOf(run)) {
       member.worker.end(member.run, reason === 'done' ? 'done' : 'broken', atMs)
@@ -232,10 +230,6 @@
 /** Time in which all workers are heard before the first job. */
 const SETTLE_MS = 1_000
 
-function coresOf ({ step: { shape } }: SimulatedJob): number {
-  return shape.cpuMillicores / 1_000 + shape.acceleratorCount * CORES_PER_ACCELERATOR
-}
-
 function lostMs ({ step }: SimulatedJob, run: SimulatedRun, atMs: number): number {
   const workedMs = atMs - (run.worksFromMs ?? run.startedMs)
   return step.isCheckpointing ? Math.min(workedMs, CHECKPOINT_LOSS_MS) : workedMs
