Answer a heartbeat from the view that took it

Cause: answers looked their worker up again and made a new view where there was none, so a worker that left while its heartbeat waited came back as an idle one and could be given work for 2.5 s, which was then lost. ReportDesk keeps the view itself, and the look-up that could create one is gone. Test: lost-worker.test.ts, fails before.

--- a/packages/batch/src/report-desk.ts
+++ b/packages/batch/src/report-desk.ts
@@ -1,12 +1,13 @@
 /** Heartbeats that wait for their answers. */
 import type { Clock } from '@comfreygrade/core'
 import type { BatchSettings } from './settings.js'
-import type { WorkerReport } from './worker-report.js'
+import type { WorkerView } from './worker-view.js'
 
 /** A heartbeat that waits for its answer. */
 export interface OpenReport {
   readonly requestId: string
-  readonly report: WorkerReport
+  /** View of the sender, also where the leader has forgotten it meanwhile. */
+  readonly view: WorkerView
   readonly receivedAtMs: number
 }
 
@@ -36,7 +37,7 @@
 
   /** Takes a heartbeat; returns an earlier one of the same worker, which nobody waits for any more. */
   take (open: OpenReport, isIdle: boolean): OpenReport | undefined {
-    const { workerId } = open.report
+    const { workerId } = open.view.latest
     const earlier = this.#open.get(workerId) ?? this.#idle.get(workerId)
     this.#open.delete(workerId)
     this.#idle.delete(workerId)
@@ -57,18 +58,18 @@
   takeDue (): OpenReport[] {
     const nowMs = this.#options.clock.monotonicMs()
     const due = [...this.#open.values()].filter(open => nowMs - open.receivedAtMs >= this.#holdMs(open))
-    for (const { report } of due) this.#open.delete(report.workerId)
+    for (const { view } of due) this.#open.delete(view.latest.workerId)
     for (const open of this.#idle.values()) {
       if (nowMs - open.receivedAtMs < this.#options.settings.maxIdleHoldMs) break
-      this.#idle.delete(open.report.workerId)
+      this.#idle.delete(open.view.latest.workerId)
       due.push(open)
     }
     return due
   }
 
-  #holdMs ({ report }: OpenReport): number {
+  #holdMs ({ view }: OpenReport): number {
     const { settings, isBusy, isPassPending } = this.#options
-    if (isBusy(report.workerId)) return settings.maxReportHoldMs
+    if (isBusy(view.latest.workerId)) return settings.maxReportHoldMs
     return isPassPending() ? settings.maxPassHoldMs : 0
   }
 }
--- a/packages/batch/src/report-handler.ts
+++ b/packages/batch/src/report-handler.ts
@@ -59,8 +59,8 @@
     if (reception.isNew) this.#options.passNeeded()
     this.#checkLease(view)
     if (view.leaseCertainty !== 'uncertain' && view.isConfirmed) this.#recordEnds(report)
-    this.#releaseAbsent(report)
-    const earlier = this.#desk.take({ requestId, report, receivedAtMs: nowMs }, this.#isIdle(view))
+    this.#releaseAbsent(view)
+    const earlier = this.#desk.take({ requestId, view, receivedAtMs: nowMs }, this.#isIdle(view))
     if (earlier !== undefined) this.#options.reply(earlier.requestId, undefined)
   }
 
@@ -107,11 +107,10 @@
     log.info('job ended', { jobId, outcome: job.state, durationMs: Math.round(durationMs), lastTaskKey: taskKey })
   }
 
-  #releaseAbsent (report: WorkerReport): void {
-    const view = this.#options.workers.viewOf(report)
+  #releaseAbsent (view: WorkerView): void {
     const runs = this.#options.orders.certainlyAbsent(view)
     if (runs.length === 0) return
-    this.#proposeFor(report.workerId, { kind: 'release', runs }, () => {
+    this.#proposeFor(view.latest.workerId, { kind: 'release', runs }, () => {
       for (const run of runs) view.forgetRun(run)
       this.#options.passNeeded()
     })
@@ -149,8 +148,7 @@
 
   /** Answers the heartbeats whose wait is over. */
   answerDue (): void {
-    for (const { requestId, report } of this.#desk.takeDue()) {
-      const view = this.#options.workers.viewOf(report)
+    for (const { requestId, view } of this.#desk.takeDue()) {
       const orders = { ...this.#options.orders.ordersFor(view), nextReportMs: this.#nextReportMs(view) }
       this.#options.reply(requestId, orders)
     }
--- a/packages/batch/src/worker-table.ts
+++ b/packages/batch/src/worker-table.ts
@@ -109,12 +109,6 @@
     return this.#views.get(workerId)
   }
 
-  /** View of the sender of a heartbeat that was taken. */
-  viewOf (report: WorkerReport): WorkerView {
-    const view = this.#views.get(report.workerId)
-    return view ?? this.#add(report)
-  }
-
   /** Workers that have been heard. */
   get count (): number {
     return this.#views.size
--- a/packages/batch/test/lost-worker.test.ts
+++ b/packages/batch/test/lost-worker.test.ts
@@ -1,6 +1,6 @@
 /** Workers that are lost: their saved work goes on elsewhere, and their old heartbeats count for nothing. */
 import test from 'ava'
-import { step } from './fixture.js'
+import { report, step } from './fixture.js'
 import { LeaderFixture, rows } from './leader-fixture.js'
 import type { WorkerReport } from '../src/index.js'
 
@@ -90,3 +90,15 @@
   // A later life of the same worker is taken.
   t.not(fixture.beat('w1', { incarnation: 2_000 }), undefined)
 })
+
+test('a worker that leaves while its heartbeat waits for an answer gets no further run', t => {
+  const fixture = new LeaderFixture()
+  fixture.beat('w1')
+  fixture.advance(200)
+  const now = fixture.clock.monotonicMs() + 1
+  fixture.send(report('w1', { clockMs: now, sequence: Math.round(now) + 1 }))
+  fixture.tell({ kind: 'worker_left', requestId: 'left', workerId: 'w1' })
+  fixture.submit('j1', [step({ taskCount: 1 })])
+  for (let elapsedMs = 0; elapsedMs < 1_000; elapsedMs += 50) fixture.advance(50)
+  t.is([...fixture.state.runsOf('w1')].length, 0)
+})
