Find the expected start of a waiting step once a pass, and forget old lives in one place

Found on reading the whole change: a same-rack gang that waits had its reservation computed in #choose and again in #waitOrReclaim, and the bound of its wait was written twice; WorkerTable.expired, a question, also forgot old views. ExpectedRoom keeps the reservation of a step within a pass; forgetOldLives does the forgetting.

--- a/packages/batch/src/leader.ts
+++ b/packages/batch/src/leader.ts
@@ -220,7 +220,7 @@
     this.#maintain()
     this.#advice.retain(jobId => this.#options.state.job(jobId)?.state === 'open')
     this.#orders.forgetEnded()
-    this.#reports.forgetOldJobs()
+    this.#reports.forgetOld()
   }
 
   /** Takes work off workers on which it cannot end. */
--- a/packages/batch/src/report-handler.ts
+++ b/packages/batch/src/report-handler.ts
@@ -169,8 +169,9 @@
     }
   }
 
-  /** Forgets jobs that the state no longer has. */
-  forgetOldJobs (): void {
+  /** Forgets jobs that the state no longer has, and lives that have been gone for long. */
+  forgetOld (): void {
+    this.#options.workers.forgetOldLives()
     const isKnown = (jobId: string): boolean => this.#options.state.job(jobId) !== undefined
     this.#options.workers.retainJobs(isKnown)
     for (const jobId of this.#loggedJobs) if (!isKnown(jobId)) this.#loggedJobs.delete(jobId)
--- a/packages/batch/src/reservation.ts
+++ b/packages/batch/src/reservation.ts
@@ -15,13 +15,8 @@
   readonly inMs: number
 }
 
-/**
- * Finds the workers on which the waiting tasks are expected to fit first; a same-rack gang gets one rack.
- *
- * @example
- * const { inMs } = findReservation(step, candidates)
- */
-export function findReservation (step: WaitingStep, { groups }: Candidates): Reservation {
+/** Finds the workers on which the waiting tasks are expected to fit first; a same-rack gang gets one rack. */
+function findReservation (step: WaitingStep, { groups }: Candidates): Reservation {
   const taskCount = step.taskIndexes.length
   let best: Reservation = { starts: [], inMs: Infinity }
   for (const group of groups) {
@@ -32,6 +27,23 @@
   return best
 }
 
+/** The reservation of a step, found when it is first asked for and kept while the slots do not change. */
+export class ExpectedRoom {
+  readonly #step: WaitingStep
+  readonly #candidates: Candidates
+  #reservation: Reservation | undefined
+
+  constructor (step: WaitingStep, candidates: Candidates) {
+    this.#step = step
+    this.#candidates = candidates
+  }
+
+  get reservation (): Reservation {
+    this.#reservation ??= findReservation(this.#step, this.#candidates)
+    return this.#reservation
+  }
+}
+
 /**
  * Holds the room. Work that is estimated to end before the room is needed may use it meanwhile (EASY backfilling).
  */
--- a/packages/batch/src/scheduler.ts
+++ b/packages/batch/src/scheduler.ts
@@ -10,7 +10,7 @@
 import type { WorkOrder } from './ranking.js'
 import { holdFreedRoom, planReclaim, type ReclaimPlan } from './reclaim.js'
 import { ObjectiveReclaim, type ReclaimPolicy } from './reclaim-policy.js'
-import { findReservation, reserve } from './reservation.js'
+import { ExpectedRoom, reserve } from './reservation.js'
 import type { BatchSettings } from './settings.js'
 import { waitingSteps, type WaitingStep } from './waiting-work.js'
 import type { WorkerView } from './worker-view.js'
@@ -124,40 +124,45 @@
     const eligible = pass.slots.filter(slot => mayRun(slot, step, permitted))
     if (eligible.length === 0) return
     const candidates = candidatesFor(step, eligible, pass.rackPatienceMs)
-    const choices = this.#choose(step, candidates, pass)
-    pass.assignments.push(...choices.map(choice => toAssignment(step, choice)))
+    const choices = chooseWorkers(step, candidates)
+    this.#assign(step, choices, pass)
     const placed = new Set(choices.map(choice => choice.index))
     const rest = { ...step, taskIndexes: step.taskIndexes.filter(index => !placed.has(index)) }
     if (rest.taskIndexes.length > 0) this.#waitOrReclaim(rest, candidates, pass)
   }
 
-  /**
-   * A same-rack gang runs over several racks where that ends it sooner than the wait for one, and where most of the
-   * fleet is free, so that work never waits long beside idle workers.
-   */
-  #choose (step: WaitingStep, candidates: Candidates, pass: Pass): TaskChoice[] {
-    const choices = chooseWorkers(step, candidates)
-    const { isGang, isSameRack, estimateMs } = step.spec
-    if (choices.length > 0 || !isGang || !isSameRack) return choices
-    const extraMs = (this.#settings.farFactor - 1) * estimateMs
-    const isWorthIt = step.waitedMs > Math.min(extraMs, pass.rackPatienceMs) &&
-      findReservation(step, candidates).inMs > Math.min(extraMs, pass.rackPatienceMs)
-    return isWorthIt ? chooseWorkers(step, onlyCandidates(candidates.workers)) : []
+  #assign (step: WaitingStep, choices: readonly TaskChoice[], pass: Pass): void {
+    pass.assignments.push(...choices.map(choice => toAssignment(step, choice)))
   }
 
   #waitOrReclaim (step: WaitingStep, candidates: Candidates, pass: Pass): void {
+    const expected = new ExpectedRoom(step, candidates)
+    if (this.#startOverRacks(step, candidates, expected, pass)) return
     pass.vainTrials++
     if (this.#claims.has(waitingKey(step)) && holdFreedRoom(step, candidates)) return
     const mayReserve = pass.reservations < this.#settings.maxReservations
     if (!mayReserve && !this.#reclaimPolicy.mayReclaim(step)) return
-    const reservation = findReservation(step, candidates)
     const { nowWallMs, isFleetKnown } = pass
-    const situation = { nowWallMs, startsInMs: reservation.inMs, isFleetKnown }
+    const situation = { nowWallMs, startsInMs: expected.reservation.inMs, isFleetKnown }
     const budget = this.#reclaimPolicy.budgetCoreSeconds(step, situation)
     if (budget > 0 && this.#reclaim(step, candidates, budget, pass)) return
     if (!mayReserve) return
     pass.reservations++
-    reserve(step, reservation)
+    reserve(step, expected.reservation)
+  }
+
+  /**
+   * A same-rack gang runs over several racks where that ends it sooner than the wait for one, and where most of the
+   * fleet is free, so that work never waits long beside idle workers.
+   */
+  #startOverRacks (step: WaitingStep, { workers }: Candidates, expected: ExpectedRoom, pass: Pass): boolean {
+    const { isGang, isSameRack, estimateMs } = step.spec
+    if (!isGang || !isSameRack) return false
+    const patienceMs = Math.min((this.#settings.farFactor - 1) * estimateMs, pass.rackPatienceMs)
+    if (step.waitedMs <= patienceMs || expected.reservation.inMs <= patienceMs) return false
+    const choices = chooseWorkers(step, onlyCandidates(workers))
+    this.#assign(step, choices, pass)
+    return choices.length > 0
   }
 
   /** Returns whether the step has its room, some of it after stops. */
--- a/packages/batch/src/worker-table.ts
+++ b/packages/batch/src/worker-table.ts
@@ -17,7 +17,7 @@
   | { readonly kind: 'taken', readonly view: WorkerView, readonly isNew: boolean, readonly replaced: readonly WorkerView[] }
 
 /** Longer than a heartbeat may be held up on its way. */
-const FORGET_SILENT_AFTER_MS = 300_000
+const FORGET_GONE_AFTER_MS = 300_000
 /** Share of the estimated run time that one percent of progress may take on a slow worker. */
 const SUSPECT_ESTIMATE_SHARE = 0.05
 
@@ -178,24 +178,27 @@
       .map(view => view.latest.workerId)
   }
 
-  /**
-   * Lives whose leases have certainly run out. Their views stay for a while, since an old heartbeat that comes late is
-   * told from a new one only by what was heard before.
-   */
+  /** Lives whose leases have certainly run out and that have runs. */
   expired (): WorkerLife[] {
     const nowMs = this.#clock.monotonicMs()
     const { leaseMs, clockRateBound, leaseMarginMs } = this.#settings
     const afterMs = leaseMs * (1 + clockRateBound) + leaseMarginMs
-    const lives: WorkerLife[] = []
-    for (const view of this.#views.values()) {
-      const silentMs = nowMs - view.heardAtMs
-      if (silentMs > afterMs && this.#state.hasRuns(view.latest.workerId)) lives.push(lifeOf(view.latest))
-      if (silentMs > FORGET_SILENT_AFTER_MS) this.forget(view.latest.workerId)
-    }
+    const silent = [...this.#views.values()]
+      .filter(view => nowMs - view.heardAtMs > afterMs && this.#state.hasRuns(view.latest.workerId))
+      .map(view => lifeOf(view.latest))
+    return nowMs - this.#termStartedAtMs <= afterMs ? silent : [...silent, ...this.#unheard()]
+  }
+
+  /**
+   * Forgets lives that have been gone for long. Those that are gone for less stay, since an old heartbeat that comes
+   * late is told from a new one only by what was heard before.
+   */
+  forgetOldLives (): void {
+    const goneBeforeMs = this.#clock.monotonicMs() - FORGET_GONE_AFTER_MS
+    for (const { latest, heardAtMs } of this.#views.values()) if (heardAtMs < goneBeforeMs) this.forget(latest.workerId)
     for (const { workerId, leftAtMs } of this.#leftLives.values()) {
-      if (nowMs - leftAtMs > FORGET_SILENT_AFTER_MS) this.#leftLives.delete(workerId)
+      if (leftAtMs < goneBeforeMs) this.#leftLives.delete(workerId)
     }
-    return nowMs - this.#termStartedAtMs <= afterMs ? lives : [...lives, ...this.#unheard()]
   }
 
   /** Workers that have runs of an earlier term and have not been heard in this one. */
