--- a/scripts/run-tests.ts
+++ b/scripts/run-tests.ts
@@ -20,7 +20,8 @@
 const knownRed = readKnownRed()
 const passed: string[] = []
 const failed: Assertion[] = []
-const child = spawn(process.execPath, ['node_modules/ava/entrypoints/cli.mjs', '--tap', ...process.argv.slice(2)],
+const child = spawn(process.execPath,
+  ['--import=./scripts/ava-timeout-report.mjs', 'node_modules/ava/entrypoints/cli.mjs', '--tap', ...process.argv.slice(2)],
   { stdio: ['ignore', 'pipe', 'inherit'] })
 
 const parser = new Parser()
