Give the soak's workers and their checks a place that other tests share

Change: LeasedRuns holds the runs, ends and lease on an injected clock, and RunHistory the checks of runs; FakeWorker keeps the HTTP part.

--- /dev/null
+++ b/packages/standins/src/leased-runs.ts
@@ -0,0 +1,117 @@
+/** Runs of a stand-in worker of the batch scheduler: its lease, its runs and the ends that it reports. */
+import type { Clock } from '@comfreygrade/core'
+import type { EndReason, RunEnd, RunningTask, WorkerOrders } from '@comfreygrade/batch'
+import type { RunHistory } from './run-history.js'
+
+interface Run {
+  readonly run: number
+  readonly startedMs: number
+  readonly durationMs: number
+}
+
+/** Progress of a run that has not ended. */
+const MAX_RUNNING_PERCENT = 99
+
+/**
+ * One incarnation of a worker without input or output, on its own clock. The payload of a job is the run time of each
+ * task in milliseconds.
+ *
+ * @example
+ * const runs = new LeasedRuns('w1', clock, history)
+ * runs.applyOrders(orders, heartbeatSentMs)
+ */
+export class LeasedRuns {
+  readonly #workerId: string
+  readonly #clock: Clock
+  readonly #history: RunHistory
+  readonly #runs = new Map<string, Run>()
+  /** A repeated order must not start a run that has ended. */
+  readonly #lastEndedRunByTask = new Map<string, number>()
+  /** Ends that are reported in every heartbeat until they are acknowledged. */
+  #ends: RunEnd[] = []
+  #lastEndSequence = 0
+  #fencingToken = 0
+  #leaseEndMs = 0
+
+  constructor (workerId: string, clock: Clock, history: RunHistory) {
+    this.#workerId = workerId
+    this.#clock = clock
+    this.#history = history
+  }
+
+  /** Runs as a heartbeat lists them. */
+  running (): RunningTask[] {
+    const nowMs = this.#clock.monotonicMs()
+    return [...this.#runs].map(([taskKey, run]) => ({
+      taskKey, run: run.run, checkpoint: '', percent: progressPercent(run, nowMs), usage: 0
+    }))
+  }
+
+  /** Ends that have not been acknowledged. */
+  get ends (): readonly RunEnd[] {
+    return this.#ends
+  }
+
+  /** Ends all runs without telling anyone, as a crash does. */
+  crash (): void {
+    for (const taskKey of this.#runs.keys()) this.#history.recordNotRunning(taskKey, this.#workerId)
+    this.#runs.clear()
+  }
+
+  /** Ends runs that are complete; after the lease has lapsed, all runs, and unacknowledged ends become void. */
+  endDueRuns (): void {
+    const nowMs = this.#clock.monotonicMs()
+    const hasLapsed = nowMs >= this.#leaseEndMs
+    if (hasLapsed) for (const { sequence } of this.#ends) this.#history.recordEndVoided(this.#workerId, sequence)
+    for (const [taskKey, { run, startedMs, durationMs }] of this.#runs) {
+      if (hasLapsed) this.#endRun(taskKey, run, 'lapsed')
+      else if (nowMs - startedMs >= durationMs) this.#endRun(taskKey, run, 'done')
+    }
+  }
+
+  /**
+   * Carries out the orders in the answer to the heartbeat that was sent at `sentMs`. The caller discards answers that
+   * came too late.
+   *
+   * @returns whether the orders were obeyed; those of a deposed leader are not
+   */
+  applyOrders (orders: WorkerOrders, sentMs: number): boolean {
+    if (orders.fencingToken < this.#fencingToken) return false
+    // The lease may have lapsed while the answer was in transit.
+    this.endDueRuns()
+    this.#fencingToken = orders.fencingToken
+    this.#acknowledgeEnds(orders.recordedEndSequence)
+    for (const { taskKey, run } of orders.stops) {
+      if (this.#runs.get(taskKey)?.run === run) this.#endRun(taskKey, run, 'stopped')
+    }
+    if (orders.leaseMs === undefined) return true
+    this.#leaseEndMs = Math.max(this.#leaseEndMs, sentMs + orders.leaseMs)
+    for (const { taskKey, run, payload } of orders.starts) this.#startRun(taskKey, run, Number(payload))
+    return true
+  }
+
+  #acknowledgeEnds (recordedEndSequence: number): void {
+    for (const { sequence, taskKey, reason } of this.#ends) {
+      if (sequence > recordedEndSequence || reason !== 'done') continue
+      this.#history.recordEndAcknowledged(taskKey, this.#workerId, sequence)
+    }
+    this.#ends = this.#ends.filter(({ sequence }) => sequence > recordedEndSequence)
+  }
+
+  #endRun (taskKey: string, run: number, reason: EndReason): void {
+    this.#runs.delete(taskKey)
+    this.#lastEndedRunByTask.set(taskKey, Math.max(run, this.#lastEndedRunByTask.get(taskKey) ?? 0))
+    this.#ends.push({ sequence: ++this.#lastEndSequence, taskKey, run, reason, checkpoint: '' })
+    this.#history.recordNotRunning(taskKey, this.#workerId)
+  }
+
+  #startRun (taskKey: string, run: number, durationMs: number): void {
+    if (this.#runs.has(taskKey) || run <= (this.#lastEndedRunByTask.get(taskKey) ?? 0)) return
+    this.#runs.set(taskKey, { run, startedMs: this.#clock.monotonicMs(), durationMs })
+    this.#history.recordRunStarted(taskKey, this.#workerId)
+  }
+}
+
+function progressPercent ({ startedMs, durationMs }: Run, nowMs: number): number {
+  return Math.min(MAX_RUNNING_PERCENT, Math.floor((nowMs - startedMs) / durationMs * 100))
+}
