Never start a run whose release is in flight, and free runs of replaced incarnations

Three faults, found by a new simulation of the run protocol (two leaders, two workers, production code of the leader and the state, no sockets):

The answer with a start order was lost and the lease lapsed, so the leader proposed worker_gone. The commit took longer than the 600 ms for which the answer may wait, and the answer repeated the start order of the run that was about to be freed. The worker ran it, its end was acknowledged without effect, and the task was assigned again. Now no run starts on a worker while a command that frees its runs is in flight. 2. A worker that restarted around a change of leader kept the runs of its former incarnation assigned until it got a new one, on an idle fleet for ever. 3. The same after an assignment that was committed after its worker restarted. Now the fleet check frees runs of incarnations that a later one has replaced.

Ruled out for 1: grants of another leader, since one leader in one term is enough; clock rates, since the lease had lapsed on every clock.

--- a/packages/batch/src/leader.ts
+++ b/packages/batch/src/leader.ts
@@ -227,7 +227,7 @@
     if (nowMs - this.#lastFleetCheckMs < FLEET_CHECK_INTERVAL_MS) return
     this.#lastFleetCheckMs = nowMs
     this.#isPassDue = true
-    this.#reports.releaseExpiredWorkers()
+    this.#reports.releaseGoneWorkers()
     this.#evictRuns()
     this.#beginDueMaintenance()
     this.#tickets.retainOpenJobs(jobId => this.#options.state.job(jobId)?.state === 'open')
--- a/packages/batch/src/order-planner.ts
+++ b/packages/batch/src/order-planner.ts
@@ -80,8 +80,10 @@
    * orders as sent, and advances the pace of the fillers by one step, so it is called once for each answer.
    *
    * An uncertain lease is not extended, so that it certainly lapses and the runs under it can be freed.
+   *
+   * @param mayStart - false while a command is in flight that frees all runs of the worker
    */
-  takeOrders (view: WorkerView): Omit<WorkerOrders, 'nextReportMs'> {
+  takeOrders (view: WorkerView, mayStart: boolean): Omit<WorkerOrders, 'nextReportMs'> {
     const { state, settings, fencingToken } = this.#options
     const { latest } = view
     const isExtended = view.leaseStatus !== 'uncertain'
@@ -90,7 +92,7 @@
       ...(isExtended ? { leaseMs: settings.leaseMs } : {}),
       recordedEndSequence: state.lastEndSequence(latest),
       fencingToken,
-      starts: isExtended ? this.#startOrders(view) : [],
+      starts: isExtended && mayStart ? this.#startOrders(view) : [],
       stops: this.#stopOrders(view),
       paces: this.#pacing.takeOrders(view)
     }
--- a/packages/batch/src/report-handler.ts
+++ b/packages/batch/src/report-handler.ts
@@ -34,6 +34,8 @@
   readonly #pendingReports: PendingReports
   /** Number of proposed commands that concern a worker and are not settled yet, by worker. */
   readonly #commandsInFlight = new Map<string, number>()
+  /** Number of proposed commands that free all runs of a worker and are not settled yet, by worker. */
+  readonly #releasesInFlight = new Map<string, number>()
   /** Jobs whose end was logged; kept while the state has the job, so that each end is logged once. */
   readonly #loggedJobs = new Set<string>()
 
@@ -144,7 +146,9 @@
       const checkpoint = view?.latestCheckpoint(taskKey, run) ?? ''
       return checkpoint === '' ? [] : [{ taskKey, checkpoint }]
     })
-    this.#proposeFor(workerId, { kind: 'worker_gone', life, checkpoints }, () => { this.#options.requestPass() })
+    adjustCount(this.#releasesInFlight, workerId, 1)
+    const onSettled = (): void => { adjustCount(this.#releasesInFlight, workerId, -1) }
+    this.#proposeFor(workerId, { kind: 'worker_gone', life, checkpoints }, () => { this.#options.requestPass() }, onSettled)
   }
 
   /** Whether a worker has no runs, unrecorded ends or commands in flight, so that a long wait delays nothing. */
@@ -156,7 +160,9 @@
   /** Answers the reports that have waited long enough. */
   answerDueReports (): void {
     for (const { requestId, view } of this.#pendingReports.takeDue()) {
-      const orders = { ...this.#options.orders.takeOrders(view), nextReportMs: this.#nextReportMs(view) }
+      // A run that is about to be freed must not start: its task is then assigned to another worker.
+      const mayStart = !this.#releasesInFlight.has(view.latest.workerId)
+      const orders = { ...this.#options.orders.takeOrders(view, mayStart), nextReportMs: this.#nextReportMs(view) }
       this.#options.reply(requestId, orders)
     }
   }
@@ -168,8 +174,12 @@
     return Math.max(minIntervalMs, Math.round(this.#options.registry.count * 1_000 / maxReportsPerSecond))
   }
 
-  /** Frees the runs of workers whose leases have certainly expired. */
-  releaseExpiredWorkers (): void {
+  /** Frees the runs of workers whose leases have certainly expired, and of incarnations that later ones replaced. */
+  releaseGoneWorkers (): void {
+    for (const worker of this.#options.registry.replacedIncarnations()) {
+      if (this.hasCommandsInFlight(worker.workerId)) continue
+      this.#handleWorkerGone(worker, 'replaced by a later incarnation', undefined)
+    }
     for (const worker of this.#options.registry.expiredIncarnations()) {
       if (this.hasCommandsInFlight(worker.workerId)) continue
       this.#handleWorkerGone(worker, 'lease expired without a heartbeat', this.#options.registry.view(worker.workerId))
@@ -198,18 +208,26 @@
     return this.#commandsInFlight.has(workerId)
   }
 
-  #proposeFor (workerId: string, command: BatchCommand, onApplied: () => void): void {
+  #proposeFor (
+    workerId: string, command: BatchCommand, onApplied: () => void, onSettled: () => void = () => {}
+  ): void {
     this.adjustCommandsInFlight(workerId, 1)
     this.#options.propose(command, outcome => {
       this.adjustCommandsInFlight(workerId, -1)
+      onSettled()
       if (outcome.kind === 'applied') onApplied()
     })
   }
 
   /** Counts the proposed commands that concern a worker until they are settled; its report is answered after that. */
   adjustCommandsInFlight (workerId: string, change: 1 | -1): void {
-    const count = (this.#commandsInFlight.get(workerId) ?? 0) + change
-    if (count === 0) this.#commandsInFlight.delete(workerId)
-    else this.#commandsInFlight.set(workerId, count)
+    adjustCount(this.#commandsInFlight, workerId, change)
   }
 }
+
+/** Changes the count of a worker; a count of 0 is removed. */
+function adjustCount (counts: Map<string, number>, workerId: string, change: 1 | -1): void {
+  const count = (counts.get(workerId) ?? 0) + change
+  if (count === 0) counts.delete(workerId)
+  else counts.set(workerId, count)
+}
--- a/packages/batch/src/worker-registry.ts
+++ b/packages/batch/src/worker-registry.ts
@@ -204,6 +204,21 @@
     return nowMs - this.#termStartedAtMs <= timeoutMs ? expired : [...expired, ...this.#unreportedWorkers()]
   }
 
+  /**
+   * Incarnations with runs that a later incarnation of the same worker has replaced. A run gets there where the worker
+   * restarted around a change of leader, or while the command that assigns the run was in flight.
+   */
+  replacedIncarnations (): WorkerIncarnation[] {
+    const replaced: WorkerIncarnation[] = []
+    for (const workerId of this.#state.workersWithRuns()) {
+      const current = this.#views.get(workerId)?.latest.incarnation
+      if (current === undefined) continue
+      const earlier = [...this.#state.runsOf(workerId)].map(run => run.incarnation).filter(run => run < current)
+      if (earlier.length > 0) replaced.push({ workerId, incarnation: Math.max(...earlier) })
+    }
+    return replaced
+  }
+
   /**
    * Removes workers that have long been gone. Others are kept, since a delayed heartbeat is told from a new one only by
    * earlier reports.
--- a/packages/batch/test/leader-fixture.ts
+++ b/packages/batch/test/leader-fixture.ts
@@ -11,6 +11,8 @@
 const PASS_WAIT_MS = 25
 /** At least the longest wait of an answer for a pass. */
 const HOLD_WAIT_MS = 60
+/** Time by which `heartbeat` advances the clock after the report was received. */
+export const HEARTBEAT_WAIT_MS = PASS_WAIT_MS + HOLD_WAIT_MS
 
 /** Drives one leader and, after a change of leader, the next one. */
 export class LeaderFixture {
@@ -22,6 +24,7 @@
   /** While false, proposals are only collected in `proposals`. */
   isCommitting = true
   readonly proposals: Array<Extract<LeaderEffect, { kind: 'propose' }>> = []
+  readonly #uncommitted: Array<Extract<LeaderEffect, { kind: 'propose' }>> = []
   readonly #results = new Map<string, BatchResult>()
   readonly #orders = new Map<string, WorkerOrders | undefined>()
   readonly #settings: BatchSettings
@@ -111,9 +114,20 @@
     }
   }
 
+  /** Commits the oldest proposal that was only collected, and returns it. */
+  commitNext (): Extract<LeaderEffect, { kind: 'propose' }> | undefined {
+    const effect = this.#uncommitted.shift()
+    if (effect !== undefined) this.#commit(effect)
+    return effect
+  }
+
   #propose (effect: Extract<LeaderEffect, { kind: 'propose' }>): void {
     this.proposals.push(effect)
-    if (!this.isCommitting) return
+    if (this.isCommitting) this.#commit(effect)
+    else this.#uncommitted.push(effect)
+  }
+
+  #commit (effect: Extract<LeaderEffect, { kind: 'propose' }>): void {
     const result = this.state.apply(effect.command, this.clock.monotonicMs())
     this.deliver({ kind: 'applied', proposalId: effect.proposalId, result })
   }
--- a/packages/batch/test/lost-worker.test.ts
+++ b/packages/batch/test/lost-worker.test.ts
@@ -1,10 +1,12 @@
 /** Lost workers: their runs continue elsewhere from the latest checkpoint, and their delayed heartbeats are ignored. */
 import test from 'ava'
 import { report, step } from './sample-data.js'
-import { LeaderFixture, runningTasks } from './leader-fixture.js'
-import type { WorkerReport } from '../src/index.js'
+import { HEARTBEAT_WAIT_MS, LeaderFixture, runningTasks } from './leader-fixture.js'
+import { defaultBatchSettings, type WorkerReport } from '../src/index.js'
 
 const CHECKPOINT = 'saved at half'
+/** Interval at which a leader checks its fleet. */
+const FLEET_CHECK_MS = 100
 
 /** A worker with one run that has reported a checkpoint. */
 function createWorkerWithCheckpointedRun (): { fixture: LeaderFixture, running: WorkerReport['running'] } {
@@ -103,3 +105,81 @@
   for (let elapsedMs = 0; elapsedMs < 1_000; elapsedMs += 50) fixture.advance(50)
   t.is([...fixture.state.runsOf('w1')].length, 0)
 })
+
+/** Time within which a task that has lost its run must be assigned again while workers are idle. */
+const REASSIGN_LIMIT_MS = 1_000
+
+/** Heartbeats of a worker of which the leader of this term knows no earlier incarnation. */
+function reportRestarted (fixture: LeaderFixture): void {
+  for (let elapsedMs = 0; elapsedMs < REASSIGN_LIMIT_MS; elapsedMs += 200) {
+    fixture.advance(200)
+    fixture.heartbeat('w1', { incarnation: 2_000 })
+  }
+}
+
+test('runs of a worker that restarts around a change of leader are not assigned to its former incarnation for ever', t => {
+  const { fixture } = createWorkerWithCheckpointedRun()
+  fixture.changeLeader()
+  reportRestarted(fixture)
+  t.deepEqual([...fixture.state.runsOf('w1')].map(run => run.incarnation), [2_000])
+})
+
+test('a run that is assigned while its worker restarts is not assigned to the former incarnation for ever', t => {
+  const fixture = new LeaderFixture()
+  fixture.heartbeat('w1')
+  fixture.isCommitting = false
+  fixture.submit('j1', [step({ taskCount: 1 })])
+  const submission = fixture.commitNext()
+  fixture.advance(200)
+  t.is(submission?.command.kind, 'submit_job')
+  t.is(fixture.proposals.at(-1)?.command.kind, 'assign')
+  fixture.heartbeat('w1', { incarnation: 2_000 })
+  while (fixture.commitNext() !== undefined) continue
+  fixture.isCommitting = true
+  reportRestarted(fixture)
+  t.deepEqual([...fixture.state.runsOf('w1')].map(run => run.incarnation), [2_000])
+})
+
+test('a run whose release is not committed yet is not started again, since its task then runs elsewhere', t => {
+  const fixture = new LeaderFixture()
+  fixture.heartbeat('w1')
+  fixture.submit('j1', [step({ taskCount: 1 })])
+  // The answer with the start order is lost, and the lease lapses before the next heartbeat.
+  t.is(fixture.heartbeat('w1')?.starts.length, 1)
+  fixture.advance(defaultBatchSettings.leaseMs + 300)
+  fixture.isCommitting = false
+  const now = fixture.clock.monotonicMs()
+  const requestId = fixture.sendReport(report('w1', { clockMs: now, sequence: Math.round(now) }))
+  t.is(fixture.proposals.at(-1)?.command.kind, 'worker_gone')
+  fixture.advance(defaultBatchSettings.maxReportHoldMs)
+  t.deepEqual(fixture.answerTo(requestId)?.starts, [])
+})
+
+test('runs of a silent worker are freed only once its lease has ended on the slowest clock, with time for the heartbeat to travel', t => {
+  const { fixture } = createWorkerWithCheckpointedRun()
+  const { leaseMs, clockRateBound, leaseMarginMs } = defaultBatchSettings
+  const answeredAtMs = fixture.clock.monotonicMs()
+  const reportedAtMs = answeredAtMs - HEARTBEAT_WAIT_MS
+  const expiresAtMs = reportedAtMs + leaseMs * (1 + clockRateBound) + leaseMarginMs
+  while (fixture.clock.monotonicMs() + FLEET_CHECK_MS < expiresAtMs) {
+    fixture.advance(FLEET_CHECK_MS)
+    const silentMs = fixture.clock.monotonicMs() - reportedAtMs
+    t.is([...fixture.state.runsOf('w1')].length, 1, `freed ${silentMs} ms after its heartbeat`)
+  }
+  for (let elapsedMs = 0; elapsedMs <= 2 * FLEET_CHECK_MS; elapsedMs += FLEET_CHECK_MS) fixture.advance(FLEET_CHECK_MS)
+  t.is([...fixture.state.runsOf('w1')].length, 0)
+})
+
+test('a lease that may or may not have lapsed is not extended, so that it certainly lapses before its runs are freed', t => {
+  const { fixture, running } = createWorkerWithCheckpointedRun()
+  fixture.advance(200)
+  fixture.heartbeat('w1', { running })
+  const grantedAtMs = fixture.clock.monotonicMs() - HEARTBEAT_WAIT_MS
+  // The answer to the last heartbeat may have been lost, so the lease may have ended before this heartbeat.
+  fixture.clock.advance(grantedAtMs + defaultBatchSettings.leaseMs - 50 - fixture.clock.monotonicMs())
+  const orders = fixture.heartbeat('w1')
+  t.not(orders, undefined)
+  t.is(orders?.leaseMs, undefined)
+  t.deepEqual(orders?.starts, [])
+  t.is([...fixture.state.runsOf('w1')].length, 1)
+})
--- /dev/null
+++ b/packages/standins/test/protocol-node.ts
@@ -0,0 +1,98 @@
+/** A control node in the simulation of the run protocol: the production state and leader on a simulated log. */
+import { NullEventLog, NullMetrics, type Clock } from '@comfreygrade/core'
+import {
+  BatchLeader, BatchState, type BatchCommand, type BatchResult, type BatchSettings, type LeaderEvent,
+  type WorkerOrders
+} from '@comfreygrade/batch'
+
+/** A command in the simulated log. */
+export interface LogEntry {
+  readonly proposalId: string
+  readonly command: BatchCommand
+}
+
+type Reply = (answer: WorkerOrders | BatchResult | undefined) => void
+
+/** Hosts one replica of the state and, while it leads, the leader of the term. */
+export class ProtocolNode {
+  readonly #settings: BatchSettings
+  readonly #clock: Clock
+  readonly #propose: (node: ProtocolNode, entry: LogEntry) => void
+  readonly #state: BatchState
+  readonly #replies = new Map<string, Reply>()
+  #leader: BatchLeader | undefined
+  #appliedCount = 0
+  #requestCount = 0
+  /** Whether this node holds the quorum lease; without it no request is handled and no answer is sent. */
+  hasQuorumLease = false
+  frozenUntilMs = -Infinity
+
+  constructor (settings: BatchSettings, clock: Clock, propose: (node: ProtocolNode, entry: LogEntry) => void) {
+    this.#settings = settings
+    this.#clock = clock
+    this.#propose = propose
+    this.#state = new BatchState(settings)
+  }
+
+  get state (): BatchState {
+    return this.#state
+  }
+
+  get isFrozen (): boolean {
+    return this.#clock.monotonicMs() < this.frozenUntilMs
+  }
+
+  /** Applies the committed entries that this replica lacks. */
+  catchUp (log: readonly LogEntry[]): void {
+    for (const { proposalId, command } of log.slice(this.#appliedCount)) {
+      this.#appliedCount++
+      const result = this.#state.apply(command, this.#clock.monotonicMs())
+      this.#dispatch({ kind: 'applied', proposalId, result })
+    }
+  }
+
+  lead (term: number): void {
+    const { NULL_LOG, NULL_METRICS } = ProtocolNode
+    this.#leader = new BatchLeader({
+      term, state: this.#state, settings: this.#settings, clock: this.#clock, metrics: NULL_METRICS, log: NULL_LOG
+    })
+    this.hasQuorumLease = true
+  }
+
+  /** The node learns that it does not lead any more. */
+  stepDown (): void {
+    this.#leader = undefined
+    this.hasQuorumLease = false
+    this.#replies.clear()
+  }
+
+  /** Handles a request as the leader; returns whether this node leads. */
+  handle (createEvent: (requestId: string) => LeaderEvent, reply: Reply): boolean {
+    if (!this.hasQuorumLease || this.#leader === undefined) return false
+    const requestId = `r${++this.#requestCount}`
+    this.#replies.set(requestId, reply)
+    this.#dispatch(createEvent(requestId))
+    return true
+  }
+
+  tick (): void {
+    this.#dispatch({ kind: 'tick' })
+  }
+
+  #dispatch (event: LeaderEvent): void {
+    for (const effect of this.#leader?.handle(event) ?? []) {
+      if (effect.kind === 'propose') this.#propose(this, effect)
+      if (effect.kind === 'reply') this.#respond(effect.requestId, effect.result)
+      if (effect.kind === 'reply_worker') this.#respond(effect.requestId, effect.orders)
+    }
+  }
+
+  #respond (requestId: string, answer: WorkerOrders | BatchResult | undefined): void {
+    const reply = this.#replies.get(requestId)
+    this.#replies.delete(requestId)
+    if (this.hasQuorumLease) reply?.(answer)
+  }
+
+  static readonly NULL_LOG = new NullEventLog()
+  static readonly NULL_METRICS = new NullMetrics()
+}
--- /dev/null
+++ b/packages/standins/test/protocol-simulation.ts
@@ -0,0 +1,302 @@
+/**
+ * Random interleavings of the run protocol: two control nodes that take turns as the leader and two workers, with
+ * delayed and lost messages, frozen nodes, crashed workers and proposals that a change of leader drops or keeps.
+ */
+import { ManualClock, Random } from '@comfreygrade/core'
+import {
+  defaultBatchSettings, type BatchSettings, type JobSpec, type LeaderEvent, type QueueDocument, type WorkerOrders
+} from '@comfreygrade/batch'
+import { RunHistory } from '../src/index.js'
+import { ProtocolNode, type LogEntry } from './protocol-node.js'
+import { ProtocolWorker } from './protocol-worker.js'
+
+const STEP_MS = 5
+const FAULTS_END_MS = 12_000
+/** Time after the last fault within which every job must have ended. */
+const CALM_MS = 20_000
+const JOB_INTERVAL_MS = 250
+const SLOWEST_CLOCK_RATE = 0.98
+const WORKERS = ['w1', 'w2']
+const SETTINGS: BatchSettings = { ...defaultBatchSettings, leaseMs: 3_000 }
+const DOCUMENT: QueueDocument = {
+  version: 1,
+  queues: [{
+    name: 'q',
+    host: 'h',
+    pathPrefix: '/q/',
+    service: 'billing',
+    timeoutMs: 3_000,
+    targetLatencyMs: 1_000,
+    priority: 1,
+    maxAttempts: 2,
+    slackFactor: 3,
+    isAnonymous: true
+  }],
+  services: [{ name: 'billing', isStandby: false }],
+  organisations: [],
+  source: '{}'
+}
+
+type Fault = 'transfer' | 'freeze' | 'cut_off' | 'crash' | 'slow_log' | 'calm'
+const FAULTS: readonly Fault[] = ['transfer', 'freeze', 'cut_off', 'crash', 'slow_log', 'calm']
+
+interface ScheduledAction {
+  readonly atMs: number
+  readonly run: () => void
+}
+
+interface Proposal extends LogEntry {
+  readonly committedAtMs: number
+}
+
+/**
+ * Runs one seed and returns the violations.
+ *
+ * @example
+ * simulateProtocol(7) // []
+ */
+export function simulateProtocol (seed: number): string[] {
+  return new ProtocolSimulation(seed).run()
+}
+
+class ProtocolSimulation {
+  readonly #random: Random
+  readonly #clock = new ManualClock(1_000_000, 1_700_000_000_000)
+  readonly #history = new RunHistory()
+  readonly #nodes: ProtocolNode[]
+  readonly #workers: ProtocolWorker[] = []
+  readonly #log: LogEntry[] = []
+  readonly #startMs: number
+  #actions: ScheduledAction[] = []
+  /** Proposals of the current term that are not committed yet, in order. */
+  #proposals: Proposal[] = []
+  #leader: ProtocolNode
+  #term = 0
+  #jobCount = 0
+  #extraWorkerCount = 0
+  /** Workers whose messages are lost in one or both directions until the given time. */
+  readonly #requestsLostUntilMs = new Map<string, number>()
+  readonly #answersLostUntilMs = new Map<string, number>()
+  #commitDelayMs = 0
+
+  constructor (seed: number) {
+    this.#random = new Random(seed)
+    this.#startMs = this.#clock.monotonicMs()
+    const propose = (node: ProtocolNode, entry: LogEntry): void => { this.#propose(node, entry) }
+    this.#nodes = [1, 2].map(() => new ProtocolNode(SETTINGS, this.#clock, propose))
+    this.#leader = this.#nodes[0] as ProtocolNode
+    this.#log.push({ proposalId: '', command: { kind: 'put_configuration', document: DOCUMENT } })
+    this.#startTerm(this.#leader)
+    for (const workerId of WORKERS) this.#addWorker(workerId)
+  }
+
+  run (): string[] {
+    this.#scheduleFault()
+    this.#scheduleJob()
+    while (this.#elapsedMs < FAULTS_END_MS + CALM_MS) this.#step()
+    const openJobs = [...this.#leader.state.openJobs()].map(job => `job ${job.spec.jobId} did not end`)
+    return [...this.#history.violations, ...openJobs]
+  }
+
+  get #nowMs (): number {
+    return this.#clock.monotonicMs()
+  }
+
+  get #elapsedMs (): number {
+    return this.#nowMs - this.#startMs
+  }
+
+  #step (): void {
+    this.#clock.advance(STEP_MS)
+    this.#commitDueProposals()
+    const due = this.#actions.filter(action => action.atMs <= this.#nowMs)
+    this.#actions = this.#actions.filter(action => action.atMs > this.#nowMs)
+    for (const action of due) action.run()
+    for (const worker of this.#workers) this.#sendDueReport(worker)
+    for (const node of this.#nodes) if (!node.isFrozen) node.tick()
+  }
+
+  #after (delayMs: number, run: () => void): void {
+    this.#actions.push({ atMs: this.#nowMs + delayMs, run })
+  }
+
+  /** Messages to a frozen node wait until it wakes up. */
+  #deliver (node: ProtocolNode, run: () => void): void {
+    if (node.isFrozen) this.#actions.push({ atMs: node.frozenUntilMs, run: () => { this.#deliver(node, run) } })
+    else run()
+  }
+
+  // Log
+
+  #propose (node: ProtocolNode, { proposalId, command }: LogEntry): void {
+    if (node !== this.#leader || !node.hasQuorumLease) return
+    const committedAtMs = this.#nowMs + this.#random.nextInt(5, 40) + this.#commitDelayMs
+    this.#proposals.push({ proposalId, command, committedAtMs })
+  }
+
+  #commitDueProposals (): void {
+    if (this.#leader.isFrozen) return
+    while (this.#proposals[0] !== undefined && this.#proposals[0].committedAtMs <= this.#nowMs) {
+      this.#log.push(this.#proposals.shift() as Proposal)
+      this.#leader.catchUp(this.#log)
+    }
+  }
+
+  /** Commits the proposals that the new leader already has and drops the others. */
+  #startTerm (node: ProtocolNode): void {
+    const keptCount = this.#random.nextInt(0, this.#proposals.length)
+    this.#log.push(...this.#proposals.slice(0, keptCount))
+    this.#proposals = []
+    node.stepDown()
+    node.catchUp(this.#log)
+    this.#term++
+    this.#leader = node
+    node.lead(this.#term)
+  }
+
+  // Faults
+
+  #scheduleFault (): void {
+    this.#after(this.#random.nextInt(50, 1_500), () => {
+      if (this.#elapsedMs >= FAULTS_END_MS) return
+      this.#inject(this.#pick(FAULTS))
+      this.#scheduleFault()
+    })
+  }
+
+  #inject (fault: Fault): void {
+    switch (fault) {
+      case 'transfer': return this.#changeLeader(this.#random.nextInt(0, 1_500))
+      case 'freeze': return this.#freeze()
+      case 'cut_off': return this.#cutOff(this.#pick(WORKERS))
+      case 'crash': return this.#crashWorker()
+      case 'slow_log':
+        this.#commitDelayMs = this.#random.nextInt(100, 900)
+        return this.#after(this.#random.nextInt(300, 2_000), () => { this.#commitDelayMs = 0 })
+      case 'calm': return undefined
+    }
+  }
+
+  /** The old leader loses its lease at once and learns of its successor later; its object acts on until then. */
+  #changeLeader (gapMs: number): void {
+    const former = this.#leader
+    if (!former.hasQuorumLease) return
+    former.hasQuorumLease = false
+    const next = this.#pick(this.#nodes)
+    this.#after(gapMs, () => { this.#startTerm(next.isFrozen ? former : next) })
+    if (next === former) return
+    this.#after(this.#random.nextInt(0, 2_500), () => { if (former !== this.#leader) former.stepDown() })
+  }
+
+  #freeze (): void {
+    const node = this.#pick(this.#nodes)
+    const durationMs = this.#random.nextInt(300, 5_000)
+    node.frozenUntilMs = this.#nowMs + durationMs
+    // A leader that is frozen for longer than its lease is deposed.
+    if (node !== this.#leader || durationMs < 500 || !node.hasQuorumLease) return
+    node.hasQuorumLease = false
+    const other = this.#nodes.find(candidate => candidate !== node) as ProtocolNode
+    this.#after(this.#random.nextInt(500, 1_500), () => { this.#startTerm(other.isFrozen ? node : other) })
+  }
+
+  #cutOff (workerId: string): void {
+    const untilMs = this.#nowMs + this.#random.nextInt(500, 6_000)
+    const direction = this.#pick(['requests', 'answers', 'both'] as const)
+    if (direction !== 'answers') this.#requestsLostUntilMs.set(workerId, untilMs)
+    if (direction !== 'requests') this.#answersLostUntilMs.set(workerId, untilMs)
+  }
+
+  #crashWorker (): void {
+    const index = this.#random.nextInt(0, this.#workers.length - 1)
+    const worker = this.#workers.splice(index, 1)[0] as ProtocolWorker
+    worker.crash()
+    this.#after(this.#random.nextInt(0, 2_000), () => { this.#addWorker(worker.workerId) })
+    if (this.#workers.length === 0) this.#addWorker(`w${WORKERS.length + ++this.#extraWorkerCount}`)
+  }
+
+  #addWorker (workerId: string): void {
+    this.#workers.push(new ProtocolWorker({
+      workerId,
+      incarnation: Math.round(this.#clock.wallMs()),
+      trueClock: this.#clock,
+      clockRate: SLOWEST_CLOCK_RATE + this.#random.nextFloat() * (1 - SLOWEST_CLOCK_RATE),
+      history: this.#history
+    }))
+  }
+
+  // Messages
+
+  #sendDueReport (worker: ProtocolWorker): void {
+    const report = worker.takeDueReport()
+    if (report === undefined) return
+    if (this.#isLost(this.#requestsLostUntilMs, worker)) {
+      // A cut may hold a message back instead of losing it.
+      if (this.#random.nextFloat() < 0.5) return
+    }
+    this.#after(this.#delayMs(), () => {
+      this.#request(requestId => ({ kind: 'report', requestId, report }), answer => {
+        if (this.#isLost(this.#answersLostUntilMs, worker)) return
+        const orders = answer as WorkerOrders | undefined
+        this.#after(this.#delayMs(), () => { worker.receiveAnswer(report.sequence, orders) })
+      })
+    })
+  }
+
+  #isLost (untilMsByWorker: ReadonlyMap<string, number>, worker: ProtocolWorker): boolean {
+    return this.#nowMs < (untilMsByWorker.get(worker.workerId) ?? -Infinity)
+  }
+
+  #request (createEvent: (requestId: string) => LeaderEvent, reply: Parameters<ProtocolNode['handle']>[1]): void {
+    const node = this.#random.nextFloat() < 0.9 ? this.#leader : this.#pick(this.#nodes)
+    this.#deliver(node, () => {
+      if (node.handle(createEvent, reply)) return
+      const leader = this.#leader
+      if (leader === node) return
+      this.#after(this.#delayMs(), () => { this.#deliver(leader, () => { leader.handle(createEvent, reply) }) })
+    })
+  }
+
+  #delayMs (): number {
+    const draw = this.#random.nextFloat()
+    if (draw < 0.9) return this.#random.nextInt(1, 25)
+    return draw < 0.97 ? this.#random.nextInt(25, 900) : this.#random.nextInt(900, 8_000)
+  }
+
+  // Jobs
+
+  #scheduleJob (): void {
+    this.#submit(this.#createJob())
+    if (this.#elapsedMs < FAULTS_END_MS) this.#after(JOB_INTERVAL_MS, () => { this.#scheduleJob() })
+  }
+
+  #createJob (): JobSpec {
+    const step = {
+      taskCount: this.#random.nextInt(1, 3),
+      shape: { cpuMillicores: 1_000, memoryMb: 100, acceleratorCount: 1 },
+      estimateMs: 500,
+      dependsOn: [],
+      isCheckpointing: false,
+      isGang: this.#random.nextFloat() < 0.2,
+      isSameRack: false,
+      requiredLabel: '',
+      dataRack: '',
+      maxTasksPerWorker: 0,
+      isSpeculative: false,
+      isLasting: false,
+      image: '',
+      targetLatencyMs: 0,
+      isFiller: false
+    }
+    return { jobId: `j${++this.#jobCount}`, payload: String(this.#random.nextInt(50, 900)), steps: [step] }
+  }
+
+  #submit ({ jobId, ...spec }: JobSpec): void {
+    const request = { host: 'h', path: `/q/${jobId}` }
+    const operation = { kind: 'submit', request, spec } as const
+    this.#request(requestId => ({ kind: 'operation', requestId, operation }), () => {})
+  }
+
+  #pick<T> (values: readonly T[]): T {
+    return values[this.#random.nextInt(0, values.length - 1)] as T
+  }
+}
--- /dev/null
+++ b/packages/standins/test/protocol-worker.ts
@@ -0,0 +1,109 @@
+/** A worker in the simulation of the run protocol: heartbeats over a network that delays and loses messages. */
+import type { Clock } from '@comfreygrade/core'
+import type { WorkerOrders, WorkerReport } from '@comfreygrade/batch'
+import { LeasedRuns, type RunHistory } from '../src/index.js'
+
+/** A worker discards an answer that comes later than this after its heartbeat. */
+export const REPORT_TIMEOUT_MS = 1_000
+const RETRY_MS = 100
+
+/** Clock of a worker, which may be slow and has an origin of its own. */
+class WorkerClock implements Clock {
+  constructor (readonly trueClock: Clock, readonly rate: number, readonly originMs: number) {}
+
+  monotonicMs (): number {
+    return (this.trueClock.monotonicMs() - this.originMs) * this.rate
+  }
+
+  wallMs (): number {
+    return this.trueClock.wallMs()
+  }
+}
+
+/** Options of {@link ProtocolWorker}. */
+export interface ProtocolWorkerOptions {
+  readonly workerId: string
+  readonly incarnation: number
+  readonly trueClock: Clock
+  /** Rate of the worker's clock against true time. */
+  readonly clockRate: number
+  readonly history: RunHistory
+}
+
+/** One incarnation of a worker. */
+export class ProtocolWorker {
+  readonly #options: ProtocolWorkerOptions
+  readonly #clock: WorkerClock
+  readonly #runs: LeasedRuns
+  #sequence = 0
+  #isAlive = true
+  #sentTrueMs: number | undefined
+  #sentMs = 0
+  #nextReportTrueMs: number
+
+  constructor (options: ProtocolWorkerOptions) {
+    this.#options = options
+    this.#nextReportTrueMs = options.trueClock.monotonicMs()
+    this.#clock = new WorkerClock(options.trueClock, options.clockRate, this.#nextReportTrueMs)
+    this.#runs = new LeasedRuns(options.workerId, this.#clock, options.history)
+  }
+
+  get workerId (): string {
+    return this.#options.workerId
+  }
+
+  get isAlive (): boolean {
+    return this.#isAlive
+  }
+
+  crash (): void {
+    this.#isAlive = false
+    this.#runs.crash()
+  }
+
+  /** Returns the next heartbeat if it is due. */
+  takeDueReport (): WorkerReport | undefined {
+    if (!this.#isAlive) return undefined
+    const nowMs = this.#options.trueClock.monotonicMs()
+    this.#runs.endDueRuns()
+    if (this.#sentTrueMs !== undefined && nowMs - this.#sentTrueMs >= REPORT_TIMEOUT_MS) this.#awaitNext(RETRY_MS)
+    if (this.#sentTrueMs !== undefined || nowMs < this.#nextReportTrueMs) return undefined
+    this.#sentTrueMs = nowMs
+    this.#sentMs = this.#clock.monotonicMs()
+    this.#sequence++
+    return this.#report()
+  }
+
+  /** Receives the answer to a heartbeat; undefined where it was ignored. */
+  receiveAnswer (sequence: number, orders: WorkerOrders | undefined): void {
+    if (!this.#isAlive || this.#sentTrueMs === undefined || sequence !== this.#sequence) return
+    const isObeyed = orders !== undefined && this.#runs.applyOrders(orders, this.#sentMs)
+    this.#awaitNext(isObeyed ? orders.nextReportMs : RETRY_MS)
+  }
+
+  #awaitNext (delayMs: number): void {
+    this.#sentTrueMs = undefined
+    this.#nextReportTrueMs = this.#options.trueClock.monotonicMs() + delayMs
+  }
+
+  #report (): WorkerReport {
+    const { workerId, incarnation } = this.#options
+    return {
+      workerId,
+      incarnation,
+      service: 'billing',
+      address: `${workerId}:80`,
+      vmId: `vm-${workerId}`,
+      availabilityZone: 'a',
+      sequence: this.#sequence,
+      state: 'active',
+      capacity: { cpuMillicores: 8_000, memoryMb: 8_000, acceleratorCount: 4 },
+      labels: ['kind', 'r1'],
+      rack: 'r1',
+      clockMs: Math.round(this.#sentMs),
+      coldRemainingMs: 0,
+      running: this.#runs.running(),
+      ends: [...this.#runs.ends]
+    }
+  }
+}
