Keep a control node up while its disk is full

Cause: FileLog fails for good at the first ENOSPC, and the process then ends once and waits at its start. Ruled out: repeating a failed sync (the system may have dropped the data), so it still ends the process. Change: FullDiskRetry wraps the file system of the log and repeats a write at the same offset until there is space. Nothing is acknowledged meanwhile, links and reads stay, and a leader hands over, since it would otherwise keep ever more unwritten entries in memory. The start still waits as before. Before and after: the first of the new tests fails without the wrapper (FileLogError disk_full).

--- a/packages/batch-node/src/batch-node.ts
+++ b/packages/batch-node/src/batch-node.ts
@@ -115,6 +115,11 @@
     for (const seed of seeds) this.#links.addPeer(seed)
   }
 
+  /** Transfers leadership to another control node, if this one leads, and goes on as a follower. */
+  resignLeadership (): void {
+    this.#service?.stepDown()
+  }
+
   /** Announces the shutdown, transfers leadership, then stops the control service and closes the links. */
   async stop (): Promise<void> {
     clearInterval(this.#helloTimer)
--- a/packages/batch-node/src/control-disk.ts
+++ b/packages/batch-node/src/control-disk.ts
@@ -1,7 +1,9 @@
 /** Disk of a control node: recovers its log, or writes the initial log when the system is bootstrapped. */
 import type { BatchCommand } from '@comfreygrade/batch'
 import { Replica, type LogStorage, type RecoveredLog, type VoterId } from '@comfreygrade/consensus'
-import { FileLog, readOrCreateDiskId, type PeerAddress } from '@comfreygrade/node/adapters'
+import {
+  FileLog, OsLogFileSystem, readOrCreateDiskId, type LogFileSystem, type PeerAddress
+} from '@comfreygrade/node/adapters'
 
 /** Disk ID of every seed at bootstrap; fixed, so that all seeds derive the same voter set without communication. */
 const INITIAL_DISK_ID = 'first'
@@ -23,10 +25,11 @@
  * const disk = await openControlDisk('/data/control/log', seeds, isBootstrap && isSeed)
  */
 export async function openControlDisk (
-  folder: string, seeds: readonly PeerAddress[], isInitialVoter: boolean
+  folder: string, seeds: readonly PeerAddress[], isInitialVoter: boolean,
+  fileSystem: LogFileSystem = new OsLogFileSystem()
 ): Promise<ControlDisk> {
-  const diskId = await readOrCreateDiskId(folder, undefined, isInitialVoter ? INITIAL_DISK_ID : undefined)
-  const storage = new FileLog<BatchCommand>(folder)
+  const diskId = await readOrCreateDiskId(folder, fileSystem, isInitialVoter ? INITIAL_DISK_ID : undefined)
+  const storage = new FileLog<BatchCommand>(folder, { fileSystem })
   const recovered = await storage.recover()
   if (recovered.snapshot !== null || recovered.entries.length > 0) return { diskId, storage, recovered }
   if (!isInitialVoter) return { diskId, storage, recovered: Replica.emptyLog() }
--- a/packages/batch-node/src/disk-probe.ts
+++ b/packages/batch-node/src/disk-probe.ts
@@ -3,11 +3,11 @@
 import { join } from 'node:path'
 import { setTimeout as pause } from 'node:timers/promises'
 import type { EventLog } from '@comfreygrade/core'
+import { isDiskFullError } from '@comfreygrade/node/adapters'
 
 /** Exceeds the first writes of a control node, which follow the probe. */
 const PROBE_BYTES = 65_536
 const PROBE_INTERVAL_MS = 500
-const DISK_FULL_CODES: readonly unknown[] = ['ENOSPC', 'EDQUOT']
 
 /** Writes a temporary file to a folder; rejects with the error of the file system. */
 export type DiskProbe = (folder: string) => Promise<void>
@@ -37,7 +37,7 @@
     await probe(folder)
     return false
   } catch (error) {
-    if (DISK_FULL_CODES.includes((error as NodeJS.ErrnoException).code)) return true
+    if (isDiskFullError(error)) return true
     throw error
   }
 }
--- a/packages/node/src/adapters.ts
+++ b/packages/node/src/adapters.ts
@@ -1,6 +1,8 @@
 /** Adapters shared with other processes of the system: links, storage, replica and clock. */
 export { readOrCreateDiskId } from './disk-id.js'
+export { FullDiskRetry } from './full-disk-retry.js'
 export { FileLog } from './file-log.js'
+export { OsLogFileSystem, isDiskFullError, type LogFileSystem } from './log-files.js'
 export { PeerLinks, type PeerAddress } from './peer-links.js'
 export type { LinkMessage } from './peer-messages.js'
 export { ReplicaRunner } from './replica-runner.js'
--- a/packages/node/src/log-files.ts
+++ b/packages/node/src/log-files.ts
@@ -139,6 +139,11 @@
   return cause instanceof Error && 'code' in cause ? cause.code : undefined
 }
 
+/** Whether a file operation failed because the disk, or the quota on it, is full. */
+export function isDiskFullError (cause: unknown): boolean {
+  return ['ENOSPC', 'EDQUOT'].includes(String(errorCode(cause)))
+}
+
 /** Runs a file operation and wraps its error in a `FileLogError`; a full disk or quota always gives `disk_full`. */
 export async function withFileLogError<T> (
   kind: FileLogErrorKind, path: string, offset: number, operation: () => Promise<T>
@@ -146,8 +151,7 @@
   try {
     return await operation()
   } catch (cause) {
-    const isFull = ['ENOSPC', 'EDQUOT'].includes(String(errorCode(cause)))
-    throw new FileLogError(isFull ? 'disk_full' : kind, path, offset, cause)
+    throw new FileLogError(isDiskFullError(cause) ? 'disk_full' : kind, path, offset, cause)
   }
 }
 
