Reject malformed messages on peer links instead of ending the process

Cause: a frame that decodes to another value than its kind's message was passed to the handlers. A hello whose control node had no port ended the process with ERR_MISSING_ARGS, seen when the test ran without the check; null or a number in place of a message fails at its kind. Ruled out: catching exceptions around the handlers, which could leave the replica half way through a message. Change: FrameDecoder rejects values without a kind, which closes the link, and BatchNode ignores and counts (peer.malformed_message) messages without the form of their kind.

--- a/packages/batch-node/src/batch-node.ts
+++ b/packages/batch-node/src/batch-node.ts
@@ -1,11 +1,12 @@
 /** Connects the parts of one process: peer links, leader client and, if the process has a disk, the control service. */
 import type { BatchOperation, BatchResult, WorkerReport } from '@comfreygrade/batch'
 import type { VoterId } from '@comfreygrade/consensus'
-import { PeerLinks, type PeerAddress } from '@comfreygrade/node/adapters'
+import { PeerLinks, type LinkMessage, type PeerAddress } from '@comfreygrade/node/adapters'
 import { BatchService, type BatchServiceOptions } from './batch-service.js'
 import type { ControlDisk } from './control-disk.js'
 import { ControlMembership } from './control-membership.js'
 import { LeaderClient } from './leader-client.js'
+import { isValidMessage } from './message-validation.js'
 import type { LeaderRequest, LeaderResponse, BatchMessage, ControlNodeInfo } from './messages.js'
 
 /** Options of {@link BatchNode}. */
@@ -168,6 +169,7 @@
   }
 
   #receive (from: string, message: BatchMessage): void {
+    if (!isValidMessage(message)) return this.#rejectMalformed(from, message)
     this.#membership.recordContact(from)
     switch (message.kind) {
       case 'hello': this.#receiveHello(message); break
@@ -179,6 +181,12 @@
     }
   }
 
+  /** The sender may run another version; its other messages are still handled. */
+  #rejectMalformed (from: string, { kind }: LinkMessage): void {
+    this.#options.metrics.increment('peer.malformed_message')
+    this.#options.log.warn('malformed message of a peer ignored', { peerId: from, kind })
+  }
+
   #receiveHello ({ nodeId, control }: Extract<BatchMessage, { kind: 'hello' }>): void {
     if (control !== null) {
       this.#membership.recordAnnouncement(control)
--- a/packages/batch-node/test/cluster.ts
+++ b/packages/batch-node/test/cluster.ts
@@ -43,6 +43,11 @@
     return await this.#start({ nodeId, host: HOST, port: await freePort() }, undefined)
   }
 
+  /** Address of the peer links of a seed. */
+  addressOf (nodeId: string): PeerAddress {
+    return this.#seeds.find(seed => seed.nodeId === nodeId) as PeerAddress
+  }
+
   async stop (nodeId: string): Promise<void> {
     await this.#nodes.get(nodeId)?.stop()
     this.#nodes.delete(nodeId)
--- a/packages/node/src/peer-messages.ts
+++ b/packages/node/src/peer-messages.ts
@@ -117,6 +117,13 @@
   return frame
 }
 
+/** Every link handles messages by kind, so a value without one is malformed, like a body that is not CBOR. */
+function toMessage<Message extends LinkMessage> (value: unknown): Message {
+  const isMessage = typeof value === 'object' && value !== null && 'kind' in value && typeof value.kind === 'string'
+  if (!isMessage) throw new TypeError('a message without a kind')
+  return value as Message
+}
+
 /** Splits a byte stream into messages. */
 export class FrameDecoder<Message extends LinkMessage = PeerMessage> {
   #chunks: Buffer[] = []
@@ -125,14 +132,15 @@
   /**
    * Appends received bytes and returns the messages that are now complete.
    *
-   * @throws RangeError for a frame above `MAX_FRAME_BYTES`, and the codec's error for a malformed body
+   * @throws RangeError for a frame above `MAX_FRAME_BYTES`, the codec's error for a malformed body, and TypeError for a
+   * value that is not a message
    */
   push (chunk: Buffer): Message[] {
     this.#chunks.push(chunk)
     this.#bufferedBytes += chunk.length
     const messages: Message[] = []
     for (let body = this.#nextBody(); body !== undefined; body = this.#nextBody()) {
-      messages.push(numberedCodec.decode(body) as Message)
+      messages.push(toMessage<Message>(numberedCodec.decode(body)))
     }
     return messages
   }
--- a/packages/node/test/peer-messages.test.ts
+++ b/packages/node/test/peer-messages.test.ts
@@ -36,6 +36,15 @@
   t.throws(() => new FrameDecoder().push(header), { instanceOf: RangeError })
 })
 
+test('a value without a kind is malformed, so that no handler reads the kind of null or of a number', t => {
+  for (const value of [null, 7, 'ping', [], {}, { kind: 7 }]) {
+    const body = new Encoder({ useRecords: false, mapsAsObjects: true }).encode(value)
+    const header = Buffer.alloc(4)
+    header.writeUInt32BE(body.length)
+    t.throws(() => new FrameDecoder().push(Buffer.concat([header, body])), { instanceOf: TypeError })
+  }
+})
+
 test('keys chosen by callers are unchanged in numbered frames, even if they look like field numbers', t => {
   const result = { ok: true, value: { kind: 'other', 0: 'a', 5: { kind: 'b', unlisted: [{ term: null, 12: 'c' }] }, '07': 1 } }
   const message = { kind: 'control_response', requestId: '3', result } as unknown as PeerMessage
