Never tell a caller that an operation was not executed after an attempt without an answer

Cause: LeaderClient.execute returned the first result with a known outcome. Where the answer of an earlier attempt was lost, a later refusal (unknown_queue after a change of the configuration, unknown_key, control_unavailable of a leader that lost its role) was passed on, which says that the job never runs, while the earlier attempt may have been accepted. Ruled out: the leader itself, which answers by its own state. Change: after such an attempt a refusal that denies the execution is retried, and the outcome is unknown at the time limit. Refusals that depend on the request alone, and those of reads, stay final. Before: four new tests fail. After: they pass.

--- a/packages/batch-node/src/leader-client.ts
+++ b/packages/batch-node/src/leader-client.ts
@@ -1,6 +1,6 @@
 /** Sends requests of clients, workers and operators to the control leader. */
 import { randomUUID } from 'node:crypto'
-import { fail, type Clock, type Metrics } from '@comfreygrade/core'
+import { errorTable, fail, type Clock, type ErrorKind, type Failure, type Metrics } from '@comfreygrade/core'
 import type { BatchOperation, BatchResult } from '@comfreygrade/batch'
 import type { LeaderRequest, LeaderResponse, BatchMessage } from './messages.js'
 
@@ -60,7 +60,7 @@
   /**
    * Retries until a leader answers or the time limit is reached. All operations are idempotent, so an attempt with an
    * unknown outcome is retried too; the outcome of the operation is unknown only if no later attempt yields a result
-   * with a known outcome.
+   * that holds for all attempts.
    */
   async execute (operation: BatchOperation, timeoutMs: number): Promise<BatchResult> {
     const deadlineMs = this.#nowMs + timeoutMs
@@ -69,8 +69,8 @@
       for (const nodeId of this.#options.candidates()) {
         const outcome = await this.#attempt(nodeId, { kind: 'operation', operation }, deadlineMs - this.#nowMs)
         const result = this.#resultOf(outcome)
-        if (result !== undefined && (result.ok || result.failure.kind !== 'outcome_unknown')) return result
-        if (outcome.kind === 'unknown' || result !== undefined) mayHaveTakenEffect = true
+        if (result !== undefined && isFinal(result, operation, mayHaveTakenEffect)) return result
+        if (outcome.kind === 'unknown' || isUnknown(result)) mayHaveTakenEffect = true
         if (this.#nowMs >= deadlineMs) break
       }
       await this.#pause(Math.min(ROUND_INTERVAL_MS, deadlineMs - this.#nowMs))
@@ -133,6 +133,30 @@
   }
 }
 
+/** Failures that depend on the request alone, so that every attempt fails in the same way. */
+const STATELESS_FAILURES: ReadonlySet<ErrorKind> = new Set(['invalid_request', 'invalid_configuration'])
+/** Operations without an effect, so that no attempt can have had one. */
+const READS: ReadonlySet<BatchOperation['kind']> = new Set(['job_state', 'get_configuration', 'wave_state'])
+
+function isUnknown (result: BatchResult | undefined): boolean {
+  return result?.ok === false && result.failure.kind === 'outcome_unknown'
+}
+
+/**
+ * Whether a result holds for the operation as a whole. After an attempt that may have taken effect, a refusal of a
+ * later one does not say that the operation was not executed: the earlier one may have been accepted under a
+ * configuration that has been replaced since, or by a leader that has lost its role since.
+ */
+function isFinal (result: BatchResult, operation: BatchOperation, mayHaveTakenEffect: boolean): boolean {
+  if (result.ok) return true
+  if (result.failure.kind === 'outcome_unknown') return false
+  return !mayHaveTakenEffect || READS.has(operation.kind) || !deniesExecution(result.failure)
+}
+
+function deniesExecution ({ kind }: Failure): boolean {
+  return errorTable[kind].outcome === 'not_run' && !STATELESS_FAILURES.has(kind)
+}
+
 /** Resolves to the outcome `unknown` if there is no response within the time limit. */
 async function outcomeWithin (response: Promise<LeaderResponse>, timeoutMs: number): Promise<AttemptOutcome> {
   return await new Promise<AttemptOutcome>(resolve => {
--- a/packages/batch-node/test/leader-client.test.ts
+++ b/packages/batch-node/test/leader-client.test.ts
@@ -2,6 +2,8 @@
 import { NullMetrics } from '@comfreygrade/core'
 import { SystemClock } from '@comfreygrade/node/adapters'
 import { LeaderClient } from '../src/leader-client.js'
+import type { ErrorKind } from '@comfreygrade/core'
+import type { BatchOperation } from '@comfreygrade/batch'
 import type { LeaderResponse, BatchMessage } from '../src/index.js'
 
 const operation = { kind: 'get_configuration' } as const
@@ -50,6 +52,30 @@
   t.true((await createClient({ a: unknown, b: acceptedResponse }).execute(operation, 500)).ok)
 })
 
+const submission: BatchOperation = { kind: 'submit', request: { host: 'h', path: '/q/1' }, spec: { payload: '', steps: [] } }
+
+function refusal (kind: ErrorKind): LeaderResponse {
+  return { kind: 'result', result: { ok: false, failure: { kind, detail: 'refused' } } }
+}
+
+for (const kind of ['unknown_queue', 'unknown_key', 'control_unavailable', 'no_configuration'] as const) {
+  test(`after a submission without an answer, a later ${kind} does not tell the caller that the job never runs`, async t => {
+    const result = await createClient({ a: 'silent', b: refusal(kind) }).execute(submission, 1_200)
+    t.like(result, { ok: false, failure: { kind: 'outcome_unknown' } })
+  })
+}
+
+test('a refusal that depends on the request alone is final, also after an attempt without an answer', async t => {
+  const result = await createClient({ a: 'silent', b: refusal('invalid_request') }).execute(submission, 1_200)
+  t.like(result, { ok: false, failure: { kind: 'invalid_request' } })
+})
+
+test('a read has no effect, so its refusal is final, also after an attempt without an answer', async t => {
+  const read: BatchOperation = { kind: 'job_state', request: { host: 'h', path: '/q/1' } }
+  const result = await createClient({ a: 'silent', b: refusal('unknown_queue') }).execute(read, 1_200)
+  t.like(result, { ok: false, failure: { kind: 'unknown_queue' } })
+})
+
 test('a request that a node may have handled is not sent to a second one', async t => {
   const client = createClient({ a: 'silent', b: acceptedResponse })
   t.is(await client.requestOnce({ kind: 'worker_left', workerId: 'w' }, 100), undefined)
