Refuse jobs beyond stated limits, and compute critical paths in linear time

Cause: one valid request could end or stop the control leader. A step of 1e15 tasks or a job of 1e15 occurrences ended the process (Invalid array length); the estimated critical path was computed by recursion over all chains, whose number doubles with each step where each depends on all before it (30 steps held the loop for minutes, in every pass); a job ID with a dot gave tasks without a key, so that every pass proposed the same assignments again. An error thrown by a port or while a response was encoded ended the process as an unhandled rejection. A refusal names the limit.

--- a/packages/batch-node/src/batch-service.ts
+++ b/packages/batch-node/src/batch-service.ts
@@ -5,7 +5,7 @@
 import { Encoder } from 'cbor-x'
 import {
   BatchLeader, BatchState, type BatchCommand, type BatchSettings, type BatchSnapshot, type LeaderEffect,
-  type LeaderEvent
+  type LeaderEvent, type MaintenanceAnswer
 } from '@comfreygrade/batch'
 import type { LogStorage, RecoveredLog, Replica, ReplicaSettings, VoterId } from '@comfreygrade/consensus'
 import { fail, type Clock, type EventLog, type Metrics, type Random } from '@comfreygrade/core'
@@ -193,12 +193,21 @@
   async #beginMaintenance ({ call, fencingToken }: Extract<LeaderEffect, { kind: 'begin_maintenance' }>): Promise<void> {
     const { vms, self } = this.#options
     const answer = await vms.beginMaintenance(call, { holder: self.nodeId, fencingToken })
+      .catch((error: unknown) => this.#handlePortError<MaintenanceAnswer>('vms', error, 'failed'))
     this.#dispatch({ kind: 'maintenance_answered', call, answer })
   }
 
   async #requestTickets ({ stepKey, workerIds }: Extract<LeaderEffect, { kind: 'ask_advice' }>): Promise<void> {
     const requestedAtMs = this.#options.clock.monotonicMs()
     const tickets = await this.#options.advice.requestTickets(stepKey, workerIds)
+      .catch((error: unknown) => this.#handlePortError('advice', error, undefined))
     this.#dispatch({ kind: 'advice', stepKey, tickets, requestedAtMs })
   }
+
+  /** An unexpected error of a port counts as a failed call, which is repeated. */
+  #handlePortError<Answer> (port: 'advice' | 'vms', error: unknown, answer: Answer): Answer {
+    this.#options.metrics.increment('port.failed', { port })
+    this.#options.log.warn('port failed unexpectedly', { port, detail: String(error) })
+    return answer
+  }
 }
--- a/packages/batch/src/jobs.ts
+++ b/packages/batch/src/jobs.ts
@@ -1,4 +1,5 @@
 /** Jobs as callers submit them: steps of identical tasks, with dependencies between steps. */
+import { fail, succeed, type Result } from '@comfreygrade/core'
 
 /** Resources of one task, or of a worker. */
 export interface TaskShape {
@@ -68,7 +69,7 @@
 
 /** A job as submitted. */
 export interface JobSpec {
-  /** Must not contain a dot, which separates the parts of task and step keys; a submission is not checked for this. */
+  /** See {@link isValidJobId}. */
   readonly jobId: string
   /** Passed to the worker with each task; the scheduler does not interpret it. */
   readonly payload: string
@@ -76,6 +77,62 @@
   readonly schedule?: JobSchedule
 }
 
+/** Most characters of a job ID. */
+export const MAX_JOB_ID_LENGTH = 128
+
+/**
+ * Whether a text may be a job ID: not empty, not too long, and without a dot, which separates the parts of task and
+ * step keys.
+ *
+ * @example
+ * isValidJobId('5c0e7a21d94b36f8') // true
+ */
+export function isValidJobId (text: string): boolean {
+  return text !== '' && text.length <= MAX_JOB_ID_LENGTH && !text.includes('.')
+}
+
+/** Most bytes of a payload, which the log keeps and each start order carries. */
+export const MAX_PAYLOAD_BYTES = 65_536
+/** Most steps of a job. */
+export const MAX_STEPS_PER_JOB = 200
+/** Most tasks of one occurrence, over all steps. */
+export const MAX_TASKS_PER_OCCURRENCE = 20_000
+/** Most occurrences of a job. */
+export const MAX_OCCURRENCES = 10_000
+
+/**
+ * Checks a job against the limits, which keep one job from using up the memory or the time of the leader, and its
+ * dependencies.
+ *
+ * @example
+ * validateJob({ payload: '', steps: [] }) // { ok: false, failure: { kind: 'invalid_request', detail: '...' } }
+ */
+export function validateJob<Spec extends Omit<JobSpec, 'jobId'>> (spec: Spec): Result<Spec> {
+  const reason = findExceededLimit(spec) ?? findLaterDependency(spec.steps)
+  return reason === undefined ? succeed(spec) : fail('invalid_request', reason)
+}
+
+function findExceededLimit ({ payload, steps, schedule }: Omit<JobSpec, 'jobId'>): string | undefined {
+  const payloadBytes = Buffer.byteLength(payload)
+  const taskCount = steps.reduce((sum, step) => sum + step.taskCount, 0)
+  const occurrences = schedule?.occurrences ?? 1
+  if (payloadBytes > MAX_PAYLOAD_BYTES) {
+    return `the payload has ${payloadBytes} bytes, the limit is ${MAX_PAYLOAD_BYTES}`
+  }
+  if (steps.length === 0) return 'the job has no steps'
+  if (steps.length > MAX_STEPS_PER_JOB) return `the job has ${steps.length} steps, the limit is ${MAX_STEPS_PER_JOB}`
+  if (taskCount > MAX_TASKS_PER_OCCURRENCE) {
+    return `the job has ${taskCount} tasks, the limit is ${MAX_TASKS_PER_OCCURRENCE}`
+  }
+  if (occurrences > MAX_OCCURRENCES) return `the job has ${occurrences} occurrences, the limit is ${MAX_OCCURRENCES}`
+  return undefined
+}
+
+function findLaterDependency (steps: readonly StepSpec[]): string | undefined {
+  const index = steps.findIndex((step, stepIndex) => step.dependsOn.some(dependency => dependency >= stepIndex))
+  return index < 0 ? undefined : `step ${index} depends on a step that is not before it`
+}
+
 /** State of a job as shown to callers. */
 export type JobState = 'queued' | 'running' | 'completed' | 'failed' | 'cancelled'
 
--- a/packages/batch/src/operation-handler.ts
+++ b/packages/batch/src/operation-handler.ts
@@ -3,7 +3,7 @@
 import type { BatchState } from './batch-state.js'
 import type { BatchCommand, CommandResult, MaintenanceWave } from './commands.js'
 import { visibleState } from './job-record.js'
-import type { JobSpec } from './jobs.js'
+import { isValidJobId, MAX_JOB_ID_LENGTH, validateJob, type JobSpec } from './jobs.js'
 import type { BatchOperation, BatchResult, QueueRequest } from './operations.js'
 import { queueAddress, validateDocument, type QueueConfiguration } from './queues.js'
 import type { WorkerRegistry } from './worker-registry.js'
@@ -60,8 +60,10 @@
     const resolved = this.#resolve(request)
     if ('kind' in resolved) return this.#refuse(requestId, resolved)
     const { queue, jobId, organisation } = resolved
-    if (jobId === '') return this.#refuse(requestId, { kind: 'invalid_request', detail: 'the path names no job' })
+    if (!isValidJobId(jobId)) return this.#refuse(requestId, invalidJobId(jobId))
     if (this.#options.state.job(jobId) !== undefined) return this.#accept(requestId)
+    const valid = validateJob(fields)
+    if (!valid.ok) return this.#refuse(requestId, valid.failure)
     const spec = { ...fields, jobId }
     this.#options.propose({
       kind: 'submit_job',
@@ -181,6 +183,13 @@
   }
 }
 
+function invalidJobId (jobId: string): Failure {
+  const detail = jobId === ''
+    ? 'the path names no job'
+    : `a job ID has at most ${MAX_JOB_ID_LENGTH} characters and no dot`
+  return { kind: 'invalid_request', detail }
+}
+
 function unknownJob (jobId: string): Failure {
   return { kind: 'unknown_job', detail: `job ${jobId} is not known` }
 }
--- a/packages/batch/src/waiting-steps.ts
+++ b/packages/batch/src/waiting-steps.ts
@@ -3,7 +3,8 @@
 import type { BatchSettings } from './settings.js'
 import type { BatchState } from './batch-state.js'
 import { isStepDone, createOccurrence, type JobRecord, type OccurrenceRecord } from './job-record.js'
-import { occurrenceDueMs, type JobSpec, type StepSpec } from './jobs.js'
+import { occurrenceDueMs, type StepSpec } from './jobs.js'
+import { criticalPathMs, remainingPathMs } from './critical-path.js'
 import { GuaranteeCoverage } from './guarantee-coverage.js'
 import type { QueueConfiguration } from './queues.js'
 
@@ -103,7 +104,7 @@
       waitingSinceWallMs,
       waitedMs: nowWallMs - waitingSinceWallMs,
       objectiveWallMs: waitingSinceWallMs + estimateScaledObjectiveMs + (queue?.targetLatencyMs ?? 0),
-      remainingCriticalPathMs: criticalPathFromMs(job.spec, stepIndex),
+      remainingCriticalPathMs: remainingPathMs(job.spec, stepIndex),
       estimateScaledSlackMs: estimateScaledObjectiveMs - jobCriticalPathMs,
       hasAdvicePolicy: queue?.advice !== undefined,
       isGuaranteed
@@ -122,15 +123,3 @@
   if (spec.isGang && tasks.some(task => task.active.length > 0 || task.isDone)) return []
   return tasks.flatMap((task, index) => task.isDone || task.active.length > 0 ? [] : [index])
 }
-
-/** Estimated time of the critical path: the longest chain of dependent steps. */
-export function criticalPathMs (spec: JobSpec): number {
-  return Math.max(0, ...spec.steps.map((_step, index) => criticalPathFromMs(spec, index)))
-}
-
-function criticalPathFromMs (spec: JobSpec, stepIndex: number): number {
-  const own = spec.steps[stepIndex]?.estimateMs ?? 0
-  const followers = spec.steps.map((step, index) =>
-    index > stepIndex && step.dependsOn.includes(stepIndex) ? criticalPathFromMs(spec, index) : 0)
-  return own + Math.max(0, ...followers)
-}
