Make no maintenance call after the leadership has ended, and limit its time

Cause: a process that was suspended handles its timers before it notices that another node leads, and the maintenance calls of that tick were made without a check. A call also waited for a connection, or for its answer, for up to 5 s a phase, longer than the 3 s for which a new leader begins none. Where the platform has not seen the new leader's token for that VM, it carries both out. Ruled out: answers to workers, which are checked when they are sent and carry the term.

--- a/packages/batch-node/src/batch-service.ts
+++ b/packages/batch-node/src/batch-service.ts
@@ -5,12 +5,13 @@
 import { Encoder } from 'cbor-x'
 import {
   BatchLeader, BatchState, type BatchCommand, type BatchSettings, type BatchSnapshot, type LeaderEffect,
-  type LeaderEvent, type MaintenanceAnswer
+  type LeaderEvent
 } from '@comfreygrade/batch'
 import type { LogStorage, RecoveredLog, Replica, ReplicaSettings, VoterId } from '@comfreygrade/consensus'
 import { fail, type Clock, type EventLog, type Metrics, type Random } from '@comfreygrade/core'
 import { ReplicatedStateMachine, StateMachine } from '@comfreygrade/node/adapters'
 import type { LeaderRequest, LeaderResponse, BatchMessage } from './messages.js'
+import { PortCalls } from './port-calls.js'
 import type { AdvicePort, VmPort } from './ports.js'
 
 /** Options of {@link BatchService}. */
@@ -46,6 +47,7 @@
 export class BatchService extends StateMachine<BatchCommand> {
   readonly #options: BatchServiceOptions
   readonly #replicatedStateMachine: ReplicatedStateMachine<BatchCommand>
+  readonly #portCalls: PortCalls
   readonly #codec = new Encoder({ useRecords: false, mapsAsObjects: true })
   readonly #pendingRequests = new Map<string, ResponseCallback>()
   #state: BatchState
@@ -56,6 +58,12 @@
     super()
     this.#options = options
     this.#state = new BatchState(options.settings)
+    this.#portCalls = new PortCalls({
+      ...options,
+      nodeId: options.self.nodeId,
+      leadsInTerm: term => this.isActiveLeader && this.replica?.term === term,
+      dispatch: event => { this.#dispatch(event) }
+    })
     this.#replicatedStateMachine = new ReplicatedStateMachine({
       ...options,
       clock: options.leaseClock,
@@ -173,10 +181,10 @@
         })
         break
       case 'begin_maintenance':
-        this.#beginMaintenance(effect)
+        this.#portCalls.beginMaintenance(effect)
         break
       case 'ask_advice':
-        this.#requestTickets(effect)
+        this.#portCalls.requestTickets(effect)
         break
     }
   }
@@ -189,25 +197,4 @@
     if (this.#replicatedStateMachine.isActiveLeader) return resolve(response)
     resolve({ kind: 'result', result: fail('outcome_unknown', 'the control leader lost its quorum') })
   }
-
-  async #beginMaintenance ({ call, fencingToken }: Extract<LeaderEffect, { kind: 'begin_maintenance' }>): Promise<void> {
-    const { vms, self } = this.#options
-    const answer = await vms.beginMaintenance(call, { holder: self.nodeId, fencingToken })
-      .catch((error: unknown) => this.#handlePortError<MaintenanceAnswer>('vms', error, 'failed'))
-    this.#dispatch({ kind: 'maintenance_answered', call, answer })
-  }
-
-  async #requestTickets ({ stepKey, workerIds }: Extract<LeaderEffect, { kind: 'ask_advice' }>): Promise<void> {
-    const requestedAtMs = this.#options.clock.monotonicMs()
-    const tickets = await this.#options.advice.requestTickets(stepKey, workerIds)
-      .catch((error: unknown) => this.#handlePortError('advice', error, undefined))
-    this.#dispatch({ kind: 'advice', stepKey, tickets, requestedAtMs })
-  }
-
-  /** An unexpected error of a port counts as a failed call, which is repeated. */
-  #handlePortError<Answer> (port: 'advice' | 'vms', error: unknown, answer: Answer): Answer {
-    this.#options.metrics.increment('port.failed', { port })
-    this.#options.log.warn('port failed unexpectedly', { port, detail: String(error) })
-    return answer
-  }
 }
--- /dev/null
+++ b/packages/batch-node/src/port-calls.ts
@@ -0,0 +1,61 @@
+/** Calls of the control leader to the advice service and to the VM interface. */
+import type { LeaderEffect, LeaderEvent, MaintenanceAnswer } from '@comfreygrade/batch'
+import type { Clock, EventLog, Metrics } from '@comfreygrade/core'
+import type { AdvicePort, VmPort } from './ports.js'
+
+type EffectOf<K extends LeaderEffect['kind']> = Extract<LeaderEffect, { kind: K }>
+
+/** Options of {@link PortCalls}. */
+export interface PortCallsOptions {
+  /** Node ID of this process, which identifies it to the VM interface. */
+  readonly nodeId: string
+  readonly advice: AdvicePort
+  readonly vms: VmPort
+  readonly clock: Clock
+  readonly metrics: Metrics
+  readonly log: EventLog
+  /** Whether this node leads in the given term and holds a quorum lease now. */
+  readonly leadsInTerm: (term: number) => boolean
+  /** Receives the answers. */
+  readonly dispatch: (event: LeaderEvent) => void
+}
+
+/** Carries out the effects of the batch leader that leave the system, and returns the answers as events. */
+export class PortCalls {
+  readonly #options: PortCallsOptions
+
+  constructor (options: PortCallsOptions) {
+    this.#options = options
+  }
+
+  /**
+   * Calls the VM interface. A process that was suspended may handle a timer before it notices that another node leads,
+   * so the call is not made, or given up where it has not been sent yet, once this node may not lead any more. The
+   * fencing token of a leader is its term.
+   */
+  async beginMaintenance ({ call, fencingToken }: EffectOf<'begin_maintenance'>): Promise<void> {
+    const { vms, nodeId, leadsInTerm, dispatch } = this.#options
+    const isPermitted = (): boolean => leadsInTerm(fencingToken)
+    const answer = isPermitted()
+      ? await vms.beginMaintenance(call, { holder: nodeId, fencingToken, isPermitted })
+        .catch((error: unknown) => this.#handlePortError<MaintenanceAnswer>('vms', error, 'failed'))
+      : 'failed'
+    dispatch({ kind: 'maintenance_answered', call, answer })
+  }
+
+  /** Requests tickets; tickets that no start order uses have no effect, so this call needs no permission. */
+  async requestTickets ({ stepKey, workerIds }: EffectOf<'ask_advice'>): Promise<void> {
+    const { advice, clock, dispatch } = this.#options
+    const requestedAtMs = clock.monotonicMs()
+    const tickets = await advice.requestTickets(stepKey, workerIds)
+      .catch((error: unknown) => this.#handlePortError('advice', error, undefined))
+    dispatch({ kind: 'advice', stepKey, tickets, requestedAtMs })
+  }
+
+  /** An unexpected error of a port counts as a failed call, which is repeated. */
+  #handlePortError<Answer> (port: 'advice' | 'vms', error: unknown, answer: Answer): Answer {
+    this.#options.metrics.increment('port.failed', { port })
+    this.#options.log.warn('port failed unexpectedly', { port, detail: String(error) })
+    return answer
+  }
+}
--- a/packages/batch-node/src/ports.ts
+++ b/packages/batch-node/src/ports.ts
@@ -22,11 +22,22 @@
   /** Node ID of the calling control leader. */
   readonly holder: string
   readonly fencingToken: number
+  /** Whether the caller may still make the call; to be checked right before it is sent. */
+  readonly isPermitted: () => boolean
 }
 
+/**
+ * Longest time for which a call that changes a VM may be under way. A new leader makes no such call for longer than
+ * this, so that none of an earlier leader arrives after its own first one.
+ */
+export const MAX_CALL_MS = 2_000
+
 /** Port to the interface that manages the VMs on which workers run. */
 export abstract class VmPort {
-  /** Requests that the maintenance of a VM begins; resolves to whether it has begun, or why not. */
+  /**
+   * Requests that the maintenance of a VM begins; resolves to whether it has begun, or why not. Nothing is sent once
+   * the caller is not permitted any more, or later than `MAX_CALL_MS` after the start of the call.
+   */
   abstract beginMaintenance (call: MaintenanceCall, caller: CallerIdentity): Promise<MaintenanceAnswer>
 }
 
--- /dev/null
+++ b/packages/batch-node/test/port-calls.test.ts
@@ -0,0 +1,79 @@
+import test from 'ava'
+import type { LeaderEvent } from '@comfreygrade/batch'
+import { ManualClock, NullEventLog, NullMetrics } from '@comfreygrade/core'
+import { AdvicePort, VmPort, type CallerIdentity } from '../src/index.js'
+import { PortCalls } from '../src/port-calls.js'
+
+const call = { waveId: '1', vmId: 'm-1' }
+
+class FailingAdvicePort extends AdvicePort {
+  override async requestTickets (): Promise<never> {
+    throw new Error('unexpected')
+  }
+}
+
+class RecordingVmPort extends VmPort {
+  readonly callers: CallerIdentity[] = []
+
+  override async beginMaintenance (_call: unknown, caller: CallerIdentity): Promise<'begun'> {
+    this.callers.push(caller)
+    return 'begun'
+  }
+}
+
+class FailingVmPort extends VmPort {
+  override async beginMaintenance (): Promise<never> {
+    throw new Error('unexpected')
+  }
+}
+
+function createCalls (vms: VmPort, leadsInTerm: (term: number) => boolean) {
+  const events: LeaderEvent[] = []
+  const calls = new PortCalls({
+    nodeId: 'a',
+    advice: new FailingAdvicePort(),
+    vms,
+    clock: new ManualClock(0, 0),
+    metrics: new NullMetrics(),
+    log: new NullEventLog(),
+    leadsInTerm,
+    dispatch: event => { events.push(event) }
+  })
+  return { calls, events }
+}
+
+test('a leader calls the VM interface with its term as fencing token, and returns the answer', async t => {
+  const vms = new RecordingVmPort()
+  const { calls, events } = createCalls(vms, term => term === 7)
+  await calls.beginMaintenance({ kind: 'begin_maintenance', call, fencingToken: 7 })
+  t.like(vms.callers[0], { holder: 'a', fencingToken: 7 })
+  t.deepEqual(events, [{ kind: 'maintenance_answered', call, answer: 'begun' }])
+})
+
+test('a process that was suspended and has lost its quorum lease does not call the VM interface', async t => {
+  const vms = new RecordingVmPort()
+  const { calls, events } = createCalls(vms, () => false)
+  await calls.beginMaintenance({ kind: 'begin_maintenance', call, fencingToken: 7 })
+  t.deepEqual(vms.callers, [])
+  t.deepEqual(events, [{ kind: 'maintenance_answered', call, answer: 'failed' }])
+})
+
+test('the permission of a call that is under way ends with the leadership', async t => {
+  const vms = new RecordingVmPort()
+  let leads = true
+  const { calls } = createCalls(vms, () => leads)
+  await calls.beginMaintenance({ kind: 'begin_maintenance', call, fencingToken: 7 })
+  t.true(vms.callers[0]?.isPermitted())
+  leads = false
+  t.false(vms.callers[0]?.isPermitted())
+})
+
+test('an unexpected error of a port counts as a failed call, and does not end the process', async t => {
+  const { calls, events } = createCalls(new FailingVmPort(), () => true)
+  await calls.beginMaintenance({ kind: 'begin_maintenance', call, fencingToken: 7 })
+  await calls.requestTickets({ kind: 'ask_advice', stepKey: 'j.0.0', workerIds: ['w'] })
+  t.deepEqual(events, [
+    { kind: 'maintenance_answered', call, answer: 'failed' },
+    { kind: 'advice', stepKey: 'j.0.0', tickets: undefined, requestedAtMs: 0 }
+  ])
+})
--- a/packages/batch/src/settings.ts
+++ b/packages/batch/src/settings.ts
@@ -75,7 +75,7 @@
   readonly gangWaitMs: number
   /**
    * Time from the start of a term in which the leader begins no maintenance, since maintenance calls of an earlier
-   * leader may still be in progress. Unrelated to worker orders and leases.
+   * leader may still be in progress; longer than such a call can take. Unrelated to worker orders and leases.
    */
   readonly maintenanceCallGraceMs: number
   /** Time from the beginning of a VM's maintenance until its worker is certainly back. */
