Record which workers are leaving or have left, so that no later leader uses them again

Cause: that a worker was leaving or had left was known to the leader of one term only. A heartbeat from before, delayed in the network, made it an active worker again under the next leader, and its message that it has left, which names no incarnation, freed the runs of a later incarnation that still ran them. Ruled out: waiting for a second heartbeat before any new run, which delays every worker after each change of leader and does not tell several delayed ones apart. Change: the command record_departure; the heartbeat that says leaving is answered after its commit, and the message that a worker has left counts only after such a heartbeat. Tests: three in lost-worker.test.ts sent the message for a worker that had not said that it was leaving; they now send that heartbeat first, as workers do. One in scheduler.test.ts let a leaving worker return, which none does. Before: the tests of a new leader and of the delayed message fail.

--- a/packages/batch-node/src/batch-node.ts
+++ b/packages/batch-node/src/batch-node.ts
@@ -85,12 +85,10 @@
     return response?.kind === 'orders' ? response : undefined
   }
 
-  /**
-   * Tells the leader that a worker has left; resolves to whether a leader answered. That includes a leader that lost
-   * its leadership meanwhile and may not have handled the message.
-   */
+  /** Tells the leader that a worker has left; resolves to whether a leader has handled the message. */
   async forwardWorkerLeft (workerId: string, timeoutMs: number): Promise<boolean> {
-    return await this.#leaderClient.requestOnce({ kind: 'worker_left', workerId }, timeoutMs) !== undefined
+    const response = await this.#leaderClient.requestOnce({ kind: 'worker_left', workerId }, timeoutMs)
+    return response?.kind === 'orders'
   }
 
   /** Whether this process can forward requests: its own control service knows a leader, or a peer is connected. */
--- a/packages/batch/src/batch-state.ts
+++ b/packages/batch/src/batch-state.ts
@@ -5,16 +5,19 @@
   type StepRecord, type TaskRecord
 } from './job-record.js'
 import type {
-  Assignment, BatchCommand, CommandResult, MaintenanceWave, RunEnd, TaskCheckpoint, WorkerIncarnation
+  Assignment, BatchCommand, CommandResult, Departure, MaintenanceWave, RunEnd, TaskCheckpoint, WorkerIncarnation
 } from './commands.js'
 import { QueueDirectory, type QueueDocument } from './queues.js'
 
 type CommandOf<K extends BatchCommand['kind']> = Extract<BatchCommand, { kind: K }>
 
-/** The latest incarnation of a worker and the last of its run ends that is recorded. */
-interface WorkerEndsRecord {
-  incarnation: number
+/** The latest incarnation of a worker that a command named, and the last of its run ends that is recorded. */
+interface WorkerRecord {
+  readonly incarnation: number
   lastEndSequence: number
+  departure?: Departure
+  /** Log time of the latest command that named the worker; absent from records of older versions. */
+  usedLogMs?: number
 }
 
 /** A maintenance wave and its progress. */
@@ -32,7 +35,7 @@
 export interface BatchSnapshot {
   readonly document: QueueDocument | null
   readonly jobs: readonly JobRecord[]
-  readonly workers: ReadonlyArray<readonly [string, WorkerEndsRecord]>
+  readonly workers: ReadonlyArray<readonly [string, WorkerRecord]>
   readonly waves: readonly WaveRecord[]
 }
 
@@ -46,6 +49,8 @@
 
 /** Number of most recent failed workers kept per task, so that its next run avoids them. */
 const MAX_FAILED_WORKERS_PER_TASK = 4
+/** Time for which the record of a worker without runs is kept; far longer than a message can be delayed. */
+const WORKER_RETENTION_MS = 86_400_000
 
 /**
  * Deterministic state machine: the same commands at the same log times give the same state on every replica, except
@@ -65,7 +70,8 @@
    * removal of those behind it.
    */
   readonly #endedJobs: JobRecord[] = []
-  readonly #workers = new Map<string, WorkerEndsRecord>()
+  /** In order of their latest use. */
+  readonly #workers = new Map<string, WorkerRecord>()
   readonly #runsByWorker = new Map<string, Map<string, Assignment>>()
   /** Tasks with active runs, by key: a cache for the leader, which looks these up in every pass and heartbeat. */
   readonly #activeTasks = new Map<string, TaskContext>()
@@ -143,6 +149,16 @@
     return record?.incarnation === worker.incarnation ? record.lastEndSequence : 0
   }
 
+  /**
+   * Whether this incarnation of the worker is leaving or has left; an earlier one than the latest that is known has
+   * left.
+   */
+  departureOf ({ workerId, incarnation }: WorkerIncarnation): Departure | undefined {
+    const record = this.#workers.get(workerId)
+    if (record === undefined || record.incarnation < incarnation) return undefined
+    return record.incarnation > incarnation ? 'left' : record.departure
+  }
+
   /** Maintenance waves in order of their start. */
   waves (): Iterable<WaveRecord> {
     return this.#waves.values()
@@ -174,14 +190,16 @@
   /** Applies a committed command. */
   apply (command: BatchCommand, logTimeMs: number): CommandResult {
     this.#removeExpiredJobs(logTimeMs)
+    this.#removeUnusedWorkers(logTimeMs)
     switch (command.kind) {
       case 'put_configuration': return this.#putConfiguration(command)
       case 'submit_job': return this.#submit(command)
       case 'cancel_job': return this.#cancel(command, logTimeMs)
-      case 'assign': return this.#assign(command)
+      case 'assign': return this.#assign(command, logTimeMs)
       case 'record_ends': return this.#recordEnds(command, logTimeMs)
       case 'release': return this.#release(command)
       case 'worker_gone': return this.#workerGone(command)
+      case 'record_departure': return this.#recordDeparture(command, logTimeMs)
       case 'start_wave': return this.#startWave(command)
       case 'maintenance_done': return this.#maintenanceDone(command)
     }
@@ -212,17 +230,17 @@
     return { kind: 'applied' }
   }
 
-  #assign ({ assignments }: CommandOf<'assign'>): CommandResult {
-    for (const assignment of assignments) this.#assignOne(assignment)
+  #assign ({ assignments }: CommandOf<'assign'>, logTimeMs: number): CommandResult {
+    for (const assignment of assignments) this.#assignOne(assignment, logTimeMs)
     return { kind: 'applied' }
   }
 
-  #assignOne (assignment: Assignment): void {
+  #assignOne (assignment: Assignment, logTimeMs: number): void {
     const { taskKey, run, workerId, incarnation } = assignment
     const id = parseTaskKey(taskKey)
     const task = id === undefined ? undefined : this.#findOrCreateTask(id)
     if (task === undefined || task.isDone || run <= task.lastRun) return
-    this.#advanceIncarnation({ workerId, incarnation })
+    this.#useWorker({ workerId, incarnation }, logTimeMs)
     task.lastRun = run
     task.active.push({ run, workerId, incarnation })
     this.#indexRun(assignment)
@@ -236,9 +254,8 @@
   }
 
   #recordEnds ({ life, ends }: CommandOf<'record_ends'>, logTimeMs: number): CommandResult {
-    this.#advanceIncarnation(life)
-    const record = this.#workers.get(life.workerId)
-    if (record === undefined || record.incarnation !== life.incarnation) return { kind: 'unchanged' }
+    const record = this.#useWorker(life, logTimeMs)
+    if (record.incarnation !== life.incarnation) return { kind: 'unchanged' }
     for (const end of ends) {
       if (end.sequence <= record.lastEndSequence) continue
       record.lastEndSequence = end.sequence
@@ -311,13 +328,40 @@
     return { kind: 'applied' }
   }
 
-  /** Records a newer incarnation of the worker; the runs of earlier ones ended with these and are removed. */
-  #advanceIncarnation ({ workerId, incarnation }: WorkerIncarnation): void {
-    const record = this.#workers.get(workerId)
-    if (record !== undefined && record.incarnation >= incarnation) return
-    this.#workers.set(workerId, { incarnation, lastEndSequence: 0 })
-    for (const run of [...this.runsOf(workerId)]) {
-      if (run.incarnation < incarnation) this.#removeRun(run)
+  /** A worker that has left does not count as leaving again. */
+  #recordDeparture ({ life, departure }: CommandOf<'record_departure'>, logTimeMs: number): CommandResult {
+    const record = this.#useWorker(life, logTimeMs)
+    if (record.incarnation !== life.incarnation || record.departure === 'left') return { kind: 'unchanged' }
+    record.departure = departure
+    return { kind: 'applied' }
+  }
+
+  /**
+   * Returns the record of a worker, which is that of a later incarnation where one is known. A newer incarnation
+   * replaces the record; the runs of earlier ones ended with these and are removed.
+   */
+  #useWorker ({ workerId, incarnation }: WorkerIncarnation, logTimeMs: number): WorkerRecord {
+    const known = this.#workers.get(workerId)
+    const isNewer = known === undefined || known.incarnation < incarnation
+    const record: WorkerRecord = isNewer ? { incarnation, lastEndSequence: 0 } : known
+    record.usedLogMs = logTimeMs
+    this.#workers.delete(workerId)
+    this.#workers.set(workerId, record)
+    if (isNewer) this.#removeRunsBefore(workerId, incarnation)
+    return record
+  }
+
+  #removeRunsBefore (workerId: string, incarnation: number): void {
+    for (const run of [...this.runsOf(workerId)]) if (run.incarnation < incarnation) this.#removeRun(run)
+  }
+
+  /** Removes the records of workers that no command has named for long; the first one was used the longest ago. */
+  #removeUnusedWorkers (logTimeMs: number): void {
+    for (const [workerId, record] of this.#workers) {
+      record.usedLogMs ??= logTimeMs
+      if (logTimeMs - record.usedLogMs <= WORKER_RETENTION_MS) return
+      if (this.hasRuns(workerId)) this.#useWorker({ workerId, incarnation: record.incarnation }, logTimeMs)
+      else this.#workers.delete(workerId)
     }
   }
 
--- a/packages/batch/src/commands.ts
+++ b/packages/batch/src/commands.ts
@@ -45,6 +45,9 @@
   readonly run: number
 }
 
+/** How far a worker has departed: it gets no new runs while it is `leaving`, and `left` once it has gone for good. */
+export type Departure = 'leaving' | 'left'
+
 /** The latest reported checkpoint of a task. */
 export interface TaskCheckpoint {
   readonly taskKey: string
@@ -77,6 +80,8 @@
   | { readonly kind: 'release', readonly runs: readonly Assignment[] }
   /** No run of the incarnation `life` is active any more: it crashed, left, or its lease expired. */
   | { readonly kind: 'worker_gone', readonly life: WorkerIncarnation, readonly checkpoints: readonly TaskCheckpoint[] }
+  /** Recorded, so that a heartbeat from before does not bring the worker back under a later leader. */
+  | { readonly kind: 'record_departure', readonly life: WorkerIncarnation, readonly departure: Departure }
   | { readonly kind: 'start_wave', readonly wave: MaintenanceWave, readonly startedWallMs: number }
   /** The platform has begun the maintenance of a VM, or the VM needs none. */
   | { readonly kind: 'maintenance_done', readonly waveId: string, readonly vmId: string }
--- a/packages/batch/src/report-handler.ts
+++ b/packages/batch/src/report-handler.ts
@@ -64,6 +64,7 @@
     this.#checkLease(view)
     if (view.leaseStatus !== 'uncertain' && view.hasSecondReport) this.#proposeEnds(report)
     this.#releaseAbsentRuns(view)
+    if (report.state === 'leaving') this.#recordLeaving(report)
     const earlier = this.#pendingReports.add({ requestId, view, receivedAtMs: nowMs }, this.#isIdle(view))
     if (earlier !== undefined) this.#options.reply(earlier.requestId, undefined)
   }
@@ -123,13 +124,26 @@
     })
   }
 
-  /** Handles a worker's message that it has left for good. */
+  /** The answer waits for the record, so that no later leader gives new runs to a worker that was told it may leave. */
+  #recordLeaving ({ workerId, incarnation }: WorkerReport): void {
+    const life = { workerId, incarnation }
+    if (this.#options.state.departureOf(life) !== undefined || this.hasCommandsInFlight(workerId)) return
+    this.#proposeFor(workerId, { kind: 'record_departure', life, departure: 'leaving' }, () => {})
+  }
+
+  /**
+   * Handles a worker's message that it has left for good, which names no incarnation. A worker says that it is leaving
+   * before that, so the message is ignored for one that has not: it may have been delayed since an earlier incarnation.
+   */
   handleWorkerLeft (requestId: string, workerId: string): void {
-    const view = this.#options.registry.view(workerId)
-    this.#options.reply(requestId, undefined)
-    if (view === undefined) return
-    this.#options.registry.removeDeparted(view.latest)
+    const { registry, reply } = this.#options
+    const view = registry.view(workerId)
+    if (view === undefined || view.latest.state !== 'leaving') return reply(requestId, undefined)
+    const { incarnation } = view.latest
+    registry.remove(workerId)
     this.#handleWorkerGone(view.latest, 'left', view)
+    const record = { kind: 'record_departure', life: { workerId, incarnation }, departure: 'left' } as const
+    this.#proposeFor(workerId, record, () => { reply(requestId, undefined) })
   }
 
   /** Frees the runs of an incarnation; they continue elsewhere from the latest checkpoints that it reported. */
--- a/packages/batch/src/worker-registry.ts
+++ b/packages/batch/src/worker-registry.ts
@@ -32,11 +32,6 @@
  */
 const SUSPECT_TIMEOUT_ESTIMATE_SHARE = 0.05
 
-/** An incarnation that has left for good. */
-interface DepartedIncarnation extends WorkerIncarnation {
-  readonly leftAtMs: number
-}
-
 /** Views of the workers; a later incarnation at the same location replaces an earlier one. */
 export class WorkerRegistry {
   readonly #state: BatchState
@@ -46,7 +41,6 @@
   readonly #health: WorkerHealth
   readonly #views = new Map<string, WorkerView>()
   readonly #locations = new WorkerLocations()
-  readonly #departed = new Map<string, DepartedIncarnation>()
   readonly #startedJobs = new Set<string>()
   readonly #termStartedAtMs: number
 
@@ -61,7 +55,7 @@
 
   /** Receives a report. */
   receive (report: WorkerReport): ReportOutcome {
-    if (this.#hasDeparted(report)) return { kind: 'ignored', reason: 'left', replaced: [] }
+    if (this.#state.departureOf(report) === 'left') return { kind: 'ignored', reason: 'left', replaced: [] }
     const known = this.#views.get(report.workerId)
     const others = this.#viewsAtLocationOf(report)
     if (others.some(view => view.latest.incarnation > report.incarnation)) {
@@ -135,17 +129,7 @@
     return new Map([...this.#views.values()].map(view => [view.latest.workerId, view.latest.incarnation]))
   }
 
-  #hasDeparted ({ workerId, incarnation }: WorkerIncarnation): boolean {
-    const left = this.#departed.get(workerId)
-    return left !== undefined && incarnation <= left.incarnation
-  }
-
-  /** Removes a worker that has left; later reports of this incarnation are ignored. */
-  removeDeparted ({ workerId, incarnation }: WorkerIncarnation): void {
-    this.#departed.set(workerId, { workerId, incarnation, leftAtMs: this.#clock.monotonicMs() })
-    this.remove(workerId)
-  }
-
+  /** Removes a worker that has gone. */
   remove (workerId: string): void {
     const view = this.#views.get(workerId)
     if (view === undefined) return
@@ -157,6 +141,7 @@
   isSchedulable (view: WorkerView): boolean {
     const silentMs = this.#clock.monotonicMs() - view.reportedAtMs
     return view.latest.state === 'active' && silentMs < this.#settings.unresponsiveAfterMs &&
+      this.#state.departureOf(view.latest) === undefined &&
       view.leaseStatus === 'held' && !this.#health.isQuarantined(view.latest.workerId) &&
       !this.hasSuspectRun(view)
   }
@@ -226,9 +211,6 @@
   removeStaleWorkers (): void {
     const minMs = this.#clock.monotonicMs() - STALE_WORKER_RETENTION_MS
     for (const { latest, reportedAtMs } of this.#views.values()) if (reportedAtMs < minMs) this.remove(latest.workerId)
-    for (const { workerId, leftAtMs } of this.#departed.values()) {
-      if (leftAtMs < minMs) this.#departed.delete(workerId)
-    }
   }
 
   /** Workers that have runs of an earlier term and have not reported in this one. */
--- a/packages/batch/test/batch-state.test.ts
+++ b/packages/batch/test/batch-state.test.ts
@@ -117,3 +117,30 @@
   assign(state, 'j1.0.0.0', 1)
   t.deepEqual([...state.runsOf('w1')], [])
 })
+
+test('departures survive a restart from a snapshot, and end with the incarnation', t => {
+  const state = createState([step()])
+  const depart = (workerId: string, departure: 'leaving' | 'left') =>
+    state.apply({ kind: 'record_departure', life: { workerId, incarnation: 5 }, departure }, 10)
+  depart('w1', 'leaving')
+  depart('w2', 'left')
+  t.deepEqual(depart('w2', 'leaving'), { kind: 'unchanged' })
+  const restored = BatchState.restore(state.snapshot(), { endedJobRetentionMs: 1_000 })
+  t.is(restored.departureOf({ workerId: 'w1', incarnation: 5 }), 'leaving')
+  t.is(restored.departureOf({ workerId: 'w2', incarnation: 5 }), 'left')
+  t.is(restored.departureOf({ workerId: 'w2', incarnation: 4 }), 'left')
+  t.is(restored.departureOf({ workerId: 'w2', incarnation: 6 }), undefined)
+})
+
+test('the record of a worker without runs is removed a day after its last use, so that the state does not grow', t => {
+  const dayMs = 86_400_000
+  const state = createState([step({ taskCount: 1 })])
+  const busy = assign(state, 'j1.0.0.0', 1)
+  const gone = { workerId: 'gone', incarnation: 5 }
+  state.apply({ kind: 'record_departure', life: gone, departure: 'left' }, 20)
+  state.apply({ kind: 'cancel_job', jobId: 'none' }, 20 + dayMs)
+  t.is(state.departureOf(gone), 'left')
+  state.apply({ kind: 'cancel_job', jobId: 'none' }, 21 + dayMs)
+  t.is(state.departureOf(gone), undefined)
+  t.deepEqual(state.snapshot().workers.map(([workerId]) => workerId), [busy.workerId])
+})
--- a/packages/batch/test/lost-worker.test.ts
+++ b/packages/batch/test/lost-worker.test.ts
@@ -33,7 +33,9 @@
 })
 
 test('a run continues from its checkpoint after its worker left', t => {
-  const { fixture } = createWorkerWithCheckpointedRun()
+  const { fixture, running } = createWorkerWithCheckpointedRun()
+  fixture.advance(200)
+  fixture.heartbeat('w1', { running, state: 'leaving' })
   fixture.deliver({ kind: 'worker_left', requestId: 'left', workerId: 'w1' })
   t.is(checkpointOfRestart(fixture), CHECKPOINT)
 })
@@ -80,7 +82,9 @@
 })
 
 test('ends in heartbeats that arrive after their worker has left are not acknowledged', t => {
-  const { fixture } = createWorkerWithCheckpointedRun()
+  const { fixture, running } = createWorkerWithCheckpointedRun()
+  fixture.advance(200)
+  fixture.heartbeat('w1', { running, state: 'leaving' })
   const endedMs = fixture.clock.monotonicMs() + 100
   fixture.advance(200)
   fixture.deliver({ kind: 'worker_left', requestId: 'left', workerId: 'w1' })
@@ -99,13 +103,57 @@
   fixture.heartbeat('w1')
   fixture.advance(200)
   const now = fixture.clock.monotonicMs() + 1
-  fixture.sendReport(report('w1', { clockMs: now, sequence: Math.round(now) + 1 }))
+  fixture.sendReport(report('w1', { clockMs: now, sequence: Math.round(now) + 1, state: 'leaving' }))
   fixture.deliver({ kind: 'worker_left', requestId: 'left', workerId: 'w1' })
   fixture.submit('j1', [step({ taskCount: 1 })])
   for (let elapsedMs = 0; elapsedMs < 1_000; elapsedMs += 50) fixture.advance(50)
   t.is([...fixture.state.runsOf('w1')].length, 0)
 })
 
+test('a message that a worker has left does not end the runs of an incarnation that has not said that it is leaving', t => {
+  const { fixture, running } = createWorkerWithCheckpointedRun()
+  // The message was sent by an earlier incarnation and delayed in the network; it names none.
+  fixture.deliver({ kind: 'worker_left', requestId: 'left', workerId: 'w1' })
+  t.is([...fixture.state.runsOf('w1')].length, 1)
+  fixture.advance(200)
+  t.deepEqual(fixture.heartbeat('w1', { running })?.stops, [])
+})
+
+test('a worker that has left stays so under a new leader, whichever of its heartbeats arrive late', t => {
+  const fixture = new LeaderFixture()
+  fixture.heartbeat('w1')
+  fixture.advance(200)
+  fixture.heartbeat('w1', { state: 'leaving' })
+  fixture.deliver({ kind: 'worker_left', requestId: 'left', workerId: 'w1' })
+  fixture.changeLeader()
+  for (const state of ['active', 'leaving'] as const) t.is(fixture.heartbeat('w1', { state }), undefined)
+  fixture.submit('j1', [step()])
+  t.is([...fixture.state.runsOf('w1')].length, 0)
+  t.not(fixture.heartbeat('w1', { incarnation: 2_000 }), undefined)
+})
+
+test('a worker that was told it may leave gets no run from a new leader that an earlier heartbeat of it reaches', t => {
+  const fixture = new LeaderFixture()
+  fixture.heartbeat('w1')
+  fixture.advance(200)
+  t.not(fixture.heartbeat('w1', { state: 'leaving' }), undefined)
+  fixture.changeLeader()
+  fixture.heartbeat('w1')
+  fixture.submit('j1', [step()])
+  t.is([...fixture.state.runsOf('w1')].length, 0)
+})
+
+test('a worker is told that it may leave only once this is recorded', t => {
+  const fixture = new LeaderFixture()
+  fixture.heartbeat('w1')
+  fixture.advance(200)
+  fixture.isCommitting = false
+  t.is(fixture.heartbeat('w1', { state: 'leaving' }), undefined)
+  t.deepEqual(fixture.proposals.at(-1)?.command, {
+    kind: 'record_departure', life: { workerId: 'w1', incarnation: 1_000 }, departure: 'leaving'
+  })
+})
+
 /** Time within which a task that has lost its run must be assigned again while workers are idle. */
 const REASSIGN_LIMIT_MS = 1_000
 
--- a/packages/batch/test/scheduler.test.ts
+++ b/packages/batch/test/scheduler.test.ts
@@ -149,16 +149,16 @@
 
 test('a task waits up to 2 s for the rack of its data, then starts on another rack', t => {
   const { fixture, reportAll } = createFleet(1)
-  fixture.heartbeat('far', { rack: 'r2', labels: ['kind', 'r2'], state: 'leaving' })
+  const far = { rack: 'r2', labels: ['kind', 'r2'] }
   fixture.submit('blocker', [step({ taskCount: 1, estimateMs: 60_000, shape: accelerators(8) })])
   reportAll()
-  fixture.heartbeat('far', { rack: 'r2', labels: ['kind', 'r2'] })
+  fixture.heartbeat('far', far)
   fixture.submit('data', [step({ taskCount: 1, estimateMs: 2_000, dataRack: 'r1' })])
   fixture.advance(1_000)
-  t.deepEqual(fixture.heartbeat('far', { rack: 'r2', labels: ['kind', 'r2'] })?.starts, [])
+  t.deepEqual(fixture.heartbeat('far', far)?.starts, [])
   reportAll()
   fixture.advance(1_200)
-  t.is(fixture.heartbeat('far', { rack: 'r2', labels: ['kind', 'r2'] })?.starts.length, 1)
+  t.is(fixture.heartbeat('far', far)?.starts.length, 1)
 })
 
 test('no worker gets more tasks of a step than maxTasksPerWorker', t => {
