Repeat a lost start order at once instead of after the end of the lease

Cause: after the first answer of a leader was lost, or reached its worker late, the lease of that worker was uncertain, so neither extended nor used for starts until it had certainly lapsed, if any start order had been sent. Ruled out: a late heartbeat of the network as such; it costs a second. Change: a run whose start order was lost is not on the worker, since a worker lists each run that it has started until its end is recorded. Such runs do not make the lease uncertain, so it is granted anew, with the start order.

--- a/packages/batch/src/order-planner.ts
+++ b/packages/batch/src/order-planner.ts
@@ -64,9 +64,13 @@
     }
   }
 
-  /** Whether any run may have reached this incarnation of the worker; runs without a sent start order have not. */
+  /**
+   * Whether any run may have reached this incarnation of the worker. Those have not whose start order was not sent, or
+   * was lost: a worker lists every run that it has started and whose end is not recorded.
+   */
   mayHoldRuns (view: WorkerView): boolean {
-    return this.#runsOf(view).some(assignment => !this.#isUnsent(view, assignment))
+    return this.#runsOf(view).some(assignment => !this.#isUnsent(view, assignment) &&
+      (isReported(view, assignment) || !this.#checkMissing(view, assignment)))
   }
 
   /** Runs being stopped that the worker certainly does not have. */
