Hold the answers of busy workers until a run is expected to end, and start gangs at once

The estimate of a run's end took the first report of an inherited run for its start. Ruled out: late heartbeats themselves are the network's; failures of members break their gangs whatever the scheduler does. Change: an answer is held until the next expected end of a run of its worker (ReportHold), as before only for idle workers; stops and starts end the hold. The members of a gang whose workers wait for an answer start when all can be reached, or when their answers are due (GangAssembly). Ends are extrapolated from the progress since the first report. DeadlineQueue moved to core. Failures in the benchmark are drawn with the jobs, so that two policies meet the same ones.

--- a/packages/batch/src/batch-state.ts
+++ b/packages/batch/src/batch-state.ts
@@ -1,5 +1,5 @@
 /** The replicated state: jobs, run ends by worker, configuration and maintenance waves. */
-import { parseTaskKey, type StepSpec, type TaskId } from './jobs.js'
+import { parseTaskKey, taskKey, type StepSpec, type TaskId } from './jobs.js'
 import {
   createJobRecord, createOccurrence, isJobDone, type ActiveRun, type JobRecord, type OccurrenceRecord,
   type StepRecord, type TaskRecord
@@ -95,12 +95,7 @@
     this.#jobs.set(job.spec.jobId, job)
     if (job.state === 'open') this.#openJobs.set(job.spec.jobId, job)
     else this.#endedJobs.push(job)
-    job.occurrences.forEach((occurrence, occurrenceIndex) => {
-      occurrence?.steps.forEach((step, stepIndex) => step.tasks.forEach((task, index) => {
-        const key = `${job.spec.jobId}.${occurrenceIndex}.${stepIndex}.${index}`
-        for (const run of task.active) this.#indexRun({ ...run, taskKey: key })
-      }))
-    })
+    for (const run of this.activeRunsOf(job.spec.jobId)) this.#indexRun(run)
   }
 
   /** Returns the state in serialisable form, for encoding before the next command is applied. */
@@ -133,6 +128,16 @@
     return this.#runsByWorker.get(workerId)?.values() ?? []
   }
 
+  /** Runs of a job that may be on workers. */
+  activeRunsOf (jobId: string): Assignment[] {
+    const { occurrences = [] } = this.#jobs.get(jobId) ?? {}
+    return occurrences.flatMap((occurrence, occurrenceIndex) => occurrence?.steps.flatMap((step, stepIndex) =>
+      step.tasks.flatMap((task, index) => {
+        const key = taskKey({ jobId, occurrence: occurrenceIndex, step: stepIndex, index })
+        return task.active.map(run => ({ ...run, taskKey: key }))
+      })) ?? [])
+  }
+
   /** Whether any run may be on a worker. */
   hasRuns (workerId: string): boolean {
     return this.#runsByWorker.has(workerId)
@@ -236,8 +241,8 @@
   }
 
   #assignOne (assignment: Assignment, logTimeMs: number): void {
-    const { taskKey, run, workerId, incarnation } = assignment
-    const id = parseTaskKey(taskKey)
+    const { run, workerId, incarnation } = assignment
+    const id = parseTaskKey(assignment.taskKey)
     const task = id === undefined ? undefined : this.#findOrCreateTask(id)
     if (task === undefined || task.isDone || run <= task.lastRun) return
     this.#useWorker({ workerId, incarnation }, logTimeMs)
--- a/packages/batch/src/leader.ts
+++ b/packages/batch/src/leader.ts
@@ -2,7 +2,8 @@
 import type { Clock, EventLog, Metrics } from '@comfreygrade/core'
 import { TicketCache, type Ticket } from './advice-tickets.js'
 import { assignmentKey, type BatchState } from './batch-state.js'
-import type { Assignment, BatchCommand, CommandResult } from './commands.js'
+import type { Assignment, BatchCommand, CommandResult, EndReason } from './commands.js'
+import { GangAssembly } from './gang-assembly.js'
 import { jobIdOf } from './jobs.js'
 import { planDrain, planEvictions, type Eviction } from './evictions.js'
 import { waitingStepKey } from './worker-selection.js'
@@ -72,6 +73,7 @@
   readonly #registry: WorkerRegistry
   readonly #orders: OrderPlanner
   readonly #tickets: TicketCache
+  readonly #assembly: GangAssembly
   readonly #scheduler: BatchScheduler
   readonly #maintenance: MaintenancePlanner
   readonly #disruptionBudget: DisruptionBudget
@@ -90,22 +92,28 @@
     this.#options = options
     this.#registry = new WorkerRegistry(state, settings, clock, log)
     this.#tickets = new TicketCache(clock)
-    this.#orders = new OrderPlanner({ state, settings, clock, tickets: this.#tickets, fencingToken: options.term })
+    this.#assembly = new GangAssembly(clock, settings.gangAssemblyMs)
+    this.#orders = new OrderPlanner({
+      state, settings, clock, tickets: this.#tickets, assembly: this.#assembly, fencingToken: options.term
+    })
     this.#scheduler = new BatchScheduler(settings, clock, new ObjectiveSchedulingOrder())
     this.#operations = new OperationHandler({
       ...options,
       registry: this.#registry,
       propose: (command, onSettled) => { this.#propose(command, onSettled) },
-      reply: (requestId, result) => { this.#effects.push({ kind: 'reply', requestId, result }) }
+      reply: (requestId, result) => { this.#effects.push({ kind: 'reply', requestId, result }) },
+      onCancelled: jobId => { this.#wakeWorkersOf(jobId) }
     })
     this.#reports = new ReportHandler({
       ...options,
       registry: this.#registry,
       orders: this.#orders,
+      assembly: this.#assembly,
       propose: (command, onSettled) => { this.#propose(command, onSettled) },
       reply: (requestId, orders) => { this.#effects.push({ kind: 'reply_worker', requestId, orders }) },
       requestPass: () => { this.#isPassDue = true },
-      isPassPending: () => this.#isPassDue || this.#isAssigning
+      isPassPending: () => this.#isPassDue || this.#isAssigning,
+      onRunEnded: (taskKey, reason) => { this.#handleRunEnded(taskKey, reason) }
     })
     this.#disruptionBudget = new DisruptionBudget(
       state, this.#registry, assignment => this.#orders.isStopping(assignment)
@@ -170,7 +178,21 @@
     this.#options.log.info('run reclaimed', {
       taskKey, run: assignment.run, workerId, forStepKey, lostCoreSeconds: Math.round(lostCoreSeconds)
     })
-    this.#orders.stop(assignment)
+    this.#stop(assignment)
+  }
+
+  #stop (assignment: Assignment): void {
+    for (const { workerId } of this.#orders.stop(assignment)) this.#reports.wake(workerId)
+  }
+
+  /** The end of a run may mean that others are stopped: those of its gang, or all of a job that has failed. */
+  #handleRunEnded (taskKey: string, reason: EndReason): void {
+    if (reason !== 'done') this.#wakeWorkersOf(jobIdOf(taskKey))
+  }
+
+  /** Workers with runs of a job get their answers at once, since runs of it are to be stopped. */
+  #wakeWorkersOf (jobId: string): void {
+    for (const { workerId } of this.#options.state.activeRunsOf(jobId)) this.#reports.wake(workerId)
   }
 
   #assign (assignments: readonly Assignment[]): void {
@@ -181,13 +203,18 @@
     this.#propose({ kind: 'assign', assignments }, outcome => {
       this.#isAssigning = false
       this.#isPassDue = true
+      if (outcome.kind === 'applied') this.#recordAssigned(assignments)
       for (const workerId of workerIds) this.#reports.finishAssignment(workerId)
-      if (outcome.kind === 'rejected') return
-      for (const assignment of assignments) this.#recordAssigned(assignment)
     })
   }
 
-  #recordAssigned (assignment: Assignment): void {
+  #recordAssigned (assignments: readonly Assignment[]): void {
+    const { state } = this.#options
+    this.#assembly.add(assignments.filter(({ taskKey }) => state.findTask(taskKey)?.stepSpec.isGang === true))
+    for (const assignment of assignments) this.#logAssigned(assignment)
+  }
+
+  #logAssigned (assignment: Assignment): void {
     const { clock, log, state } = this.#options
     const { taskKey, run, workerId } = assignment
     const view = this.#registry.view(workerId)
@@ -232,6 +259,7 @@
     this.#beginDueMaintenance()
     this.#tickets.retainOpenJobs(jobId => this.#options.state.job(jobId)?.state === 'open')
     this.#orders.removeCompletedStops()
+    this.#assembly.removeOverdue()
     this.#reports.removeStale()
   }
 
@@ -251,7 +279,7 @@
       if (this.#orders.isStopping(assignment)) continue
       const { taskKey, workerId } = assignment
       this.#options.log.info('run evicted', { taskKey, run: assignment.run, workerId, ...details })
-      this.#orders.stop(assignment)
+      this.#stop(assignment)
     }
   }
 
--- a/packages/batch/src/operation-handler.ts
+++ b/packages/batch/src/operation-handler.ts
@@ -23,6 +23,8 @@
   readonly log: EventLog
   readonly propose: (command: BatchCommand, onSettled: (outcome: ProposalOutcome) => void) => void
   readonly reply: (requestId: string, result: BatchResult) => void
+  /** Called once the cancellation of a job is committed. */
+  readonly onCancelled: (jobId: string) => void
 }
 
 /**
@@ -92,6 +94,7 @@
     if (job.state !== 'open') return this.#accept(requestId)
     this.#options.propose({ kind: 'cancel_job', jobId: resolved.jobId }, outcome => {
       this.#options.log.info('job cancellation settled', { jobId: resolved.jobId, outcome: outcome.kind })
+      if (outcome.kind === 'applied') this.#options.onCancelled(resolved.jobId)
       this.#answerProposal(requestId, outcome)
     })
   }
--- a/packages/batch/src/order-planner.ts
+++ b/packages/batch/src/order-planner.ts
@@ -3,6 +3,7 @@
 import type { TicketCache } from './advice-tickets.js'
 import { taskRunKey, assignmentKey, type BatchState, type TaskContext } from './batch-state.js'
 import type { Assignment } from './commands.js'
+import type { GangAssembly } from './gang-assembly.js'
 import { stepKeyOf } from './jobs.js'
 import { FillerPacing } from './filler-pacing.js'
 import type { BatchSettings } from './settings.js'
@@ -15,9 +16,18 @@
   readonly settings: BatchSettings
   readonly clock: Clock
   readonly tickets: TicketCache
+  readonly assembly: GangAssembly
   readonly fencingToken: number
 }
 
+/** Which start orders an answer may carry. */
+export interface StartPermission {
+  /** False while a command is in flight that frees all runs of the worker. */
+  readonly mayStart: boolean
+  /** Whether a member of a gang may start though others cannot start yet. */
+  readonly mayStartIncompleteGangs: boolean
+}
+
 /**
  * Derives orders from the replicated runs and a worker's latest report. A worker has one heartbeat in flight at a time,
  * so where a start order was sent in the answer to one heartbeat and a later report lacks the run, the order was lost.
@@ -35,9 +45,17 @@
     this.#pacing = new FillerPacing(options.state)
   }
 
-  /** Stops a run and all members of its gang; their tasks wait for workers again afterwards. */
-  stop (assignment: Assignment): void {
-    for (const member of this.#gangRuns(assignment)) this.#stopping.set(assignmentKey(member), member)
+  /**
+   * Stops a run and all members of its gang; their tasks wait for workers again afterwards. Returns the runs that are
+   * stopped.
+   */
+  stop (assignment: Assignment): Assignment[] {
+    const members = this.#gangRuns(assignment)
+    for (const member of members) {
+      this.#stopping.set(assignmentKey(member), member)
+      this.#options.assembly.remove(member)
+    }
+    return members
   }
 
   #gangRuns (assignment: Assignment): Assignment[] {
@@ -84,10 +102,8 @@
    * orders as sent, and advances the pace of the fillers by one step, so it is called once for each answer.
    *
    * An uncertain lease is not extended, so that it certainly lapses and the runs under it can be freed.
-   *
-   * @param mayStart - false while a command is in flight that frees all runs of the worker
    */
-  takeOrders (view: WorkerView, mayStart: boolean): Omit<WorkerOrders, 'nextReportMs'> {
+  takeOrders (view: WorkerView, permission: StartPermission): Omit<WorkerOrders, 'nextReportMs'> {
     const { state, settings, fencingToken } = this.#options
     const { latest } = view
     const isExtended = view.leaseStatus !== 'uncertain'
@@ -96,17 +112,28 @@
       ...(isExtended ? { leaseMs: settings.leaseMs } : {}),
       recordedEndSequence: state.lastEndSequence(latest),
       fencingToken,
-      starts: isExtended && mayStart ? this.#startOrders(view) : [],
+      starts: isExtended && permission.mayStart ? this.#startOrders(view, permission) : [],
       stops: this.#stopOrders(view),
       paces: this.#pacing.takeOrders(view)
     }
   }
 
-  #startOrders (view: WorkerView): StartOrder[] {
+  /** Whether the next answer to a worker would carry an order for a run. */
+  hasOrders (view: WorkerView): boolean {
+    return this.#stopOrders(view).length > 0 || this.#runsToStart(view).length > 0
+  }
+
+  #runsToStart (view: WorkerView): Assignment[] {
+    return this.#runsOf(view).filter(assignment => !this.isStopping(assignment) && !isReported(view, assignment) &&
+      (this.#isUnsent(view, assignment) || this.#checkMissing(view, assignment)))
+  }
+
+  #startOrders (view: WorkerView, { mayStartIncompleteGangs }: StartPermission): StartOrder[] {
+    const { assembly } = this.#options
     const starts: StartOrder[] = []
-    for (const assignment of this.#runsOf(view)) {
-      if (this.isStopping(assignment) || isReported(view, assignment)) continue
-      if (!this.#isUnsent(view, assignment) && !this.#checkMissing(view, assignment)) continue
+    for (const assignment of this.#runsToStart(view)) {
+      if (!mayStartIncompleteGangs && assembly.isAssembling(assignment)) continue
+      assembly.remove(assignment)
       const order = this.#createStartOrder(assignment)
       if (order === undefined) continue
       view.startSentAtSequence.set(assignmentKey(assignment), view.latest.sequence)
--- a/packages/batch/src/pending-reports.ts
+++ b/packages/batch/src/pending-reports.ts
@@ -1,5 +1,5 @@
 /** Reports that wait for their answers. */
-import type { Clock } from '@comfreygrade/core'
+import { DeadlineQueue, type Clock } from '@comfreygrade/core'
 import type { BatchSettings } from './settings.js'
 import type { WorkerView } from './worker-view.js'
 
@@ -23,55 +23,89 @@
 
 /**
  * Decides when a report is answered. The answer waits until proposed commands that concern the worker are settled, and
- * briefly for a pass that may assign runs to it. For an idle worker it waits longer (long polling), so that runs reach
- * the worker at once without frequent heartbeats.
+ * briefly for a pass that may assign runs to it. A report may also be held for longer, until there are orders for its
+ * worker.
  */
 export class PendingReports {
   readonly #options: PendingReportsOptions
   /** Reports that wait briefly, by worker. */
-  readonly #active = new Map<string, PendingReport>()
-  /** Reports that wait long, by worker; in order of reception, so that the first is due first. */
-  readonly #idle = new Map<string, PendingReport>()
+  readonly #waiting = new Map<string, PendingReport>()
+  /** Reports that are held, by worker, and when they no longer are. */
+  readonly #held = new Map<string, PendingReport>()
+  readonly #holdDeadlines = new DeadlineQueue()
+  /** Reports that are answered next, whatever else they wait for. */
+  #released: PendingReport[] = []
 
   constructor (options: PendingReportsOptions) {
     this.#options = options
   }
 
-  /** Adds a report; returns an earlier one of the same worker, whose answer the worker no longer waits for. */
-  add (pending: PendingReport, isIdle: boolean): PendingReport | undefined {
+  /**
+   * Adds a report, which is held for `holdMs` unless that is 0; returns an earlier one of the same worker, whose answer
+   * the worker no longer waits for.
+   */
+  add (pending: PendingReport, holdMs: number): PendingReport | undefined {
     const { workerId } = pending.view.latest
-    const earlier = this.#active.get(workerId) ?? this.#idle.get(workerId)
-    this.#active.delete(workerId)
-    this.#idle.delete(workerId)
-    const pendingByWorker = isIdle ? this.#idle : this.#active
-    pendingByWorker.set(workerId, pending)
+    const earlier = this.#remove(workerId)
+    if (holdMs === 0) {
+      this.#waiting.set(workerId, pending)
+    } else {
+      this.#held.set(workerId, pending)
+      this.#holdDeadlines.set(workerId, pending.receivedAtMs + holdMs)
+    }
     return earlier
   }
 
-  /** Ends the long wait of an idle worker, since there are orders for it. */
+  /** Whether a worker waits for an answer, so that orders reach it at once. */
+  has (workerId: string): boolean {
+    return this.#waiting.has(workerId) || this.#held.has(workerId)
+  }
+
+  /** Holds the report of a worker, if there is one, until `holdMs` after it was received. */
+  extendHold (workerId: string, holdMs: number): void {
+    const pending = this.#remove(workerId)
+    if (pending !== undefined) this.add(pending, holdMs)
+  }
+
+  /** Ends the hold of a report, since there are orders for its worker. */
   wake (workerId: string): void {
-    const pending = this.#idle.get(workerId)
+    const pending = this.#held.get(workerId)
     if (pending === undefined) return
-    this.#idle.delete(workerId)
-    this.#active.set(workerId, pending)
+    this.#remove(workerId)
+    this.#waiting.set(workerId, pending)
+  }
+
+  /** Has the report of a worker answered next. */
+  release (workerId: string): void {
+    const pending = this.#remove(workerId)
+    if (pending !== undefined) this.#released.push(pending)
   }
 
   /** Removes and returns the reports whose answers are due. */
   takeDue (): PendingReport[] {
     const nowMs = this.#options.clock.monotonicMs()
-    const due = [...this.#active.values()].filter(pending => nowMs - pending.receivedAtMs >= this.#maxHoldMs(pending))
-    for (const { view } of due) this.#active.delete(view.latest.workerId)
-    for (const pending of this.#idle.values()) {
-      if (nowMs - pending.receivedAtMs < this.#options.settings.maxIdleHoldMs) break
-      this.#idle.delete(pending.view.latest.workerId)
+    for (const workerId of this.#holdDeadlines.takeDue(nowMs)) this.wake(workerId)
+    const due = this.#released
+    this.#released = []
+    for (const [workerId, pending] of this.#waiting) {
+      if (nowMs - pending.receivedAtMs < this.#maxWaitMs(pending)) continue
+      this.#waiting.delete(workerId)
       due.push(pending)
     }
     return due
   }
 
-  #maxHoldMs ({ view }: PendingReport): number {
+  #maxWaitMs ({ view }: PendingReport): number {
     const { settings, hasCommandsInFlight, isPassPending } = this.#options
     if (hasCommandsInFlight(view.latest.workerId)) return settings.maxReportHoldMs
     return isPassPending() ? settings.maxPassHoldMs : 0
   }
+
+  #remove (workerId: string): PendingReport | undefined {
+    const pending = this.#waiting.get(workerId) ?? this.#held.get(workerId)
+    this.#waiting.delete(workerId)
+    this.#held.delete(workerId)
+    this.#holdDeadlines.delete(workerId)
+    return pending
+  }
 }
--- a/packages/batch/src/report-handler.ts
+++ b/packages/batch/src/report-handler.ts
@@ -1,11 +1,13 @@
 /** Handles workers' reports: proposes the changes that follow from them, and answers them with orders. */
 import type { Clock, EventLog, Metrics } from '@comfreygrade/core'
 import type { BatchState } from './batch-state.js'
-import type { BatchCommand, RunEnd, WorkerIncarnation } from './commands.js'
+import type { BatchCommand, EndReason, RunEnd, WorkerIncarnation } from './commands.js'
+import type { GangAssembly } from './gang-assembly.js'
 import { jobIdOf } from './jobs.js'
 import type { ProposalOutcome } from './operation-handler.js'
 import type { OrderPlanner } from './order-planner.js'
-import { PendingReports } from './pending-reports.js'
+import { PendingReports, type PendingReport } from './pending-reports.js'
+import { ReportHold } from './report-hold.js'
 import type { BatchSettings } from './settings.js'
 import type { WorkerOrders, WorkerReport } from './worker-messages.js'
 import type { WorkerRegistry } from './worker-registry.js'
@@ -16,6 +18,7 @@
   readonly state: BatchState
   readonly registry: WorkerRegistry
   readonly orders: OrderPlanner
+  readonly assembly: GangAssembly
   readonly settings: BatchSettings
   readonly clock: Clock
   readonly metrics: Metrics
@@ -26,12 +29,15 @@
   readonly requestPass: () => void
   /** Whether a pass is due or its assignments are not committed yet. */
   readonly isPassPending: () => boolean
+  /** Called once the end of a run is recorded. */
+  readonly onRunEnded: (taskKey: string, reason: EndReason) => void
 }
 
 /** Handles the reports of one term. */
 export class ReportHandler {
   readonly #options: ReportHandlerOptions
   readonly #pendingReports: PendingReports
+  readonly #hold: ReportHold
   /** Number of proposed commands that concern a worker and are not settled yet, by worker. */
   readonly #commandsInFlight = new Map<string, number>()
   /** Number of proposed commands that free all runs of a worker and are not settled yet, by worker. */
@@ -41,7 +47,8 @@
 
   constructor (options: ReportHandlerOptions) {
     this.#options = options
-    const { settings, clock, isPassPending } = options
+    const { state, settings, clock, isPassPending } = options
+    this.#hold = new ReportHold(state, settings)
     this.#pendingReports = new PendingReports({
       settings, clock, isPassPending, hasCommandsInFlight: workerId => this.hasCommandsInFlight(workerId)
     })
@@ -65,8 +72,28 @@
     if (view.leaseStatus !== 'uncertain' && view.hasSecondReport) this.#proposeEnds(report)
     this.#releaseAbsentRuns(view)
     if (report.state === 'leaving') this.#recordLeaving(report)
-    const earlier = this.#pendingReports.add({ requestId, view, receivedAtMs: nowMs }, this.#isIdle(view))
+    const earlier = this.#pendingReports.add({ requestId, view, receivedAtMs: nowMs }, this.#holdMs(view, nowMs))
     if (earlier !== undefined) this.#options.reply(earlier.requestId, undefined)
+    this.#releaseCompleteGangs(report.workerId)
+  }
+
+  #holdMs (view: WorkerView, nowMs: number): number {
+    const { workerId } = view.latest
+    if (this.hasCommandsInFlight(workerId)) return 0
+    if (this.#options.assembly.hasAssemblingMember(workerId)) return this.#options.settings.gangAssemblyHoldMs
+    return this.#hasOrders(view) ? 0 : this.#hold.durationMs(view, nowMs)
+  }
+
+  #hasOrders (view: WorkerView): boolean {
+    return view.leaseStatus !== 'held' || this.#options.orders.hasOrders(view)
+  }
+
+  /** Answers the reports of all members of the gangs that can now start at once. */
+  #releaseCompleteGangs (workerId: string): void {
+    const { assembly } = this.#options
+    for (const memberId of assembly.takeComplete(workerId, id => this.#pendingReports.has(id))) {
+      this.#pendingReports.release(memberId)
+    }
   }
 
   /**
@@ -99,6 +126,7 @@
     metrics.increment('run.ended', { reason })
     log.info('run ended', { taskKey, run, reason, workerId: worker.workerId, sequence })
     this.#options.registry.view(worker.workerId)?.removeRun({ ...worker, taskKey, run })
+    this.#options.onRunEnded(taskKey, reason)
     this.#logJobEnd(taskKey)
   }
 
@@ -165,27 +193,34 @@
     this.#proposeFor(workerId, { kind: 'worker_gone', life, checkpoints }, () => { this.#options.requestPass() }, onSettled)
   }
 
-  /** Whether a worker has no runs, unrecorded ends or commands in flight, so that a long wait delays nothing. */
-  #isIdle ({ latest }: WorkerView): boolean {
-    return latest.state === 'active' && latest.running.length === 0 && latest.ends.length === 0 &&
-      !this.hasCommandsInFlight(latest.workerId) && !this.#options.state.hasRuns(latest.workerId)
-  }
-
   /** Answers the reports that have waited long enough. */
   answerDueReports (): void {
-    for (const { requestId, view } of this.#pendingReports.takeDue()) {
-      // A run that is about to be freed must not start: its task is then assigned to another worker.
-      const mayStart = !this.#releasesInFlight.has(view.latest.workerId)
-      const orders = { ...this.#options.orders.takeOrders(view, mayStart), nextReportMs: this.#nextReportMs(view) }
-      this.#options.reply(requestId, orders)
+    for (const pending of this.#pendingReports.takeDue()) {
+      const orders = this.#takeOrders(pending)
+      this.#options.reply(pending.requestId, { ...orders, nextReportMs: this.#nextReportMs(pending) })
     }
   }
 
-  /** The interval grows with the fleet, so that reports take a bounded share of the leader's processor time. */
-  #nextReportMs (view: WorkerView): number {
-    const { nextReportMs, nextIdleReportMs, maxReportsPerSecond } = this.#options.settings
-    const minIntervalMs = this.#isIdle(view) ? nextIdleReportMs : nextReportMs
-    return Math.max(minIntervalMs, Math.round(this.#options.registry.count * 1_000 / maxReportsPerSecond))
+  #takeOrders ({ view, receivedAtMs }: PendingReport): Omit<WorkerOrders, 'nextReportMs'> {
+    const { orders, clock, settings } = this.#options
+    return orders.takeOrders(view, {
+      // A run that is about to be freed must not start: its task is then assigned to another worker.
+      mayStart: !this.#releasesInFlight.has(view.latest.workerId),
+      mayStartIncompleteGangs: clock.monotonicMs() - receivedAtMs >= settings.gangAssemblyHoldMs
+    })
+  }
+
+  /**
+   * The next heartbeat comes soon where its answer will be held. The interval grows with the fleet, so that reports
+   * take a bounded share of the leader's processor time; the time for which this one was held counts towards it.
+   */
+  #nextReportMs ({ view, receivedAtMs }: PendingReport): number {
+    const { settings, clock, registry } = this.#options
+    const nowMs = clock.monotonicMs()
+    const isHeldNext = this.#hold.durationMs(view, nowMs) > 0
+    const minIntervalMs = isHeldNext ? settings.nextHeldReportMs : settings.nextReportMs
+    const fleetIntervalMs = Math.round(registry.count * 1_000 / settings.maxReportsPerSecond)
+    return Math.max(minIntervalMs, fleetIntervalMs - (nowMs - receivedAtMs))
   }
 
   /** Frees the runs of workers whose leases have certainly expired, and of incarnations that later ones replaced. */
@@ -210,10 +245,23 @@
 
   /**
    * Called when the command that assigns runs to the worker is settled, which `adjustCommandsInFlight` counted when it
-   * was proposed. Ends the long wait of the worker's report, so that it is answered with the start orders.
+   * was proposed. Its report is answered with the start orders, unless those wait for other members of a gang.
    */
   finishAssignment (workerId: string): void {
+    const { assembly, settings } = this.#options
     this.adjustCommandsInFlight(workerId, -1)
+    this.#releaseCompleteGangs(workerId)
+    if (assembly.hasAssemblingMember(workerId)) this.#pendingReports.extendHold(workerId, settings.gangAssemblyHoldMs)
+    else this.#pendingReports.wake(workerId)
+  }
+
+  /** Whether orders reach a worker at once. */
+  isReachable (workerId: string): boolean {
+    return this.#pendingReports.has(workerId)
+  }
+
+  /** Ends the hold of a worker's report, since there are orders for the worker. */
+  wake (workerId: string): void {
     this.#pendingReports.wake(workerId)
   }
 
--- a/packages/batch/src/settings.ts
+++ b/packages/batch/src/settings.ts
@@ -23,12 +23,22 @@
   readonly maxReportHoldMs: number
   /** Longest time for which the answer waits for a scheduling pass that is due. */
   readonly maxPassHoldMs: number
-  /** Longest time for which the answer to an idle worker waits for new runs; below `reportTimeoutMs`. */
-  readonly maxIdleHoldMs: number
+  /**
+   * Longest time for which the answer to a heartbeat is held until there are orders for its worker; below
+   * `reportTimeoutMs`.
+   */
+  readonly maxLongPollMs: number
+  /**
+   * The same for a worker with a member of a gang whose other members cannot be started yet. The difference to
+   * `reportTimeoutMs` covers the way of the heartbeat and of its answer.
+   */
+  readonly gangAssemblyHoldMs: number
+  /** Longest time for which members of a gang are not started because others cannot be. */
+  readonly gangAssemblyMs: number
   /** Time from the answer until the worker's next heartbeat. */
   readonly nextReportMs: number
-  /** The same for an idle worker, whose heartbeat is then held until there are runs for it. */
-  readonly nextIdleReportMs: number
+  /** The same where the answer to that heartbeat will be held. */
+  readonly nextHeldReportMs: number
   /** Most heartbeats of all workers together; in a large fleet the time between heartbeats grows accordingly. */
   readonly maxReportsPerSecond: number
   /** A worker without a heartbeat for this long gets no new runs. */
@@ -104,9 +114,11 @@
   reportTimeoutMs: 1_000,
   maxReportHoldMs: 600,
   maxPassHoldMs: 60,
-  maxIdleHoldMs: 600,
+  maxLongPollMs: 600,
+  gangAssemblyHoldMs: 750,
+  gangAssemblyMs: 1_000,
   nextReportMs: 200,
-  nextIdleReportMs: 50,
+  nextHeldReportMs: 50,
   maxReportsPerSecond: 3_000,
   unresponsiveAfterMs: 2_500,
   inheritedRunGraceMs: 2_000,
--- a/packages/batch/src/worker-capacity.ts
+++ b/packages/batch/src/worker-capacity.ts
@@ -2,6 +2,7 @@
 import type { BatchState } from './batch-state.js'
 import type { Assignment } from './commands.js'
 import { stepKeyOf, type StepSpec, type TaskShape } from './jobs.js'
+import { estimateRemainingMs } from './run-estimates.js'
 import type { WorkerView } from './worker-view.js'
 
 /** A run on a worker, with the capacity that it occupies. */
@@ -190,7 +191,7 @@
     const priority = state.directory?.at(job.queueAddress)?.priority ?? Infinity
     const elapsedMs = view.elapsedMs(assignment.taskKey, assignment.run, nowMs) ?? 0
     const isBeingStopped = isStopping(assignment)
-    const remainingMs = isBeingStopped ? EXPECTED_STOP_MS : estimateRemainingMs(view, assignment, spec, elapsedMs)
+    const remainingMs = isBeingStopped ? EXPECTED_STOP_MS : estimateRemainingMs(view, assignment, spec, nowMs)
     runs.push({ assignment, spec, priority, isStopping: isBeingStopped, elapsedMs, remainingMs })
   }
   return runs
@@ -201,18 +202,3 @@
  * time from a new stop order until the capacity can be used, which includes the heartbeat that carries the order.
  */
 const EXPECTED_STOP_MS = 300
-/**
- * From this progress on, the end is extrapolated from the elapsed time, which predicts it better than the caller's
- * estimate. For runs of an earlier term the elapsed time starts at their first report to this leader, so their end is
- * predicted too early.
- */
-const MIN_EXTRAPOLATION_PERCENT = 10
-
-function estimateRemainingMs (
-  view: WorkerView, { taskKey, run }: Assignment, spec: StepSpec, elapsedMs: number
-): number {
-  if (spec.isLasting) return Infinity
-  const percent = view.runningTask(taskKey, run)?.percent ?? 0
-  if (percent >= MIN_EXTRAPOLATION_PERCENT) return elapsedMs * (100 - percent) / percent
-  return spec.estimateMs * (100 - percent) / 100
-}
--- a/packages/batch/src/worker-view.ts
+++ b/packages/batch/src/worker-view.ts
@@ -20,6 +20,7 @@
 export interface RunProgress {
   readonly taskKey: string
   readonly firstSeenMs: number
+  readonly firstPercent: number
   percent: number
   lastChangeMs: number
 }
@@ -191,9 +192,13 @@
       reportedKeys.add(key)
       this.reportedRuns.add(key)
       const known = this.progress.get(key)
-      if (known === undefined) this.progress.set(key, { taskKey, firstSeenMs: nowMs, percent, lastChangeMs: nowMs })
+      if (known === undefined) this.progress.set(key, firstProgress(taskKey, percent, nowMs))
       else if (known.percent !== percent) Object.assign(known, { percent, lastChangeMs: nowMs })
     }
     for (const key of this.progress.keys()) if (!reportedKeys.has(key)) this.progress.delete(key)
   }
 }
+
+function firstProgress (taskKey: string, percent: number, nowMs: number): RunProgress {
+  return { taskKey, firstSeenMs: nowMs, firstPercent: percent, percent, lastChangeMs: nowMs }
+}
--- a/packages/batch/test/leader-fixture.ts
+++ b/packages/batch/test/leader-fixture.ts
@@ -11,6 +11,7 @@
 const PASS_WAIT_MS = 25
 /** At least the longest wait of an answer for a pass. */
 const HOLD_WAIT_MS = 60
+const PROMPT_ANSWERS: Partial<BatchSettings> = { maxLongPollMs: HOLD_WAIT_MS, gangAssemblyMs: 0 }
 /** Time by which `heartbeat` advances the clock after the report was received. */
 export const HEARTBEAT_WAIT_MS = PASS_WAIT_MS + HOLD_WAIT_MS
 
@@ -31,8 +32,11 @@
   #term = 1
   #requestCount = 0
 
-  /** The default setting answers idle workers as soon as others; pass `{}` for the default settings of the package. */
-  constructor (initialDocument = document(), settings: Partial<BatchSettings> = { maxIdleHoldMs: HOLD_WAIT_MS }) {
+  /**
+   * By default answers are not held for long and gangs start member by member; pass `{}` for the default settings of
+   * the package.
+   */
+  constructor (initialDocument = document(), settings: Partial<BatchSettings> = PROMPT_ANSWERS) {
     this.#settings = { ...defaultBatchSettings, ...settings }
     this.state.apply({ kind: 'put_configuration', document: initialDocument }, 0)
     this.leader = this.#createLeader()
--- a/packages/bench/src/batch-load.ts
+++ b/packages/bench/src/batch-load.ts
@@ -25,7 +25,7 @@
   readonly isGang: boolean
   readonly sameRackShare: number
   readonly checkpointingShare: number
-  /** Share of the runs that fail, each at a random point of its work. */
+  /** Share of the first runs that fail, each at a random point of its work. */
   readonly failureShare: number
   /** Jobs that arrive `INITIAL_JOBS_MS` before the others and do not count, so that the fleet is in use by then. */
   readonly initialJobs: number
@@ -45,6 +45,8 @@
   readonly step: StepSpec
   /** Run time of each task on a worker of speed 1. */
   readonly runMs: number
+  /** Tasks whose first run fails, by index, and the share of its work after which it does. */
+  readonly failures: ReadonlyMap<number, number>
 }
 
 /** Value of a job of average size is that of its kind; this share of it does not depend on the size. */
@@ -198,6 +200,7 @@
     organisationIndex: random.nextInt(0, ORGANISATIONS - 1),
     arrivesAtMs,
     runMs,
+    failures: drawFailures(random, kind, taskCount),
     step: {
       taskCount,
       shape: { ...kind.shape, acceleratorCount: accelerators },
@@ -218,6 +221,14 @@
   }
 }
 
+function drawFailures (random: Random, { failureShare }: JobKind, taskCount: number): Map<number, number> {
+  const failures = new Map<number, number>()
+  for (let index = 0; index < taskCount; index++) {
+    if (random.nextFloat() < failureShare) failures.set(index, random.nextFloat())
+  }
+  return failures
+}
+
 /** Callers ask for one rack only where a rack could hold the gang. */
 function fitsInRack (kind: JobKind, accelerators: number, taskCount: number): boolean {
   const tasksPerWorker = Math.floor(Math.min(
--- a/packages/bench/src/batch-simulation.ts
+++ b/packages/bench/src/batch-simulation.ts
@@ -1,8 +1,8 @@
 /** Simulates the batch scheduler: the production leader on a manual clock, simulated workers, delayed commits. */
 import { ManualClock, NullEventLog, NullMetrics, Random } from '@comfreygrade/core'
 import {
-  BatchLeader, BatchState, defaultBatchSettings, jobIdOf, type BatchSettings, type EndReason, type LeaderEffect,
-  type LeaderEvent, type QueueDocument, type WorkerOrders, type WorkerReport
+  BatchLeader, BatchState, defaultBatchSettings, jobIdOf, parseTaskKey, type BatchSettings, type EndReason,
+  type LeaderEffect, type LeaderEvent, type QueueDocument, type WorkerOrders, type WorkerReport
 } from '@comfreygrade/batch'
 import { INITIAL_JOBS_MS, ORGANISATIONS, WORKERS_PER_RACK, type JobKind, type SimulatedJob } from './batch-load.js'
 import { BatchMeasures, type BatchSimulationResult, type WasteCause } from './batch-measures.js'
@@ -123,13 +123,13 @@
   #startWork (members: ReadonlyArray<{ worker: SimulatedWorker, run: SimulatedRun }>, runFactor: number): void {
     const slowest = Math.min(...members.map(member => member.worker.speed))
     for (const { run } of members) {
-      const { runMs, kind } = this.#jobOf(run.taskKey)
+      const { runMs, failures } = this.#jobOf(run.taskKey)
       run.workMs = runMs * runFactor / slowest
       run.workStartedMs = this.#nowMs
       const remainingMs = Math.max(STEP_MS, run.workMs - run.resumedWorkMs)
-      const isFailing = this.#random.nextFloat() < kind.failureShare
-      run.endReason = isFailing ? 'failed' : 'done'
-      run.endsAtMs = this.#nowMs + remainingMs * (isFailing ? this.#random.nextFloat() : 1)
+      const failsAfterShare = run.run === 1 ? failures.get(parseTaskKey(run.taskKey)?.index ?? 0) : undefined
+      run.endReason = failsAfterShare === undefined ? 'done' : 'failed'
+      run.endsAtMs = this.#nowMs + remainingMs * (failsAfterShare ?? 1)
     }
   }
 
--- a/packages/control/src/gang-life-cycle.ts
+++ b/packages/control/src/gang-life-cycle.ts
@@ -3,8 +3,7 @@
  * more when its cells are allocated again. The workers confirm that the accelerators are free too, except after the
  * release time-out of a gang that never started (`unstartedReleaseWaitMs`).
  */
-import type { TaskReport } from '@comfreygrade/core'
-import { DeadlineQueue, earliest } from './deadline-queue.js'
+import { DeadlineQueue, earliest, type TaskReport } from '@comfreygrade/core'
 import { Gang, nextCommand, type GangTask, type StopRequest } from './gang.js'
 import type { JobRecord } from './jobs.js'
 import type { LeaderContext } from './leader-context.js'
--- a/packages/control/src/leader.ts
+++ b/packages/control/src/leader.ts
@@ -1,7 +1,6 @@
 /** The control leader: one instance per term, which handles events and returns effects. */
-import type { EventLog, Metrics } from '@comfreygrade/core'
+import { DeadlineQueue, earliest, type EventLog, type Metrics } from '@comfreygrade/core'
 import type { PlacementDecision } from '@comfreygrade/placement'
-import { DeadlineQueue, earliest } from './deadline-queue.js'
 import { GangLifeCycle } from './gang-life-cycle.js'
 import { OperationService } from './operation-service.js'
 import { OrderOutbox, type OrderOutcome } from './order-outbox.js'
--- a/packages/control/src/order-outbox.ts
+++ b/packages/control/src/order-outbox.ts
@@ -1,5 +1,5 @@
 /** Outbox for orders to workers, with at most one message in flight per worker. Callers retry orders themselves. */
-import { DeadlineQueue } from './deadline-queue.js'
+import { DeadlineQueue } from '@comfreygrade/core'
 import type { ControlEffect, OrderResult, WorkerOrder } from './orders.js'
 import type { ControlSettings } from './settings.js'
 import type { WorkerSession } from './worker-sessions.js'
--- a/packages/control/src/worker-availability.ts
+++ b/packages/control/src/worker-availability.ts
@@ -1,5 +1,5 @@
 /** Availability of workers for new placements, as the scheduler is notified of it. */
-import { DeadlineQueue } from './deadline-queue.js'
+import { DeadlineQueue } from '@comfreygrade/core'
 import type { LeaderContext } from './leader-context.js'
 import type { SchedulerDriver } from './scheduler-driver.js'
 
--- a/packages/control/src/worker-service.ts
+++ b/packages/control/src/worker-service.ts
@@ -1,6 +1,5 @@
 /** Handling of worker reports: leases, restarts, lost workers and the resulting changes of the replicated state. */
-import { failure, type Failure, type TaskReport, type WorkerReport } from '@comfreygrade/core'
-import { DeadlineQueue, earliest } from './deadline-queue.js'
+import { DeadlineQueue, earliest, failure, type Failure, type TaskReport, type WorkerReport } from '@comfreygrade/core'
 import { taskReportKey, type GangLifeCycle } from './gang-life-cycle.js'
 import { LeadershipProof } from './leadership-proof.js'
 import type { ControlAnswer, ControlResult } from './operations.js'
--- a/packages/control/src/worker-sessions.ts
+++ b/packages/control/src/worker-sessions.ts
@@ -1,6 +1,5 @@
 /** Worker sessions of a leader, each with the process, the last report and the lease of a worker. */
-import type { WorkerReport } from '@comfreygrade/core'
-import { DeadlineQueue } from './deadline-queue.js'
+import { DeadlineQueue, type WorkerReport } from '@comfreygrade/core'
 import type { ControlSettings } from './settings.js'
 import type { WorkerRecord } from './workers.js'
 
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,6 +1,7 @@
 export * from './clock.js'
 export * from './configuration-schema.js'
 export * from './configuration.js'
+export * from './deadline-queue.js'
 export * from './errors.js'
 export * from './jobs.js'
 export * from './members.js'
