--- a/packages/batch/src/leader.ts
+++ b/packages/batch/src/leader.ts
@@ -166,6 +166,7 @@
       permittedWorkers: key => this.#tickets.permittedWorkers(key)
     })
     for (const step of decision.stepsNeedingTickets) this.#requestAdvice(step)
+      isReachable: workerId => this.#reports.isReachable(workerId),
     for (const reclaim of decision.reclaims) this.#reclaim(reclaim)
     this.#assign(decision.assignments)
     const durationMs = this.#options.clock.monotonicMs() - nowMs
--- a/packages/batch/src/scheduler.ts
+++ b/packages/batch/src/scheduler.ts
@@ -25,6 +25,8 @@
   /** Whether a worker may get new runs. */
   readonly isSchedulable: (view: WorkerView) => boolean
   readonly isStopping: (assignment: Assignment) => boolean
+  /** Whether start orders reach a worker at once, since its heartbeat waits for the answer. */
+  readonly isReachable: (workerId: string) => boolean
   /** Workers with a valid ticket for a step; undefined while there is none. */
   readonly permittedWorkers: (key: string) => ReadonlySet<string> | undefined
 }
@@ -200,7 +202,8 @@
     const workers: WorkerCapacity[] = []
     for (const view of fleet.views) {
       if (!fleet.isSchedulable(view)) continue
-      workers.push(new WorkerCapacity(view, listOccupyingRuns(state, view, fleet.isStopping, nowMs)))
+      const runs = listOccupyingRuns(state, view, fleet.isStopping, nowMs)
+      workers.push(new WorkerCapacity(view, runs, fleet.isReachable(view.latest.workerId)))
     }
     return workers
   }
--- a/packages/batch/src/worker-capacity.ts
+++ b/packages/batch/src/worker-capacity.ts
@@ -27,6 +27,8 @@
 export class WorkerCapacity {
   readonly view: WorkerView
   readonly runs: readonly OccupyingRun[]
+  /** Whether start orders reach the worker at once. */
+  readonly isReachable: boolean
   readonly #free: MutableShape
   /** Time from now until the earliest reservation starts; `Infinity` without one. */
   #reservedAfterMs = Infinity
@@ -38,9 +40,10 @@
   /** For limits of tasks per worker. */
   readonly #taskCountByStep = new Map<string, number>()
 
-  constructor (view: WorkerView, runs: readonly OccupyingRun[]) {
+  constructor (view: WorkerView, runs: readonly OccupyingRun[], isReachable: boolean) {
     this.view = view
     this.runs = runs
+    this.isReachable = isReachable
     this.#free = { ...view.latest.capacity }
     for (const { assignment, spec } of runs) {
       addTask(this.#free, spec, -1)
--- a/packages/batch/src/worker-selection.ts
+++ b/packages/batch/src/worker-selection.ts
@@ -154,6 +154,11 @@
 const REMOTE_DATA_PENALTY = 10
 /** Added for a worker on which the task failed before, so that a faulty worker does not use up the task's attempts. */
 const EARLIER_FAILURE_PENALTY = 100
+/**
+ * Added for a worker that start orders do not reach at once: its task starts up to a second later, and so does the
+ * rest of its gang.
+ */
+const UNREACHABLE_PENALTY = 1
 /** Accelerators are the scarcest resource, so free ones weigh more than free memory or processors. */
 const ACCELERATOR_WEIGHT = 2
 
@@ -164,5 +169,6 @@
   const memory = free.memoryMb / Math.max(1, capacity.memoryMb)
   const cpu = free.cpuMillicores / Math.max(1, capacity.cpuMillicores)
   const isRemoteFromData = step.spec.dataRack !== '' && rack !== step.spec.dataRack
-  return accelerators * ACCELERATOR_WEIGHT + memory + cpu + (isRemoteFromData ? REMOTE_DATA_PENALTY : 0)
+  return accelerators * ACCELERATOR_WEIGHT + memory + cpu + (isRemoteFromData ? REMOTE_DATA_PENALTY : 0) +
+    (worker.isReachable ? 0 : UNREACHABLE_PENALTY)
 }
