Say in the log why a step waits, and explain a batch job from logs alone

Change: each pass gives the reason for which a step was not placed, and the leader logs it from 1 s of waiting on, when it changes and every 2 s. The line of a submission has the sizes of the steps. comfreygrade log explain collects the lines about a job, a step or a task and those about its workers, and says what it waits for or how it ended.

--- a/packages/batch/src/leader.ts
+++ b/packages/batch/src/leader.ts
@@ -18,6 +18,7 @@
 import type { BatchSettings } from './settings.js'
 import type { WaitingStep } from './waiting-steps.js'
 import type { WorkerOrders, WorkerReport } from './worker-messages.js'
+import { WaitLog } from './wait-log.js'
 import { WorkerRegistry } from './worker-registry.js'
 
 /** Input of the leader. */
@@ -79,6 +80,7 @@
   readonly #disruptionBudget: DisruptionBudget
   readonly #operations: OperationHandler
   readonly #reports: ReportHandler
+  readonly #waitLog: WaitLog
   readonly #pendingProposals = new Map<string, (outcome: ProposalOutcome) => void>()
   #effects: LeaderEffect[] = []
   #proposalCount = 0
@@ -92,6 +94,7 @@
     this.#options = options
     this.#registry = new WorkerRegistry(state, settings, clock, log)
     this.#tickets = new TicketCache(clock)
+    this.#waitLog = new WaitLog(clock, log)
     this.#assembly = new GangAssembly(clock, settings.gangAssemblyMs)
     this.#orders = new OrderPlanner({
       state, settings, clock, tickets: this.#tickets, assembly: this.#assembly, fencingToken: options.term
@@ -163,10 +166,11 @@
       views: this.#registry.views(),
       isSchedulable: view => this.#registry.isSchedulable(view) && !this.#maintenance.isCordoned(view),
       isStopping: assignment => this.#orders.isStopping(assignment),
+      isReachable: workerId => this.#reports.isReachable(workerId),
       permittedWorkers: key => this.#tickets.permittedWorkers(key)
     })
+    this.#waitLog.record(decision.waits)
     for (const step of decision.stepsNeedingTickets) this.#requestAdvice(step)
-      isReachable: workerId => this.#reports.isReachable(workerId),
     for (const reclaim of decision.reclaims) this.#reclaim(reclaim)
     this.#assign(decision.assignments)
     const durationMs = this.#options.clock.monotonicMs() - nowMs
--- a/packages/batch/src/operation-handler.ts
+++ b/packages/batch/src/operation-handler.ts
@@ -3,7 +3,7 @@
 import type { BatchState } from './batch-state.js'
 import type { BatchCommand, CommandResult, MaintenanceWave } from './commands.js'
 import { visibleState } from './job-record.js'
-import { isValidJobId, MAX_JOB_ID_LENGTH, validateJob, type JobSpec } from './jobs.js'
+import { isValidJobId, MAX_JOB_ID_LENGTH, validateJob, type JobSpec, type StepSpec } from './jobs.js'
 import type { BatchOperation, BatchResult, QueueRequest } from './operations.js'
 import { queueAddress, validateDocument, type QueueConfiguration } from './queues.js'
 import type { WorkerRegistry } from './worker-registry.js'
@@ -79,7 +79,7 @@
         queue: queue.name,
         organisation,
         priority: queue.priority,
-        tasks: spec.steps.map(step => step.taskCount),
+        steps: spec.steps.map(describeStep),
         outcome: outcome.kind
       })
       this.#answerProposal(requestId, outcome)
@@ -186,6 +186,13 @@
   }
 }
 
+/** The fields of a step that decide where it can run, for the log. */
+function describeStep (
+  { taskCount, shape, estimateMs, dependsOn, isGang, isSameRack, isCheckpointing, isLasting, dataRack }: StepSpec
+): object {
+  return { taskCount, ...shape, estimateMs, dependsOn, isGang, isSameRack, isCheckpointing, isLasting, dataRack }
+}
+
 function invalidJobId (jobId: string): Failure {
   const detail = jobId === ''
     ? 'the path names no job'
--- a/packages/batch/src/scheduler.ts
+++ b/packages/batch/src/scheduler.ts
@@ -39,12 +39,31 @@
   readonly lostCoreSeconds: number
 }
 
+/**
+ * Why tasks of a step were not placed: the step needs tickets, no worker could ever hold a task, all racks that could
+ * hold the gang or that have the data are in use, runs are being stopped for it, capacity is reserved for it, or it has
+ * to wait for any capacity.
+ */
+export type WaitReason = 'ticket' | 'no_worker' | 'rack' | 'data_rack' | 'reclaim' | 'reservation' | 'capacity'
+
+/** A step with tasks that were not placed in a pass. */
+export interface StepWait {
+  readonly step: WaitingStep
+  readonly reason: WaitReason
+  /** Number of tasks that were not placed. */
+  readonly taskCount: number
+  /** For a reservation: time until all tasks are expected to fit. */
+  readonly expectedStartMs?: number
+}
+
 /** Result of a pass. */
 export interface PassDecision {
   readonly assignments: readonly Assignment[]
   readonly reclaims: readonly Reclaim[]
   /** Steps that cannot be placed before the advice service grants tickets for them. */
   readonly stepsNeedingTickets: readonly WaitingStep[]
+  /** Steps that were considered and not placed completely. */
+  readonly waits: readonly StepWait[]
 }
 
 /** Working state of a pass. */
@@ -57,11 +76,14 @@
   readonly assignments: Assignment[]
   readonly reclaims: Reclaim[]
   readonly stepsNeedingTickets: WaitingStep[]
+  readonly waits: StepWait[]
   reservationCount: number
   /** Number of steps that did not fit completely. */
   unplacedStepCount: number
 }
 
+type UnplacedReason = Pick<StepWait, 'reason' | 'expectedStartMs'>
+
 /** A pass ends after this many steps that did not fit, so that it stays short with a long queue. */
 const MAX_UNPLACED_STEPS_PER_PASS = 64
 /**
@@ -103,6 +125,7 @@
       assignments: [],
       reclaims: [],
       stepsNeedingTickets: [],
+      waits: [],
       reservationCount: 0,
       unplacedStepCount: 0
     }
@@ -129,36 +152,46 @@
     const permitted = step.hasAdvicePolicy ? fleet.permittedWorkers(waitingStepKey(step)) : undefined
     if (step.hasAdvicePolicy && permitted === undefined) {
       pass.stepsNeedingTickets.push(step)
-      return
+      return this.#recordWait(step, { reason: 'ticket' }, pass)
     }
     const eligible = pass.workers.filter(worker => mayRun(worker, step, permitted))
-    if (eligible.length === 0) return
+    if (eligible.length === 0) return this.#recordWait(step, { reason: 'no_worker' }, pass)
     const candidates = findCandidates(step, eligible, pass.maxRackWaitMs)
     const placements = placeTasks(step, candidates)
     this.#assign(step, placements, pass)
     const placed = new Set(placements.map(placement => placement.taskIndex))
     const unplaced = { ...step, taskIndexes: step.taskIndexes.filter(index => !placed.has(index)) }
-    if (unplaced.taskIndexes.length > 0) this.#reclaimOrReserve(unplaced, candidates, pass)
+    if (unplaced.taskIndexes.length === 0) return
+    const reason = this.#reclaimOrReserve(unplaced, candidates, pass)
+    if (reason !== undefined) this.#recordWait(unplaced, reason, pass)
+  }
+
+  #recordWait (step: WaitingStep, reason: UnplacedReason, pass: Pass): void {
+    pass.waits.push({ step, taskCount: step.taskIndexes.length, ...reason })
   }
 
   #assign (step: WaitingStep, placements: readonly TaskPlacement[], pass: Pass): void {
     pass.assignments.push(...placements.map(placement => toAssignment(step, placement)))
   }
 
-  #reclaimOrReserve (step: WaitingStep, candidates: Candidates, pass: Pass): void {
+  /** Returns why the step waits, or undefined if it was placed. */
+  #reclaimOrReserve (step: WaitingStep, candidates: Candidates, pass: Pass): UnplacedReason | undefined {
     const reservation = new LazyReservation(step, candidates)
-    if (this.#placeAcrossRacks(step, candidates, reservation, pass)) return
+    if (this.#placeAcrossRacks(step, candidates, reservation, pass)) return undefined
     pass.unplacedStepCount++
-    if (this.#claims.has(waitingStepKey(step)) && holdFreedCapacity(step, candidates)) return
+    if (this.#claims.has(waitingStepKey(step)) && holdFreedCapacity(step, candidates)) return { reason: 'reclaim' }
     const mayReserve = pass.reservationCount < this.#settings.maxReservations
-    if (!mayReserve && !this.#reclaimPolicy.mayReclaim(step)) return
+    if (!mayReserve && !this.#reclaimPolicy.mayReclaim(step)) return { reason: lackOf(step, candidates) }
     const { nowWallMs, isFleetKnown } = pass
     const context = { nowWallMs, startDelayMs: reservation.value.delayMs, isFleetKnown }
     const budget = this.#reclaimPolicy.lossBudgetCoreSeconds(step, context)
-    if (budget > 0 && this.#reclaim(step, candidates, budget, pass)) return
-    if (!mayReserve) return
+    if (budget > 0 && this.#reclaim(step, candidates, budget, pass)) return { reason: 'reclaim' }
+    if (!mayReserve) return { reason: lackOf(step, candidates) }
     pass.reservationCount++
     reserve(step, reservation.value)
+    return reservation.value.delayMs === Infinity
+      ? { reason: lackOf(step, candidates) }
+      : { reason: 'reservation', expectedStartMs: Math.round(reservation.value.delayMs) }
   }
 
   /**
@@ -209,6 +242,13 @@
   }
 }
 
+/** What a step lacks that no capacity could be found for. */
+function lackOf ({ spec }: WaitingStep, { workers, groups }: Candidates): WaitReason {
+  if (spec.isGang && spec.isSameRack) return 'rack'
+  const isInDataRack = spec.dataRack !== '' && workers.every(worker => worker.view.latest.rack === spec.dataRack)
+  return isInDataRack && groups.length > 0 ? 'data_rack' : 'capacity'
+}
+
 function mayRun (worker: WorkerCapacity, step: WaitingStep, permitted: ReadonlySet<string> | undefined): boolean {
   const { service, labels, capacity, workerId } = worker.view.latest
   const { spec, job } = step
--- a/packages/batch/test/leader-fixture.ts
+++ b/packages/batch/test/leader-fixture.ts
@@ -1,5 +1,5 @@
 /** A leader whose proposals commit at once unless a test delays them. */
-import { ManualClock, NullEventLog, NullMetrics } from '@comfreygrade/core'
+import { EventLog, ManualClock, NullEventLog, NullMetrics } from '@comfreygrade/core'
 import {
   BatchLeader, BatchState, defaultBatchSettings, type BatchOperation, type BatchResult, type BatchSettings,
   type LeaderEffect, type LeaderEvent, type MaintenanceCall, type WorkerOrders, type WorkerReport
@@ -15,6 +15,21 @@
 /** Time by which `heartbeat` advances the clock after the report was received. */
 export const HEARTBEAT_WAIT_MS = PASS_WAIT_MS + HOLD_WAIT_MS
 
+type LogFields = Readonly<Record<string, unknown>>
+
+/** Keeps the log lines, for tests of what the log explains. */
+export class RecordingLog extends EventLog {
+  readonly lines: Array<{ readonly message: string, readonly fields: LogFields }> = []
+
+  override info (message: string, fields: LogFields = {}): void {
+    this.lines.push({ message, fields })
+  }
+
+  override warn (message: string, fields: LogFields = {}): void {
+    this.lines.push({ message, fields })
+  }
+}
+
 /** Drives one leader and, after a change of leader, the next one. */
 export class LeaderFixture {
   readonly clock = new ManualClock(1_000_000, 1_700_000_000_000)
@@ -29,6 +44,7 @@
   readonly #results = new Map<string, BatchResult>()
   readonly #orders = new Map<string, WorkerOrders | undefined>()
   readonly #settings: BatchSettings
+  readonly #log: EventLog
   #term = 1
   #requestCount = 0
 
@@ -36,7 +52,10 @@
    * By default answers are not held for long and gangs start member by member; pass `{}` for the default settings of
    * the package.
    */
-  constructor (initialDocument = document(), settings: Partial<BatchSettings> = PROMPT_ANSWERS) {
+  constructor (
+    initialDocument = document(), settings: Partial<BatchSettings> = PROMPT_ANSWERS, log: EventLog = new NullEventLog()
+  ) {
+    this.#log = log
     this.#settings = { ...defaultBatchSettings, ...settings }
     this.state.apply({ kind: 'put_configuration', document: initialDocument }, 0)
     this.leader = this.#createLeader()
@@ -104,7 +123,7 @@
       settings: this.#settings,
       clock,
       metrics: new NullMetrics(),
-      log: new NullEventLog()
+      log: this.#log
     })
   }
 
--- a/packages/batch/test/scheduler.test.ts
+++ b/packages/batch/test/scheduler.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava'
 import { document, KEY, step } from './sample-data.js'
-import { LeaderFixture, runningTasks } from './leader-fixture.js'
+import { LeaderFixture, RecordingLog, runningTasks } from './leader-fixture.js'
 import type { WorkerOrders } from '../src/index.js'
 
 const accelerators = (count: number) => ({ cpuMillicores: 1_000, memoryMb: 1_000, acceleratorCount: count })
@@ -11,8 +11,10 @@
  * Workers of one rack that have reported, and whose runs make slow progress. `reportAll` is one round of heartbeats:
  * the clock advances by a pause of 200 ms, and then by the fixture's waits for the answer of each worker.
  */
-function createFleet (count: number): { fixture: LeaderFixture, reportAll: () => WorkerOrders[] } {
-  const fixture = new LeaderFixture()
+function createFleet (
+  count: number, log = new RecordingLog()
+): { fixture: LeaderFixture, reportAll: () => WorkerOrders[] } {
+  const fixture = new LeaderFixture(undefined, undefined, log)
   const workerIds = Array.from({ length: count }, (_, index) => `w${index}`)
   const running = new Map<string, ReturnType<typeof runningTasks>>()
   const reportAll = (): WorkerOrders[] => {
@@ -224,3 +226,25 @@
   for (let count = 0; count < 15; count++) for (const { taskKey } of stopsOf(reportEach())) stopped.add(taskKey)
   t.deepEqual([...stopped].sort(), ['lent.0.0.0', 'lent.0.0.1'])
 })
+
+/** Reasons in the log for which a step waited, in order, each once. */
+function waitReasons (log: RecordingLog, stepKey: string): string[] {
+  const reasons = log.lines.flatMap(({ message, fields }) =>
+    message === 'step waits' && fields.stepKey === stepKey ? [String(fields.reason)] : [])
+  return [...new Set(reasons)]
+}
+
+test('the log says why a step waits: for any capacity, for its rack, or for a worker that could hold it', t => {
+  const log = new RecordingLog()
+  const { fixture, reportAll } = createFleet(2, log)
+  fixture.submit('first', [step({ taskCount: 2, estimateMs: 60_000, shape: accelerators(8) })])
+  reportAll()
+  fixture.submit('small', [step({ taskCount: 1, estimateMs: 1_000, shape: accelerators(1) })])
+  fixture.submit('gang', [step({ taskCount: 2, isGang: true, isSameRack: true, shape: accelerators(8) })])
+  fixture.submit('huge', [step({ taskCount: 1, shape: accelerators(9) })])
+  for (let round = 0; round < 8; round++) reportAll()
+  t.deepEqual(waitReasons(log, 'small.0.0'), ['reservation'])
+  t.deepEqual(waitReasons(log, 'gang.0.0'), ['reservation'])
+  t.deepEqual(waitReasons(log, 'huge.0.0'), ['no_worker'])
+  t.deepEqual(waitReasons(log, 'first.0.0'), [])
+})
--- a/packages/cli/src/command-line.ts
+++ b/packages/cli/src/command-line.ts
@@ -7,6 +7,7 @@
 import { type ExitReason, exitReasonOf } from './exit.js'
 import * as fleet from './fleet-commands.js'
 import * as jobs from './job-commands.js'
+import * as logs from './log-commands.js'
 import { NodeClient } from './node-client.js'
 import { JsonOutput, type Output, type Streams, TextOutput } from './output.js'
 import * as requests from './request-commands.js'
@@ -32,6 +33,7 @@
   new jobs.JobCancelCommand(),
   new jobs.JobExplainCommand(),
   new jobs.JobWatchCommand(),
+  new logs.LogExplainCommand(),
   new requests.RequestCommand(),
   new requests.ClaimCommand(),
   new fleet.DrainCommand(),
--- a/packages/cli/src/command.ts
+++ b/packages/cli/src/command.ts
@@ -75,22 +75,33 @@
 }
 
 /**
- * Reads and parses a file (`-` is stdin) and reports all errors in it.
+ * Reads a file (`-` is stdin), and reports why it cannot be read.
  *
- * @returns undefined when the file is missing or invalid
+ * @returns undefined when the file cannot be read
  */
-async function readInput<T> (
-  { output, streams, readFile }: CommandContext,
-  file: string,
-  parse: (file: string, text: string) => ValidationResult<T>
-): Promise<T | undefined> {
+export async function readTextInput (
+  { output, streams, readFile }: CommandContext, file: string
+): Promise<string | undefined> {
   try {
-    const text = file === '-' ? (await streams.readStdin()).toString('utf8') : await readFile(file)
-    const result = parse(file, text)
-    if (result.kind === 'valid') return result.value
-    output.writeProblem({ problems: result.problems }, result.problems.map(formatFileProblem).join('\n'))
+    return file === '-' ? (await streams.readStdin()).toString('utf8') : await readFile(file)
   } catch (error) {
     output.writeProblem({ problems: [{ file, detail: String(error) }] }, `${file}: ${String(error)}`)
+    return undefined
   }
+}
+
+/**
+ * Reads and parses a file (`-` is stdin) and reports all errors in it.
+ *
+ * @returns undefined when the file is missing or invalid
+ */
+async function readInput<T> (
+  context: CommandContext, file: string, parse: (file: string, text: string) => ValidationResult<T>
+): Promise<T | undefined> {
+  const text = await readTextInput(context, file)
+  if (text === undefined) return undefined
+  const result = parse(file, text)
+  if (result.kind === 'valid') return result.value
+  context.output.writeProblem({ problems: result.problems }, result.problems.map(formatFileProblem).join('\n'))
   return undefined
 }
