Load the HTTP client only on control nodes, and keep the code of entry nodes small

Cause: an entry node took 32 MB of private memory, of which a bare process of Node.js has 8. A third of the bundle was undici, which only control nodes with services to call use; V8 keeps the source text and optimises for speed, which an entry at 1 to 2 % of a core does not need. Ruled out: importing zod as a namespace, which removed 2 KB of 2 MB; shorter names, which would make stack traces unreadable; V8's lite mode, with which the process ends at its start.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,20 +1,25 @@
 /**
- * Bundles the process that runs on the users' platform (`platform/src/main.ts`) into one file, which starts faster and
- * uses less memory than separate modules.
+ * Bundles the process that runs on the users' platform (`platform/src/main.ts`), which starts faster and uses less
+ * memory than separate modules. Modules that only some processes need are imported dynamically and have files of their
+ * own beside the main one. Names are kept, so that stack traces can be read.
  */
 import { pathToFileURL } from 'node:url'
 import { build } from 'esbuild'
 
-export async function bundle (outfile) {
+/** Writes `comfreygrade.mjs`, and the files that it imports, to a folder. */
+export async function bundle (outdir) {
   await build({
-    entryPoints: ['platform/src/main.ts'],
-    outfile,
+    entryPoints: { comfreygrade: 'platform/src/main.ts' },
+    outdir,
+    outExtension: { '.js': '.mjs' },
     bundle: true,
+    splitting: true,
     platform: 'node',
     target: 'node20',
     format: 'esm',
     conditions: ['source'],
     minifySyntax: true,
+    minifyWhitespace: true,
     // CommonJS dependencies call require(), which an ES module lacks, for built-in modules of Node.js.
     banner: {
       js: "import { createRequire as createBundleRequire } from 'node:module'; " +
@@ -24,4 +29,4 @@
   })
 }
 
-if (import.meta.url === pathToFileURL(process.argv[1] ?? '').href) await bundle('target/comfreygrade.mjs')
+if (import.meta.url === pathToFileURL(process.argv[1] ?? '').href) await bundle('target')
