Do not evict the runs of a worker that was only silent

Cause: a run counted as stalled once its progress had not changed for 4 s and a part of its estimate, also where the worker had not reported meanwhile. After a cut of 4.5 s or more, which leases of 6 s outlast, the run was told to stop with the worker's next answer, though it had made progress, and its work started again elsewhere. Ruled out: longer times, since a run that hangs beside reports is to be moved. Change: only time between reports counts, for evictions and for suspicion. Test: the stalled worker of the existing test now reports between, as workers do. Before: the new test fails (stop ordered after 5.5 s of silence). After: passes.

--- a/packages/batch/src/evictions.ts
+++ b/packages/batch/src/evictions.ts
@@ -34,14 +34,14 @@
 ): Eviction[] {
   const isLeaving = view.latest.state === 'leaving'
   // Most workers have no run without progress, and looking at every run of a large fleet is costly.
-  if (!isLeaving && view.runsUnchangedSince(nowMs - settings.stalledAfterMs).length === 0) return []
+  if (!isLeaving && view.runsUnchangedFor(settings.stalledAfterMs).length === 0) return []
   const runs = listOccupyingRuns(state, view, () => false, nowMs)
   if (isLeaving) {
     return runs
       .filter(run => cannotEndInTime(run, view.latest.remainingMs, settings))
       .map(run => leavingWorkerEviction(run, view))
   }
-  return runs.filter(run => isStalled(run, view, settings, nowMs)).map(run => stalledEviction(run, view, nowMs))
+  return runs.filter(run => isStalled(run, view, settings)).map(run => stalledEviction(run, view))
 }
 
 /**
@@ -59,9 +59,9 @@
   return { assignment, reason: 'worker_leaving', remainingMs, workerRemainingMs: view.latest.remainingMs }
 }
 
-function stalledEviction ({ assignment }: OccupyingRun, view: WorkerView, nowMs: number): Eviction {
+function stalledEviction ({ assignment }: OccupyingRun, view: WorkerView): Eviction {
   const { taskKey, run } = assignment
-  const unchangedMs = view.unchangedMs(taskKey, run, nowMs)
+  const unchangedMs = view.unchangedMs(taskKey, run)
   return { assignment, reason: 'stalled', unchangedMs, percent: view.runningTask(taskKey, run)?.percent }
 }
 
@@ -72,12 +72,12 @@
   return remainingMs > workerRemainingMs + settings.leavingGraceMs
 }
 
-function isStalled (run: OccupyingRun, view: WorkerView, settings: BatchSettings, nowMs: number): boolean {
+function isStalled (run: OccupyingRun, view: WorkerView, settings: BatchSettings): boolean {
   const { spec, assignment: { taskKey, run: runNumber } } = run
   if (spec.isLasting || spec.isFiller) return false
   // Gang members end together, so a fast member waits at full progress for the others.
   if (spec.isGang && (view.runningTask(taskKey, runNumber)?.percent ?? 0) >= FULL_PROGRESS_PERCENT) return false
-  const unchangedMs = view.unchangedMs(taskKey, runNumber, nowMs)
+  const unchangedMs = view.unchangedMs(taskKey, runNumber)
   return unchangedMs !== undefined && unchangedMs >= stallTimeoutMs(run, settings)
 }
 
--- a/packages/batch/src/worker-registry.ts
+++ b/packages/batch/src/worker-registry.ts
@@ -152,10 +152,10 @@
    * runs count too.
    */
   hasSuspectRun (view: WorkerView): boolean {
-    const changedBeforeMs = this.#clock.monotonicMs() - this.#settings.suspectAfterMs
-    return view.runsUnchangedSince(changedBeforeMs).some(({ taskKey, percent, lastChangeMs }) =>
+    const { suspectAfterMs } = this.#settings
+    return view.runsUnchangedFor(suspectAfterMs).some(({ taskKey, percent, lastChangeMs }) =>
       percent > 0 && percent < FULL_PROGRESS_PERCENT &&
-      lastChangeMs <= changedBeforeMs - this.#suspectMarginMs(taskKey))
+      view.reportedAtMs - lastChangeMs >= suspectAfterMs + this.#suspectMarginMs(taskKey))
   }
 
   /** The percentage of a long run changes less often. */
--- a/packages/batch/src/worker-view.ts
+++ b/packages/batch/src/worker-view.ts
@@ -149,10 +149,13 @@
     return progress === undefined ? undefined : nowMs - progress.firstSeenMs
   }
 
-  /** Time since a run last made progress; undefined where the latest report does not list it. */
-  unchangedMs (taskKey: string, run: number, nowMs: number): number | undefined {
+  /**
+   * Time for which the reports have shown a run without progress; undefined where the latest report does not list it.
+   * Time without reports does not count, since the run may make progress meanwhile.
+   */
+  unchangedMs (taskKey: string, run: number): number | undefined {
     const progress = this.progress.get(taskRunKey({ taskKey, run }))
-    return progress === undefined ? undefined : nowMs - progress.lastChangeMs
+    return progress === undefined ? undefined : this.reportedAtMs - progress.lastChangeMs
   }
 
   /** The latest reported checkpoint of a run; empty for none. */
@@ -169,11 +172,10 @@
     this.assignedInTerm.delete(assignmentKey(assignment))
   }
 
-  /** Runs that have made no progress since the given time. */
-  runsUnchangedSince (sinceMs: number): RunProgress[] {
-    const unchanged: RunProgress[] = []
-    for (const progress of this.progress.values()) if (progress.lastChangeMs <= sinceMs) unchanged.push(progress)
-    return unchanged
+  /** Runs that the reports have shown without progress for at least the given time. */
+  runsUnchangedFor (durationMs: number): RunProgress[] {
+    const changedBeforeMs = this.reportedAtMs - durationMs
+    return [...this.progress.values()].filter(progress => progress.lastChangeMs <= changedBeforeMs)
   }
 
   #confirmLeaseGrant (report: WorkerReport): void {
--- a/packages/batch/test/maintenance.test.ts
+++ b/packages/batch/test/maintenance.test.ts
@@ -117,12 +117,26 @@
   const starts = runningTasks(fixture.heartbeat('w1')?.starts ?? [])
   fixture.heartbeat('w1', { running: starts })
   fixture.advance(2_000)
+  fixture.heartbeat('w1', { running: starts })
   fixture.submit('j2', [step({ taskCount: 1 })])
   t.deepEqual(fixture.heartbeat('w1', { running: starts })?.starts, [])
   fixture.advance(2_500)
+  fixture.heartbeat('w1', { running: starts })
+  fixture.advance(200)
   t.deepEqual(fixture.heartbeat('w1', { running: starts })?.stops.map(stop => stop.taskKey), ['j1.0.0.0'])
 })
 
+test('a run of a worker that was only silent for a while is not evicted: it may have made progress meanwhile', t => {
+  const fixture = new LeaderFixture()
+  fixture.heartbeat('w1')
+  fixture.submit('j1', [step({ taskCount: 1, estimateMs: 2_000 })])
+  const starts = runningTasks(fixture.heartbeat('w1')?.starts ?? [])
+  fixture.heartbeat('w1', { running: starts })
+  for (let silentMs = 0; silentMs < 5_500; silentMs += 100) fixture.advance(100)
+  const progressed = starts.map(task => ({ ...task, percent: 60 }))
+  t.deepEqual(fixture.heartbeat('w1', { running: progressed })?.stops, [])
+})
+
 test('a gang member at full progress does not count as stalled while another member still works', t => {
   const fixture = new LeaderFixture()
   fixture.heartbeat('w1')
