Let the tasks of a job differ in size in the batch benchmark

Cause: all tasks of a gang had the same work, so its slowest worker alone decided when it ended. Tried and left out: speeds of workers learned from progress, with gangs placed on workers of about the same speed, the fastest first.

--- a/packages/bench/src/batch-load.ts
+++ b/packages/bench/src/batch-load.ts
@@ -19,6 +19,8 @@
   readonly estimateLogRange: number
   readonly meanTasks: number
   readonly maxTasks: number
+  /** Standard deviation of the logarithm of the run times of one job's tasks. */
+  readonly taskLogSigma: number
   readonly shape: Omit<TaskShape, 'acceleratorCount'>
   /** Accelerators per task, drawn uniformly; a repeated value is drawn more often. */
   readonly acceleratorChoices: readonly number[]
@@ -43,8 +45,10 @@
   readonly organisationIndex: number
   readonly arrivesAtMs: number
   readonly step: StepSpec
-  /** Run time of each task on a worker of speed 1. */
+  /** Mean run time of its tasks on a worker of speed 1. */
   readonly runMs: number
+  /** Run times of the tasks relative to the mean, by index. */
+  readonly taskFactors: readonly number[]
   /** Tasks whose first run fails, by index, and the share of its work after which it does. */
   readonly failures: ReadonlyMap<number, number>
 }
@@ -89,6 +93,7 @@
     estimateLogRange: 0.2,
     meanTasks: 4,
     maxTasks: 30,
+    taskLogSigma: 0.15,
     shape: { cpuMillicores: 26_000, memoryMb: 140_000 },
     acceleratorChoices: [1, 2, 4, 8, 8],
     isGang: true,
@@ -111,6 +116,7 @@
     estimateLogRange: 0.9,
     meanTasks: 3,
     maxTasks: 21,
+    taskLogSigma: 0.3,
     shape: { cpuMillicores: 7_500, memoryMb: 22_000 },
     acceleratorChoices: [1, 2, 4, 8, 8],
     isGang: true,
@@ -133,6 +139,7 @@
     estimateLogRange: 0.5,
     meanTasks: 12,
     maxTasks: 94,
+    taskLogSigma: 0.3,
     shape: { cpuMillicores: 5_600, memoryMb: 29_000 },
     acceleratorChoices: [1],
     isGang: false,
@@ -200,6 +207,7 @@
     organisationIndex: random.nextInt(0, ORGANISATIONS - 1),
     arrivesAtMs,
     runMs,
+    taskFactors: Array.from({ length: taskCount }, () => drawLognormal(random, 1, kind.taskLogSigma)),
     failures: drawFailures(random, kind, taskCount),
     step: {
       taskCount,
