Send what waits for a former leader to the new one at once

Cause: when the leader freezes or is cut off, its links stay up for 1.1 s. Ruled out: shorter silence limits, which would close links of slow processes. Change: a new leader announces itself, with its term, to every process that is linked to it; requests that wait for another node are sent to it. A later refusal does not make the earlier attempt 'not run'. Entries send hello every 4 s instead of every second, which only served to learn of a new leader, and links that a node dialled carry numbered fields in both directions. Before: the tests of waiting requests end at their time limits. After: they pass.

--- a/packages/batch-node/src/batch-node.ts
+++ b/packages/batch-node/src/batch-node.ts
@@ -2,7 +2,7 @@
 import type { BatchOperation, BatchResult, WorkerReport } from '@comfreygrade/batch'
 import type { VoterId } from '@comfreygrade/consensus'
 import { PeerLinks, type LinkMessage, type PeerAddress } from '@comfreygrade/node/adapters'
-import { BatchService, type BatchServiceOptions } from './batch-service.js'
+import { BatchService, type BatchServiceOptions, type KnownLeader } from './batch-service.js'
 import type { ControlDisk } from './control-disk.js'
 import { ControlMembership } from './control-membership.js'
 import { LeaderClient } from './leader-client.js'
@@ -10,7 +10,8 @@
 import type { LeaderRequest, LeaderResponse, BatchMessage, ControlNodeInfo } from './messages.js'
 
 /** Options of {@link BatchNode}. */
-export interface BatchNodeOptions extends Omit<BatchServiceOptions, 'self' | 'storage' | 'recovered' | 'send'> {
+export interface BatchNodeOptions
+  extends Omit<BatchServiceOptions, 'self' | 'storage' | 'recovered' | 'send' | 'onLeader'> {
   readonly nodeId: string
   readonly host: string
   readonly port: number
@@ -22,8 +23,13 @@
   readonly targetVoterCount: number
 }
 
-/** Interval of `hello` messages, through which processes also discover new control nodes. */
+/** Interval of `hello` messages of control nodes, and of the tasks that follow from them. */
 const HELLO_INTERVAL_MS = 1_000
+/**
+ * A process without a disk, of which there are many, sends `hello` every so many intervals. The responses tell it of
+ * new control nodes; a new leader announces itself.
+ */
+const ENTRY_HELLO_INTERVALS = 4
 /** Interval of pings on a link. */
 const LINK_PING_INTERVAL_MS = 300
 /** A link that has received nothing for this long is replaced, since an open connection may go silent permanently. */
@@ -46,7 +52,10 @@
   readonly #leaderClient: LeaderClient
   readonly #startedWallMs: number
   #leaderHint: string | null = null
+  /** Highest term of which this node knows the leader. */
+  #leaderTerm = 0
   #helloTimer: NodeJS.Timeout | undefined
+  #intervalCount = 0
 
   constructor (options: BatchNodeOptions) {
     this.#options = options
@@ -56,7 +65,6 @@
       clock, targetVoterCount: options.targetVoterCount, replaceSilentAfterMs: VOTER_REPLACE_AFTER_MS
     })
     this.#links = this.#createLinks()
-    this.#service = this.#createService()
     this.#leaderClient = new LeaderClient({
       nodeId,
       clock,
@@ -66,6 +74,7 @@
       handleLocally: async request => await this.#handleLocally(request),
       onLeaderHint: leaderNodeId => { this.#leaderHint = leaderNodeId }
     })
+    this.#service = this.#createService()
   }
 
   /** Starts listening and dials the seeds. */
@@ -162,10 +171,28 @@
       self: { nodeId, diskId: disk.diskId },
       storage: disk.storage,
       recovered: disk.recovered,
-      send: (to, message) => this.#links.send(to, message)
+      send: (to, message) => this.#links.send(to, message),
+      onLeader: leader => { this.#handleLeader(leader) }
     })
   }
 
+  /**
+   * Sends the requests that wait for a former leader to the new one. A new leader tells all nodes at once that it
+   * leads.
+   */
+  #handleLeader ({ nodeId, term }: KnownLeader): void {
+    if (term <= this.#leaderTerm) return
+    this.#leaderTerm = term
+    this.#leaderHint = nodeId
+    this.#leaderClient.handleLeaderChange(nodeId)
+    if (nodeId === this.#options.nodeId) this.#links.broadcastToAll(this.#membersMessage())
+  }
+
+  #membersMessage (): BatchMessage {
+    const { leaderNodeId = null, term = 0 } = this.#service ?? {}
+    return { kind: 'members', nodes: this.#knownNodes(), leaderNodeId, term }
+  }
+
   #receive (from: string, message: BatchMessage): void {
     if (!isValidMessage(message)) return this.#rejectMalformed(from, message)
     this.#membership.recordContact(from)
@@ -191,12 +218,14 @@
       this.#links.addPeer(control)
     }
     if (this.#service === undefined) return
-    this.#links.send(nodeId, { kind: 'members', nodes: this.#knownNodes(), leaderNodeId: this.#service.leaderNodeId })
+    this.#links.send(nodeId, this.#membersMessage())
     if (control !== null) this.#adjustVoters()
   }
 
-  #receiveMembers ({ nodes, leaderNodeId }: Extract<BatchMessage, { kind: 'members' }>): void {
-    if (leaderNodeId !== null) this.#leaderHint = leaderNodeId
+  /** A node of an older version names no term; its leader is only tried first. */
+  #receiveMembers ({ nodes, leaderNodeId, term }: Extract<BatchMessage, { kind: 'members' }>): void {
+    if (leaderNodeId !== null && term !== undefined) this.#handleLeader({ nodeId: leaderNodeId, term })
+    else this.#leaderHint = leaderNodeId ?? this.#leaderHint
     for (const node of nodes) {
       if (node.nodeId === this.#options.nodeId) continue
       this.#membership.addIfUnknown(node)
@@ -223,7 +252,9 @@
   }
 
   #runPeriodicTasks (): void {
-    this.#links.broadcast(this.#helloMessage())
+    this.#intervalCount++
+    const isHelloDue = this.#service !== undefined || this.#intervalCount % ENTRY_HELLO_INTERVALS === 0
+    if (isHelloDue) this.#links.broadcast(this.#helloMessage())
     this.#adjustVoters()
     this.#removeForgottenPeers()
   }
--- a/packages/batch-node/src/batch-service.ts
+++ b/packages/batch-node/src/batch-service.ts
@@ -37,10 +37,18 @@
   readonly vms: VmPort
   /** Returns false if the message was not sent. */
   readonly send: (nodeId: string, message: BatchMessage) => boolean
+  /** Called when this node learns of the leader of a term; of itself once it serves as the leader. */
+  readonly onLeader: (leader: KnownLeader) => void
   /** Called when the log could not be written. */
   readonly storageFailed: (error: unknown) => void
 }
 
+/** The leader of a term. */
+export interface KnownLeader {
+  readonly nodeId: string
+  readonly term: number
+}
+
 type ResponseCallback = (response: LeaderResponse) => void
 
 /** Runs the replica, applies committed commands and passes events to the leader. */
@@ -82,6 +90,11 @@
     return this.replica?.leader?.nodeId ?? null
   }
 
+  /** Latest term that this node knows; 0 before its first one. */
+  get term (): number {
+    return this.replica?.term ?? 0
+  }
+
   get isActiveLeader (): boolean {
     return this.#replicatedStateMachine.isActiveLeader
   }
@@ -141,6 +154,13 @@
     const { settings, clock, metrics, log } = this.#options
     this.#leader = new BatchLeader({ term, state: this.#state, settings, clock, metrics, log })
     this.#dispatch({ kind: 'tick' })
+    this.#options.onLeader({ nodeId: this.#options.self.nodeId, term })
+  }
+
+  /** This node itself counts as the leader only once it serves as such. */
+  override leaderChanged (leader: VoterId | null, term: number): void {
+    if (leader === null || leader.nodeId === this.#options.self.nodeId) return
+    this.#options.onLeader({ nodeId: leader.nodeId, term })
   }
 
   override leadershipEnded (): void {
--- a/packages/batch-node/src/leader-client.ts
+++ b/packages/batch-node/src/leader-client.ts
@@ -26,11 +26,18 @@
 
 type AttemptOutcome =
   | { readonly kind: 'answered', readonly response: LeaderResponse }
+  /** Another node leads now, so no answer is awaited any more; the request may have taken effect. */
+  | { readonly kind: 'superseded' }
   /** The request has certainly had no effect. */
   | { readonly kind: 'not_executed' }
   /** No response arrived, so the request may have taken effect. */
   | { readonly kind: 'unknown' }
 
+/** A round of attempts over all candidates. */
+type Round =
+  | { readonly kind: 'done', readonly outcome: AttemptOutcome }
+  | { readonly kind: 'leader_changed' | 'exhausted' }
+
 interface PendingRequest {
   readonly nodeId: string
   readonly settle: (outcome: AttemptOutcome) => void
@@ -57,6 +64,13 @@
     }
   }
 
+  /** Ends the requests to other nodes than the new leader, so that they are sent to it at once. */
+  handleLeaderChange (leaderNodeId: string): void {
+    for (const pending of [...this.#pendingRequests.values()]) {
+      if (pending.nodeId !== leaderNodeId) pending.settle({ kind: 'superseded' })
+    }
+  }
+
   /**
    * Retries until a leader answers or the time limit is reached. All operations are idempotent, so an attempt with an
    * unknown outcome is retried too; the outcome of the operation is unknown only if no later attempt yields a result
@@ -66,14 +80,15 @@
     const deadlineMs = this.#nowMs + timeoutMs
     let mayHaveTakenEffect = false
     while (this.#nowMs < deadlineMs) {
-      for (const nodeId of this.#options.candidates()) {
-        const outcome = await this.#attempt(nodeId, { kind: 'operation', operation }, deadlineMs - this.#nowMs)
+      const round = await this.#tryCandidates({ kind: 'operation', operation }, deadlineMs, outcome => {
         const result = this.#resultOf(outcome)
-        if (result !== undefined && isFinal(result, operation, mayHaveTakenEffect)) return result
-        if (outcome.kind === 'unknown' || isUnknown(result)) mayHaveTakenEffect = true
-        if (this.#nowMs >= deadlineMs) break
-      }
-      await this.#pause(Math.min(ROUND_INTERVAL_MS, deadlineMs - this.#nowMs))
+        const isDone = result !== undefined && isFinal(result, operation, mayHaveTakenEffect)
+        mayHaveTakenEffect ||= !isDone && (isWithoutAnswer(outcome) || isUnknown(result))
+        return isDone
+      })
+      const result = round.kind === 'done' ? this.#resultOf(round.outcome) : undefined
+      if (result !== undefined) return result
+      if (round.kind === 'exhausted') await this.#pause(Math.min(ROUND_INTERVAL_MS, deadlineMs - this.#nowMs))
     }
     return mayHaveTakenEffect
       ? fail('outcome_unknown', 'no control leader answered in time; an attempt may have taken effect')
@@ -81,17 +96,30 @@
   }
 
   /**
-   * Tries each candidate once until the leader answers. Stops at the first unknown outcome, so that no two nodes handle
-   * the request.
+   * Tries each candidate once until the leader answers, and again where the leader has changed meanwhile. Stops at the
+   * first unknown outcome, so that no two leaders handle the request.
    */
   async requestOnce (request: LeaderRequest, timeoutMs: number): Promise<LeaderResponse | undefined> {
     const deadlineMs = this.#nowMs + timeoutMs
+    for (;;) {
+      const round = await this.#tryCandidates(request, deadlineMs, outcome => outcome.kind === 'unknown' ||
+        (outcome.kind === 'answered' && outcome.response.kind !== 'not_leader'))
+      if (round.kind === 'leader_changed' && this.#nowMs < deadlineMs) continue
+      return round.kind === 'done' && round.outcome.kind === 'answered' ? round.outcome.response : undefined
+    }
+  }
+
+  /** Tries the candidates in turn until an attempt is the last one, the leader changes or the time is over. */
+  async #tryCandidates (
+    request: LeaderRequest, deadlineMs: number, isLast: (outcome: AttemptOutcome) => boolean
+  ): Promise<Round> {
     for (const nodeId of this.#options.candidates()) {
       const outcome = await this.#attempt(nodeId, request, deadlineMs - this.#nowMs)
-      if (outcome.kind === 'answered' && outcome.response.kind !== 'not_leader') return outcome.response
-      if (outcome.kind === 'unknown' || this.#nowMs >= deadlineMs) return undefined
+      if (isLast(outcome)) return { kind: 'done', outcome }
+      if (outcome.kind === 'superseded') return { kind: 'leader_changed' }
+      if (this.#nowMs >= deadlineMs) break
     }
-    return undefined
+    return { kind: 'exhausted' }
   }
 
   #resultOf (outcome: AttemptOutcome): BatchResult | undefined {
@@ -138,6 +166,10 @@
 /** Operations without an effect, so that no attempt can have had one. */
 const READS: ReadonlySet<BatchOperation['kind']> = new Set(['job_state', 'get_configuration', 'wave_state'])
 
+function isWithoutAnswer (outcome: AttemptOutcome): boolean {
+  return outcome.kind === 'unknown' || outcome.kind === 'superseded'
+}
+
 function isUnknown (result: BatchResult | undefined): boolean {
   return result?.ok === false && result.failure.kind === 'outcome_unknown'
 }
--- a/packages/batch-node/src/message-validation.ts
+++ b/packages/batch-node/src/message-validation.ts
@@ -10,6 +10,7 @@
 const isCount: Check = value => Number.isSafeInteger(value) && (value as number) >= 0
 const isBoolean: Check = value => typeof value === 'boolean'
 const isBytes: Check = value => value instanceof Uint8Array
+const isAbsent: Check = value => value === undefined
 const isNull: Check = value => value === null
 const isArray: Check = value => Array.isArray(value)
 
@@ -155,7 +156,9 @@
 
 const isBatchMessage = byKind({
   hello: hasFields({ nodeId: isString, control: either(isNull, isControlNode) }),
-  members: hasFields({ nodes: listOf(isControlNode), leaderNodeId: either(isNull, isString) }),
+  members: hasFields({
+    nodes: listOf(isControlNode), leaderNodeId: either(isNull, isString), term: either(isAbsent, isCount)
+  }),
   raft: hasFields({ from: isVoter, to: isVoter, message: isConsensusMessage }),
   ask: hasFields({ requestId: isString, ask: isLeaderRequest }),
   answer: hasFields({ requestId: isString, answer: isLeaderResponse }),
--- a/packages/batch-node/src/messages.ts
+++ b/packages/batch-node/src/messages.ts
@@ -42,8 +42,17 @@
   | { readonly kind: 'ping' }
   /** Response to `ping`. */
   | { readonly kind: 'pong' }
-  /** Response of a control node to `hello`, with all control nodes that it knows, itself included. */
-  | { readonly kind: 'members', readonly nodes: readonly ControlNodeInfo[], readonly leaderNodeId: string | null }
+  /**
+   * All control nodes that the sender, one of them, knows, itself included: its response to `hello`, and sent by a new
+   * leader.
+   */
+  | {
+    readonly kind: 'members'
+    readonly nodes: readonly ControlNodeInfo[]
+    readonly leaderNodeId: string | null
+    /** Term of the sender, by which a former leader is told from its successor; absent in older versions. */
+    readonly term?: number
+  }
   | {
     readonly kind: 'raft'
     readonly from: VoterId
--- a/packages/batch-node/test/leader-client.test.ts
+++ b/packages/batch-node/test/leader-client.test.ts
@@ -52,6 +52,44 @@
   t.true((await createClient({ a: unknown, b: acceptedResponse }).execute(operation, 500)).ok)
 })
 
+/** A client whose presumed leader `old` never responds, until `new` turns out to lead. */
+function createClientOfFormerLeader () {
+  const nodes: Record<string, LeaderResponse | 'silent'> = { old: 'silent' }
+  const client = createClient(nodes)
+  const changeLeader = (): void => {
+    delete nodes.old
+    nodes.new = acceptedResponse
+    client.handleLeaderChange('new')
+  }
+  return { client, changeLeader }
+}
+
+test('an operation that waits for a former leader is sent to the new one at once', async t => {
+  const { client, changeLeader } = createClientOfFormerLeader()
+  const startedMs = performance.now()
+  const result = client.execute(operation, 5_000)
+  changeLeader()
+  t.true((await result).ok)
+  t.true(performance.now() - startedMs < 900, 'before the time limit of the first attempt')
+})
+
+test('a heartbeat that waits for a former leader is sent to the new one at once', async t => {
+  const { client, changeLeader } = createClientOfFormerLeader()
+  const response = client.requestOnce({ kind: 'worker_left', workerId: 'w' }, 800)
+  changeLeader()
+  t.deepEqual(await response, acceptedResponse)
+})
+
+test('after a change of leader, a refusal by the new one does not tell the caller that the job never runs', async t => {
+  const nodes: Record<string, LeaderResponse | 'silent'> = { old: 'silent' }
+  const client = createClient(nodes)
+  const result = client.execute(submission, 300)
+  delete nodes.old
+  nodes.new = refusal('unknown_queue')
+  client.handleLeaderChange('new')
+  t.like(await result, { ok: false, failure: { kind: 'outcome_unknown' } })
+})
+
 const submission: BatchOperation = { kind: 'submit', request: { host: 'h', path: '/q/1' }, spec: { payload: '', steps: [] } }
 
 function refusal (kind: ErrorKind): LeaderResponse {
--- a/packages/node/src/peer-links.ts
+++ b/packages/node/src/peer-links.ts
@@ -112,6 +112,13 @@
     }
   }
 
+  /** Sends a message to every connected peer, and to the nodes that dialled this one and are not dialled by it. */
+  broadcastToAll (message: Message): void {
+    this.broadcast(message)
+    const others = new Set([...this.#incoming].flatMap(({ peerId }) => peerId ?? []))
+    for (const nodeId of others) if (!this.#outgoing.has(nodeId)) this.#sendOnIncomingLink(nodeId, message)
+  }
+
   /** IDs of the peers whose outgoing link is up. */
   connectedNodeIds (): string[] {
     return [...this.#outgoing.values()].filter(link => link.isConnected).map(link => link.nodeId)
@@ -134,9 +141,9 @@
   }
 
   /** Uses the format that the peer announced in its `hello`, so that two versions interoperate during an upgrade. */
-  #setFrameFormat ({ nodeId, readsNumberedFields }: HelloMessage): void {
-    const link = this.#outgoing.get(nodeId)
-    if (link !== undefined) link.format = readsNumberedFields === true ? 'numbered' : 'named'
+  #setFrameFormat (hello: HelloMessage): void {
+    const link = this.#outgoing.get(hello.nodeId)
+    if (link !== undefined) link.format = frameFormatOf(hello)
   }
 
   #checkLinks (): void {
@@ -261,6 +268,7 @@
   readonly #options: PeerLinksOptions<Message>
   readonly #onHello: (hello: HelloMessage) => void
   #peerId: string | undefined
+  #format: FrameFormat = 'named'
   #lastReceivedAtMs: number
 
   constructor (socket: Socket, options: PeerLinksOptions<Message>, handlers: IncomingLinkHandlers) {
@@ -293,13 +301,13 @@
 
   send (message: Message): boolean {
     if (this.#socket.destroyed || this.#socket.writableLength > MAX_SEND_BUFFER_BYTES) return false
-    this.#socket.write(encodeFrame(message))
+    this.#socket.write(encodeFrame(message, this.#format))
     return true
   }
 
   #receive (message: Message): void {
     if (message.kind === 'ping') {
-      this.#socket.write(encodeFrame({ kind: 'pong' }))
+      this.#socket.write(encodeFrame({ kind: 'pong' }, this.#format))
       return
     }
     if (isHello(message)) this.#identify(message)
@@ -310,6 +318,7 @@
     const { nodeId } = hello
     if (this.#options.acceptsUnknownNodes === true || this.#options.peers.some(peer => peer.nodeId === nodeId)) {
       this.#peerId = nodeId
+      this.#format = frameFormatOf(hello)
       this.#onHello(hello)
       return
     }
@@ -318,6 +327,10 @@
   }
 }
 
+function frameFormatOf ({ readsNumberedFields }: HelloMessage): FrameFormat {
+  return readsNumberedFields === true ? 'numbered' : 'named'
+}
+
 function isHello (message: LinkMessage): message is HelloMessage {
   return message.kind === 'hello'
 }
--- a/packages/node/src/replica-host.ts
+++ b/packages/node/src/replica-host.ts
@@ -17,6 +17,8 @@
   /** Called when this replica leads and the state includes everything committed in earlier terms. */
   abstract leadershipStarted (term: number): void
   abstract leadershipEnded (): void
+  /** Called when this replica learns of another leader of the given term, or that there is none that it knows. */
+  leaderChanged (_leader: VoterId | null, _term: number): void {}
   /** `isNeverApplied` is true if the proposal can never be committed, and false if its outcome is unknown. */
   abstract proposalRejected (proposalId: string, isNeverApplied: boolean): void
 }
@@ -140,6 +142,7 @@
     this.#options.log.info('replica role changed', { role, term, leaderNodeId: leader?.nodeId ?? null })
     this.#options.metrics.increment('consensus.role_changed', { role })
     if (role !== 'leader') this.#endLeadership()
+    this.#options.stateMachine.leaderChanged(leader, term)
   }
 
   /** A leader's state is up to date once it has applied an entry of its own term (Raft, section 8). */
--- a/packages/node/test/peer-links.test.ts
+++ b/packages/node/test/peer-links.test.ts
@@ -104,3 +104,35 @@
   t.deepEqual(connected, ['n2', 'n2'])
   await links.stop()
 })
+
+test('a message to all also reaches nodes that dialled this one and that it does not dial', async t => {
+  const received: PeerMessage[] = []
+  const createLinks = (nodeId: string, port: number, peers: Array<{ nodeId: string, host: string, port: number }>) =>
+    new PeerLinks<PeerMessage>({
+      nodeId,
+      host: HOST,
+      port,
+      peers,
+      acceptsUnknownNodes: true,
+      pingIntervalMs: 60_000,
+      silenceTimeoutMs: 60_000,
+      redialDelayMs: 60_000,
+      clock: new SystemClock(),
+      metrics: new NullMetrics(),
+      log: new NullEventLog(),
+      hello: () => ({ kind: 'hello', nodeId, control: null, readsNumberedFields: true }),
+      onMessage: (_from, message) => { received.push(message) },
+      onConnect: () => {},
+      onDisconnect: () => {}
+    })
+  const ports = [await findFreePort(), await findFreePort()] as const
+  const control = createLinks('control', ports[0], [])
+  const entry = createLinks('entry', ports[1], [{ nodeId: 'control', host: HOST, port: ports[0] }])
+  t.teardown(async () => { await Promise.all([control.stop(), entry.stop()]) })
+  await control.start()
+  await entry.start()
+  await waitUntil(() => received.some(({ kind }) => kind === 'hello'))
+  control.broadcastToAll(request)
+  await waitUntil(() => received.some(({ kind }) => kind === 'feed_request'))
+  t.deepEqual(received.at(-1), request)
+})
