Restart gangs that lost a member, and move unsent runs, without waiting for a lease

Runs that were assigned to a worker before it was known to be silent waited as long, though no start order had been sent, and a worker counted as responsive for 2.5 s after its last heartbeat. Ruled out: shorter leases, under which work on workers that are cut off for 4 to 6 s would be lost. Change: where all members but those of one worker are broken, these have ended (command presume_ended); a failure that is reported later still counts as an attempt, and the last attempt waits for the report. A worker is unresponsive when its next heartbeat is overdue by 1.3 s, and its unsent runs are released. The records of workers and the keys of runs have files of their own.

--- a/packages/batch/src/batch-state.ts
+++ b/packages/batch/src/batch-state.ts
@@ -7,19 +7,13 @@
 import type {
   Assignment, BatchCommand, CommandResult, Departure, MaintenanceWave, RunEnd, TaskCheckpoint, WorkerIncarnation
 } from './commands.js'
+import { assignmentKey } from './run-keys.js'
+import { PresumedEnds } from './presumed-ends.js'
 import { QueueDirectory, type QueueDocument } from './queues.js'
+import { WorkerRecords, type WorkerRecord } from './worker-records.js'
 
 type CommandOf<K extends BatchCommand['kind']> = Extract<BatchCommand, { kind: K }>
 
-/** The latest incarnation of a worker that a command named, and the last of its run ends that is recorded. */
-interface WorkerRecord {
-  readonly incarnation: number
-  lastEndSequence: number
-  departure?: Departure
-  /** Log time of the latest command that named the worker; absent from records of older versions. */
-  usedLogMs?: number
-}
-
 /** A maintenance wave and its progress. */
 export interface WaveRecord {
   readonly wave: MaintenanceWave
@@ -37,6 +31,8 @@
   readonly jobs: readonly JobRecord[]
   readonly workers: ReadonlyArray<readonly [string, WorkerRecord]>
   readonly waves: readonly WaveRecord[]
+  /** Runs that are presumed to have ended; absent from snapshots of older versions. */
+  readonly presumedEnded?: readonly Assignment[]
 }
 
 /** A task with its step and job. */
@@ -49,8 +45,6 @@
 
 /** Number of most recent failed workers kept per task, so that its next run avoids them. */
 const MAX_FAILED_WORKERS_PER_TASK = 4
-/** Time for which the record of a worker without runs is kept; far longer than a message can be delayed. */
-const WORKER_RETENTION_MS = 86_400_000
 
 /**
  * Deterministic state machine: the same commands at the same log times give the same state on every replica, except
@@ -70,9 +64,9 @@
    * removal of those behind it.
    */
   readonly #endedJobs: JobRecord[] = []
-  /** In order of their latest use. */
-  readonly #workers = new Map<string, WorkerRecord>()
+  #workers = new WorkerRecords([])
   readonly #runsByWorker = new Map<string, Map<string, Assignment>>()
+  #presumedEnds = new PresumedEnds([])
   /** Tasks with active runs, by key: a cache for the leader, which looks these up in every pass and heartbeat. */
   readonly #activeTasks = new Map<string, TaskContext>()
   readonly #waves = new Map<string, WaveRecord>()
@@ -86,7 +80,8 @@
     const state = new BatchState(options)
     state.#directory = snapshot.document === null ? null : new QueueDirectory(snapshot.document)
     for (const job of snapshot.jobs) state.#restoreJob(job)
-    for (const [workerId, record] of snapshot.workers) state.#workers.set(workerId, record)
+    state.#workers = new WorkerRecords(snapshot.workers)
+    state.#presumedEnds = new PresumedEnds(snapshot.presumedEnded ?? [])
     for (const record of snapshot.waves) state.#waves.set(record.wave.waveId, record)
     return state
   }
@@ -103,8 +98,9 @@
     return {
       document: this.#directory?.document ?? null,
       jobs: [...this.#jobs.values()],
-      workers: [...this.#workers],
-      waves: [...this.#waves.values()]
+      workers: this.#workers.entries(),
+      waves: [...this.#waves.values()],
+      presumedEnded: this.#presumedEnds.runs()
     }
   }
 
@@ -150,18 +146,12 @@
 
   /** Sequence number of the last recorded run end of this incarnation; 0 for none. */
   lastEndSequence (worker: WorkerIncarnation): number {
-    const record = this.#workers.get(worker.workerId)
-    return record?.incarnation === worker.incarnation ? record.lastEndSequence : 0
+    return this.#workers.lastEndSequence(worker)
   }
 
-  /**
-   * Whether this incarnation of the worker is leaving or has left; an earlier one than the latest that is known has
-   * left.
-   */
-  departureOf ({ workerId, incarnation }: WorkerIncarnation): Departure | undefined {
-    const record = this.#workers.get(workerId)
-    if (record === undefined || record.incarnation < incarnation) return undefined
-    return record.incarnation > incarnation ? 'left' : record.departure
+  /** Whether this incarnation of the worker is leaving or has left. */
+  departureOf (worker: WorkerIncarnation): Departure | undefined {
+    return this.#workers.departureOf(worker)
   }
 
   /** Maintenance waves in order of their start. */
@@ -195,7 +185,7 @@
   /** Applies a committed command. */
   apply (command: BatchCommand, logTimeMs: number): CommandResult {
     this.#removeExpiredJobs(logTimeMs)
-    this.#removeUnusedWorkers(logTimeMs)
+    this.#workers.removeUnused(logTimeMs, workerId => this.hasRuns(workerId))
     switch (command.kind) {
       case 'put_configuration': return this.#putConfiguration(command)
       case 'submit_job': return this.#submit(command)
@@ -203,6 +193,7 @@
       case 'assign': return this.#assign(command, logTimeMs)
       case 'record_ends': return this.#recordEnds(command, logTimeMs)
       case 'release': return this.#release(command)
+      case 'presume_ended': return this.#presumeEnded(command)
       case 'worker_gone': return this.#workerGone(command)
       case 'record_departure': return this.#recordDeparture(command, logTimeMs)
       case 'start_wave': return this.#startWave(command)
@@ -270,10 +261,15 @@
   }
 
   #recordEnd (worker: WorkerIncarnation, end: RunEnd, logTimeMs: number): void {
+    const run = { ...worker, taskKey: end.taskKey, run: end.run }
     const context = this.findTask(end.taskKey)
-    if (context === undefined || !this.#removeRun({ ...worker, taskKey: end.taskKey, run: end.run })) return
+    if (context === undefined) return
     const { job, stepSpec, step, task } = context
-    if (job.state !== 'open') return
+    if (this.#presumedEnds.remove(run)) {
+      if (job.state === 'open' && end.reason === 'failed') this.#taskFailed(context, end.run, worker.workerId, logTimeMs)
+      return
+    }
+    if (!this.#removeRun(run) || job.state !== 'open') return
     job.hasStarted = true
     this.#saveCheckpoint(stepSpec, step, task, end.checkpoint)
     if (end.reason === 'done') this.#taskDone(context, logTimeMs)
@@ -307,10 +303,14 @@
     return { kind: 'applied' }
   }
 
+  /** The tasks can run again. A failure that is reported later still counts as an attempt. */
+  #presumeEnded ({ runs }: CommandOf<'presume_ended'>): CommandResult {
+    for (const run of runs) if (this.#removeRun(run)) this.#presumedEnds.add(run)
+    return { kind: 'applied' }
+  }
+
   #workerGone ({ life, checkpoints }: CommandOf<'worker_gone'>): CommandResult {
-    for (const run of [...this.runsOf(life.workerId)]) {
-      if (run.incarnation <= life.incarnation) this.#removeRun(run)
-    }
+    this.#removeRunsBefore(life.workerId, life.incarnation + 1)
     for (const { taskKey, checkpoint } of checkpoints) this.#restoreCheckpoint({ taskKey, checkpoint })
     return { kind: 'applied' }
   }
@@ -341,35 +341,18 @@
     return { kind: 'applied' }
   }
 
-  /**
-   * Returns the record of a worker, which is that of a later incarnation where one is known. A newer incarnation
-   * replaces the record; the runs of earlier ones ended with these and are removed.
-   */
-  #useWorker ({ workerId, incarnation }: WorkerIncarnation, logTimeMs: number): WorkerRecord {
-    const known = this.#workers.get(workerId)
-    const isNewer = known === undefined || known.incarnation < incarnation
-    const record: WorkerRecord = isNewer ? { incarnation, lastEndSequence: 0 } : known
-    record.usedLogMs = logTimeMs
-    this.#workers.delete(workerId)
-    this.#workers.set(workerId, record)
-    if (isNewer) this.#removeRunsBefore(workerId, incarnation)
+  /** Returns the record of a worker. The runs of earlier incarnations ended with these and are removed. */
+  #useWorker (worker: WorkerIncarnation, logTimeMs: number): WorkerRecord {
+    const record = this.#workers.use(worker, logTimeMs)
+    this.#removeRunsBefore(worker.workerId, record.incarnation)
     return record
   }
 
   #removeRunsBefore (workerId: string, incarnation: number): void {
+    this.#presumedEnds.removeBefore(workerId, incarnation)
     for (const run of [...this.runsOf(workerId)]) if (run.incarnation < incarnation) this.#removeRun(run)
   }
 
-  /** Removes the records of workers that no command has named for long; the first one was used the longest ago. */
-  #removeUnusedWorkers (logTimeMs: number): void {
-    for (const [workerId, record] of this.#workers) {
-      record.usedLogMs ??= logTimeMs
-      if (logTimeMs - record.usedLogMs <= WORKER_RETENTION_MS) return
-      if (this.hasRuns(workerId)) this.#useWorker({ workerId, incarnation: record.incarnation }, logTimeMs)
-      else this.#workers.delete(workerId)
-    }
-  }
-
   #endJob (job: JobRecord, state: 'completed' | 'failed' | 'cancelled', logTimeMs: number): void {
     job.state = state
     job.endedLogMs = logTimeMs
@@ -410,24 +393,3 @@
   return active.run === assignment.run && active.workerId === assignment.workerId &&
     active.incarnation === assignment.incarnation
 }
-
-/**
- * Key of a run of a task. The run numbers of a task are never reused, so it is unique among the runs of all workers.
- *
- * @example
- * taskRunKey({ taskKey: '5c0e.0.0.0', run: 2 }) // '5c0e.0.0.0#2'
- */
-export function taskRunKey ({ taskKey, run }: Pick<Assignment, 'taskKey' | 'run'>): string {
-  return `${taskKey}#${run}`
-}
-
-/**
- * Key of an assignment: the key of the run and the incarnation of its worker. The worker's ID is not part of it, since
- * the key of the run is unique already.
- *
- * @example
- * assignmentKey({ taskKey: '5c0e.0.0.0', run: 2, workerId: 'w1', incarnation: 9 }) // '5c0e.0.0.0#2@9'
- */
-export function assignmentKey ({ taskKey, run, incarnation }: Assignment): string {
-  return `${taskRunKey({ taskKey, run })}@${incarnation}`
-}
--- a/packages/batch/src/commands.ts
+++ b/packages/batch/src/commands.ts
@@ -78,6 +78,8 @@
   | { readonly kind: 'record_ends', readonly life: WorkerIncarnation, readonly ends: readonly RunEnd[] }
   /** Removes runs that are certainly not on their workers. */
   | { readonly kind: 'release', readonly runs: readonly Assignment[] }
+  /** Frees the tasks of runs that have certainly ended, though their workers have not reported how. */
+  | { readonly kind: 'presume_ended', readonly runs: readonly Assignment[] }
   /** No run of the incarnation `life` is active any more: it crashed, left, or its lease expired. */
   | { readonly kind: 'worker_gone', readonly life: WorkerIncarnation, readonly checkpoints: readonly TaskCheckpoint[] }
   /** Recorded, so that a heartbeat from before does not bring the worker back under a later leader. */
--- a/packages/batch/src/filler-pacing.ts
+++ b/packages/batch/src/filler-pacing.ts
@@ -1,5 +1,6 @@
 /** Slows best-effort tasks (fillers) down where they disturb lasting tasks that serve users. */
-import { taskRunKey, type BatchState } from './batch-state.js'
+import type { BatchState } from './batch-state.js'
+import { taskRunKey } from './run-keys.js'
 import type { StepSpec } from './jobs.js'
 import type { PaceOrder, RunningTask } from './worker-messages.js'
 import type { WorkerView } from './worker-view.js'
--- a/packages/batch/src/gang-assembly.ts
+++ b/packages/batch/src/gang-assembly.ts
@@ -1,8 +1,7 @@
 /** Start orders of gangs: sent to all members at once where that is possible soon. */
 import type { Clock } from '@comfreygrade/core'
-import { assignmentKey } from './batch-state.js'
+import { assignmentKey, gangRunKey } from './run-keys.js'
 import type { Assignment } from './commands.js'
-import { stepKeyOf } from './jobs.js'
 
 interface AssemblingGang {
   readonly endsAtMs: number
@@ -89,8 +88,3 @@
     }
   }
 }
-
-/** The members of a gang share the run number. */
-function gangRunKey ({ taskKey, run }: Assignment): string {
-  return `${stepKeyOf(taskKey)}#${run}`
-}
--- a/packages/batch/src/leader.ts
+++ b/packages/batch/src/leader.ts
@@ -1,8 +1,10 @@
 /** The batch leader: handles heartbeats and operations, and schedules runs, on top of the replicated state. */
 import type { Clock, EventLog, Metrics } from '@comfreygrade/core'
 import { TicketCache, type Ticket } from './advice-tickets.js'
-import { assignmentKey, type BatchState } from './batch-state.js'
-import type { Assignment, BatchCommand, CommandResult, EndReason } from './commands.js'
+import type { BatchState } from './batch-state.js'
+import { assignmentKey } from './run-keys.js'
+import type { Assignment, BatchCommand, CommandResult, RunEnd } from './commands.js'
+import { BrokenGangs } from './broken-gangs.js'
 import { GangAssembly } from './gang-assembly.js'
 import { jobIdOf } from './jobs.js'
 import { planDrain, planEvictions, type Eviction } from './evictions.js'
@@ -75,6 +77,7 @@
   readonly #orders: OrderPlanner
   readonly #tickets: TicketCache
   readonly #assembly: GangAssembly
+  readonly #brokenGangs: BrokenGangs
   readonly #scheduler: BatchScheduler
   readonly #maintenance: MaintenancePlanner
   readonly #disruptionBudget: DisruptionBudget
@@ -96,6 +99,7 @@
     this.#tickets = new TicketCache(clock)
     this.#waitLog = new WaitLog(clock, log)
     this.#assembly = new GangAssembly(clock, settings.gangAssemblyMs)
+    this.#brokenGangs = new BrokenGangs(state)
     this.#orders = new OrderPlanner({
       state, settings, clock, tickets: this.#tickets, assembly: this.#assembly, fencingToken: options.term
     })
@@ -116,7 +120,7 @@
       reply: (requestId, orders) => { this.#effects.push({ kind: 'reply_worker', requestId, orders }) },
       requestPass: () => { this.#isPassDue = true },
       isPassPending: () => this.#isPassDue || this.#isAssigning,
-      onRunEnded: (taskKey, reason) => { this.#handleRunEnded(taskKey, reason) }
+      onRunEnded: end => { this.#handleRunEnded(end) }
     })
     this.#disruptionBudget = new DisruptionBudget(
       state, this.#registry, assignment => this.#orders.isStopping(assignment)
@@ -186,13 +190,39 @@
     this.#stop(assignment)
   }
 
-  #stop (assignment: Assignment): void {
-    for (const { workerId } of this.#orders.stop(assignment)) this.#reports.wake(workerId)
+  #stop (assignment: Assignment): readonly Assignment[] {
+    const stopped = this.#orders.stop(assignment)
+    for (const { workerId } of stopped) this.#reports.wake(workerId)
+    return stopped
+  }
+
+  /**
+   * Runs whose start orders have not been sent to a worker that does not report any more are assigned to others,
+   * without waiting for the end of its lease; the other members of a gang with them.
+   */
+  #moveUnsentRuns (): void {
+    const silent = [...this.#registry.views()].filter(view => !this.#registry.isResponsive(view))
+    const stopped = silent.flatMap(view => this.#orders.unsentRuns(view)).flatMap(run => this.#stop(run))
+    const runs = stopped.filter(run => this.#orders.isUnsent(run, this.#registry.view(run.workerId)))
+    if (runs.length === 0) return
+    this.#options.log.info('unsent runs moved', { runs: runs.map(({ taskKey, workerId }) => ({ taskKey, workerId })) })
+    this.#propose({ kind: 'release', runs }, () => { this.#isPassDue = true })
   }
 
   /** The end of a run may mean that others are stopped: those of its gang, or all of a job that has failed. */
-  #handleRunEnded (taskKey: string, reason: EndReason): void {
+  #handleRunEnded ({ taskKey, run, reason }: RunEnd): void {
     if (reason !== 'done') this.#wakeWorkersOf(jobIdOf(taskKey))
+    if (reason === 'broken') this.#presumeEnded(this.#brokenGangs.record({ taskKey, run }))
+  }
+
+  #presumeEnded (runs: readonly Assignment[]): void {
+    if (runs.length === 0) return
+    for (const { taskKey, run, workerId } of runs) {
+      this.#options.log.info('run presumed ended', { taskKey, run, workerId })
+      const view = this.#registry.view(workerId)
+      if (view !== undefined) view.mayHaveCrashed = true
+    }
+    this.#propose({ kind: 'presume_ended', runs }, () => { this.#isPassDue = true })
   }
 
   /** Workers with runs of a job get their answers at once, since runs of it are to be stopped. */
@@ -260,11 +290,13 @@
     this.#lastFleetCheckMs = nowMs
     this.#isPassDue = true
     this.#reports.releaseGoneWorkers()
+    this.#moveUnsentRuns()
     this.#evictRuns()
     this.#beginDueMaintenance()
     this.#tickets.retainOpenJobs(jobId => this.#options.state.job(jobId)?.state === 'open')
     this.#orders.removeCompletedStops()
     this.#assembly.removeOverdue()
+    this.#brokenGangs.retainJobs(jobId => this.#options.state.job(jobId) !== undefined)
     this.#reports.removeStale()
   }
 
--- a/packages/batch/src/order-planner.ts
+++ b/packages/batch/src/order-planner.ts
@@ -1,7 +1,8 @@
 /** Orders for workers, which are sent in the answers to their heartbeats. */
 import type { Clock } from '@comfreygrade/core'
 import type { TicketCache } from './advice-tickets.js'
-import { taskRunKey, assignmentKey, type BatchState, type TaskContext } from './batch-state.js'
+import type { BatchState, TaskContext } from './batch-state.js'
+import { assignmentKey, taskRunKey } from './run-keys.js'
 import type { Assignment } from './commands.js'
 import type { GangAssembly } from './gang-assembly.js'
 import { stepKeyOf } from './jobs.js'
@@ -87,14 +88,19 @@
    * was lost: a worker lists every run that it has started and whose end is not recorded.
    */
   mayHoldRuns (view: WorkerView): boolean {
-    return this.#runsOf(view).some(assignment => !this.#isUnsent(view, assignment) &&
+    return this.#runsOf(view).some(assignment => !this.isUnsent(assignment, view) &&
       (isReported(view, assignment) || !this.#checkMissing(view, assignment)))
   }
 
+  /** Runs to start whose orders were not sent, so that their worker certainly does not have them. */
+  unsentRuns (view: WorkerView): Assignment[] {
+    return this.#runsOf(view).filter(assignment => !this.isStopping(assignment) && this.isUnsent(assignment, view))
+  }
+
   /** Runs being stopped that the worker certainly does not have. */
   confirmedAbsentRuns (view: WorkerView): Assignment[] {
     return this.#runsOf(view).filter(assignment => this.isStopping(assignment) && !isReported(view, assignment) &&
-      (this.#isUnsent(view, assignment) || this.#checkMissing(view, assignment)))
+      (this.isUnsent(assignment, view) || this.#checkMissing(view, assignment)))
   }
 
   /**
@@ -125,7 +131,7 @@
 
   #runsToStart (view: WorkerView): Assignment[] {
     return this.#runsOf(view).filter(assignment => !this.isStopping(assignment) && !isReported(view, assignment) &&
-      (this.#isUnsent(view, assignment) || this.#checkMissing(view, assignment)))
+      (this.isUnsent(assignment, view) || this.#checkMissing(view, assignment)))
   }
 
   #startOrders (view: WorkerView, { mayStartIncompleteGangs }: StartPermission): StartOrder[] {
@@ -178,9 +184,9 @@
   }
 
   /** Whether this is an assignment of this term whose start order was not sent yet. */
-  #isUnsent (view: WorkerView, assignment: Assignment): boolean {
-    return view.assignedInTerm.has(assignmentKey(assignment)) &&
-      !view.startSentAtSequence.has(assignmentKey(assignment))
+  isUnsent (assignment: Assignment, view: WorkerView | undefined): boolean {
+    const key = assignmentKey(assignment)
+    return view !== undefined && view.assignedInTerm.has(key) && !view.startSentAtSequence.has(key)
   }
 
   /**
--- a/packages/batch/src/report-handler.ts
+++ b/packages/batch/src/report-handler.ts
@@ -1,7 +1,7 @@
 /** Handles workers' reports: proposes the changes that follow from them, and answers them with orders. */
 import type { Clock, EventLog, Metrics } from '@comfreygrade/core'
 import type { BatchState } from './batch-state.js'
-import type { BatchCommand, EndReason, RunEnd, WorkerIncarnation } from './commands.js'
+import type { BatchCommand, RunEnd, WorkerIncarnation } from './commands.js'
 import type { GangAssembly } from './gang-assembly.js'
 import { jobIdOf } from './jobs.js'
 import type { ProposalOutcome } from './operation-handler.js'
@@ -30,7 +30,7 @@
   /** Whether a pass is due or its assignments are not committed yet. */
   readonly isPassPending: () => boolean
   /** Called once the end of a run is recorded. */
-  readonly onRunEnded: (taskKey: string, reason: EndReason) => void
+  readonly onRunEnded: (end: RunEnd) => void
 }
 
 /** Handles the reports of one term. */
@@ -56,8 +56,11 @@
 
   /** Handles a report. */
   receive (requestId: string, report: WorkerReport): void {
-    const nowMs = this.#options.clock.monotonicMs()
-    const outcome = this.#options.registry.receive(report)
+    const { registry, clock } = this.#options
+    const nowMs = clock.monotonicMs()
+    const known = registry.view(report.workerId)
+    const wasResponsive = known !== undefined && registry.isResponsive(known)
+    const outcome = registry.receive(report)
     for (const replaced of outcome.replaced) this.#handleWorkerGone(replaced.latest, 'replaced by a later incarnation', replaced)
     if (outcome.kind === 'ignored') {
       const { workerId, sequence } = report
@@ -67,7 +70,7 @@
       return
     }
     const { view } = outcome
-    if (outcome.isNew) this.#options.requestPass()
+    if (!wasResponsive) this.#options.requestPass()
     this.#checkLease(view)
     if (view.leaseStatus !== 'uncertain' && view.hasSecondReport) this.#proposeEnds(report)
     this.#releaseAbsentRuns(view)
@@ -121,12 +124,13 @@
     })
   }
 
-  #handleRecordedEnd ({ taskKey, run, reason, sequence }: RunEnd, worker: WorkerIncarnation): void {
+  #handleRecordedEnd (end: RunEnd, worker: WorkerIncarnation): void {
+    const { taskKey, run, reason, sequence } = end
     const { log, metrics } = this.#options
     metrics.increment('run.ended', { reason })
     log.info('run ended', { taskKey, run, reason, workerId: worker.workerId, sequence })
     this.#options.registry.view(worker.workerId)?.removeRun({ ...worker, taskKey, run })
-    this.#options.onRunEnded(taskKey, reason)
+    this.#options.onRunEnded(end)
     this.#logJobEnd(taskKey)
   }
 
@@ -197,7 +201,9 @@
   answerDueReports (): void {
     for (const pending of this.#pendingReports.takeDue()) {
       const orders = this.#takeOrders(pending)
-      this.#options.reply(pending.requestId, { ...orders, nextReportMs: this.#nextReportMs(pending) })
+      const nextReportMs = this.#nextReportMs(pending)
+      pending.view.nextReportDueMs = this.#options.clock.monotonicMs() + nextReportMs
+      this.#options.reply(pending.requestId, { ...orders, nextReportMs })
     }
   }
 
--- a/packages/batch/src/run-estimates.ts
+++ b/packages/batch/src/run-estimates.ts
@@ -1,5 +1,5 @@
 /** Estimates of how long runs still take. */
-import { taskRunKey } from './batch-state.js'
+import { taskRunKey } from './run-keys.js'
 import type { Assignment } from './commands.js'
 import type { StepSpec } from './jobs.js'
 import { FULL_PROGRESS_PERCENT } from './worker-messages.js'
--- a/packages/batch/src/settings.ts
+++ b/packages/batch/src/settings.ts
@@ -41,8 +41,11 @@
   readonly nextHeldReportMs: number
   /** Most heartbeats of all workers together; in a large fleet the time between heartbeats grows accordingly. */
   readonly maxReportsPerSecond: number
-  /** A worker without a heartbeat for this long gets no new runs. */
-  readonly unresponsiveAfterMs: number
+  /**
+   * A worker whose next heartbeat is overdue by this much gets no new runs; longer than `reportTimeoutMs`, after which
+   * a worker sends another one in place of a heartbeat that was delayed.
+   */
+  readonly reportOverdueMs: number
   /** Time from the start of a term before a run of an earlier term that is not reported counts as absent. */
   readonly inheritedRunGraceMs: number
   /** Time within which a job of priority 0 that its organisation's guarantee covers must have started. */
@@ -120,7 +123,7 @@
   nextReportMs: 200,
   nextHeldReportMs: 50,
   maxReportsPerSecond: 3_000,
-  unresponsiveAfterMs: 2_500,
+  reportOverdueMs: 1_300,
   inheritedRunGraceMs: 2_000,
   reclaimMs: 5_700,
   reclaimLeadMs: 2_200,
--- a/packages/batch/src/worker-registry.ts
+++ b/packages/batch/src/worker-registry.ts
@@ -21,7 +21,6 @@
   | {
     readonly kind: 'accepted'
     readonly view: WorkerView
-    readonly isNew: boolean
     readonly replaced: readonly WorkerView[]
   }
 
@@ -64,7 +63,7 @@
     const replaced = others.filter(view => view.latest.incarnation < report.incarnation)
     for (const { latest } of replaced) this.remove(latest.workerId)
     if (known === undefined || replaced.includes(known)) {
-      return { kind: 'accepted', view: this.#add(report), isNew: true, replaced }
+      return { kind: 'accepted', view: this.#add(report), replaced }
     }
     const { latest } = known
     const isAccepted = known.accept(report, this.#clock.monotonicMs())
@@ -72,7 +71,7 @@
     if (latest.address !== report.address || latest.vmId !== report.vmId) this.#updateLocation(latest, report)
     if (latest.state !== 'leaving' && report.state === 'leaving') this.#log.info('worker leaving', { ...incarnationOf(report) })
     this.#recordStartedJobs(report)
-    return { kind: 'accepted', view: known, isNew: false, replaced }
+    return { kind: 'accepted', view: known, replaced }
   }
 
   /** Views of the worker itself and of others at the same location. */
@@ -139,13 +138,17 @@
 
   /** Whether a worker may get new runs. */
   isSchedulable (view: WorkerView): boolean {
-    const silentMs = this.#clock.monotonicMs() - view.reportedAtMs
-    return view.latest.state === 'active' && silentMs < this.#settings.unresponsiveAfterMs &&
+    return view.latest.state === 'active' && !view.mayHaveCrashed && this.isResponsive(view) &&
       this.#state.departureOf(view.latest) === undefined &&
       view.leaseStatus === 'held' && !this.#health.isQuarantined(view.latest.workerId) &&
       !this.hasSuspectRun(view)
   }
 
+  /** Whether the next report of a worker is not overdue. */
+  isResponsive (view: WorkerView): boolean {
+    return this.#clock.monotonicMs() - view.nextReportDueMs < this.#settings.reportOverdueMs
+  }
+
   /**
    * Whether a run on the worker is suspect: it has made some progress but none for a while. Other runs on the worker
    * may stall too. Runs at 0 or full progress do not count. Unlike for evictions, fillers and lasting
@@ -171,10 +174,10 @@
   /** Workers to request tickets for: all responsive ones that could hold a task, also if they get no new runs now. */
   adviceCandidates (step: WaitingStep): string[] {
     const { job, spec } = step
-    const reportedAfterMs = this.#clock.monotonicMs() - this.#settings.unresponsiveAfterMs
     return [...this.#views.values()]
-      .filter(({ latest, reportedAtMs }) => reportedAtMs > reportedAfterMs && latest.service === job.service &&
-        couldHold(latest.capacity, spec) && (spec.requiredLabel === '' || latest.labels.includes(spec.requiredLabel)))
+      .filter(view => this.isResponsive(view) && view.latest.service === job.service &&
+        couldHold(view.latest.capacity, spec) &&
+        (spec.requiredLabel === '' || view.latest.labels.includes(spec.requiredLabel)))
       .map(view => view.latest.workerId)
   }
 
--- a/packages/batch/src/worker-view.ts
+++ b/packages/batch/src/worker-view.ts
@@ -1,6 +1,6 @@
 /** The leader's view of one incarnation of a worker, from its reports. */
 import type { Clock } from '@comfreygrade/core'
-import { taskRunKey, assignmentKey } from './batch-state.js'
+import { assignmentKey, taskRunKey } from './run-keys.js'
 import type { Assignment } from './commands.js'
 import type { WorkerReport, RunningTask } from './worker-messages.js'
 import type { BatchSettings } from './settings.js'
@@ -47,6 +47,10 @@
   readonly startSentAtSequence = new Map<string, number>()
   /** Runs that this incarnation has reported; they are on the worker until it reports their end. */
   readonly reportedRuns = new Set<string>()
+  /** Time at which the next report is due; `Infinity` while the worker waits for the answer to the latest one. */
+  nextReportDueMs = Infinity
+  /** Whether the worker may have crashed since its latest report: one of its runs has ended without a report. */
+  mayHaveCrashed = false
   /** Assignments that the leader of this term made. */
   readonly assignedInTerm = new Set<string>()
   /** Latest reported checkpoint of each run, also of runs that are no longer reported. */
@@ -85,6 +89,8 @@
     this.#leaseStatus = this.#evaluateLease(report)
     this.latest = report
     this.reportedAtMs = nowMs
+    this.nextReportDueMs = Infinity
+    this.mayHaveCrashed = false
     this.#updateProgress(report, nowMs)
     return true
   }
--- a/packages/batch/test/lost-worker.test.ts
+++ b/packages/batch/test/lost-worker.test.ts
@@ -243,3 +243,40 @@
   t.is(orders?.starts.length, 1)
   t.is(orders?.leaseMs, defaultBatchSettings.leaseMs)
 })
+
+test('a run whose start order was not sent moves as soon as its worker is overdue, without waiting for its lease', t => {
+  const fixture = new LeaderFixture()
+  fixture.heartbeat('w1')
+  fixture.advance(200)
+  fixture.submit('j1', [step({ taskCount: 1 })])
+  t.is([...fixture.state.runsOf('w1')].length, 1)
+  for (let silentMs = 0; silentMs < 1_600; silentMs += 100) fixture.advance(100)
+  t.is([...fixture.state.runsOf('w1')].length, 0)
+  fixture.heartbeat('w2')
+  t.is([...fixture.state.runsOf('w2')].length, 1)
+})
+
+test('a run whose start order was sent does not move while its worker is silent, since it may run there', t => {
+  const fixture = new LeaderFixture()
+  fixture.heartbeat('w1')
+  fixture.submit('j1', [step({ taskCount: 1 })])
+  t.is(fixture.heartbeat('w1')?.starts.length, 1)
+  for (let silentMs = 0; silentMs < 5_000; silentMs += 100) fixture.advance(100)
+  t.is([...fixture.state.runsOf('w1')].length, 1)
+})
+
+test('a gang with a member that was not sent to a silent worker moves as a whole', t => {
+  const fixture = new LeaderFixture()
+  const shape = { cpuMillicores: 1_000, memoryMb: 1_000, acceleratorCount: 8 }
+  for (const workerId of ['w1', 'w2']) fixture.heartbeat(workerId)
+  fixture.submit('gang', [step({ taskCount: 2, isGang: true, shape })])
+  const [first] = fixture.heartbeat('w2')?.starts ?? []
+  t.not(first, undefined)
+  const running = runningTasks(first === undefined ? [] : [first], 0)
+  for (let silentMs = 0; silentMs < 1_600; silentMs += 200) {
+    fixture.advance(100)
+    fixture.heartbeat('w2', { running })
+  }
+  t.is([...fixture.state.runsOf('w1')].length, 0)
+  t.is(fixture.heartbeat('w2', { running })?.stops.length, 1)
+})
--- a/packages/bench/src/batch-patterns.ts
+++ b/packages/bench/src/batch-patterns.ts
@@ -16,6 +16,12 @@
   readonly toMs: number
 }
 
+/** Workers that crash and do not come back. */
+export interface WorkerLoss {
+  readonly share: number
+  readonly atMs: number
+}
+
 /** A load with its fleet. The names are row names of the table and stay, so that results can be compared. */
 export interface LoadPattern {
   readonly name: string
@@ -26,11 +32,12 @@
   readonly loadFactor: number
   readonly network: HeartbeatNetwork
   readonly cuts: readonly WorkerCut[]
+  readonly losses: readonly WorkerLoss[]
 }
 
 const FAST_NETWORK: HeartbeatNetwork = { maxDelayMs: 0, lateShare: 0 }
 const REGIONAL_NETWORK: HeartbeatNetwork = { maxDelayMs: 13, lateShare: 0.1 }
-const SMALL_FLEET = { workers: 33, kinds: defaultJobKinds, network: FAST_NETWORK, cuts: [] }
+const SMALL_FLEET = { workers: 33, kinds: defaultJobKinds, network: FAST_NETWORK, cuts: [], losses: [] }
 
 /** Job kinds of a fleet of several hundred workers: wider gangs, of which one task needs over half of a worker. */
 const largeFleetKinds: readonly JobKind[] = defaultJobKinds.map(kind => {
@@ -68,7 +75,7 @@
   }
 })
 
-const LARGE_FLEET = { workers: 378, kinds: largeFleetKinds, network: REGIONAL_NETWORK, cuts: [] }
+const LARGE_FLEET = { workers: 378, kinds: largeFleetKinds, network: REGIONAL_NETWORK, cuts: [], losses: [] }
 const URGENT_PEAK: LoadPeak = { kindName: 'urgent gang', fromMs: 8_000, toMs: 14_000, factor: 2.4 }
 const WIDE_PEAK: LoadPeak = { kindName: 'wide step', fromMs: 9_000, toMs: 12_300, factor: 2.4 }
 
@@ -91,5 +98,6 @@
     peaks: [URGENT_PEAK, WIDE_PEAK],
     loadFactor: 1.2,
     cuts: [{ share: 0.2, fromMs: 11_000, toMs: 15_500 }]
-  }
+  },
+  { ...LARGE_FLEET, name: 'large fleet, workers lost', peaks: [], loadFactor: 1, losses: [{ share: 0.1, atMs: 10_000 }] }
 ]
--- a/packages/bench/src/batch-simulation.ts
+++ b/packages/bench/src/batch-simulation.ts
@@ -6,7 +6,7 @@
 } from '@comfreygrade/batch'
 import { INITIAL_JOBS_MS, ORGANISATIONS, WORKERS_PER_RACK, type JobKind, type SimulatedJob } from './batch-load.js'
 import { BatchMeasures, type BatchSimulationResult, type WasteCause } from './batch-measures.js'
-import type { HeartbeatNetwork, WorkerCut } from './batch-patterns.js'
+import type { HeartbeatNetwork, WorkerCut, WorkerLoss } from './batch-patterns.js'
 import { CHECKPOINT_INTERVAL_MS, RunListener, SimulatedWorker, type SimulatedRun } from './batch-worker.js'
 
 /** Options of {@link simulateBatch}. */
@@ -17,6 +17,7 @@
   readonly jobs: readonly SimulatedJob[]
   readonly network: HeartbeatNetwork
   readonly cuts: readonly WorkerCut[]
+  readonly losses: readonly WorkerLoss[]
   readonly settings?: Partial<BatchSettings>
   /** Jobs that have not ended by this time count as not served. */
   readonly endsAtMs: number
@@ -81,7 +82,8 @@
   }
 
   run (): BatchSimulationResult {
-    const { jobs, kinds, endsAtMs } = this.#options
+    const { jobs, kinds, losses, endsAtMs } = this.#options
+    for (const loss of losses) this.#after(ARRIVALS_START_MS + loss.atMs, () => { this.#loseWorkers(loss) })
     for (const job of jobs) this.#after(ARRIVALS_START_MS + job.arrivesAtMs, () => { this.#submit(job) })
     while (this.#elapsedMs < endsAtMs) this.#step()
     return this.#measures.result(jobs.filter(job => job.arrivesAtMs >= 0), kinds)
@@ -200,6 +202,12 @@
     this.#handle({ kind: 'report', requestId, report })
   }
 
+  /** The last workers of the fleet are lost. */
+  #loseWorkers ({ share }: WorkerLoss): void {
+    const lostCount = Math.round(share * this.#workers.length)
+    for (const worker of this.#workers.slice(-lostCount)) worker.crash(this.#nowMs)
+  }
+
   /** The first workers of the fleet are cut off. */
   #isCutOff (worker: SimulatedWorker): boolean {
     return this.#options.cuts.some(({ share, fromMs, toMs }) => this.#elapsedMs >= fromMs && this.#elapsedMs < toMs &&
--- a/packages/bench/src/batch-worker.ts
+++ b/packages/bench/src/batch-worker.ts
@@ -52,6 +52,7 @@
   /** Time at which the outstanding heartbeat was sent. */
   #sentAtMs: number | undefined
   #leaseEndsAtMs = -Infinity
+  #hasCrashed = false
 
   constructor (workerId: string, rack: string, speed: number, firstHeartbeatMs: number, listener: RunListener) {
     this.workerId = workerId
@@ -74,6 +75,14 @@
     this.#nextHeartbeatMs = nowMs
   }
 
+  /** Loses all runs; the worker sends no heartbeats any more. */
+  crash (nowMs: number): void {
+    this.#nextHeartbeatMs = Infinity
+    this.#sentAtMs = undefined
+    this.#hasCrashed = true
+    for (const run of [...this.runs.values()]) this.end(run, 'lapsed', nowMs)
+  }
+
   /** Ends a run and reports it with the next heartbeat. */
   end (run: SimulatedRun, reason: EndReason, nowMs: number): void {
     if (!this.runs.delete(run.taskKey)) return
@@ -87,7 +96,7 @@
 
   /** Returns the heartbeat if one is due. */
   heartbeat (nowMs: number): WorkerReport | undefined {
-    if (this.#sentAtMs !== undefined || nowMs < this.#nextHeartbeatMs) return undefined
+    if (this.#hasCrashed || this.#sentAtMs !== undefined || nowMs < this.#nextHeartbeatMs) return undefined
     this.#sentAtMs = nowMs
     return {
       workerId: this.workerId,
--- a/packages/bench/test/batch-bench.test.ts
+++ b/packages/bench/test/batch-bench.test.ts
@@ -15,8 +15,8 @@
   const jobs = drawJobs(29, kinds, 30_000, [])
     .map(job => ({ ...job, step: { ...job.step, isSameRack: job.step.isGang } }))
   t.true(jobs.some(({ step }) => step.isSameRack && step.taskCount * step.shape.acceleratorCount > 64))
-  const network = { maxDelayMs: 0, lateShare: 0 }
-  const { byKind } = simulateBatch({ seed: 29, workers: 80, kinds, jobs, network, cuts: [], endsAtMs: 200_000 })
+  const fleet = { workers: 80, network: { maxDelayMs: 0, lateShare: 0 }, cuts: [], losses: [] }
+  const { byKind } = simulateBatch({ ...fleet, seed: 29, kinds, jobs, endsAtMs: 200_000 })
   const served = [...byKind.values()].reduce((sum, { withinObjective, late }) => sum + withinObjective + late, 0)
   t.is(served, jobs.length)
 })
