Say in the log why workers get no new runs, and when fillers are slowed

That fits three explanations: the workers are not eligible, their heartbeats are overdue, or one of their runs is suspect.

`step waits` now counts the workers that get no new runs by reason, and `fillers paced` says when the fillers of a worker change between full pace, slowed and paused, with the latency that decided it. `log explain` prints both. No decision is changed.

Ruled out as a place for it: a line for each worker and pass, whose volume grows with the fleet.

--- a/packages/batch/src/filler-pacing.ts
+++ b/packages/batch/src/filler-pacing.ts
@@ -1,4 +1,5 @@
 /** Slows best-effort tasks (fillers) down where they disturb lasting tasks that serve users. */
+import type { EventLog } from '@comfreygrade/core'
 import type { BatchState } from './batch-state.js'
 import { taskRunKey } from './run-keys.js'
 import type { StepSpec } from './jobs.js'
@@ -23,12 +24,14 @@
 /** Controls the pace of the fillers of each worker from the tail latency that its lasting tasks report. */
 export class FillerPacing {
   readonly #state: BatchState
+  readonly #log: EventLog
   readonly #paceByWorker = new Map<string, number>()
   /** Latest ordered pace, by worker and run. */
   readonly #orderedPaces = new Map<string, Map<string, number>>()
 
-  constructor (state: BatchState) {
+  constructor (state: BatchState, log: EventLog) {
     this.#state = state
+    this.#log = log
   }
 
   /**
@@ -43,28 +46,27 @@
       this.#orderedPaces.delete(workerId)
       return []
     }
-    const percent = this.#nextPacePercent(workerId, tasks)
+    const current = this.#paceByWorker.get(workerId) ?? FULL_PACE_PERCENT
+    const targetShare = worstTargetShare(tasks)
+    const percent = nextPacePercent(current, targetShare)
     this.#paceByWorker.set(workerId, percent)
+    this.#logChange(workerId, { from: current, to: percent, targetShare })
     return this.#changedPaces(workerId, fillers, percent)
   }
 
+  /** Only a change between full pace, slowed and paused is logged, since the pace may change with every heartbeat. */
+  #logChange (workerId: string, { from, to, targetShare }: { from: number, to: number, targetShare: number }): void {
+    if (paceLevel(from) === paceLevel(to)) return
+    this.#log.info('fillers paced', {
+      workerId, pace: paceLevel(to), percent: to, targetShare: Number(targetShare.toFixed(2))
+    })
+  }
+
   #withSpec (task: RunningTask): TaskWithSpec[] {
     const spec = this.#state.findTask(task.taskKey)?.stepSpec
     return spec === undefined ? [] : [{ task, spec }]
   }
 
-  #nextPacePercent (workerId: string, tasks: readonly TaskWithSpec[]): number {
-    const current = this.#paceByWorker.get(workerId) ?? FULL_PACE_PERCENT
-    const lastingTasks = tasks.filter(({ spec }) => spec.isLasting && spec.targetLatencyMs > 0)
-    const worstTargetShare = Math.max(0, ...lastingTasks.map(({ task, spec }) => task.usage / spec.targetLatencyMs))
-    if (worstTargetShare > SLOW_DOWN_ABOVE_TARGET_SHARE) {
-      const slower = Math.floor(current * DECREASE_FACTOR)
-      return slower < MIN_PACE_PERCENT ? 0 : slower
-    }
-    if (worstTargetShare < SPEED_UP_BELOW_TARGET_SHARE) return Math.min(FULL_PACE_PERCENT, current + INCREASE_PERCENT)
-    return current
-  }
-
   #changedPaces (workerId: string, fillers: readonly TaskWithSpec[], percent: number): PaceOrder[] {
     const previous = this.#orderedPaces.get(workerId) ?? new Map<string, number>()
     const next = new Map<string, number>()
@@ -78,3 +80,23 @@
     return orders
   }
 }
+
+/** Highest tail latency of the lasting tasks, as a share of their targets. */
+function worstTargetShare (tasks: readonly TaskWithSpec[]): number {
+  const lastingTasks = tasks.filter(({ spec }) => spec.isLasting && spec.targetLatencyMs > 0)
+  return Math.max(0, ...lastingTasks.map(({ task, spec }) => task.usage / spec.targetLatencyMs))
+}
+
+function nextPacePercent (current: number, targetShare: number): number {
+  if (targetShare > SLOW_DOWN_ABOVE_TARGET_SHARE) {
+    const slower = Math.floor(current * DECREASE_FACTOR)
+    return slower < MIN_PACE_PERCENT ? 0 : slower
+  }
+  if (targetShare < SPEED_UP_BELOW_TARGET_SHARE) return Math.min(FULL_PACE_PERCENT, current + INCREASE_PERCENT)
+  return current
+}
+
+function paceLevel (percent: number): 'full' | 'slowed' | 'paused' {
+  if (percent >= FULL_PACE_PERCENT) return 'full'
+  return percent > 0 ? 'slowed' : 'paused'
+}
--- a/packages/batch/src/leader.ts
+++ b/packages/batch/src/leader.ts
@@ -101,7 +101,7 @@
     this.#assembly = new GangAssembly(clock, settings.gangAssemblyMs)
     this.#brokenGangs = new BrokenGangs(state)
     this.#orders = new OrderPlanner({
-      state, settings, clock, tickets: this.#tickets, assembly: this.#assembly, fencingToken: options.term
+      state, settings, clock, tickets: this.#tickets, assembly: this.#assembly, fencingToken: options.term, log
     })
     this.#scheduler = new BatchScheduler(settings, clock, new ObjectiveSchedulingOrder())
     this.#operations = new OperationHandler({
@@ -168,12 +168,13 @@
     this.#isPassDue = false
     const decision = this.#scheduler.runPass(this.#options.state, {
       views: this.#registry.views(),
-      isSchedulable: view => this.#registry.isSchedulable(view) && !this.#maintenance.isCordoned(view),
+      unschedulableReason: view =>
+        this.#maintenance.isCordoned(view) ? 'cordoned' : this.#registry.unschedulableReason(view),
       isStopping: assignment => this.#orders.isStopping(assignment),
       isReachable: workerId => this.#reports.isReachable(workerId),
       permittedWorkers: key => this.#tickets.permittedWorkers(key)
     })
-    this.#waitLog.record(decision.waits)
+    this.#waitLog.record(decision)
     for (const step of decision.stepsNeedingTickets) this.#requestAdvice(step)
     for (const reclaim of decision.reclaims) this.#reclaim(reclaim)
     this.#assign(decision.assignments)
--- a/packages/batch/src/order-planner.ts
+++ b/packages/batch/src/order-planner.ts
@@ -1,5 +1,5 @@
 /** Orders for workers, which are sent in the answers to their heartbeats. */
-import type { Clock } from '@comfreygrade/core'
+import type { Clock, EventLog } from '@comfreygrade/core'
 import type { TicketCache } from './advice-tickets.js'
 import type { BatchState, TaskContext } from './batch-state.js'
 import { assignmentKey, taskRunKey } from './run-keys.js'
@@ -19,6 +19,7 @@
   readonly tickets: TicketCache
   readonly assembly: GangAssembly
   readonly fencingToken: number
+  readonly log: EventLog
 }
 
 /** Which start orders an answer may carry. */
@@ -43,7 +44,7 @@
   constructor (options: OrderPlannerOptions) {
     this.#options = options
     this.#termStartedAtMs = options.clock.monotonicMs()
-    this.#pacing = new FillerPacing(options.state)
+    this.#pacing = new FillerPacing(options.state, options.log)
   }
 
   /**
--- a/packages/batch/src/scheduler.ts
+++ b/packages/batch/src/scheduler.ts
@@ -17,13 +17,14 @@
 import { LazyReservation, reserve } from './reservation.js'
 import type { BatchSettings } from './settings.js'
 import { listWaitingSteps, type WaitingStep } from './waiting-steps.js'
+import type { UnschedulableReason } from './worker-registry.js'
 import type { WorkerView } from './worker-view.js'
 
 /** Volatile state that a pass reads besides the replicated state. */
 export interface FleetView {
   readonly views: Iterable<WorkerView>
-  /** Whether a worker may get new runs. */
-  readonly isSchedulable: (view: WorkerView) => boolean
+  /** Why a worker gets no new runs; undefined where it may get some. */
+  readonly unschedulableReason: (view: WorkerView) => UnschedulableReason | undefined
   readonly isStopping: (assignment: Assignment) => boolean
   /** Whether start orders reach a worker at once, since its heartbeat waits for the answer. */
   readonly isReachable: (workerId: string) => boolean
@@ -64,6 +65,8 @@
   readonly stepsNeedingTickets: readonly WaitingStep[]
   /** Steps that were considered and not placed completely. */
   readonly waits: readonly StepWait[]
+  /** Number of workers that could not get new runs, by reason; empty where no step waited. */
+  readonly unschedulableWorkers: ReadonlyMap<UnschedulableReason, number>
 }
 
 /** Working state of a pass. */
@@ -77,6 +80,7 @@
   readonly reclaims: Reclaim[]
   readonly stepsNeedingTickets: WaitingStep[]
   readonly waits: StepWait[]
+  readonly unschedulableWorkers: ReadonlyMap<UnschedulableReason, number>
   reservationCount: number
   /** Number of steps that did not fit completely. */
   unplacedStepCount: number
@@ -115,7 +119,8 @@
     const nowWallMs = this.#clock.wallMs()
     this.#removeExpiredClaims()
     const steps = listWaitingSteps(state, this.#clock, this.#settings)
-    const workers = steps.length === 0 ? [] : this.#schedulableWorkers(state, fleet)
+    const unschedulableWorkers = new Map<UnschedulableReason, number>()
+    const workers = steps.length === 0 ? [] : this.#schedulableWorkers(state, fleet, unschedulableWorkers)
     const isFleetKnown = this.#clock.monotonicMs() - this.#termStartedAtMs >= this.#settings.fleetDiscoveryMs
     const pass: Pass = {
       workers,
@@ -126,6 +131,7 @@
       reclaims: [],
       stepsNeedingTickets: [],
       waits: [],
+      unschedulableWorkers,
       reservationCount: 0,
       unplacedStepCount: 0
     }
@@ -230,11 +236,18 @@
     return budget === Infinity ? planReclaim(step, asSingleGroup(workers)) : undefined
   }
 
-  #schedulableWorkers (state: BatchState, fleet: FleetView): WorkerCapacity[] {
+  /** Returns the workers that may get new runs, and counts the others by reason. */
+  #schedulableWorkers (
+    state: BatchState, fleet: FleetView, unschedulableWorkers: Map<UnschedulableReason, number>
+  ): WorkerCapacity[] {
     const nowMs = this.#clock.monotonicMs()
     const workers: WorkerCapacity[] = []
     for (const view of fleet.views) {
-      if (!fleet.isSchedulable(view)) continue
+      const reason = fleet.unschedulableReason(view)
+      if (reason !== undefined) {
+        unschedulableWorkers.set(reason, (unschedulableWorkers.get(reason) ?? 0) + 1)
+        continue
+      }
       const runs = listOccupyingRuns(state, view, fleet.isStopping, nowMs)
       workers.push(new WorkerCapacity(view, runs, fleet.isReachable(view.latest.workerId)))
     }
--- a/packages/batch/src/wait-log.ts
+++ b/packages/batch/src/wait-log.ts
@@ -1,6 +1,6 @@
 /** Log lines that say why steps wait. */
 import type { Clock, EventLog } from '@comfreygrade/core'
-import type { StepWait, WaitReason } from './scheduler.js'
+import type { PassDecision, StepWait, WaitReason } from './scheduler.js'
 import { waitingStepKey } from './worker-selection.js'
 
 /** A step that has waited for a shorter time is not logged. */
@@ -25,22 +25,25 @@
   }
 
   /** Takes the waits of a pass; steps that are not among them wait no longer, or were not considered. */
-  record (waits: readonly StepWait[]): void {
+  record ({ waits, unschedulableWorkers }: Pick<PassDecision, 'waits' | 'unschedulableWorkers'>): void {
     const logged = new Map<string, LoggedWait>()
+    const workers = unschedulableWorkers.size === 0 ? undefined : Object.fromEntries(unschedulableWorkers)
     for (const wait of waits) {
       if (wait.step.waitedMs < MIN_WAIT_MS) continue
       const key = waitingStepKey(wait.step)
-      logged.set(key, this.#write(key, wait, this.#logged.get(key)))
+      logged.set(key, this.#write(key, wait, workers, this.#logged.get(key)))
     }
     this.#logged = logged
   }
 
-  #write (stepKey: string, wait: StepWait, last: LoggedWait | undefined): LoggedWait {
+  #write (
+    stepKey: string, wait: StepWait, unschedulableWorkers: object | undefined, last: LoggedWait | undefined
+  ): LoggedWait {
     const { step, reason, taskCount, expectedStartMs } = wait
     const nowMs = this.#clock.monotonicMs()
     if (last !== undefined && last.reason === reason && nowMs - last.loggedAtMs < REPEAT_MS) return last
     this.#log.info('step waits', {
-      stepKey, reason, tasks: taskCount, waitedMs: Math.round(step.waitedMs), expectedStartMs
+      stepKey, reason, tasks: taskCount, waitedMs: Math.round(step.waitedMs), expectedStartMs, unschedulableWorkers
     })
     return { reason, loggedAtMs: nowMs }
   }
--- a/packages/batch/src/worker-registry.ts
+++ b/packages/batch/src/worker-registry.ts
@@ -24,6 +24,20 @@
     readonly replaced: readonly WorkerView[]
   }
 
+/** Why a worker gets no new runs; the leader adds `cordoned` for a worker whose VM is due for maintenance. */
+export type UnschedulableReason =
+  | 'leaving'
+  /** One of its runs has ended without a report, so the worker may have crashed. */
+  | 'may_have_crashed'
+  /** Its next heartbeat is overdue. */
+  | 'silent'
+  /** Whether its lease has held is not certain. */
+  | 'lease_uncertain'
+  | 'quarantined'
+  /** See {@link WorkerRegistry.hasSuspectRun}. */
+  | 'suspect_run'
+  | 'cordoned'
+
 /** Time for which a worker that has gone is remembered; longer than a heartbeat can be delayed in the network. */
 const STALE_WORKER_RETENTION_MS = 300_000
 /**
@@ -136,12 +150,15 @@
     this.#views.delete(workerId)
   }
 
-  /** Whether a worker may get new runs. */
-  isSchedulable (view: WorkerView): boolean {
-    return view.latest.state === 'active' && !view.mayHaveCrashed && this.isResponsive(view) &&
-      this.#state.departureOf(view.latest) === undefined &&
-      view.leaseStatus === 'held' && !this.#health.isQuarantined(view.latest.workerId) &&
-      !this.hasSuspectRun(view)
+  /** Why a worker gets no new runs; undefined where it may get some. */
+  unschedulableReason (view: WorkerView): UnschedulableReason | undefined {
+    const { latest } = view
+    if (latest.state !== 'active' || this.#state.departureOf(latest) !== undefined) return 'leaving'
+    if (view.mayHaveCrashed) return 'may_have_crashed'
+    if (!this.isResponsive(view)) return 'silent'
+    if (view.leaseStatus !== 'held') return 'lease_uncertain'
+    if (this.#health.isQuarantined(latest.workerId)) return 'quarantined'
+    return this.hasSuspectRun(view) ? 'suspect_run' : undefined
   }
 
   /** Whether the next report of a worker is not overdue. */
--- a/packages/batch/test/scheduler.test.ts
+++ b/packages/batch/test/scheduler.test.ts
@@ -248,3 +248,15 @@
   t.deepEqual(waitReasons(log, 'huge.0.0'), ['no_worker'])
   t.deepEqual(waitReasons(log, 'first.0.0'), [])
 })
+
+test('the log says how many workers get no new runs and why while a step waits', t => {
+  const log = new RecordingLog()
+  const fixture = new LeaderFixture(undefined, undefined, log)
+  fixture.submit('job', [step({ taskCount: 1 })])
+  for (let round = 0; round < 8; round++) {
+    fixture.advance(100)
+    fixture.heartbeat('w1', { state: 'leaving', remainingMs: 60_000 })
+  }
+  const wait = log.lines.find(({ message }) => message === 'step waits')
+  t.deepEqual(wait?.fields.unschedulableWorkers, { leaving: 1 })
+})
--- a/packages/cli/src/log-explainer.ts
+++ b/packages/cli/src/log-explainer.ts
@@ -18,7 +18,9 @@
 /** Fields that name a job, or start with its ID and a dot. */
 const ID_FIELDS = ['jobId', 'stepKey', 'taskKey', 'lastTaskKey', 'forStepKey'] as const
 /** Lines about a worker that concern the runs on it. */
-const WORKER_MESSAGES: ReadonlySet<string> = new Set(['worker gone', 'worker leaving', 'worker quarantined'])
+const WORKER_MESSAGES: ReadonlySet<string> = new Set([
+  'worker gone', 'worker leaving', 'worker quarantined', 'fillers paced'
+])
 
 const WAIT_REASONS: Readonly<Record<string, string>> = {
   ticket: 'the advice service has not granted a ticket for it',
@@ -96,10 +98,17 @@
 }
 
 function describeWait ({ fields }: LogLine): string {
-  const { stepKey, reason, tasks, waitedMs, expectedStartMs } = fields
+  const { stepKey, reason, tasks, waitedMs, expectedStartMs, unschedulableWorkers } = fields
   const expected = expectedStartMs === undefined ? '' : `; expected to start in ${String(expectedStartMs)} ms`
   const cause = WAIT_REASONS[String(reason)] ?? String(reason)
-  return `step ${String(stepKey)} waits with ${String(tasks)} tasks after ${String(waitedMs)} ms: ${cause}${expected}`
+  return `step ${String(stepKey)} waits with ${String(tasks)} tasks after ${String(waitedMs)} ms: ${cause}${expected}` +
+    describeUnschedulableWorkers(unschedulableWorkers)
+}
+
+function describeUnschedulableWorkers (countByReason: unknown): string {
+  if (typeof countByReason !== 'object' || countByReason === null) return ''
+  const counts = Object.entries(countByReason).map(([reason, count]) => `${String(count)} ${reason}`)
+  return `; workers that get no new runs: ${counts.join(', ')}`
 }
 
 function runningTaskKeys (lines: readonly LogLine[]): string[] {
--- a/packages/cli/test/log-explainer.test.ts
+++ b/packages/cli/test/log-explainer.test.ts
@@ -27,6 +27,14 @@
   t.deepEqual(conclusions, ['step j.0.0 waits with 8 tasks after 3000 ms: no rack has room for the whole gang'])
 })
 
+test('the explanation of a waiting step says how many workers get no new runs and why', t => {
+  const fields = { stepKey: 'j.0.0', reason: 'no_worker', tasks: 2, waitedMs: 3_000, unschedulableWorkers: { suspect_run: 4, leaving: 1 } }
+  t.deepEqual(explainFromLog([line(2, 'step waits', fields)], 'j').conclusions, [
+    'step j.0.0 waits with 2 tasks after 3000 ms: no worker that can be used could hold a task of it; ' +
+    'workers that get no new runs: 4 suspect_run, 1 leaving'
+  ])
+})
+
 test('a step whose tasks were assigned after its last wait does not wait, and its runs without an end are named', t => {
   const lines = [
     line(2, 'step waits', { stepKey: 'j.0.0', reason: 'rack', tasks: 2, waitedMs: 1_000 }),
