--- a/packages/batch/src/order-planner.ts
+++ b/packages/batch/src/order-planner.ts
@@ -44,7 +44,7 @@
   constructor (options: OrderPlannerOptions) {
     this.#options = options
     this.#termStartedAtMs = options.clock.monotonicMs()
-    this.#pacing = new FillerPacing(options.state, options.log)
+    this.#pacing = new FillerPacing(options)
   }
 
   /**
