Do not take a paused filler for a stalled run

A worker whose filler was paused for a second and a half got no other work for as long as the pause lasted, also under one leader and without a fault: the load of a lasting task that stays high for minutes took its workers' free capacity away for minutes.

Cause: `hasSuspectRun` counts a run without progress as a sign of a faulty worker, and a filler makes none while it is paused, or while others use all processor time of its worker. Evictions already leave fillers out for that reason.

Ruled out: not counting the time at a reduced pace only. A filler at full pace has no claim to processor time either.

Test: "a worker whose filler is paused gets other work" failed before; 123 tests of packages/batch pass.

--- a/packages/batch/src/worker-registry.ts
+++ b/packages/batch/src/worker-registry.ts
@@ -168,19 +168,18 @@
 
   /**
    * Whether a run on the worker is suspect: it has made some progress but none for a while. Other runs on the worker
-   * may stall too. Runs at 0 or full progress do not count. Unlike for evictions, fillers and lasting
-   * runs count too.
+   * may stall too. Runs at 0 or full progress do not count, and neither do fillers: on a sound worker too they make no
+   * progress while they are paused or others use all of its processor time. Unlike for evictions, lasting runs count.
    */
   hasSuspectRun (view: WorkerView): boolean {
     const { suspectAfterMs } = this.#settings
-    return view.runsUnchangedFor(suspectAfterMs).some(({ taskKey, percent, lastChangeMs }) =>
-      percent > 0 && percent < FULL_PROGRESS_PERCENT &&
-      view.reportedAtMs - lastChangeMs >= suspectAfterMs + this.#suspectMarginMs(taskKey))
-  }
-
-  /** The percentage of a long run changes less often. */
-  #suspectMarginMs (taskKey: string): number {
-    return (this.#state.findTask(taskKey)?.stepSpec.estimateMs ?? 0) * SUSPECT_TIMEOUT_ESTIMATE_SHARE
+    return view.runsUnchangedFor(suspectAfterMs).some(({ taskKey, percent, lastChangeMs }) => {
+      if (percent <= 0 || percent >= FULL_PROGRESS_PERCENT) return false
+      const spec = this.#state.findTask(taskKey)?.stepSpec
+      // The percentage of a long run changes less often.
+      const marginMs = (spec?.estimateMs ?? 0) * SUSPECT_TIMEOUT_ESTIMATE_SHARE
+      return spec?.isFiller !== true && view.reportedAtMs - lastChangeMs >= suspectAfterMs + marginMs
+    })
   }
 
   /** Updates the health of a worker after it reported the end of a run. */
