Ask the advice service for every worker that could run a step

Cause: a request names at most 100 workers, and the leader always chose the first 100 in the order in which it had first heard of them. Nothing was kept of an answer that granted none, so the next request named the same workers. A worker that starts again goes to the end of that order.

The same cause on related paths: - While one worker had a ticket, no request was made, so further permitted workers were never found while that one was full. - A ticket was stored for the incarnation at the time of the answer, and placement looked at the worker's ID only. After a restart a worker got starts with the ticket of its earlier incarnation, which it refuses.

Ruled out: a service that rejects the request (it answered 200), and workers that were not responsive (120 of 120 were empty and schedulable).

Change: the cache keeps the answer for each worker, with the incarnation that was asked for. A request names those that have not been asked for yet, and those whose ticket has expired. Workers that were denied are asked for again only where none is permitted, since the service does not change its answers.

--- a/packages/batch/src/advice-tickets.ts
+++ b/packages/batch/src/advice-tickets.ts
@@ -1,5 +1,6 @@
 /** Cache of the tickets that the advice service grants for queues whose policy lets only some workers run a step. */
 import type { Clock } from '@comfreygrade/core'
+import type { WorkerIncarnation } from './commands.js'
 import { jobIdOf } from './jobs.js'
 
 /** Permission to run a step on one worker. */
@@ -8,74 +9,119 @@
   readonly ticket: string
 }
 
-interface CachedTicket {
-  readonly ticket: string
+/** The latest answer of the advice service about a worker. */
+interface WorkerAdvice {
   readonly incarnation: number
+  /** Undefined where the service granted none. */
+  readonly ticket: string | undefined
+  readonly requestedAtMs: number
   readonly expiresAtMs: number
 }
 
+interface StepAdvice {
+  readonly answers: Map<string, WorkerAdvice>
+  /** Incarnations of the workers that the open request names; undefined without an open request. */
+  requested: ReadonlyMap<string, number> | undefined
+  nextRequestAtMs: number
+}
+
 /** Validity that a ticket must have left to be considered in placement, since the start order takes time to arrive. */
 const TICKET_EXPIRY_MARGIN_MS = 400
 
-/** Shortest time from an answer of the advice service until the next request for the same step. */
+/** Time until a step is considered again after a failed request, or where no worker was left to ask for. */
 const REQUEST_INTERVAL_MS = 500
 
-interface StepTickets {
-  readonly ticketsByWorker: Map<string, CachedTicket>
-  isRequestPending: boolean
-  nextRequestAtMs: number
+/**
+ * Time after which workers that were denied are asked for again where no worker is permitted. The service does not
+ * change its answers, so this covers only a wrong one.
+ */
+const DENIAL_RETRY_MS = 10_000
+
+/** Options of {@link TicketCache}. */
+export interface TicketCacheOptions {
+  readonly clock: Clock
+  /** Most workers that one request may name. */
+  readonly maxWorkersPerRequest: number
 }
 
-/** Tickets by step. */
+/**
+ * Tickets by step. A fleet larger than one request may name is asked for in several requests, one after the other, so
+ * that every worker that could run the step is asked for once.
+ *
+ * @example
+ * const workerIds = cache.startRequest('5c0e.0.0', () => registry.adviceCandidates(step))
+ * cache.completeRequest('5c0e.0.0', { tickets, requestedAtMs, validMs })
+ */
 export class TicketCache {
-  readonly #clock: Clock
-  readonly #steps = new Map<string, StepTickets>()
+  readonly #options: TicketCacheOptions
+  readonly #steps = new Map<string, StepAdvice>()
 
-  constructor (clock: Clock) {
-    this.#clock = clock
+  constructor (options: TicketCacheOptions) {
+    this.#options = options
   }
 
-  /** Workers with a valid ticket for a step; undefined while there is none. */
-  permittedWorkers (key: string): ReadonlySet<string> | undefined {
-    const step = this.#steps.get(key)
-    if (step === undefined) return undefined
-    const nowMs = this.#clock.monotonicMs()
-    const permitted = [...step.ticketsByWorker]
-      .filter(([, cached]) => cached.expiresAtMs - TICKET_EXPIRY_MARGIN_MS > nowMs)
-    return permitted.length === 0 ? undefined : new Set(permitted.map(([workerId]) => workerId))
+  /** Incarnations of the workers with a valid ticket for a step, by worker. */
+  permittedWorkers (key: string): ReadonlyMap<string, number> {
+    const permitted = new Map<string, number>()
+    const minExpiryMs = this.#options.clock.monotonicMs() + TICKET_EXPIRY_MARGIN_MS
+    for (const [workerId, advice] of this.#steps.get(key)?.answers ?? []) {
+      if (hasTicketUntil(advice, minExpiryMs)) permitted.set(workerId, advice.incarnation)
+    }
+    return permitted
   }
 
   /** The valid ticket for a run of a step on this incarnation of a worker. */
-  ticketFor (key: string, workerId: string, incarnation: number): string | undefined {
-    const cached = this.#steps.get(key)?.ticketsByWorker.get(workerId)
-    if (cached === undefined || cached.incarnation !== incarnation) return undefined
-    return cached.expiresAtMs > this.#clock.monotonicMs() ? cached.ticket : undefined
+  ticketFor (key: string, { workerId, incarnation }: WorkerIncarnation): string | undefined {
+    const advice = this.#steps.get(key)?.answers.get(workerId)
+    if (advice === undefined || advice.incarnation !== incarnation) return undefined
+    return advice.expiresAtMs > this.#options.clock.monotonicMs() ? advice.ticket : undefined
+  }
+
+  /**
+   * Begins the next request for a step; returns the workers that it names, none where no request is due. `candidates`
+   * lists the workers that could run the step and is called only where a request may be made.
+   */
+  startRequest (key: string, candidates: () => readonly WorkerIncarnation[]): string[] {
+    const nowMs = this.#options.clock.monotonicMs()
+    const step = this.#stepAdvice(key)
+    if (step.requested !== undefined || nowMs < step.nextRequestAtMs) return []
+    const chosen = chooseWorkers(step.answers, candidates(), nowMs).slice(0, this.#options.maxWorkersPerRequest)
+    if (chosen.length === 0) {
+      step.nextRequestAtMs = nowMs + REQUEST_INTERVAL_MS
+      return []
+    }
+    step.requested = new Map(chosen.map(({ workerId, incarnation }) => [workerId, incarnation]))
+    return chosen.map(({ workerId }) => workerId)
   }
 
-  /** Marks a request for a step as pending; returns false where one is pending already or the next is not due. */
-  tryStartRequest (key: string): boolean {
-    const step = this.#steps.get(key) ??
-      { ticketsByWorker: new Map(), isRequestPending: false, nextRequestAtMs: -Infinity }
+  #stepAdvice (key: string): StepAdvice {
+    const known = this.#steps.get(key)
+    if (known !== undefined) return known
+    const step: StepAdvice = { answers: new Map(), requested: undefined, nextRequestAtMs: -Infinity }
     this.#steps.set(key, step)
-    if (step.isRequestPending || this.#clock.monotonicMs() < step.nextRequestAtMs) return false
-    step.isRequestPending = true
-    return true
+    return step
   }
 
-  /** Stores the tickets of an answer; `tickets` is undefined where the call failed. */
+  /** Stores the answer to the open request of a step; `tickets` is undefined where the call failed. */
   completeRequest (
-    key: string, tickets: readonly Ticket[] | undefined, incarnations: ReadonlyMap<string, number>, validMs: number,
-    requestedAtMs: number
+    key: string,
+    answer: {
+      readonly tickets: readonly Ticket[] | undefined
+      readonly requestedAtMs: number
+      /** Time for which the tickets are valid after the request. */
+      readonly validMs: number
+    }
   ): void {
+    const { tickets, requestedAtMs, validMs } = answer
     const step = this.#steps.get(key)
-    if (step === undefined) return
-    step.isRequestPending = false
-    step.nextRequestAtMs = this.#clock.monotonicMs() + REQUEST_INTERVAL_MS
-    for (const { workerId, ticket } of tickets ?? []) {
-      const incarnation = incarnations.get(workerId)
-      if (incarnation === undefined) continue
-      step.ticketsByWorker.set(workerId, { ticket, incarnation, expiresAtMs: requestedAtMs + validMs })
+    if (step?.requested === undefined) return
+    const granted = new Map(tickets?.map(({ workerId, ticket }) => [workerId, ticket]))
+    for (const [workerId, incarnation] of tickets === undefined ? [] : step.requested) {
+      const ticket = granted.get(workerId)
+      step.answers.set(workerId, { incarnation, ticket, requestedAtMs, expiresAtMs: requestedAtMs + validMs })
     }
+    step.requested = undefined
+    if (tickets === undefined) step.nextRequestAtMs = this.#options.clock.monotonicMs() + REQUEST_INTERVAL_MS
   }
 
   /** Removes the steps of jobs that have ended. */
@@ -85,3 +131,31 @@
     }
   }
 }
+
+function hasTicketUntil ({ ticket, expiresAtMs }: WorkerAdvice, minExpiryMs: number): boolean {
+  return ticket !== undefined && expiresAtMs > minExpiryMs
+}
+
+/**
+ * The workers to ask for: first those whose tickets have expired, since they are permitted, then those that were not
+ * asked for in this incarnation. Those that were denied follow only where no candidate is permitted.
+ */
+function chooseWorkers (
+  answers: ReadonlyMap<string, WorkerAdvice>, candidates: readonly WorkerIncarnation[], nowMs: number
+): WorkerIncarnation[] {
+  const expired: WorkerIncarnation[] = []
+  const unasked: WorkerIncarnation[] = []
+  const denied: WorkerIncarnation[] = []
+  let isAnyPermitted = false
+  for (const worker of candidates) {
+    const advice = answers.get(worker.workerId)
+    if (advice === undefined || advice.incarnation !== worker.incarnation) unasked.push(worker)
+    else if (advice.ticket === undefined) {
+      if (nowMs - advice.requestedAtMs >= DENIAL_RETRY_MS) denied.push(worker)
+    } else {
+      isAnyPermitted = true
+      if (!hasTicketUntil(advice, nowMs + TICKET_EXPIRY_MARGIN_MS)) expired.push(worker)
+    }
+  }
+  return isAnyPermitted ? [...expired, ...unasked] : [...unasked, ...denied]
+}
--- a/packages/batch/src/leader.ts
+++ b/packages/batch/src/leader.ts
@@ -96,7 +96,7 @@
     const { state, settings, clock, log } = options
     this.#options = options
     this.#registry = new WorkerRegistry(state, settings, clock, log)
-    this.#tickets = new TicketCache(clock)
+    this.#tickets = new TicketCache({ clock, maxWorkersPerRequest: settings.maxAdviceWorkers })
     this.#waitLog = new WaitLog(clock, log)
     this.#assembly = new GangAssembly(clock, settings.gangAssemblyMs)
     this.#brokenGangs = new BrokenGangs(state)
@@ -267,8 +267,8 @@
 
   #requestAdvice (step: WaitingStep): void {
     const key = waitingStepKey(step)
-    const workerIds = this.#registry.adviceCandidates(step).slice(0, this.#options.settings.maxAdviceWorkers)
-    if (workerIds.length === 0 || !this.#tickets.tryStartRequest(key)) return
+    const workerIds = this.#tickets.startRequest(key, () => this.#registry.adviceCandidates(step))
+    if (workerIds.length === 0) return
     this.#effects.push({ kind: 'ask_advice', stepKey: key, workerIds })
   }
 
@@ -277,7 +277,7 @@
     const queue = job === undefined ? undefined : this.#options.state.directory?.at(job.queueAddress)
     const validMs = queue?.advice?.ticketValidMs ?? 0
     this.#options.log.info('advice answered', { stepKey: key, granted: tickets?.length ?? null })
-    this.#tickets.completeRequest(key, tickets, this.#registry.incarnations(), validMs, requestedAtMs)
+    this.#tickets.completeRequest(key, { tickets, requestedAtMs, validMs })
     this.#isPassDue = true
   }
 
--- a/packages/batch/src/order-planner.ts
+++ b/packages/batch/src/order-planner.ts
@@ -163,7 +163,7 @@
     }
     if (state.directory?.at(job.queueAddress)?.advice === undefined) return order
     const key = stepKeyOf(assignment.taskKey)
-    const ticket = tickets.ticketFor(key, assignment.workerId, assignment.incarnation)
+    const ticket = tickets.ticketFor(key, assignment)
     if (ticket !== undefined) return { ...order, ticket }
     this.stop(assignment)
     return undefined
--- a/packages/batch/src/scheduler.ts
+++ b/packages/batch/src/scheduler.ts
@@ -28,8 +28,8 @@
   readonly isStopping: (assignment: Assignment) => boolean
   /** Whether start orders reach a worker at once, since its heartbeat waits for the answer. */
   readonly isReachable: (workerId: string) => boolean
-  /** Workers with a valid ticket for a step; undefined while there is none. */
-  readonly permittedWorkers: (key: string) => ReadonlySet<string> | undefined
+  /** Incarnations of the workers with a valid ticket for a step, by worker. */
+  readonly permittedWorkers: (key: string) => ReadonlyMap<string, number>
 }
 
 /** A run that is preempted for an urgent step. */
@@ -61,7 +61,7 @@
 export interface PassDecision {
   readonly assignments: readonly Assignment[]
   readonly reclaims: readonly Reclaim[]
-  /** Steps that cannot be placed before the advice service grants tickets for them. */
+  /** Steps with tasks that were not placed and could be, if the advice service granted further tickets for them. */
   readonly stepsNeedingTickets: readonly WaitingStep[]
   /** Steps that were considered and not placed completely. */
   readonly waits: readonly StepWait[]
@@ -156,10 +156,7 @@
 
   #placeStep (step: WaitingStep, fleet: FleetView, pass: Pass): void {
     const permitted = step.hasAdvicePolicy ? fleet.permittedWorkers(waitingStepKey(step)) : undefined
-    if (step.hasAdvicePolicy && permitted === undefined) {
-      pass.stepsNeedingTickets.push(step)
-      return this.#recordWait(step, { reason: 'ticket' }, pass)
-    }
+    if (permitted?.size === 0) return this.#recordWait(step, { reason: 'ticket' }, pass)
     const eligible = pass.workers.filter(worker => mayRun(worker, step, permitted))
     if (eligible.length === 0) return this.#recordWait(step, { reason: 'no_worker' }, pass)
     const candidates = findCandidates(step, eligible, pass.maxRackWaitMs)
@@ -173,6 +170,7 @@
   }
 
   #recordWait (step: WaitingStep, reason: UnplacedReason, pass: Pass): void {
+    if (step.hasAdvicePolicy) pass.stepsNeedingTickets.push(step)
     pass.waits.push({ step, taskCount: step.taskIndexes.length, ...reason })
   }
 
@@ -262,12 +260,14 @@
   return isInDataRack && groups.length > 0 ? 'data_rack' : 'capacity'
 }
 
-function mayRun (worker: WorkerCapacity, step: WaitingStep, permitted: ReadonlySet<string> | undefined): boolean {
-  const { service, labels, capacity, workerId } = worker.view.latest
+function mayRun (
+  worker: WorkerCapacity, step: WaitingStep, permitted: ReadonlyMap<string, number> | undefined
+): boolean {
+  const { service, labels, capacity, workerId, incarnation } = worker.view.latest
   const { spec, job } = step
   return service === job.service && couldHold(capacity, spec) &&
     (spec.requiredLabel === '' || labels.includes(spec.requiredLabel)) &&
-    (permitted === undefined || permitted.has(workerId))
+    (permitted === undefined || permitted.get(workerId) === incarnation)
 }
 
 function toAssignment (step: WaitingStep, { taskIndex, worker }: TaskPlacement): Assignment {
--- a/packages/batch/src/worker-registry.ts
+++ b/packages/batch/src/worker-registry.ts
@@ -137,11 +137,6 @@
     return this.#views.values()
   }
 
-  /** Current incarnation of each worker. */
-  incarnations (): ReadonlyMap<string, number> {
-    return new Map([...this.#views.values()].map(view => [view.latest.workerId, view.latest.incarnation]))
-  }
-
   /** Removes a worker that has gone. */
   remove (workerId: string): void {
     const view = this.#views.get(workerId)
@@ -187,14 +182,21 @@
     this.#health.update(worker.workerId, end)
   }
 
-  /** Workers to request tickets for: all responsive ones that could hold a task, also if they get no new runs now. */
-  adviceCandidates (step: WaitingStep): string[] {
-    const { job, spec } = step
-    return [...this.#views.values()]
-      .filter(view => this.isResponsive(view) && view.latest.service === job.service &&
-        couldHold(view.latest.capacity, spec) &&
-        (spec.requiredLabel === '' || view.latest.labels.includes(spec.requiredLabel)))
-      .map(view => view.latest.workerId)
+  /**
+   * Workers to request tickets for: all responsive ones that could hold a task, also if they get no new runs now. Those
+   * that may get new runs come first.
+   */
+  adviceCandidates ({ job, spec }: WaitingStep): WorkerIncarnation[] {
+    const candidates = [...this.#views.values()].filter(view => this.isResponsive(view) &&
+      view.latest.service === job.service && couldHold(view.latest.capacity, spec) &&
+      (spec.requiredLabel === '' || view.latest.labels.includes(spec.requiredLabel)))
+    const schedulable: WorkerIncarnation[] = []
+    const others: WorkerIncarnation[] = []
+    for (const view of candidates) {
+      const list = this.unschedulableReason(view) === undefined ? schedulable : others
+      list.push(incarnationOf(view.latest))
+    }
+    return [...schedulable, ...others]
   }
 
   /** Incarnations with runs whose leases have certainly expired. */
