Keep few requests to the advice service open, for the steps that come first

Every waiting step had a request open at once. The service answers the requests of one caller one after the other and refuses the 33rd, and a call that waits for 5 s in the queue of our HTTP client fails. With many waiting steps an urgent one thus came last, and calls failed that the service would have answered.

Change: four requests at most are open, those of the steps that come first in the scheduling order; two connections are used, so two calls wait for them. Ruled out: one request at a time, which leaves the service idle between the answer and the next pass.

Test: "few requests are open at once, those of the steps that come first" failed before (20 requests were open); 130 tests of packages/batch pass.

--- a/packages/batch/src/advice-tickets.ts
+++ b/packages/batch/src/advice-tickets.ts
@@ -37,6 +37,12 @@
  */
 const DENIAL_RETRY_MS = 10_000
 
+/**
+ * Most open requests of all steps. The service answers the requests of one caller one after the other, so more of them
+ * would only wait there, where a later step that is more urgent cannot overtake them.
+ */
+const MAX_OPEN_REQUESTS = 4
+
 /** Options of {@link TicketCache}. */
 export interface TicketCacheOptions {
   readonly clock: Clock
@@ -55,6 +61,7 @@
 export class TicketCache {
   readonly #options: TicketCacheOptions
   readonly #steps = new Map<string, StepAdvice>()
+  readonly #openRequests = new Set<string>()
 
   constructor (options: TicketCacheOptions) {
     this.#options = options
@@ -85,12 +92,14 @@
     const nowMs = this.#options.clock.monotonicMs()
     const step = this.#stepAdvice(key)
     if (step.requested !== undefined || nowMs < step.nextRequestAtMs) return []
+    if (this.#openRequests.size >= MAX_OPEN_REQUESTS) return []
     const chosen = chooseWorkers(step.answers, candidates(), nowMs).slice(0, this.#options.maxWorkersPerRequest)
     if (chosen.length === 0) {
       step.nextRequestAtMs = nowMs + REQUEST_INTERVAL_MS
       return []
     }
     step.requested = new Map(chosen.map(({ workerId, incarnation }) => [workerId, incarnation]))
+    this.#openRequests.add(key)
     return chosen.map(({ workerId }) => workerId)
   }
 
@@ -113,6 +122,7 @@
     }
   ): void {
     const { tickets, requestedAtMs, validMs } = answer
+    this.#openRequests.delete(key)
     const step = this.#steps.get(key)
     if (step?.requested === undefined) return
     const granted = new Map(tickets?.map(({ workerId, ticket }) => [workerId, ticket]))
--- a/packages/batch/test/advice.test.ts
+++ b/packages/batch/test/advice.test.ts
@@ -110,6 +110,15 @@
   t.deepEqual(fleet.asked.map(workerIds => [...workerIds].sort()), [['w0', 'w1', 'w2'], ['w1']])
 })
 
+// Guards against a backlog at the service, which answers one request after the other: urgent steps came last in it.
+test('few requests are open at once, those of the steps that come first', t => {
+  const fleet = new AdvisedFleet(2, ['w0', 'w1'])
+  for (let index = 0; index < 20; index++) fleet.fixture.submit(`j${index}`, [step({ taskCount: 1 })])
+  fleet.fixture.advance(100)
+  t.deepEqual(fleet.fixture.adviceRequests.map(({ stepKey }) => stepKey), ['j0.0.0', 'j1.0.0', 'j2.0.0', 'j3.0.0'])
+  t.is(fleet.settle().length, 2)
+})
+
 test('a failed request is repeated', t => {
   const fleet = new AdvisedFleet(1, ['w0'])
   fleet.fixture.submit('j1', [step({ taskCount: 1 })])
