Ask the advice service for a worker that joins within 100 ms

A step for which no worker was left to ask for was considered again after the 500 ms that follow a failed request, so that a worker that had just joined stood idle for that long. The two intervals have constants of their own now.

--- a/packages/batch/src/advice-tickets.ts
+++ b/packages/batch/src/advice-tickets.ts
@@ -28,8 +28,11 @@
 /** Validity that a ticket must have left to be considered in placement, since the start order takes time to arrive. */
 const TICKET_EXPIRY_MARGIN_MS = 400
 
-/** Time until a step is considered again after a failed request, or where no worker was left to ask for. */
-const REQUEST_INTERVAL_MS = 500
+/** Time until a failed request is repeated. */
+const RETRY_INTERVAL_MS = 500
+
+/** Time until a step is considered again for which no worker was left to ask for. */
+const CANDIDATE_CHECK_INTERVAL_MS = 100
 
 /**
  * Time after which workers that were denied are asked for again where no worker is permitted. The service does not
@@ -95,7 +98,7 @@
     if (this.#openRequests.size >= MAX_OPEN_REQUESTS) return []
     const chosen = chooseWorkers(step.answers, candidates(), nowMs).slice(0, this.#options.maxWorkersPerRequest)
     if (chosen.length === 0) {
-      step.nextRequestAtMs = nowMs + REQUEST_INTERVAL_MS
+      step.nextRequestAtMs = nowMs + CANDIDATE_CHECK_INTERVAL_MS
       return []
     }
     step.requested = new Map(chosen.map(({ workerId, incarnation }) => [workerId, incarnation]))
@@ -131,7 +134,7 @@
       step.answers.set(workerId, { incarnation, ticket, requestedAtMs, expiresAtMs: requestedAtMs + validMs })
     }
     step.requested = undefined
-    if (tickets === undefined) step.nextRequestAtMs = this.#options.clock.monotonicMs() + REQUEST_INTERVAL_MS
+    if (tickets === undefined) step.nextRequestAtMs = this.#options.clock.monotonicMs() + RETRY_INTERVAL_MS
   }
 
   /** Removes the steps of jobs that have ended. */
