Keep the policy of a removed queue for its open jobs

Cause: what a queue lays down for its jobs was looked up in the configuration in force, with a default where the queue was not in it: no limit of attempts, no advice policy, priority 9. Only the service of a job was kept.

The same cause on related paths, each with a test that failed first: - A gang with a silent member was presumed to have ended elsewhere though its last attempt may have failed there. - Steps of a queue with an advice policy were started without a ticket, which workers refuse again and again. - Jobs of priority 0 lost their guarantee, and their runs could be preempted for any urgent step.

Ruled out: ends that did not count (each was recorded, `failures` rose), and the change of `job.service`.

A queue that comes back counts as it is configured then. A job that an older version accepted and whose queue was removed before the update has no known queue and keeps the defaults; while an update is under way, replicas of the older version keep such a job open that newer ones end as failed.

--- a/packages/batch/src/batch-state.ts
+++ b/packages/batch/src/batch-state.ts
@@ -9,7 +9,8 @@
 } from './commands.js'
 import { assignmentKey } from './run-keys.js'
 import { PresumedEnds } from './presumed-ends.js'
-import { QueueDirectory, type QueueDocument } from './queues.js'
+import { QueueRegistry, type QueueRegistrySnapshot } from './queue-registry.js'
+import type { QueueConfiguration, QueueDirectory } from './queues.js'
 import { WorkerRecords, type WorkerRecord } from './worker-records.js'
 
 type CommandOf<K extends BatchCommand['kind']> = Extract<BatchCommand, { kind: K }>
@@ -26,8 +27,7 @@
  * The state in serialisable form. It shares its records with the state that it was taken from or is restored to, so it
  * is valid only until the next command is applied there.
  */
-export interface BatchSnapshot {
-  readonly document: QueueDocument | null
+export interface BatchSnapshot extends QueueRegistrySnapshot {
   readonly jobs: readonly JobRecord[]
   readonly workers: ReadonlyArray<readonly [string, WorkerRecord]>
   readonly waves: readonly WaveRecord[]
@@ -56,7 +56,7 @@
  */
 export class BatchState {
   readonly #endedJobRetentionMs: number
-  #directory: QueueDirectory | null = null
+  #queues = new QueueRegistry({ document: null })
   readonly #jobs = new Map<string, JobRecord>()
   readonly #openJobs = new Map<string, JobRecord>()
   /**
@@ -78,7 +78,7 @@
   /** Restores the state from a snapshot, whose records it takes over. */
   static restore (snapshot: BatchSnapshot, options: { readonly endedJobRetentionMs: number }): BatchState {
     const state = new BatchState(options)
-    state.#directory = snapshot.document === null ? null : new QueueDirectory(snapshot.document)
+    state.#queues = new QueueRegistry(snapshot)
     for (const job of snapshot.jobs) state.#restoreJob(job)
     state.#workers = new WorkerRecords(snapshot.workers)
     state.#presumedEnds = new PresumedEnds(snapshot.presumedEnded ?? [])
@@ -96,7 +96,7 @@
   /** Returns the state in serialisable form, for encoding before the next command is applied. */
   snapshot (): BatchSnapshot {
     return {
-      document: this.#directory?.document ?? null,
+      ...this.#queues.snapshot(),
       jobs: [...this.#jobs.values()],
       workers: this.#workers.entries(),
       waves: [...this.#waves.values()],
@@ -106,7 +106,15 @@
 
   /** Directory of the configuration in force, or null before the first one. */
   get directory (): QueueDirectory | null {
-    return this.#directory
+    return this.#queues.directory
+  }
+
+  /**
+   * Queue of a job, also where the configuration in force does not contain it any more. Undefined only for a job that
+   * an older version accepted and whose queue was removed before the update.
+   */
+  queueOf (job: JobRecord): QueueConfiguration | undefined {
+    return this.#queues.at(job.queueAddress)
   }
 
   /** An open job, or an ended one within its retention. */
@@ -202,16 +210,16 @@
   }
 
   #putConfiguration ({ document }: CommandOf<'put_configuration'>): CommandResult {
-    if (document.version <= (this.#directory?.document.version ?? -Infinity)) return { kind: 'unchanged' }
-    const directory = new QueueDirectory(document)
-    this.#directory = directory
-    for (const job of this.#openJobs.values()) job.service = directory.at(job.queueAddress)?.service ?? job.service
+    if (document.version <= (this.directory?.document.version ?? -Infinity)) return { kind: 'unchanged' }
+    const openJobs = [...this.#openJobs.values()]
+    this.#queues.replace(document, openJobs.map(job => job.queueAddress))
+    for (const job of openJobs) job.service = this.queueOf(job)?.service ?? job.service
     return { kind: 'applied' }
   }
 
   #submit ({ spec, queueAddress, organisation, acceptedWallMs }: CommandOf<'submit_job'>): CommandResult {
     if (this.#jobs.has(spec.jobId)) return { kind: 'unchanged' }
-    const service = this.#directory?.at(queueAddress)?.service ?? ''
+    const service = this.#queues.at(queueAddress)?.service ?? ''
     const job = createJobRecord({ spec, queueAddress, organisation, acceptedWallMs, service })
     this.#jobs.set(spec.jobId, job)
     this.#openJobs.set(spec.jobId, job)
@@ -288,7 +296,7 @@
     if (stepSpec.isGang && run <= step.lastFailedRun) return
     step.lastFailedRun = Math.max(step.lastFailedRun, run)
     for (const member of stepSpec.isGang ? step.tasks : [task]) member.failures++
-    const maxAttempts = this.#directory?.at(job.queueAddress)?.maxAttempts ?? Infinity
+    const maxAttempts = this.queueOf(job)?.maxAttempts ?? Infinity
     if (task.failures >= maxAttempts && !task.isDone) this.#endJob(job, 'failed', logTimeMs)
   }
 
--- a/packages/batch/src/broken-gangs.ts
+++ b/packages/batch/src/broken-gangs.ts
@@ -44,7 +44,7 @@
 
   /** The end that is not reported yet may be a failure, which must not have been the last attempt. */
   #mayStartAgain ({ job, task }: TaskContext): boolean {
-    const maxAttempts = this.#state.directory?.at(job.queueAddress)?.maxAttempts ?? Infinity
+    const maxAttempts = this.#state.queueOf(job)?.maxAttempts ?? Infinity
     return task.failures + 1 < maxAttempts
   }
 }
--- a/packages/batch/src/guarantee-coverage.ts
+++ b/packages/batch/src/guarantee-coverage.ts
@@ -31,7 +31,7 @@
   }
 
   #isUrgent (job: JobRecord): boolean {
-    return this.#state.directory?.at(job.queueAddress)?.priority === 0
+    return this.#state.queueOf(job)?.priority === 0
   }
 }
 
--- a/packages/batch/src/leader.ts
+++ b/packages/batch/src/leader.ts
@@ -274,7 +274,7 @@
 
   #handleAdvice ({ stepKey: key, tickets, requestedAtMs }: Extract<LeaderEvent, { kind: 'advice' }>): void {
     const job = this.#options.state.job(jobIdOf(key))
-    const queue = job === undefined ? undefined : this.#options.state.directory?.at(job.queueAddress)
+    const queue = job === undefined ? undefined : this.#options.state.queueOf(job)
     const validMs = queue?.advice?.ticketValidMs ?? 0
     this.#options.log.info('advice answered', { stepKey: key, granted: tickets?.length ?? null })
     this.#tickets.completeRequest(key, { tickets, requestedAtMs, validMs })
--- a/packages/batch/src/order-planner.ts
+++ b/packages/batch/src/order-planner.ts
@@ -161,7 +161,7 @@
     const order = {
       taskKey: assignment.taskKey, run: assignment.run, payload: job.spec.payload, checkpoint: task.checkpoint
     }
-    if (state.directory?.at(job.queueAddress)?.advice === undefined) return order
+    if (state.queueOf(job)?.advice === undefined) return order
     const key = stepKeyOf(assignment.taskKey)
     const ticket = tickets.ticketFor(key, assignment)
     if (ticket !== undefined) return { ...order, ticket }
--- a/packages/batch/src/waiting-steps.ts
+++ b/packages/batch/src/waiting-steps.ts
@@ -41,7 +41,7 @@
 }
 
 /**
- * Priority at which such steps wait whose queue is not in the configuration in force. Their active runs have no
+ * Priority at which steps wait whose queue is not known, see {@link BatchState.queueOf}. Their active runs have no
  * priority and so can be preempted for any urgent step.
  */
 const MISSING_QUEUE_PRIORITY = 9
@@ -60,7 +60,7 @@
   const latestDueMs = nowWallMs - settings.dueMarginMs
   const guarantees = new GuaranteeCoverage(state)
   for (const job of state.openJobs()) {
-    const queue = state.directory?.at(job.queueAddress)
+    const queue = state.queueOf(job)
     const isGuaranteed = guarantees.covers(job)
     job.occurrences.forEach((record, occurrence) => {
       if (occurrenceDueMs(job.spec, occurrence) > latestDueMs) return
--- a/packages/batch/src/worker-capacity.ts
+++ b/packages/batch/src/worker-capacity.ts
@@ -191,7 +191,7 @@
     const context = state.findTask(assignment.taskKey)
     if (context === undefined) continue
     const { job, stepSpec: spec } = context
-    const priority = state.directory?.at(job.queueAddress)?.priority ?? Infinity
+    const priority = state.queueOf(job)?.priority ?? Infinity
     const elapsedMs = view.elapsedMs(assignment.taskKey, assignment.run, nowMs) ?? 0
     const isBeingStopped = isStopping(assignment)
     const remainingMs = isBeingStopped ? EXPECTED_STOP_MS : estimateRemainingMs(view, assignment, spec, nowMs)
