Refuse a job while a configuration without its queue is being committed

A job that was proposed after such a configuration was committed after it. It was acknowledged, but belonged to no service, so it never ran.

Cause: a submission is checked against the configuration in force, and commands that are proposed but not applied yet were not considered.

Change: the leader refuses such a job as not executed, to be sent again later. Ruled out: a check when the command is applied, since replicas of an older version would accept what newer ones refuse.

--- a/packages/batch/src/operation-handler.ts
+++ b/packages/batch/src/operation-handler.ts
@@ -5,7 +5,7 @@
 import { visibleState } from './job-record.js'
 import { isValidJobId, MAX_JOB_ID_LENGTH, validateJob, type JobSpec, type StepSpec } from './jobs.js'
 import type { BatchOperation, BatchResult, QueueRequest } from './operations.js'
-import { queueAddress, validateDocument, type QueueConfiguration } from './queues.js'
+import { queueAddress, QueueDirectory, validateDocument, type QueueConfiguration } from './queues.js'
 import type { WorkerRegistry } from './worker-registry.js'
 
 /** Outcome of a proposed command. */
@@ -40,6 +40,8 @@
 /** Handles the operations that reach the leader. */
 export class OperationHandler {
   readonly #options: OperationHandlerOptions
+  /** Configurations that are proposed and not settled yet. */
+  readonly #proposedDirectories = new Set<QueueDirectory>()
 
   constructor (options: OperationHandlerOptions) {
     this.#options = options
@@ -66,6 +68,7 @@
     if (this.#options.state.job(jobId) !== undefined) return this.#accept(requestId)
     const valid = validateJob(fields)
     if (!valid.ok) return this.#refuse(requestId, valid.failure)
+    if (this.#isBeingRemoved(queue)) return this.#refuse(requestId, queueIsBeingRemoved(queue))
     const spec = { ...fields, jobId }
     this.#options.propose({
       kind: 'submit_job',
@@ -86,6 +89,11 @@
     })
   }
 
+  /** A job that is committed after the configuration that removes its queue would never run. */
+  #isBeingRemoved (queue: QueueConfiguration): boolean {
+    return [...this.#proposedDirectories].some(directory => directory.at(queueAddress(queue)) === undefined)
+  }
+
   #cancel (requestId: string, request: QueueRequest): void {
     const resolved = this.#resolve(request)
     if ('kind' in resolved) return this.#refuse(requestId, resolved)
@@ -138,7 +146,10 @@
     if (!valid.ok) return this.#refuse(requestId, valid.failure)
     const { directory } = this.#options.state
     if (directory !== null && document.version <= directory.document.version) return this.#accept(requestId)
+    const proposed = new QueueDirectory(document)
+    this.#proposedDirectories.add(proposed)
     this.#options.propose({ kind: 'put_configuration', document }, outcome => {
+      this.#proposedDirectories.delete(proposed)
       this.#options.log.info('configuration proposal settled', { version: document.version, outcome: outcome.kind })
       this.#answerProposal(requestId, outcome)
     })
@@ -200,6 +211,11 @@
   return { kind: 'invalid_request', detail }
 }
 
+function queueIsBeingRemoved ({ name }: QueueConfiguration): Failure {
+  const detail = `a configuration without the queue ${name} is being committed`
+  return { kind: 'control_unavailable', detail }
+}
+
 function unknownJob (jobId: string): Failure {
   return { kind: 'unknown_job', detail: `job ${jobId} is not known` }
 }
--- a/packages/batch/test/removed-queue.test.ts
+++ b/packages/batch/test/removed-queue.test.ts
@@ -115,3 +115,16 @@
   }
   t.deepEqual([...stopped], ['lent.0.0.0'])
 })
+
+// Guards against a job that was accepted while its queue was being removed, and then never ran.
+test('a job is refused while a configuration without its queue is being committed', t => {
+  const fixture = new LeaderFixture(document(1, [queue(), OTHER_QUEUE]))
+  fixture.isCommitting = false
+  removeQueue(fixture)
+  const late = fixture.submit('late', [step()])
+  t.like(late, { ok: false, failure: { kind: 'control_unavailable' } })
+  fixture.submit('other', [step()], '/other/')
+  t.is(fixture.commitNext()?.command.kind, 'put_configuration')
+  t.is(fixture.commitNext()?.command.kind, 'submit_job')
+  t.like(fixture.submit('later', [step()]), { ok: false, failure: { kind: 'unknown_queue' } })
+})
