Refuse a command that cannot be stored, instead of ending the process

Cause: a command was appended to the log in memory before it was encoded. The error of the encoder then arrived where only failures of the disk were expected, and after one of these a process must end.

Change: `ReplicatedStateMachine.propose` refuses a command that is not plain data before it reaches the log. The refusal is certain, logged with the path of the value, and counted as `not_storable`; the leader stays in office. An encoder's error in the log itself is `not_encodable`, and a record whose checksum is right but which cannot be decoded is named by file and offset.

Ruled out: encoding each command once more before it is appended, which costs as much again as the write.

--- a/packages/batch-node/src/batch-service.ts
+++ b/packages/batch-node/src/batch-service.ts
@@ -39,8 +39,8 @@
   readonly send: (nodeId: string, message: BatchMessage) => boolean
   /** Called when this node learns of the leader of a term; of itself once it serves as the leader. */
   readonly onLeader: (leader: KnownLeader) => void
-  /** Called when the log could not be written. */
-  readonly storageFailed: (error: unknown) => void
+  /** Called when the storage or the replica failed; the process must exit without acknowledging anything more. */
+  readonly failed: (error: unknown) => void
 }
 
 /** The leader of a term. */
@@ -190,7 +190,7 @@
   #performEffect (effect: LeaderEffect): void {
     switch (effect.kind) {
       case 'propose':
-        this.#replicatedStateMachine.step({ kind: 'propose', proposalId: effect.proposalId, command: effect.command })
+        this.#replicatedStateMachine.propose(effect.proposalId, effect.command)
         break
       case 'reply':
         this.#respond(effect.requestId, { kind: 'result', result: effect.result })
--- a/packages/batch-node/test/cluster.ts
+++ b/packages/batch-node/test/cluster.ts
@@ -109,7 +109,7 @@
       log: new NullEventLog(),
       advice: new NullAdvicePort(),
       vms: new NullVmPort(),
-      storageFailed: error => { throw error }
+      failed: error => { throw error }
     })
     await node.start()
     this.#nodes.set(address.nodeId, node)
--- a/packages/node/src/adapters.ts
+++ b/packages/node/src/adapters.ts
@@ -2,7 +2,7 @@
 export { readOrCreateDiskId } from './disk-id.js'
 export { FullDiskRetry } from './full-disk-retry.js'
 export { FileLog } from './file-log.js'
-export { OsLogFileSystem, isDiskFullError, type LogFileSystem } from './log-files.js'
+export { FileLogError, OsLogFileSystem, isDiskFullError, type LogFileSystem } from './log-files.js'
 export { PeerLinks, type PeerAddress } from './peer-links.js'
 export type { LinkMessage } from './peer-messages.js'
 export { ReplicaRunner } from './replica-runner.js'
--- a/packages/node/src/control-service.ts
+++ b/packages/node/src/control-service.ts
@@ -49,7 +49,7 @@
   readonly send: (nodeId: string, message: PeerMessage) => boolean
   /** Delivers a feed to this node's own configuration copy. */
   readonly deliverFeedLocally: (feed: Feed) => void
-  readonly storageFailed: (error: unknown) => void
+  readonly failed: (error: unknown) => void
 }
 
 /** Runs the consensus replica and the control state machine of a control node. */
@@ -231,7 +231,7 @@
   #executeEffect (effect: ControlEffect): void {
     switch (effect.kind) {
       case 'propose':
-        this.#replicatedStateMachine.step({ kind: 'propose', proposalId: effect.proposalId, command: effect.command })
+        this.#replicatedStateMachine.propose(effect.proposalId, effect.command)
         break
       case 'send_orders':
         this.#sendOrders(effect)
--- a/packages/node/src/disk-id.ts
+++ b/packages/node/src/disk-id.ts
@@ -29,7 +29,7 @@
 
 async function createDiskId (folder: string, diskId: string, fileSystem: LogFileSystem): Promise<string> {
   const path = join(folder, DISK_ID_FILE_NAME)
-  await writeAndSync(fileSystem, path + TEMPORARY_SUFFIX, encodeRecord({ diskId }))
+  await writeAndSync(fileSystem, path + TEMPORARY_SUFFIX, encodeRecord({ diskId }, path))
   await withFileLogError('write_failed', path, 0, async () => await fileSystem.rename(path + TEMPORARY_SUFFIX, path))
   await withFileLogError('sync_failed', folder, 0, async () => await fileSystem.syncFolder(folder))
   return diskId
--- a/packages/node/src/file-log.ts
+++ b/packages/node/src/file-log.ts
@@ -208,7 +208,7 @@
 
   async #writeTemporarySnapshot (snapshot: Snapshot): Promise<string> {
     const path = join(this.#folder, `snapshot-${this.#temporaryFileNumber++}${TEMPORARY_SUFFIX}`)
-    await writeAndSync(this.#fileSystem, path, encodeRecord(snapshot))
+    await writeAndSync(this.#fileSystem, path, encodeRecord(snapshot, path))
     return path
   }
 
@@ -235,8 +235,8 @@
     const segment = this.#segments.at(-1)
     const file = this.#file
     if (segment === undefined || file === null) throw new FileLogError('closed', this.#folder, 0)
-    const record = encodeRecord(body)
     const { path, sizeBytes } = segment
+    const record = encodeRecord(body, path)
     await withFileLogError('write_failed', path, sizeBytes, async () => await file.write(record, sizeBytes))
     await withFileLogError('sync_failed', path, sizeBytes, async () => await file.sync())
     segment.sizeBytes += record.byteLength
--- a/packages/node/src/log-files.ts
+++ b/packages/node/src/log-files.ts
@@ -16,6 +16,8 @@
   | 'sync_failed'
   | 'write_failed'
   | 'read_failed'
+  /** A value that the encoding does not know; a fault of the caller, not of the disk. */
+  | 'not_encodable'
   /** A write after `close`, which is not a fault. */
   | 'closed'
 
--- a/packages/node/src/log-records.ts
+++ b/packages/node/src/log-records.ts
@@ -22,9 +22,9 @@
   readonly entries: ReadonlyArray<LogEntry<Command>>
 }
 
-/** Encodes a value as one record. */
-export function encodeRecord (value: unknown): Uint8Array {
-  const body = encode(value)
+/** Encodes a value as one record; `path` is the file that it is for. */
+export function encodeRecord (value: unknown, path: string): Uint8Array {
+  const body = encodeBody(value, path)
   const record = Buffer.alloc(HEADER_BYTES + body.byteLength)
   record.writeUInt32BE(body.byteLength, 0)
   record.writeUInt32BE(crc32(body), 4)
@@ -33,6 +33,14 @@
   return record
 }
 
+function encodeBody (value: unknown, path: string): Uint8Array {
+  try {
+    return encode(value)
+  } catch (cause) {
+    throw new FileLogError('not_encodable', path, 0, cause)
+  }
+}
+
 /** Result of checking a record; `torn` if it is incomplete or invalid and no other record follows. */
 type RecordCheck = { readonly kind: 'valid', readonly endOffset: number } | { readonly kind: 'torn' | 'damaged' }
 
@@ -76,8 +84,17 @@
     const check = checkRecord(bytes, offset)
     if (check.kind === 'torn' && isLastFile) return { bodies, validBytes: offset, isTorn: true }
     if (check.kind !== 'valid') throw new FileLogError('damaged_record', path, offset)
-    bodies.push(decode(bytes.subarray(offset + HEADER_BYTES, check.endOffset)))
+    bodies.push(decodeBody<T>(bytes.subarray(offset + HEADER_BYTES, check.endOffset), path, offset))
     offset = check.endOffset
   }
   return { bodies, validBytes: offset, isTorn: false }
 }
+
+/** The checksum of the record is right, so a body that cannot be decoded was written that way. */
+function decodeBody<T> (body: Uint8Array, path: string, offset: number): T {
+  try {
+    return decode(body)
+  } catch (cause) {
+    throw new FileLogError('damaged_record', path, offset, cause)
+  }
+}
--- a/packages/node/src/main.ts
+++ b/packages/node/src/main.ts
@@ -7,12 +7,13 @@
 import { defaultReplicaSettings } from '@comfreygrade/consensus'
 import { defaultPlacementSettings } from '@comfreygrade/placement'
 import { defaultRoutingSettings } from '@comfreygrade/routing'
+import { FileLogError } from './log-files.js'
 import { startNode } from './start-node.js'
 import { readSettings, type Settings } from './settings.js'
 
 /** Exit code for invalid usage or invalid settings. */
 const EXIT_INVALID_SETTINGS = 2
-/** Exit code for a storage failure or a failed start. */
+/** Exit code for a failed start, and for a failure of the storage or the replica. */
 const EXIT_FAILURE = 1
 
 const cli = meow(`
@@ -56,7 +57,8 @@
   // meow sets the title to the package name, which is the same for all nodes on one machine.
   process.title = `comfreygrade-node ${settings.node.nodeId}`
   const node = await startNode(settings, error => {
-    console.error(JSON.stringify({ event: 'storage_failed', detail: String(error) }))
+    const event = error instanceof FileLogError ? 'storage_failed' : 'replica_failed'
+    console.error(JSON.stringify({ event, detail: String(error) }))
     process.exit(EXIT_FAILURE)
   })
   const stop = (): void => {
--- a/packages/node/src/replica-host.ts
+++ b/packages/node/src/replica-host.ts
@@ -1,9 +1,10 @@
 /** Runs a state machine on a replicated log: applies committed entries, takes snapshots, follows the replica's role. */
 import type { Clock, EventLog, Metrics, Random } from '@comfreygrade/core'
 import {
-  Replica, type EntryBody, type LogStorage, type RecoveredLog, type ReplicaEffect, type ReplicaSettings, type Snapshot,
-  type VoterId
+  Replica, type EntryBody, type LogStorage, type RecoveredLog, type ReplicaEffect,
+  type ReplicaSettings, type Snapshot, type VoterId
 } from '@comfreygrade/consensus'
+import { findNonPlainValue } from './plain-data.js'
 import { ReplicaRunner } from './replica-runner.js'
 
 type EffectOf<Command, K extends ReplicaEffect<Command>['kind']> = Extract<ReplicaEffect<Command>, { kind: K }>
@@ -36,7 +37,8 @@
   readonly metrics: Metrics
   readonly log: EventLog
   readonly send: (effect: EffectOf<Command, 'send'>) => void
-  readonly storageFailed: (error: unknown) => void
+  /** The storage or the replica failed; the process must exit without acknowledging anything more. */
+  readonly failed: (error: unknown) => void
 }
 
 /** Adds a state machine, snapshots and leadership to a replica that a {@link ReplicaRunner} drives. */
@@ -71,16 +73,16 @@
 
   /** Bootstraps the log on an empty disk with the first voter set and starts the replica. */
   bootstrap (voters: readonly VoterId[]): void {
-    const { storage, storageFailed } = this.#options
+    const { storage, failed } = this.#options
     const initial = Replica.initialLog<Command>(voters)
     const { hardState, entries } = initial
     this.#hasStartedBootstrap = true
-    storage.persist({ kind: 'persist', persistId: 0, hardState, entries }).then(() => { this.start(initial) }, storageFailed)
+    storage.persist({ kind: 'persist', persistId: 0, hardState, entries }).then(() => { this.start(initial) }, failed)
   }
 
   /** Starts the replica from the recovered log. */
   start (recovered: RecoveredLog<Command>): void {
-    const { self, replicaSettings, random, clock, storage, storageFailed } = this.#options
+    const { self, replicaSettings, random, clock, storage, failed } = this.#options
     // Log time is the leader's time in the entries, which never decreases: the first leader takes wall time as its
     // origin, and later leaders continue from the log.
     const originLogTimeMs = Math.floor(clock.wallMs())
@@ -91,7 +93,7 @@
       restore: effect => { this.#restore(effect.snapshot) },
       roleChanged: effect => { this.#roleChanged(effect) },
       proposalRejected: effect => { this.#proposalRejected(effect) },
-      storageFailed
+      failed
     })
     this.#runner.step({ kind: 'tick' })
   }
@@ -101,6 +103,18 @@
     this.#runner?.step(event)
   }
 
+  /**
+   * Proposes a command. One that is not plain data is refused before it reaches the log: it could not be stored or
+   * sent, and all entries after it would wait for it.
+   */
+  propose (proposalId: string, command: Command): void {
+    const found = findNonPlainValue(command)
+    if (found === undefined) return this.step({ kind: 'propose', proposalId, command })
+    this.#options.log.warn('command refused, since it cannot be stored', { command: kindOf(command), ...found })
+    this.#options.metrics.increment('consensus.proposal_rejected', { reason: 'not_storable' })
+    this.#options.stateMachine.proposalRejected(proposalId, true)
+  }
+
   /** Stops the replica and closes the storage. */
   async stop (): Promise<void> {
     this.#runner?.stop()
@@ -175,7 +189,12 @@
         this.#isSnapshotInProgress = false
         runner.step({ kind: 'snapshot_saved', snapshot })
       },
-      (error: unknown) => { this.#options.storageFailed(error) }
+      (error: unknown) => { this.#options.failed(error) }
     )
   }
 }
+
+/** The kind of a command, for the log. */
+function kindOf (command: unknown): string {
+  return typeof command === 'object' && command !== null && 'kind' in command ? String(command.kind) : typeof command
+}
--- a/packages/node/src/replica-runner.ts
+++ b/packages/node/src/replica-runner.ts
@@ -9,8 +9,8 @@
   readonly restore: (effect: Extract<ReplicaEffect<Command>, { kind: 'restore' }>) => void
   readonly roleChanged: (effect: Extract<ReplicaEffect<Command>, { kind: 'role_changed' }>) => void
   readonly proposalRejected: (effect: Extract<ReplicaEffect<Command>, { kind: 'proposal_rejected' }>) => void
-  /** The storage failed; the process must exit without acknowledging anything more. */
-  readonly storageFailed: (error: unknown) => void
+  /** The storage or the replica failed; the process must exit without acknowledging anything more. */
+  readonly failed: (error: unknown) => void
 }
 
 /**
@@ -73,7 +73,7 @@
   #persist (effect: Extract<ReplicaEffect<Command>, { kind: 'persist' }>): void {
     this.#storage.persist(effect).then(
       () => { this.step({ kind: 'persisted', persistId: effect.persistId }) },
-      (error: unknown) => { this.#handlers.storageFailed(error) }
+      (error: unknown) => { this.#handlers.failed(error) }
     )
   }
 
--- a/packages/node/src/start-node.ts
+++ b/packages/node/src/start-node.ts
@@ -42,9 +42,9 @@
 /**
  * Starts a node from validated settings.
  *
- * @param storageFailed called when the storage fails; the process must then exit
+ * @param failed called when the storage or the replica fails; the process must then exit
  */
-export async function startNode (settings: Settings, storageFailed: (error: unknown) => void): Promise<Node> {
+export async function startNode (settings: Settings, failed: (error: unknown) => void): Promise<Node> {
   const { nodeId } = settings.node
   const adapters = {
     clock: new SystemClock(),
@@ -56,7 +56,7 @@
     settings,
     routingSettings: mergeOverrides(defaultRoutingSettings, settings.routing),
     ...adapters,
-    createControl: await prepareControlFactory(settings, adapters, storageFailed)
+    createControl: await prepareControlFactory(settings, adapters, failed)
   })
   await node.start()
   return node
@@ -66,7 +66,7 @@
 async function prepareControlFactory (
   settings: Settings,
   adapters: Adapters,
-  storageFailed: (error: unknown) => void
+  failed: (error: unknown) => void
 ): Promise<ControlFactory | undefined> {
   const { node, peers, timing, storage } = settings
   if (!node.roles.includes('control') || node.dataFolder === undefined) return undefined
@@ -93,6 +93,6 @@
     workerClient: new WorkerClient(timing.orderTimeoutMs),
     ...adapters,
     ...connections,
-    storageFailed
+    failed
   })
 }
