Skip a committed command that cannot be applied, and end on an unsure replica

An exception in the state machine or the replica took its process down without a named reason or, where something caught it, left the replica deaf: the runner stayed in the middle of an event and only queued all further ones.

Cause: neither the loop of the runner nor the application of entries expected an exception. A committed command at which the state machine throws would have ended every process, and again at each start.

Change: such a command is skipped, named in the log and counted; its caller gets `outcome_unknown`. All replicas skip it alike, since they apply the same commands to the same state.

Ruled out: ending at such a command as at a damaged record. The record is sound on every disk, so all control nodes would end together.

Tests: "a command that the state machine cannot apply is skipped, also after a restart, and named in the log" and "an error that depends on the process stops the replica before it handles anything else" fail on the commit before.

--- a/packages/node/src/replica-host.ts
+++ b/packages/node/src/replica-host.ts
@@ -1,7 +1,7 @@
 /** Runs a state machine on a replicated log: applies committed entries, takes snapshots, follows the replica's role. */
 import type { Clock, EventLog, Metrics, Random } from '@comfreygrade/core'
 import {
-  Replica, type EntryBody, type LogStorage, type RecoveredLog, type ReplicaEffect,
+  Replica, type EntryBody, type LogEntry, type LogStorage, type RecoveredLog, type ReplicaEffect,
   type ReplicaSettings, type Snapshot, type VoterId
 } from '@comfreygrade/consensus'
 import { findNonPlainValue } from './plain-data.js'
@@ -127,14 +127,31 @@
       if (entry.body.kind === 'voters') this.#logCommittedVoters(entry.body)
       this.#appliedIndex = entry.index
       this.#appliedTerm = entry.term
-      if (entry.body.kind !== 'command') continue
-      const { proposalId, command } = entry.body
-      this.#options.stateMachine.apply(command, proposalId, entry.index, entry.logTimeMs)
+      if (entry.body.kind === 'command') this.#applyCommand(entry, entry.body)
     }
     this.#startLeadershipIfCurrent()
     this.#takeSnapshotIfDue(effect)
   }
 
+  /**
+   * A command at which the state machine throws is skipped. All replicas skip it alike, since they apply the same
+   * commands to the same state; ending would take down every process at this entry, and again at each start.
+   */
+  #applyCommand (
+    { index, logTimeMs }: LogEntry<Command>, { command, proposalId }: Extract<EntryBody<Command>, { kind: 'command' }>
+  ): void {
+    const { stateMachine, log, metrics } = this.#options
+    try {
+      stateMachine.apply(command, proposalId, index, logTimeMs)
+    } catch (error) {
+      // Whether stack and memory suffice depends on the process, so other replicas may have applied the command.
+      if (error instanceof RangeError) throw error
+      metrics.increment('consensus.command_failed')
+      log.warn('command skipped, since it could not be applied', { index, command: kindOf(command), detail: String(error) })
+      stateMachine.proposalRejected(proposalId, false)
+    }
+  }
+
   #logCommittedVoters ({ voters, outgoingVoters }: Extract<EntryBody<Command>, { kind: 'voters' }>): void {
     if (outgoingVoters.length > 0) return
     this.#options.log.info('voter set in force', { voters: voters.map(voter => `${voter.nodeId}/${voter.diskId}`) })
--- a/packages/node/src/replica-runner.ts
+++ b/packages/node/src/replica-runner.ts
@@ -39,18 +39,30 @@
     this.#handlers = handlers
   }
 
-  /** Handles an event; events raised by its effects are queued and handled afterwards. */
+  /**
+   * Handles an event; events raised by its effects are queued and handled afterwards. After an exception the state of
+   * the replica is not known, so it handles nothing more.
+   */
   step (event: ReplicaEvent<Command>): void {
     if (this.#isStopped) return
     this.#queue.push(event)
     if (this.#isHandlingEvents) return
     this.#isHandlingEvents = true
+    try {
+      this.#handleQueuedEvents()
+    } catch (error) {
+      this.stop()
+      this.#handlers.failed(error)
+    }
+    this.#isHandlingEvents = false
+    this.#scheduleTick()
+  }
+
+  #handleQueuedEvents (): void {
     for (let next = this.#queue.shift(); next !== undefined; next = this.#queue.shift()) {
       const effects = this.replica.step(next, this.#clock.monotonicMs())
       for (const effect of effects) this.#executeEffect(effect)
     }
-    this.#isHandlingEvents = false
-    this.#scheduleTick()
   }
 
   /** Stops the timer and ignores all further events. */
--- a/packages/node/test/replica-host.test.ts
+++ b/packages/node/test/replica-host.test.ts
@@ -99,3 +99,31 @@
   t.deepEqual(log.warnings.map(({ fields }) => fields), [{ command: 'x', path: 'value.reason', problem: 'function' }])
   await host.stop()
 })
+
+// Guards against a command at which every process ends, and again at each start.
+test('a command that the state machine cannot apply is skipped, also after a restart, and named in the log', async t => {
+  const first = await startLeader(t)
+  first.host.propose('p1', { kind: 'unsound' })
+  first.host.propose('p2', { kind: 'y' })
+  await until(() => first.machine.applied.length === 2)
+  t.deepEqual(first.machine.rejected, [{ proposalId: 'p1', isNeverApplied: false }])
+  t.deepEqual(first.failures, [])
+  await first.host.stop()
+  const second = await startLeader(t, first.folder)
+  t.deepEqual(second.machine.applied, ['unsound', 'y'])
+  t.deepEqual(second.failures, [])
+  t.like(second.log.warnings[0], { fields: { command: 'unsound', detail: 'TypeError: the command names no job' } })
+  t.is(second.metrics.snapshot()['consensus.command_failed'], 1)
+  await second.host.stop()
+})
+
+// Guards against replicas whose states differ: whether the stack is exhausted depends on the process, not the command.
+test('an error that depends on the process stops the replica before it handles anything else', async t => {
+  const { host, machine, failures } = await startLeader(t)
+  host.propose('p1', { kind: 'endless' })
+  host.propose('p2', { kind: 'y' })
+  await until(() => failures.length > 0)
+  t.deepEqual(machine.applied, ['endless'])
+  t.like(failures[0], { message: 'Maximum call stack size exceeded' })
+  await host.stop()
+})
