Refuse odd values in heartbeats, jobs, configurations and settings by name

A negative or huge capacity, a port out of range, oversized texts and half of a surrogate pair were taken from a heartbeat; an estimate of 1e308 ms made the objective of a job infinite, and with it the order of all steps undefined; a port of the settings that cannot exist ended the process with a stack trace. One entry of another type in the list of a worker's runs rejected the whole heartbeat, again and again, so that the leases of its other runs ended.

Cause: the schemas had types but hardly any limits, and a list was valid only as a whole. The reason for a rejected heartbeat was not logged.

Change: limits for numbers and texts that sound senders keep, each refusal with the name of the field. An entry of a list of runs or ends that cannot be read is left out, logged and counted; the others hold. "A heartbeat with malformed runs is rejected" is replaced by "a malformed entry of a list is left out and counted, and the others hold": rejecting it gave up work that ran.

--- a/packages/batch/src/jobs.ts
+++ b/packages/batch/src/jobs.ts
@@ -99,6 +99,10 @@
 export const MAX_TASKS_PER_OCCURRENCE = 20_000
 /** Most occurrences of a job. */
 export const MAX_OCCURRENCES = 10_000
+/** Longest estimate of a task's run time: some four months. Sums and multiples of estimates stay exact numbers. */
+export const MAX_ESTIMATE_MS = 1e10
+/** Latest Unix time that a date can have. */
+const MAX_UNIX_MS = 8.64e15
 
 /**
  * Checks a job against the limits, which keep one job from using up the memory or the time of the leader, and its
@@ -125,7 +129,13 @@
     return `the job has ${taskCount} tasks, the limit is ${MAX_TASKS_PER_OCCURRENCE}`
   }
   if (occurrences > MAX_OCCURRENCES) return `the job has ${occurrences} occurrences, the limit is ${MAX_OCCURRENCES}`
-  return undefined
+  const estimateMs = Math.max(...steps.map(step => step.estimateMs))
+  if (!(estimateMs <= MAX_ESTIMATE_MS)) return `a step has an estimate of ${estimateMs} ms, the limit is ${MAX_ESTIMATE_MS}`
+  return schedule === undefined || isWithinDates(schedule) ? undefined : 'the schedule reaches beyond the dates'
+}
+
+function isWithinDates ({ firstDueMs, intervalMs, occurrences }: JobSchedule): boolean {
+  return Math.abs(firstDueMs) <= MAX_UNIX_MS && Math.abs(firstDueMs + intervalMs * occurrences) <= MAX_UNIX_MS
 }
 
 function findLaterDependency (steps: readonly StepSpec[]): string | undefined {
--- a/packages/batch/src/report-handler.ts
+++ b/packages/batch/src/report-handler.ts
@@ -71,6 +71,7 @@
     }
     const { view } = outcome
     if (!wasResponsive) this.#options.requestPass()
+    this.#countMalformedEntries(report)
     this.#checkLease(view)
     if (view.leaseStatus !== 'uncertain' && view.hasSecondReport) this.#proposeEnds(report)
     this.#releaseAbsentRuns(view)
@@ -80,6 +81,12 @@
     this.#releaseCompleteGangs(report.workerId)
   }
 
+  #countMalformedEntries ({ workerId, sequence, malformedEntryCount }: WorkerReport): void {
+    if (malformedEntryCount === undefined) return
+    this.#options.metrics.increment('worker.entry_ignored', {}, malformedEntryCount)
+    this.#options.log.info('malformed entries of a heartbeat ignored', { workerId, sequence, malformedEntryCount })
+  }
+
   #holdMs (view: WorkerView, nowMs: number): number {
     const { workerId } = view.latest
     if (this.hasCommandsInFlight(workerId)) return 0
--- a/packages/batch/src/worker-messages.ts
+++ b/packages/batch/src/worker-messages.ts
@@ -40,6 +40,8 @@
   readonly coldRemainingMs: number
   readonly running: readonly RunningTask[]
   readonly ends: readonly RunEnd[]
+  /** Number of entries of the two lists that could not be read and are left out; absent for none. */
+  readonly malformedEntryCount?: number
 }
 
 /** A run to start. */
--- a/packages/node/src/plain-data.ts
+++ b/packages/node/src/plain-data.ts
@@ -10,8 +10,6 @@
 /** Deeper values would let the recursion of encoders exhaust the stack. */
 const MAX_DEPTH = 64
 
-const LONE_SURROGATE = /\p{Surrogate}/u
-
 /**
  * Returns the first part of a value that is not plain data; undefined where all of it is. Plain data are texts of
  * well-formed Unicode, numbers, booleans, null, undefined, byte arrays, and arrays and objects of plain data.
@@ -37,7 +35,7 @@
 /** What is wrong with a value, apart from its fields. */
 function problemOf (value: unknown, depth: number): string | undefined {
   switch (typeof value) {
-    case 'string': return LONE_SURROGATE.test(value) ? 'text that is not well-formed' : undefined
+    case 'string': return value.isWellFormed() ? undefined : 'text that is not well-formed'
     case 'object': break
     case 'number': case 'boolean': case 'undefined': return undefined
     default: return typeof value
