Ignore reports that the worker they name cannot have sent

One heartbeat of another writer under the ID of a worker in use could give up all work of that worker: after a sequence number, a start or a clock far ahead each heartbeat of the worker itself counted as an old one, its leases ended, and its runs were started elsewhere. An end with a huge number made all later ends count as recorded already. A heartbeat with another service took the worker out of use until the next one.

Cause: the latest report was compared with the one before, but neither with what a worker can reach at all.

A worker that is not known is not taken on from a report with malformed entries; one with runs keeps them, under the next leader too. Ruled out: a comparison with the leader's wall clock to the second, since one wrong clock would turn all workers away.

--- a/packages/batch/src/report-handler.ts
+++ b/packages/batch/src/report-handler.ts
@@ -8,6 +8,7 @@
 import type { OrderPlanner } from './order-planner.js'
 import { PendingReports, type PendingReport } from './pending-reports.js'
 import { ReportHold } from './report-hold.js'
+import { plausibleEnds } from './report-plausibility.js'
 import type { BatchSettings } from './settings.js'
 import type { WorkerOrders, WorkerReport } from './worker-messages.js'
 import type { WorkerRegistry } from './worker-registry.js'
@@ -122,7 +123,7 @@
     const { workerId, incarnation } = report
     const life = { workerId, incarnation }
     const lastSequence = this.#options.state.lastEndSequence(life)
-    const ends = report.ends.filter(end => end.sequence > lastSequence)
+    const ends = plausibleEnds(report).filter(end => end.sequence > lastSequence)
     if (ends.length === 0) return
     for (const end of ends) this.#options.registry.updateHealth(report, end)
     this.#proposeFor(workerId, { kind: 'record_ends', life, ends }, () => {
--- a/packages/batch/src/worker-registry.ts
+++ b/packages/batch/src/worker-registry.ts
@@ -5,6 +5,7 @@
 import { couldHold } from './worker-capacity.js'
 import { jobIdOf } from './jobs.js'
 import type { BatchSettings } from './settings.js'
+import { isPlausible } from './report-plausibility.js'
 import { WorkerHealth } from './worker-health.js'
 import type { WaitingStep } from './waiting-steps.js'
 import { FULL_PROGRESS_PERCENT, type WorkerReport } from './worker-messages.js'
@@ -14,16 +15,20 @@
 /**
  * How a report was received; `replaced` has the views of earlier incarnations that it replaces. Reports are ignored
  * from an incarnation that a later one has replaced (`earlier_life`) or that has left for good (`left`), and where they
- * are out of order or came later than the report timeout (`late`).
+ * are out of order or came later than the report timeout (`late`). So are reports of another writer: those that the
+ * worker cannot have sent (`implausible`), and those with malformed entries of an unknown worker (`malformed`).
  */
 export type ReportOutcome =
-  | { readonly kind: 'ignored', readonly reason: 'earlier_life' | 'late' | 'left', readonly replaced: readonly WorkerView[] }
+  | { readonly kind: 'ignored', readonly reason: IgnoredReason, readonly replaced: readonly WorkerView[] }
   | {
     readonly kind: 'accepted'
     readonly view: WorkerView
     readonly replaced: readonly WorkerView[]
   }
 
+/** See {@link ReportOutcome}. */
+export type IgnoredReason = 'earlier_life' | 'late' | 'left' | 'implausible' | 'malformed'
+
 /** Why a worker gets no new runs; the leader adds `cordoned` for a worker whose VM is due for maintenance. */
 export type UnschedulableReason =
   | 'leaving'
@@ -68,8 +73,10 @@
 
   /** Receives a report. */
   receive (report: WorkerReport): ReportOutcome {
-    if (this.#state.departureOf(report) === 'left') return { kind: 'ignored', reason: 'left', replaced: [] }
     const known = this.#views.get(report.workerId)
+    const foreignReason = this.#foreignReason(report, known)
+    if (foreignReason !== undefined) return { kind: 'ignored', reason: foreignReason, replaced: [] }
+    if (this.#state.departureOf(report) === 'left') return { kind: 'ignored', reason: 'left', replaced: [] }
     const others = this.#viewsAtLocationOf(report)
     if (others.some(view => view.latest.incarnation > report.incarnation)) {
       return { kind: 'ignored', reason: 'earlier_life', replaced: [] }
@@ -88,6 +95,18 @@
     return { kind: 'accepted', view: known, replaced }
   }
 
+  /** Why a report is taken for that of another writer; undefined where it is not. */
+  #foreignReason (report: WorkerReport, known: WorkerView | undefined): 'implausible' | 'malformed' | undefined {
+    const { workerId, incarnation } = report
+    const view = known?.latest.incarnation === incarnation ? known : undefined
+    const elapsedMs = view === undefined ? 0 : this.#clock.monotonicMs() - view.reportedAtMs
+    const context = { wallMs: this.#clock.wallMs(), latest: view?.latest, elapsedMs }
+    if (!isPlausible(report, context)) return 'implausible'
+    if (report.malformedEntryCount === undefined || view !== undefined) return undefined
+    const hasRuns = [...this.#state.runsOf(workerId)].some(run => run.incarnation === incarnation)
+    return hasRuns ? undefined : 'malformed'
+  }
+
   /** Views of the worker itself and of others at the same location. */
   #viewsAtLocationOf (report: WorkerReport): WorkerView[] {
     const workerIds = this.#locations.findAt(report).add(report.workerId)
