Keep the leader serving after an unexpected error in one part of it

An exception on one report, operation or job ended the process of the leader, or, on the way of a request through a promise, the process that had forwarded it. The sender repeats its message, so the next leader ended too. An error in the scheduling pass also kept all heartbeats from being answered, after which every lease ends. A control node announced with a port that cannot be dialled ended each process that was told of it, and a failure of an unknown kind ended the one that received it.

Cause: no boundary around the parts of an event; validation of messages between processes that checked neither ports nor results.

Change: the handling of an event, each fleet check, the pass and each answer end alone, with a log line and the counter `leader.error`. Messages name ports that exist, and results have their form; an unknown kind of failure counts as an internal error.

--- a/packages/batch-node/src/batch-node.ts
+++ b/packages/batch-node/src/batch-node.ts
@@ -1,5 +1,6 @@
 /** Connects the parts of one process: peer links, leader client and, if the process has a disk, the control service. */
 import type { BatchOperation, BatchResult, WorkerReport } from '@comfreygrade/batch'
+import { fail } from '@comfreygrade/core'
 import type { VoterId } from '@comfreygrade/consensus'
 import { PeerLinks, type LinkMessage, type PeerAddress } from '@comfreygrade/node/adapters'
 import { BatchService, type BatchServiceOptions, type KnownLeader } from './batch-service.js'
@@ -283,7 +284,11 @@
   }
 
   async #handleLocally (request: LeaderRequest): Promise<LeaderResponse> {
-    return await this.#service?.handleRequest(request) ?? { kind: 'not_leader', leaderNodeId: null }
+    if (this.#service === undefined) return { kind: 'not_leader', leaderNodeId: null }
+    return await this.#service.handleRequest(request).catch((error: unknown): LeaderResponse => {
+      this.#options.log.warn('unexpected error of the control service', { detail: String(error) })
+      return { kind: 'result', result: fail('internal_error', 'the control service failed to handle the request') }
+    })
   }
 
   /** Nodes to send a request to: the presumed leader first, if any, then all other connected nodes. */
--- a/packages/batch-node/src/leader-client.ts
+++ b/packages/batch-node/src/leader-client.ts
@@ -54,7 +54,7 @@
 
   /** Completes the pending request that a response from a link belongs to. */
   receiveResponse ({ requestId, answer: response }: Extract<BatchMessage, { kind: 'answer' }>): void {
-    this.#pendingRequests.get(requestId)?.settle({ kind: 'answered', response })
+    this.#pendingRequests.get(requestId)?.settle({ kind: 'answered', response: withKnownFailure(response) })
   }
 
   /** Ends the requests to a node whose link was closed; their outcome is unknown. */
@@ -193,9 +193,18 @@
 async function outcomeWithin (response: Promise<LeaderResponse>, timeoutMs: number): Promise<AttemptOutcome> {
   return await new Promise<AttemptOutcome>(resolve => {
     const timer = setTimeout(() => { resolve({ kind: 'unknown' }) }, timeoutMs)
-    response.then(value => {
+    const settle = (outcome: AttemptOutcome): void => {
       clearTimeout(timer)
-      resolve({ kind: 'answered', response: value })
-    })
+      resolve(outcome)
+    }
+    response.then(value => { settle({ kind: 'answered', response: value }) }, () => { settle({ kind: 'unknown' }) })
   })
 }
+
+/** A leader of a later version may know further kinds of failures. */
+function withKnownFailure (response: LeaderResponse): LeaderResponse {
+  if (response.kind !== 'result' || response.result.ok) return response
+  const { kind, detail } = response.result.failure
+  if (Object.hasOwn(errorTable, kind)) return response
+  return { kind: 'result', result: fail('internal_error', `${String(kind)}: ${detail}`) }
+}
--- a/packages/batch-node/src/message-validation.ts
+++ b/packages/batch-node/src/message-validation.ts
@@ -1,6 +1,8 @@
 /** Checks of messages from other processes, whose types hold only if their sender runs a sound version. */
 import type { BatchMessage } from './messages.js'
 
+const MAX_PORT = 65_535
+
 type Fields = Readonly<Record<string, unknown>>
 type Check = (value: unknown) => boolean
 
@@ -8,6 +10,7 @@
 const isNumber: Check = value => typeof value === 'number' && Number.isFinite(value)
 /** Terms, indexes and counts: a value beyond the safe integers could not be increased any more. */
 const isCount: Check = value => Number.isSafeInteger(value) && (value as number) >= 0
+const isPort: Check = value => isCount(value) && value !== 0 && (value as number) <= MAX_PORT
 const isBoolean: Check = value => typeof value === 'boolean'
 const isBytes: Check = value => value instanceof Uint8Array
 const isAbsent: Check = value => value === undefined
@@ -41,7 +44,7 @@
 
 const isVoter = hasFields({ nodeId: isString, diskId: isString })
 const isControlNode = hasFields({
-  nodeId: isString, host: isString, port: isCount, voter: isVoter, startedWallMs: isNumber
+  nodeId: isString, host: isString, port: isPort, voter: isVoter, startedWallMs: isNumber
 })
 
 const isEntry = hasFields({
@@ -148,8 +151,11 @@
   recordedEndSequence: isCount, fencingToken: isCount, starts: isArray, stops: isArray, paces: isArray
 })
 
+const isSuccess = hasFields({ ok: value => value === true, value: hasFields({ kind: isString }) })
+const isFailure = hasFields({ ok: value => value === false, failure: hasFields({ kind: isString, detail: isString }) })
+
 const isLeaderResponse = byKind({
-  result: hasFields({ result: hasFields({ ok: isBoolean }) }),
+  result: hasFields({ result: either(isSuccess, isFailure) }),
   orders: hasFields({ orders: either(isNull, isOrders), leaderNodeId: isString }),
   not_leader: hasFields({ leaderNodeId: either(isNull, isString) })
 })
--- a/packages/batch-node/test/leader-client.test.ts
+++ b/packages/batch-node/test/leader-client.test.ts
@@ -52,6 +52,16 @@
   t.true((await createClient({ a: unknown, b: acceptedResponse }).execute(operation, 500)).ok)
 })
 
+// Guards against a failure of a later version, for which this one has no response: answering the caller threw.
+test('a failure of an unknown kind is an internal error', async t => {
+  for (const kind of ['exploded', 'constructor']) {
+    const result = { ok: false, failure: { kind: kind as ErrorKind, detail: 'of a later version' } } as const
+    t.deepEqual(await createClient({ a: { kind: 'result', result } }).execute(operation, 500), {
+      ok: false, failure: { kind: 'internal_error', detail: `${kind}: of a later version` }
+    })
+  }
+})
+
 /** A client whose presumed leader `old` never responds, until `new` turns out to lead. */
 function createClientOfFormerLeader () {
   const nodes: Record<string, LeaderResponse | 'silent'> = { old: 'silent' }
--- a/packages/batch-node/test/malformed-messages.test.ts
+++ b/packages/batch-node/test/malformed-messages.test.ts
@@ -29,6 +29,7 @@
   running: [{ taskKey: 'j.0.0.0', run: 1, checkpoint: '', percent: 1, usage: 0 }],
   ends: [{ sequence: 1, taskKey: 'j.0.0.0', run: 1, reason: 'done', checkpoint: '' }]
 }
+const CONTROL_NODE = { nodeId: 'y', host: '127.0.0.1', port: 9, voter: { nodeId: 'y', diskId: 'd' }, startedWallMs: 1 }
 const SUBMISSION = {
   request: { host: 'h', path: '/q/1', apiKey: 'k' },
   spec: { payload: '', steps: [{ taskCount: 1, shape: SHAPE, estimateMs: 1, dependsOn: [] }] }
@@ -37,7 +38,8 @@
 /** One sound message of each kind; a term of 0 keeps those of the replica without effect. */
 const MESSAGES: readonly object[] = [
   { kind: 'hello', nodeId: 'x', control: null },
-  { kind: 'members', nodes: [], leaderNodeId: null },
+  { kind: 'hello', nodeId: 'y', control: CONTROL_NODE },
+  { kind: 'members', nodes: [CONTROL_NODE], leaderNodeId: null },
   { kind: 'raft', from: VOTER, to: VOTER, message: { kind: 'vote_request', term: 0, isPreVote: true, lastIndex: 1, lastTerm: 1, isTransfer: false } },
   { kind: 'raft', from: VOTER, to: VOTER, message: { kind: 'vote_response', term: 0, isPreVote: true, granted: false } },
   { kind: 'raft', from: VOTER, to: VOTER, message: { kind: 'append_request', term: 0, previousIndex: 1, previousTerm: 1, entries: [ENTRY], commitIndex: 1, round: 1 } },
@@ -48,6 +50,8 @@
   { kind: 'ask', requestId: 'r', ask: { kind: 'operation', operation: { kind: 'submit', ...SUBMISSION } } },
   { kind: 'ask', requestId: 'r', ask: { kind: 'operation', operation: { kind: 'put_configuration', document: { version: 0, queues: [], services: [], organisations: [], source: '' } } } },
   { kind: 'answer', requestId: 'r', answer: { kind: 'not_leader', leaderNodeId: null } },
+  { kind: 'answer', requestId: 'r', answer: { kind: 'result', result: { ok: true, value: { kind: 'accepted' } } } },
+  { kind: 'answer', requestId: 'r', answer: { kind: 'result', result: { ok: false, failure: { kind: 'unknown_job', detail: '' } } } },
   { kind: 'leaving', voter: VOTER }
 ]
 
@@ -100,6 +104,14 @@
   for (const message of MESSAGES) t.true(isValidMessage(message), JSON.stringify(message))
 })
 
+// Guards against a port that no node can dial: the attempt throws, and the process that was told of the node ended.
+test('a control node with a port out of range is not valid', t => {
+  for (const port of [0, -1, 65_536, 2 ** 32, '80']) {
+    t.false(isValidMessage({ kind: 'hello', nodeId: 'y', control: { ...CONTROL_NODE, port } }))
+    t.false(isValidMessage({ kind: 'members', nodes: [{ ...CONTROL_NODE, port }], leaderNodeId: null }))
+  }
+})
+
 test('malformed messages, frames and values on a peer link do not end the process or stop its service', async t => {
   const cluster = await Cluster.create()
   t.teardown(async () => { await cluster.close() })
--- a/packages/batch/src/leader.ts
+++ b/packages/batch/src/leader.ts
@@ -1,5 +1,5 @@
 /** The batch leader: handles heartbeats and operations, and schedules runs, on top of the replicated state. */
-import type { Clock, EventLog, Metrics } from '@comfreygrade/core'
+import { fail, type Clock, type EventLog, type Metrics } from '@comfreygrade/core'
 import { TicketCache, type Ticket } from './advice-tickets.js'
 import type { BatchState } from './batch-state.js'
 import { assignmentKey } from './run-keys.js'
@@ -120,6 +120,7 @@
       reply: (requestId, orders) => { this.#effects.push({ kind: 'reply_worker', requestId, orders }) },
       requestPass: () => { this.#isPassDue = true },
       isPassPending: () => this.#isPassDue || this.#isAssigning,
+      guard: (part, run) => { this.#guard(part, run) },
       onRunEnded: end => { this.#handleRunEnded(end) }
     })
     this.#disruptionBudget = new DisruptionBudget(
@@ -135,9 +136,20 @@
     })
   }
 
-  /** Handles one event and returns the effects for the adapters to carry out, in order. */
+  /**
+   * Handles one event and returns the effects for the adapters to carry out, in order. An unexpected error ends only
+   * the part that it occurs in, so that a job or report which causes one does not keep others from being handled.
+   */
   handle (event: LeaderEvent): LeaderEffect[] {
     this.#effects = []
+    this.#guard(event.kind, () => { this.#handleEvent(event) }, () => { this.#replyWithError(event) })
+    this.#checkFleetIfDue()
+    this.#guard('pass', () => { this.#runPassIfDue() })
+    this.#reports.answerDueReports()
+    return this.#effects
+  }
+
+  #handleEvent (event: LeaderEvent): void {
     switch (event.kind) {
       case 'operation': this.#operations.handle(event.requestId, event.operation); break
       case 'report': this.#reports.receive(event.requestId, event.report); break
@@ -148,10 +160,26 @@
       case 'maintenance_answered': this.#handleMaintenanceAnswer(event.call, event.answer); break
       case 'tick': this.#isPassDue = true; break
     }
-    this.#checkFleetIfDue()
-    this.#runPassIfDue()
-    this.#reports.answerDueReports()
-    return this.#effects
+  }
+
+  /** Runs a part of the handling of an event; logs and counts an error. */
+  #guard (part: string, run: () => void, onError = (): void => {}): void {
+    try {
+      run()
+    } catch (error) {
+      this.#options.metrics.increment('leader.error', { part })
+      this.#options.log.warn('unexpected error of the leader', { part, detail: describeError(error) })
+      onError()
+    }
+  }
+
+  #replyWithError (event: LeaderEvent): void {
+    if (event.kind === 'operation') {
+      const result = fail('internal_error', 'the control leader failed to handle the operation')
+      this.#effects.push({ kind: 'reply', requestId: event.requestId, result })
+    } else if (event.kind === 'report' || event.kind === 'worker_left') {
+      this.#effects.push({ kind: 'reply_worker', requestId: event.requestId, orders: undefined })
+    }
   }
 
   /** Milliseconds until the next `tick` event is due, counted from the latest event of any kind. */
@@ -290,14 +318,19 @@
     if (nowMs - this.#lastFleetCheckMs < FLEET_CHECK_INTERVAL_MS) return
     this.#lastFleetCheckMs = nowMs
     this.#isPassDue = true
-    this.#reports.releaseGoneWorkers()
-    this.#moveUnsentRuns()
-    this.#evictRuns()
-    this.#beginDueMaintenance()
-    this.#tickets.retainOpenJobs(jobId => this.#options.state.job(jobId)?.state === 'open')
+    this.#guard('gone_workers', () => { this.#reports.releaseGoneWorkers() })
+    this.#guard('unsent_runs', () => { this.#moveUnsentRuns() })
+    this.#guard('evictions', () => { this.#evictRuns() })
+    this.#guard('maintenance', () => { this.#beginDueMaintenance() })
+    this.#guard('clean_up', () => { this.#removeStale() })
+  }
+
+  #removeStale (): void {
+    const { state } = this.#options
+    this.#tickets.retainOpenJobs(jobId => state.job(jobId)?.state === 'open')
     this.#orders.removeCompletedStops()
     this.#assembly.removeOverdue()
-    this.#brokenGangs.retainJobs(jobId => this.#options.state.job(jobId) !== undefined)
+    this.#brokenGangs.retainJobs(jobId => state.job(jobId) !== undefined)
     this.#reports.removeStale()
   }
 
@@ -348,3 +381,10 @@
     if (outcome.kind === 'applied') this.#isPassDue = true
   }
 }
+
+/** The message of an error with the place where it occurred. */
+function describeError (error: unknown): string {
+  if (!(error instanceof Error)) return String(error)
+  const place = error.stack?.split('\n').find(line => line.trimStart().startsWith('at '))?.trim() ?? ''
+  return `${String(error)} ${place}`
+}
--- a/packages/batch/src/report-handler.ts
+++ b/packages/batch/src/report-handler.ts
@@ -30,6 +30,8 @@
   readonly requestPass: () => void
   /** Whether a pass is due or its assignments are not committed yet. */
   readonly isPassPending: () => boolean
+  /** Runs a part whose unexpected error must not end the others. */
+  readonly guard: (part: string, run: () => void) => void
   /** Called once the end of a run is recorded. */
   readonly onRunEnded: (end: RunEnd) => void
 }
@@ -207,12 +209,14 @@
 
   /** Answers the reports that have waited long enough. */
   answerDueReports (): void {
-    for (const pending of this.#pendingReports.takeDue()) {
-      const orders = this.#takeOrders(pending)
-      const nextReportMs = this.#nextReportMs(pending)
-      pending.view.nextReportDueMs = this.#options.clock.monotonicMs() + nextReportMs
-      this.#options.reply(pending.requestId, { ...orders, nextReportMs })
-    }
+    for (const pending of this.#pendingReports.takeDue()) this.#options.guard('answer', () => { this.#answer(pending) })
+  }
+
+  #answer (pending: PendingReport): void {
+    const orders = this.#takeOrders(pending)
+    const nextReportMs = this.#nextReportMs(pending)
+    pending.view.nextReportDueMs = this.#options.clock.monotonicMs() + nextReportMs
+    this.#options.reply(pending.requestId, { ...orders, nextReportMs })
   }
 
   #takeOrders ({ view, receivedAtMs }: PendingReport): Omit<WorkerOrders, 'nextReportMs'> {
