Look names from outside up as own fields, and report files that cannot be read

`log explain` printed the source of a function for a reason of a wait that it did not know, where the reason had the name of an inherited property; a file of settings or configuration whose aliases multiply threw instead of being reported as a problem of the file.

Cause: plain look-ups by names from outside, as in the heartbeat, and an expansion of aliases outside the check for errors.

Tests: "a reason that this version does not know is named as it is, also one that every object has" and "a file that cannot be read as a whole is reported as a problem" failed before.

--- a/packages/cli/src/log-explainer.ts
+++ b/packages/cli/src/log-explainer.ts
@@ -22,15 +22,15 @@
   'worker gone', 'worker leaving', 'worker quarantined', 'fillers paced'
 ])
 
-const WAIT_REASONS: Readonly<Record<string, string>> = {
-  ticket: 'the advice service has not granted a ticket for it',
-  no_worker: 'no worker that can be used could hold a task of it',
-  rack: 'no rack has room for the whole gang',
-  data_rack: 'the rack that has its data has no room',
-  reclaim: 'runs of lower priority are being stopped for it',
-  reservation: 'capacity is reserved for it, which other runs still use',
-  capacity: 'there is no free capacity for it, and other steps come first'
-}
+const WAIT_REASONS: ReadonlyMap<string, string> = new Map([
+  ['ticket', 'the advice service has not granted a ticket for it'],
+  ['no_worker', 'no worker that can be used could hold a task of it'],
+  ['rack', 'no rack has room for the whole gang'],
+  ['data_rack', 'the rack that has its data has no room'],
+  ['reclaim', 'runs of lower priority are being stopped for it'],
+  ['reservation', 'capacity is reserved for it, which other runs still use'],
+  ['capacity', 'there is no free capacity for it, and other steps come first']
+])
 
 /**
  * Parses one line of a log; text before the JSON object, as log collectors add it, is ignored. Returns undefined for
@@ -100,7 +100,7 @@
 function describeWait ({ fields }: LogLine): string {
   const { stepKey, reason, tasks, waitedMs, expectedStartMs, unschedulableWorkers } = fields
   const expected = expectedStartMs === undefined ? '' : `; expected to start in ${String(expectedStartMs)} ms`
-  const cause = WAIT_REASONS[String(reason)] ?? String(reason)
+  const cause = WAIT_REASONS.get(String(reason)) ?? String(reason)
   return `step ${String(stepKey)} waits with ${String(tasks)} tasks after ${String(waitedMs)} ms: ${cause}${expected}` +
     describeUnschedulableWorkers(unschedulableWorkers)
 }
--- a/packages/cli/test/log-explainer.test.ts
+++ b/packages/cli/test/log-explainer.test.ts
@@ -27,6 +27,15 @@
   t.deepEqual(conclusions, ['step j.0.0 waits with 8 tasks after 3000 ms: no rack has room for the whole gang'])
 })
 
+test('a reason that this version does not know is named as it is, also one that every object has', t => {
+  for (const reason of ['exploded', 'constructor']) {
+    const fields = { stepKey: 'j.0.0', reason, tasks: 1, waitedMs: 1_000 }
+    t.deepEqual(explainFromLog([line(2, 'step waits', fields)], 'j').conclusions, [
+      `step j.0.0 waits with 1 tasks after 1000 ms: ${reason}`
+    ])
+  }
+})
+
 test('the explanation of a waiting step says how many workers get no new runs and why', t => {
   const fields = { stepKey: 'j.0.0', reason: 'no_worker', tasks: 2, waitedMs: 3_000, unschedulableWorkers: { suspect_run: 4, leaving: 1 } }
   t.deepEqual(explainFromLog([line(2, 'step waits', fields)], 'j').conclusions, [
--- a/packages/documents/src/yaml-file.ts
+++ b/packages/documents/src/yaml-file.ts
@@ -43,10 +43,9 @@
 export function parseYaml<T> (
   file: string, text: string, schema: z.ZodType<T>, check: (value: T) => readonly FieldProblem[]
 ): ValidationResult<T> {
-  const lineCounter = new LineCounter()
-  const document = parseDocument(text, { lineCounter })
-  if (document.errors.length > 0) return { kind: 'invalid', problems: toSyntaxProblems(file, text, document) }
-  const data: unknown = document.toJS()
+  const reading = readDocument(file, text)
+  if (reading.kind === 'invalid') return reading
+  const { document, lineCounter, data } = reading
   const parsed = schema.safeParse(data)
   const fieldProblems = parsed.success
     ? check(parsed.data)
@@ -57,6 +56,23 @@
   return { kind: 'invalid', problems: problems.sort((left, right) => left.line - right.line) }
 }
 
+type DocumentReading =
+  | { readonly kind: 'read', readonly document: Document, readonly lineCounter: LineCounter, readonly data: unknown }
+  | { readonly kind: 'invalid', readonly problems: readonly FileProblem[] }
+
+/** Nesting that exhausts the stack and aliases that multiply are problems of the file too. */
+function readDocument (file: string, text: string): DocumentReading {
+  const lineCounter = new LineCounter()
+  try {
+    const document = parseDocument(text, { lineCounter })
+    if (document.errors.length > 0) return { kind: 'invalid', problems: toSyntaxProblems(file, text, document) }
+    return { kind: 'read', document, lineCounter, data: document.toJS() }
+  } catch (error) {
+    const problem = { file, line: 1, field: '', found: String(error), allowed: 'a document that can be read' }
+    return { kind: 'invalid', problems: [problem] }
+  }
+}
+
 /**
  * Formats a problem as one line.
  *
@@ -106,7 +122,7 @@
   let current = unwrapSchema(schema)
   for (const step of path) {
     if (current instanceof z.ZodArray) current = unwrapSchema(current.element)
-    else if (current instanceof z.ZodObject) current = unwrapSchema((current.shape as Record<string, unknown>)[step])
+    else if (current instanceof z.ZodObject) current = unwrapSchema(ownField(current.shape, step))
   }
   return current instanceof z.ZodObject ? Object.keys(current.shape) : []
 }
@@ -119,10 +135,16 @@
 
 function findValue (data: unknown, path: FieldPath): unknown {
   let value = data
-  for (const step of path) value = (value as Record<string | number, unknown> | null | undefined)?.[step]
+  for (const step of path) value = ownField(value, step)
   return value
 }
 
+/** A field of the value itself, not one that every object inherits. */
+function ownField (value: unknown, step: string | number): unknown {
+  if (typeof value !== 'object' || value === null || !Object.hasOwn(value, step)) return undefined
+  return (value as Record<string | number, unknown>)[step]
+}
+
 function formatFoundValue (value: unknown): string {
   if (value === undefined) return 'nothing'
   const text = typeof value === 'string' ? `"${value}"` : JSON.stringify(value)
--- a/packages/documents/test/yaml-file.test.ts
+++ b/packages/documents/test/yaml-file.test.ts
@@ -33,3 +33,20 @@
     ['f.yaml:3: limits.maxBytes: found 9, allowed less than hosts'])
   t.is(parseYaml('f.yaml', 'hosts: 1\n', schema, () => { throw new Error('was called') }).kind, 'invalid')
 })
+
+// Guards against names that every object inherits, which count as known fields or values in a plain look-up.
+test('a field with the name of an inherited property is an unknown field', t => {
+  for (const name of Object.getOwnPropertyNames(Object.prototype).filter(candidate => candidate !== '__proto__')) {
+    t.deepEqual(formatProblems(`limits: { ${name}: 1 }\n`),
+      [`f.yaml:1: limits.${name}: found an unknown field, allowed the fields maxBytes, address`])
+  }
+})
+
+// Guards against a file that ends the process which reads it, since its nesting exhausts the stack.
+test('a file that cannot be read as a whole is reported as a problem', t => {
+  const aliases = Array.from({ length: 9 }, (_, level) => `a${level + 1}: &a${level + 1} [${`*a${level}, `.repeat(9)}]`)
+  for (const text of ['['.repeat(50_000), `${'['.repeat(50_000)}${']'.repeat(50_000)}`, `a0: &a0 x\n${aliases.join('\n')}\n`]) {
+    const [problem] = formatProblems(text)
+    t.regex(problem ?? '', /^f\.yaml:1: found .{1,120}, allowed /)
+  }
+})
