Count all tasks that maintenance ends together against the disruption budget

Cause: `allowsStop` was asked for each run of a VM by itself, so that any number of them passed. VMs that were being taken down counted as up until their workers were gone, so that several VMs of a wave passed in one go. A VM whose worker had not reported to a new leader counted as empty.

Change: the runs of a VM are counted together. Whether the task of a silent worker, or of one whose VM may be going down, is available is not known: it counts as available where it is to be stopped and as unavailable otherwise. A VM without a known worker waits until all workers with runs have reported or their leases have ended.

Ruled out: the wait of a new leader as the only cause; cordoning and calling in one step, which is right for a VM without runs.

Two tests of maintenance.test.ts have workers that report while they wait, and check the stops of the whole time: their workers were silent for 3.5 s, and tasks of silent workers may be unavailable.

--- a/packages/batch/src/leader.ts
+++ b/packages/batch/src/leader.ts
@@ -123,16 +123,19 @@
       guard: (part, run) => { this.#guard(part, run) },
       onRunEnded: end => { this.#handleRunEnded(end) }
     })
-    this.#disruptionBudget = new DisruptionBudget(
-      state, this.#registry, assignment => this.#orders.isStopping(assignment)
-    )
+    this.#disruptionBudget = new DisruptionBudget({
+      state,
+      registry: this.#registry,
+      isStopping: assignment => this.#orders.isStopping(assignment),
+      isGoingDown: view => this.#maintenance.isGoingDown(view)
+    })
     this.#maintenance = new MaintenancePlanner({
       state,
       registry: this.#registry,
       settings,
       clock,
       log,
-      allowsStop: assignment => this.#disruptionBudget.allowsStop(assignment)
+      allowsStops: assignments => this.#disruptionBudget.allowsStops(assignments)
     })
   }
 
@@ -342,7 +345,9 @@
 
   #drain (planned: readonly Eviction[]): void {
     // Each eviction uses up the budget before the next one is checked.
-    for (const eviction of planned) if (this.#disruptionBudget.allowsStop(eviction.assignment)) this.#evict([eviction])
+    for (const eviction of planned) {
+      if (this.#disruptionBudget.allowsStops([eviction.assignment])) this.#evict([eviction])
+    }
   }
 
   #evict (evictions: readonly Eviction[]): void {
--- a/packages/batch/src/maintenance.ts
+++ b/packages/batch/src/maintenance.ts
@@ -24,8 +24,10 @@
 }
 
 interface VmDrain {
-  cordonedAtMs: number
+  readonly cordonedAtMs: number
   isCallPending: boolean
+  /** A call without an answer may have begun the maintenance all the same, in which case the VM is back by then. */
+  mayBeDownUntilMs: number
   /** Earliest time of the next call. */
   nextCallAtMs: number
 }
@@ -34,8 +36,8 @@
 export interface MaintenancePlannerOptions {
   readonly state: BatchState
   readonly registry: WorkerRegistry
-  /** Whether the disruption budget of the run's step allows to stop it. */
-  readonly allowsStop: (assignment: Assignment) => boolean
+  /** Whether the disruption budgets of their steps allow to stop the runs together. */
+  readonly allowsStops: (assignments: readonly Assignment[]) => boolean
   readonly settings: BatchSettings
   readonly clock: Clock
   readonly log: EventLog
@@ -63,6 +65,14 @@
     return this.#drains.has(view.latest.vmId)
   }
 
+  /** Whether a worker's VM is going down for maintenance, is down, or may be. */
+  isGoingDown ({ latest: { vmId } }: WorkerView): boolean {
+    const nowMs = this.#options.clock.monotonicMs()
+    const drain = this.#drains.get(vmId)
+    const mayBeDown = drain !== undefined && (drain.isCallPending || drain.mayBeDownUntilMs > nowMs)
+    return mayBeDown || (this.#downUntilMs.get(vmId) ?? -Infinity) > nowMs
+  }
+
   /** Views of the workers on cordoned VMs, whose runs should move now. */
   cordonedViews (): WorkerView[] {
     return this.#drains.size === 0 ? [] : [...this.#options.registry.views()].filter(view => this.isCordoned(view))
@@ -97,7 +107,11 @@
     const nowMs = this.#options.clock.monotonicMs()
     this.#options.log.info('maintenance call answered', { waveId, vmId, answer })
     const drain = this.#drains.get(vmId)
-    if (drain !== undefined) Object.assign(drain, { isCallPending: false, nextCallAtMs: nowMs + CALL_RETRY_MS })
+    if (drain !== undefined) {
+      drain.isCallPending = false
+      drain.nextCallAtMs = nowMs + CALL_RETRY_MS
+      if (answer === 'failed') drain.mayBeDownUntilMs = nowMs + this.#options.settings.maintenanceDownMs
+    }
     if (answer === 'fenced') this.#isFenced = true
     if (answer !== 'begun' && answer !== 'not_applicable') return false
     this.#drains.delete(vmId)
@@ -117,19 +131,25 @@
     const cordoned = remaining.filter(vmId => this.#drains.has(vmId)).length
     const available = wave.maxConcurrent - down - cordoned
     for (const vmId of remaining.filter(candidate => !this.#drains.has(candidate)).slice(0, Math.max(0, available))) {
-      this.#drains.set(vmId, { cordonedAtMs: nowMs, isCallPending: false, nextCallAtMs: nowMs })
+      this.#drains.set(vmId, {
+        cordonedAtMs: nowMs, isCallPending: false, nextCallAtMs: nowMs, mayBeDownUntilMs: -Infinity
+      })
       this.#options.log.info('VM cordoned for maintenance', { waveId: wave.waveId, vmId })
     }
   }
 
-  /** A VM counts as empty where its worker has no runs, or has not reported in this term. */
+  /**
+   * A VM counts as empty where its worker has no runs. Where no worker on it has reported in this term, it may be that
+   * of any worker with runs that has not reported yet.
+   */
   #isReadyForMaintenance (record: WaveRecord, vmId: string, drain: VmDrain, nowMs: number): boolean {
-    const view = [...this.#options.registry.views()].find(candidate => candidate.latest.vmId === vmId)
-    const runs = view === undefined ? [] : [...this.#options.state.runsOf(view.latest.workerId)]
+    const { registry, state, allowsStops } = this.#options
+    const view = [...registry.views()].find(candidate => candidate.latest.vmId === vmId)
+    if (view === undefined) return !registry.hasUnreportedWorkersWithRuns()
+    const runs = [...state.runsOf(view.latest.workerId)]
     if (runs.length === 0) return true
     // A late wave is better than exceeding the disruption budget of a lasting step.
-    return nowMs - drain.cordonedAtMs >= this.#maxDrainMs(record) &&
-      runs.every(assignment => this.#options.allowsStop(assignment))
+    return nowMs - drain.cordonedAtMs >= this.#maxDrainMs(record) && allowsStops(runs)
   }
 
   /** Longest wait for the runs of one VM: the remaining time of the wave, divided among the remaining rounds of VMs. */
--- a/packages/batch/src/worker-registry.ts
+++ b/packages/batch/src/worker-registry.ts
@@ -253,6 +253,11 @@
     for (const { latest, reportedAtMs } of this.#views.values()) if (reportedAtMs < minMs) this.remove(latest.workerId)
   }
 
+  /** Whether any worker has runs of an earlier term and has not reported in this one. */
+  hasUnreportedWorkersWithRuns (): boolean {
+    return this.#unreportedWorkers().length > 0
+  }
+
   /** Workers that have runs of an earlier term and have not reported in this one. */
   #unreportedWorkers (): WorkerIncarnation[] {
     const incarnationsToExpire: WorkerIncarnation[] = []
--- a/packages/batch/test/maintenance.test.ts
+++ b/packages/batch/test/maintenance.test.ts
@@ -56,35 +56,37 @@
   t.is(fixture.heartbeat('w2')?.starts.length, 1)
 })
 
-/** A lasting step of two tasks, one available on each worker of the wave, with the given disruption budget. */
+/**
+ * A lasting step of two tasks, one available on each worker of a wave, with the given disruption budget. Returns a
+ * function that passes time, while both workers report, and tells which of them are ordered to stop their task.
+ */
 function createFixtureWithLastingTasks (maxUnavailable: number) {
   const fixture = new LeaderFixture()
   fixture.heartbeat('w1')
   fixture.heartbeat('w2')
   fixture.submit('web', [step({ isLasting: true, maxTasksPerWorker: 1, maxUnavailable })])
   const startedOn = new Map(['w1', 'w2'].map(workerId => [workerId, runningTasks(fixture.heartbeat(workerId)?.starts ?? [], 100)]))
-  const heartbeat = (workerId: string) => fixture.heartbeat(workerId, { running: startedOn.get(workerId) ?? [] })
-  heartbeat('w1')
-  heartbeat('w2')
   fixture.execute({ kind: 'start_wave', wave: { ...wave, durationMs: 4_000 } })
-  // The VM is cordoned in one fleet check and drained in the next.
-  fixture.advance(3_500)
-  fixture.advance(200)
-  return { fixture, heartbeat }
+  const workersStoppedWithin = (durationMs: number): string[] => {
+    const stopped = new Set<string>()
+    for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += 200) {
+      fixture.advance(30)
+      for (const [workerId, running] of startedOn) {
+        if ((fixture.heartbeat(workerId, { running })?.stops.length ?? 0) > 0) stopped.add(workerId)
+      }
+    }
+    return [...stopped]
+  }
+  return { fixture, workersStoppedWithin }
 }
 
 test('maintenance evicts a lasting task from a cordoned VM where its disruption budget allows it', t => {
-  const { heartbeat } = createFixtureWithLastingTasks(1)
-  t.is(heartbeat('w1')?.stops.length, 1)
-  t.is(heartbeat('w2')?.stops.length, 0)
+  t.deepEqual(createFixtureWithLastingTasks(1).workersStoppedWithin(5_000), ['w1'])
 })
 
 test('maintenance waits, beyond the end of the wave, for lasting tasks whose disruption budget is 0', t => {
-  const { fixture, heartbeat } = createFixtureWithLastingTasks(0)
-  for (let elapsedMs = 0; elapsedMs < 10_000; elapsedMs += 200) {
-    for (const workerId of ['w1', 'w2']) t.deepEqual(heartbeat(workerId)?.stops, [])
-    fixture.advance(30)
-  }
+  const { fixture, workersStoppedWithin } = createFixtureWithLastingTasks(0)
+  t.deepEqual(workersStoppedWithin(14_000), [])
   t.deepEqual(fixture.maintenanceCalls, [])
 })
 
