--- a/packages/batch-node/src/batch-service.ts
+++ b/packages/batch-node/src/batch-service.ts
@@ -23,6 +23,8 @@
   readonly replicaSettings: ReplicaSettings
   /** Number of log entries between two snapshots. */
   readonly snapshotAfterEntries: number
+  /** Estimated size of the log entries after a snapshot from which the next one is taken. */
+  readonly snapshotAfterBytes: number
   /**
    * Clock of the batch leader, for all its times. Its monotonic time may stop during a suspension of the machine; the
    * worker leases then expire later, which only frees the runs later.
--- a/packages/batch-node/test/cluster.ts
+++ b/packages/batch-node/test/cluster.ts
@@ -102,6 +102,7 @@
       replicaSettings: defaultReplicaSettings,
       targetVoterCount: 3,
       snapshotAfterEntries: 50,
+      snapshotAfterBytes: 16_000_000,
       clock,
       leaseClock: clock,
       random: new Random(address.port),
--- a/packages/node/src/control-service.ts
+++ b/packages/node/src/control-service.ts
@@ -36,6 +36,7 @@
   readonly recovered: RecoveredLog<ControlCommand> | null
   readonly snapshotCodec: SnapshotCodec
   readonly snapshotAfterEntries: number
+  readonly snapshotAfterBytes: number
   readonly configurationLeaseMs: number
   readonly replicaSettings: ReplicaSettings
   readonly controlSettings: ControlSettings
--- a/packages/node/src/replica-host.ts
+++ b/packages/node/src/replica-host.ts
@@ -31,6 +31,12 @@
   readonly stateMachine: StateMachine<Command>
   readonly replicaSettings: ReplicaSettings
   readonly snapshotAfterEntries: number
+  /**
+   * Estimated size of the log entries after a snapshot from which the next one is taken. They stay in memory until
+   * then, so this bounds the memory of a replica where entries are large. A snapshot that is larger itself counts
+   * instead, so that snapshots cost no more than the log.
+   */
+  readonly snapshotAfterBytes: number
   readonly random: Random
   /** Must advance while the process is stopped, as by SIGSTOP, so that leases expire meanwhile. */
   readonly clock: Clock
@@ -48,6 +54,7 @@
   #appliedIndex = 0
   #appliedTerm = 0
   #snapshotIndex = 0
+  #snapshotBytes = 0
   #isSnapshotInProgress = false
   #hasStartedBootstrap = false
   #isLeading = false
@@ -164,6 +171,7 @@
 
   #restore (snapshot: Snapshot): void {
     this.#options.stateMachine.restore(snapshot.content)
+    this.#snapshotBytes = snapshot.content.byteLength
     this.#appliedIndex = snapshot.lastIndex
     this.#appliedTerm = snapshot.lastTerm
     this.#snapshotIndex = snapshot.lastIndex
@@ -192,12 +200,19 @@
     this.#options.log.info('leadership ended')
   }
 
+  #isSnapshotDue (replica: Replica<Command>): boolean {
+    const { snapshotAfterEntries, snapshotAfterBytes } = this.#options
+    if (this.#appliedIndex - this.#snapshotIndex >= snapshotAfterEntries) return true
+    return replica.bytesAfterSnapshot >= Math.max(snapshotAfterBytes, this.#snapshotBytes)
+  }
+
   #takeSnapshotIfDue (effect: EffectOf<Command, 'apply'>): void {
     const last = effect.entries.at(-1)
     const runner = this.#runner
     if (last === undefined || runner === undefined || this.#isSnapshotInProgress) return
-    if (this.#appliedIndex - this.#snapshotIndex < this.#options.snapshotAfterEntries) return
+    if (!this.#isSnapshotDue(runner.replica)) return
     const content = this.#options.stateMachine.encodeSnapshot()
+    this.#snapshotBytes = content.byteLength
     const snapshot = { ...runner.replica.describeSnapshot(last.index), content }
     this.#isSnapshotInProgress = true
     this.#snapshotIndex = last.index
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -76,7 +76,8 @@
 
 const storageSchema = z.strictObject({
   /** Number of entries applied after a snapshot from which the next one is taken. */
-  snapshotAfterEntries: z.int().min(10).max(10_000_000).default(5_000)
+  snapshotAfterEntries: z.int().min(10).max(10_000_000).default(5_000),
+  snapshotAfterBytes: z.int().min(100_000).max(1_000_000_000).default(16_000_000)
 })
 
 /** Overrides for the numeric defaults of the routing, placement, consensus or control package. */
--- a/packages/node/src/start-node.ts
+++ b/packages/node/src/start-node.ts
@@ -85,6 +85,7 @@
     recovered: isInitialised ? recovered : null,
     snapshotCodec: new CborSnapshotCodec(),
     snapshotAfterEntries: storage.snapshotAfterEntries,
+    snapshotAfterBytes: storage.snapshotAfterBytes,
     configurationLeaseMs: timing.configurationLeaseMs,
     replicaSettings: mergeOverrides(defaultReplicaSettings, settings.consensus),
     controlSettings: mergeOverrides(defaultControlSettings, settings.control),
--- a/packages/node/test/replica-host.test.ts
+++ b/packages/node/test/replica-host.test.ts
@@ -18,6 +18,8 @@
   readonly applied: string[] = []
   readonly rejected: Array<{ readonly proposalId: string, readonly isNeverApplied: boolean }> = []
   leadershipCount = 0
+  snapshotCount = 0
+  snapshotBytes = 0
 
   override apply (command: Command): void {
     this.applied.push(command.kind)
@@ -26,7 +28,8 @@
   }
 
   override encodeSnapshot (): Uint8Array {
-    return new Uint8Array()
+    this.snapshotCount++
+    return new Uint8Array(this.snapshotBytes)
   }
 
   override restore (): void {}
@@ -48,6 +51,7 @@
   }
 }
 
+const SNAPSHOT_AFTER_BYTES = 1_000_000
 const SELF = { nodeId: 'a', diskId: 'd' }
 
 /** A single voter that leads, on an empty folder unless one is given. */
@@ -66,6 +70,7 @@
     stateMachine: machine,
     replicaSettings: defaultReplicaSettings,
     snapshotAfterEntries: 1_000,
+    snapshotAfterBytes: SNAPSHOT_AFTER_BYTES,
     random: new Random(1),
     clock: new SystemClock(),
     metrics,
@@ -127,3 +132,32 @@
   t.like(failures[0], { message: 'Maximum call stack size exceeded' })
   await host.stop()
 })
+
+/** Proposes commands of 100 KB, one after the other. */
+async function proposeLargeCommands (
+  { host, machine }: Awaited<ReturnType<typeof startLeader>>, count: number
+): Promise<void> {
+  for (let index = 0; index < count; index++) {
+    const appliedCount = machine.applied.length
+    host.propose(`p${appliedCount}`, { kind: 'x', value: 'x'.repeat(100_000) })
+    await until(() => machine.applied.length > appliedCount)
+  }
+}
+
+// Guards against large entries that use up the memory of every replica, long before there are many of them.
+test('large entries are covered by a snapshot long before there are many, which bounds the log in memory', async t => {
+  const leader = await startLeader(t)
+  await proposeLargeCommands(leader, 35)
+  await until(() => leader.machine.snapshotCount === 3)
+  t.is(leader.machine.snapshotCount, 3)
+  t.true((leader.host.replica?.bytesAfterSnapshot ?? Infinity) < 2 * SNAPSHOT_AFTER_BYTES)
+  await leader.host.stop()
+})
+
+test('a snapshot that is larger than the entries after it is not taken again at once', async t => {
+  const leader = await startLeader(t)
+  leader.machine.snapshotBytes = 3 * SNAPSHOT_AFTER_BYTES
+  await proposeLargeCommands(leader, 35)
+  t.is(leader.machine.snapshotCount, 1)
+  await leader.host.stop()
+})
