Try steps behind 64 that do not fit

Cause: a pass ended after 64 steps that did not fit, so that it stays short with a long queue, and each pass began with the same ones.

Change: a step that needs at least as much of the same pool as one that did not fit in this pass is not tried, since free capacity only shrinks during a pass. Of the steps behind the first 64 that had to be tried, a pass tries 64 more and goes on where the last one ended. Reservations, preemption and the order stay as they were. Ruled out: a limit by time, which makes decisions depend on the machine, and a higher number, which only moves the limit.

--- a/packages/batch/src/scheduler.ts
+++ b/packages/batch/src/scheduler.ts
@@ -12,6 +12,7 @@
 import { couldHold, listOccupyingRuns, peakUtilisation, WorkerCapacity } from './worker-capacity.js'
 import { taskKey } from './jobs.js'
 import type { SchedulingOrder } from './scheduling-order.js'
+import { FailedPlacements } from './failed-placements.js'
 import { holdFreedCapacity, planReclaim, type ReclaimPlan } from './reclaim.js'
 import { ObjectiveReclaimPolicy, type ReclaimPolicy } from './reclaim-policy.js'
 import { LazyReservation, reserve } from './reservation.js'
@@ -81,15 +82,21 @@
   readonly stepsNeedingTickets: WaitingStep[]
   readonly waits: StepWait[]
   readonly unschedulableWorkers: ReadonlyMap<UnschedulableReason, number>
+  readonly failed: FailedPlacements
   reservationCount: number
-  /** Number of steps that did not fit completely. */
+  /** Number of steps that were tried and did not fit completely. */
   unplacedStepCount: number
 }
 
 type UnplacedReason = Pick<StepWait, 'reason' | 'expectedStartMs'>
 
-/** A pass ends after this many steps that did not fit, so that it stays short with a long queue. */
+/**
+ * A pass tries this many steps that do not fit in their order, and as many of the steps behind them, so that it stays
+ * short with a long queue. The latter go on in the next pass where those of this one end.
+ */
 const MAX_UNPLACED_STEPS_PER_PASS = 64
+/** Most steps of a pass whose reason to wait is told, for the log. */
+const MAX_TOLD_WAITS = 64
 /**
  * Time after which a step's claim to the capacity freed for it expires: the longest time from the decision to stop runs
  * until the step has started.
@@ -105,6 +112,8 @@
   readonly #termStartedAtMs: number
   /** Steps for which runs were stopped, with the time at which their claim on the freed capacity expires. */
   readonly #claims = new Map<string, number>()
+  /** Key of the step at which the next pass goes on behind the steps that it tries in their order. */
+  #resumeAtStep: string | undefined
 
   constructor (settings: BatchSettings, clock: Clock, order: SchedulingOrder) {
     this.#settings = settings
@@ -132,15 +141,32 @@
       stepsNeedingTickets: [],
       waits: [],
       unschedulableWorkers,
+      failed: new FailedPlacements(),
       reservationCount: 0,
       unplacedStepCount: 0
     }
     steps.sort((left, right) => this.#compare(left, right, nowWallMs))
-    for (const step of steps) {
-      if (pass.unplacedStepCount >= MAX_UNPLACED_STEPS_PER_PASS) break
+    const remaining = this.#placeSteps(steps, MAX_UNPLACED_STEPS_PER_PASS, fleet, pass)
+    const resumed = this.#placeSteps(this.#fromResumption(remaining), 2 * MAX_UNPLACED_STEPS_PER_PASS, fleet, pass)
+    this.#resumeAtStep = resumed[0] === undefined ? undefined : waitingStepKey(resumed[0])
+    return pass
+  }
+
+  /** Tries steps until the given number of them did not fit in the pass; returns those that were not tried. */
+  #placeSteps (
+    steps: readonly WaitingStep[], maxUnplaced: number, fleet: FleetView, pass: Pass
+  ): readonly WaitingStep[] {
+    for (const [index, step] of steps.entries()) {
+      if (pass.unplacedStepCount >= maxUnplaced) return steps.slice(index)
       this.#placeStep(step, fleet, pass)
     }
-    return pass
+    return []
+  }
+
+  /** Steps from the one on at which the last pass ended, and then those before it. */
+  #fromResumption (steps: readonly WaitingStep[]): readonly WaitingStep[] {
+    const index = steps.findIndex(step => waitingStepKey(step) === this.#resumeAtStep)
+    return index <= 0 ? steps : [...steps.slice(index), ...steps.slice(0, index)]
   }
 
   /** Steps for which runs were stopped go first, so that no other step takes the capacity freed for them. */
@@ -157,8 +183,13 @@
   #placeStep (step: WaitingStep, fleet: FleetView, pass: Pass): void {
     const permitted = step.hasAdvicePolicy ? fleet.permittedWorkers(waitingStepKey(step)) : undefined
     if (permitted?.size === 0) return this.#recordWait(step, { reason: 'ticket' }, pass)
+    const knownReason = this.#mayOnlyBePlaced(step, pass) ? pass.failed.reasonFor(step) : undefined
+    if (knownReason !== undefined) return this.#recordWait(step, { reason: knownReason }, pass)
     const eligible = pass.workers.filter(worker => mayRun(worker, step, permitted))
-    if (eligible.length === 0) return this.#recordWait(step, { reason: 'no_worker' }, pass)
+    if (eligible.length === 0) {
+      pass.failed.add(step, asSingleGroup(eligible), 'no_worker')
+      return this.#recordWait(step, { reason: 'no_worker' }, pass)
+    }
     const candidates = findCandidates(step, eligible, pass.maxRackWaitMs)
     const placements = placeTasks(step, candidates)
     this.#assign(step, placements, pass)
@@ -166,12 +197,20 @@
     const unplaced = { ...step, taskIndexes: step.taskIndexes.filter(index => !placed.has(index)) }
     if (unplaced.taskIndexes.length === 0) return
     const reason = this.#reclaimOrReserve(unplaced, candidates, pass)
-    if (reason !== undefined) this.#recordWait(unplaced, reason, pass)
+    if (reason === undefined) return
+    pass.failed.add(step, candidates, lackOf(step, candidates))
+    this.#recordWait(unplaced, reason, pass)
+  }
+
+  /** Whether a step neither preempts others nor gets a reservation, so that it is only placed or waits. */
+  #mayOnlyBePlaced (step: WaitingStep, pass: Pass): boolean {
+    return pass.reservationCount >= this.#settings.maxReservations && !this.#reclaimPolicy.mayReclaim(step) &&
+      !this.#claims.has(waitingStepKey(step))
   }
 
   #recordWait (step: WaitingStep, reason: UnplacedReason, pass: Pass): void {
     if (step.hasAdvicePolicy) pass.stepsNeedingTickets.push(step)
-    pass.waits.push({ step, taskCount: step.taskIndexes.length, ...reason })
+    if (pass.waits.length < MAX_TOLD_WAITS) pass.waits.push({ step, taskCount: step.taskIndexes.length, ...reason })
   }
 
   #assign (step: WaitingStep, placements: readonly TaskPlacement[], pass: Pass): void {
