Stop waiting for a rack that should have been free by now

A same-rack gang could wait for good beside free racks: while the one rack that could hold it was expected to be free soon, it was not spread, and a member of another gang that waits at full progress for a slow one, or a run that is overdue, is expected to end at once for as long as it lasts.

Cause: each pass took the expectation anew and never compared it with the one before.

Change: the first expectation of a gang is kept and relied on for twice its time and a second; then the gang starts across racks as it does where no rack is expected to be free.

Test: "a same-rack gang stops waiting for a rack that should have been free by now" waited for the whole 20 s of the test before; 159 tests of packages/batch pass.

--- a/packages/batch/src/scheduler.ts
+++ b/packages/batch/src/scheduler.ts
@@ -15,6 +15,7 @@
 import { FailedPlacements } from './failed-placements.js'
 import { holdFreedCapacity, planReclaim, type ReclaimPlan } from './reclaim.js'
 import { ObjectiveReclaimPolicy, type ReclaimPolicy } from './reclaim-policy.js'
+import { RackExpectations } from './rack-expectations.js'
 import { LazyReservation, reserve } from './reservation.js'
 import type { BatchSettings } from './settings.js'
 import { listWaitingSteps, type WaitingStep } from './waiting-steps.js'
@@ -112,6 +113,7 @@
   readonly #termStartedAtMs: number
   /** Steps for which runs were stopped, with the time at which their claim on the freed capacity expires. */
   readonly #claims = new Map<string, number>()
+  readonly #rackExpectations: RackExpectations
   /** Key of the step at which the next pass goes on behind the steps that it tries in their order. */
   #resumeAtStep: string | undefined
 
@@ -121,6 +123,7 @@
     this.#schedulingOrder = order
     this.#termStartedAtMs = clock.monotonicMs()
     this.#reclaimPolicy = new ObjectiveReclaimPolicy(settings)
+    this.#rackExpectations = new RackExpectations(clock)
   }
 
   /** Runs a pass. Its assignments take effect only once they are committed. */
@@ -145,6 +148,8 @@
       reservationCount: 0,
       unplacedStepCount: 0
     }
+    const waitingKeys = new Set(steps.map(waitingStepKey))
+    this.#rackExpectations.retain(key => waitingKeys.has(key))
     steps.sort((left, right) => this.#compare(left, right, nowWallMs))
     const remaining = this.#placeSteps(steps, MAX_UNPLACED_STEPS_PER_PASS, fleet, pass)
     const resumed = this.#placeSteps(this.#fromResumption(remaining), 2 * MAX_UNPLACED_STEPS_PER_PASS, fleet, pass)
@@ -239,14 +244,16 @@
 
   /**
    * Places a same-rack gang across racks once it has waited for one rack as long as the slowdown would cost, if no rack
-   * is expected to be free within that time. While much of the fleet is free the wait is limited to `maxRackWaitMs`, so
-   * that no gang waits long beside idle workers.
+   * is expected to be free within that time, or one should have been by now. While much of the fleet is free the wait
+   * is limited to `maxRackWaitMs`, so that no gang waits long beside idle workers.
    */
   #placeAcrossRacks (step: WaitingStep, { workers }: Candidates, reservation: LazyReservation, pass: Pass): boolean {
     const { isGang, isSameRack, estimateMs } = step.spec
     if (!isGang || !isSameRack) return false
     const maxWaitMs = Math.min((this.#settings.farFactor - 1) * estimateMs, pass.maxRackWaitMs)
-    if (step.waitedMs <= maxWaitMs || reservation.value.delayMs <= maxWaitMs) return false
+    if (step.waitedMs <= maxWaitMs) return false
+    const { delayMs } = reservation.value
+    if (delayMs <= maxWaitMs && this.#rackExpectations.isReliable(waitingStepKey(step), delayMs)) return false
     const placements = placeTasks(step, asSingleGroup(workers))
     this.#assign(step, placements, pass)
     return placements.length > 0
--- a/packages/batch/test/scheduler.test.ts
+++ b/packages/batch/test/scheduler.test.ts
@@ -211,6 +211,30 @@
   t.true(waitedMs() >= 2_000 && waitedMs() < 3_000, `started after ${waitedMs()} ms`)
 })
 
+// Guards against a gang that waits for good beside free racks, for one whose run is expected to end at any moment.
+test('a same-rack gang stops waiting for a rack that should have been free by now', t => {
+  const fixture = new LeaderFixture()
+  const racks = { w0: 'r1', w1: 'r1', w2: 'r2', w3: 'r3' }
+  const running = new Map<string, ReturnType<typeof runningTasks>>()
+  const reportEach = (): WorkerOrders['starts'] => Object.entries(racks).flatMap(([workerId, rack]) => {
+    const tasks = running.get(workerId) ?? []
+    const starts = fixture.heartbeat(workerId, { rack, labels: ['kind', rack], running: tasks })?.starts ?? []
+    // A gang member with its work done waits at full progress for the others.
+    running.set(workerId, [...tasks, ...runningTasks(starts, 100)])
+    return starts
+  })
+  reportEach()
+  const gang = step({ taskCount: 2, isGang: true, isSameRack: true, shape: accelerators(8), estimateMs: 3_000 })
+  fixture.submit('first', [gang])
+  reportEach()
+  t.deepEqual([...running.keys()].filter(workerId => running.get(workerId)?.length === 1), ['w0', 'w1'])
+  fixture.submit('second', [gang])
+  const submittedMs = fixture.clock.monotonicMs()
+  while (reportEach().length === 0 && fixture.clock.monotonicMs() - submittedMs < 20_000);
+  const waitedMs = fixture.clock.monotonicMs() - submittedMs
+  t.true(waitedMs > 2_000 && waitedMs < 5_000, `started after ${waitedMs} ms`)
+})
+
 test('a guarantee that is due is met across racks where no single rack can be freed', t => {
   const { fixture, reportEach } = createTwoRacks()
   reportEach()
