Check messages between nodes of the product as the batch scheduler does

One malformed message of a peer ended a node of the product: its links passed messages on unchecked, and an exception in the handler of a socket ends the process. An operation of a peer that failed unexpectedly did the same on its way through a promise.

Cause: validation was added for the links of the batch scheduler only.

Change: the checks of values and of consensus messages stand in the node package and serve both; a malformed consensus message is ignored before it reaches the replica, whose state would not be known after an exception. A link ignores, logs and counts a message at which its receiver throws, and an unexpected error of the control service is answered as `internal_error`.

Test: "a message at which the receiver throws is ignored, and the next one is received" ended with an uncaught exception before.

--- a/packages/batch-node/src/message-validation.ts
+++ b/packages/batch-node/src/message-validation.ts
@@ -1,94 +1,14 @@
 /** Checks of messages from other processes, whose types hold only if their sender runs a sound version. */
+import {
+  byKind, either, hasFields, isAbsent, isArray, isConsensusMessage, isCount, isNull, isNumber, isObject, isPort,
+  isString, isVoter, listOf
+} from '@comfreygrade/node/adapters'
 import type { BatchMessage } from './messages.js'
 
-const MAX_PORT = 65_535
-
-type Fields = Readonly<Record<string, unknown>>
-type Check = (value: unknown) => boolean
-
-const isString: Check = value => typeof value === 'string'
-const isNumber: Check = value => typeof value === 'number' && Number.isFinite(value)
-/** Terms, indexes and counts: a value beyond the safe integers could not be increased any more. */
-const isCount: Check = value => Number.isSafeInteger(value) && (value as number) >= 0
-const isPort: Check = value => isCount(value) && value !== 0 && (value as number) <= MAX_PORT
-const isBoolean: Check = value => typeof value === 'boolean'
-const isBytes: Check = value => value instanceof Uint8Array
-const isAbsent: Check = value => value === undefined
-const isNull: Check = value => value === null
-const isArray: Check = value => Array.isArray(value)
-
-function isObject (value: unknown): value is Fields {
-  return typeof value === 'object' && value !== null && !Array.isArray(value)
-}
-
-function hasFields (checks: Readonly<Record<string, Check>>): Check {
-  const fields = Object.entries(checks)
-  return value => isObject(value) && fields.every(([name, check]) => check(value[name]))
-}
-
-function either (...checks: readonly Check[]): Check {
-  return value => checks.some(check => check(value))
-}
-
-function listOf (check: Check): Check {
-  return value => Array.isArray(value) && value.every(check)
-}
-
-/** Dispatches on the field `kind`; an unknown kind is not valid. */
-function byKind (checks: Readonly<Record<string, Check>>): Check {
-  return value => {
-    if (!isObject(value) || typeof value.kind !== 'string') return false
-    return Object.hasOwn(checks, value.kind) && checks[value.kind]?.(value) === true
-  }
-}
-
-const isVoter = hasFields({ nodeId: isString, diskId: isString })
 const isControlNode = hasFields({
   nodeId: isString, host: isString, port: isPort, voter: isVoter, startedWallMs: isNumber
 })
 
-const isEntry = hasFields({
-  index: isCount,
-  term: isCount,
-  logTimeMs: isNumber,
-  body: byKind({
-    command: hasFields({ proposalId: isString, command: hasFields({ kind: isString }) }),
-    voters: hasFields({ voters: listOf(isVoter), outgoingVoters: listOf(isVoter) }),
-    noop: isObject
-  })
-})
-
-const isConsensusMessage = byKind({
-  vote_request: hasFields({
-    term: isCount, isPreVote: isBoolean, lastIndex: isCount, lastTerm: isCount, isTransfer: isBoolean
-  }),
-  vote_response: hasFields({ term: isCount, isPreVote: isBoolean, granted: isBoolean }),
-  append_request: hasFields({
-    term: isCount,
-    previousIndex: isCount,
-    previousTerm: isCount,
-    entries: listOf(isEntry),
-    commitIndex: isCount,
-    round: isCount
-  }),
-  append_response: hasFields({ term: isCount, success: isBoolean, matchIndex: isCount, round: isCount }),
-  snapshot_chunk: hasFields({
-    term: isCount,
-    snapshot: hasFields({
-      lastIndex: isCount,
-      lastTerm: isCount,
-      logTimeMs: isNumber,
-      voters: listOf(isVoter),
-      outgoingVoters: listOf(isVoter)
-    }),
-    offsetBytes: isCount,
-    totalBytes: isCount,
-    chunk: isBytes
-  }),
-  snapshot_ack: hasFields({ term: isCount, lastIndex: isCount, receivedBytes: isCount }),
-  transfer_leadership: hasFields({ term: isCount })
-})
-
 const isQueueRequest = hasFields({ host: isString, path: isString })
 const isShape = hasFields({ cpuMillicores: isNumber, memoryMb: isNumber, acceleratorCount: isNumber })
 const isStep = hasFields({
--- a/packages/node/src/adapters.ts
+++ b/packages/node/src/adapters.ts
@@ -2,6 +2,8 @@
 export { readOrCreateDiskId } from './disk-id.js'
 export { FullDiskRetry } from './full-disk-retry.js'
 export { FileLog } from './file-log.js'
+export { isConsensusMessage, isVoter } from './consensus-message-check.js'
+export * from './value-checks.js'
 export { FileLogError, OsLogFileSystem, isDiskFullError, type LogFileSystem } from './log-files.js'
 export { PeerLinks, type PeerAddress } from './peer-links.js'
 export type { LinkMessage } from './peer-messages.js'
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -9,6 +9,7 @@
 import { Application, type BackendServerAnnouncement, type HeartbeatIntervals, type NodeStatus } from './application.js'
 import { BackendClient } from './backend-client.js'
 import { ConfigurationCopy } from './configuration-copy.js'
+import { isConsensusMessage, isVoter } from './consensus-message-check.js'
 import { ControlClient } from './control-client.js'
 import type { ControlService } from './control-service.js'
 import { HttpApi } from './http-api.js'
@@ -280,7 +281,7 @@
   #receive (fromNodeId: string, message: PeerMessage): void {
     switch (message.kind) {
       case 'hello': this.#receiveHello(message); break
-      case 'raft': this.#control?.receiveRaft(message); break
+      case 'raft': this.#receiveRaft(fromNodeId, message); break
       case 'control_request': this.#answerControlRequest(fromNodeId, message); break
       case 'control_response': this.#controlClient.receive(message); break
       case 'feed_request': this.#answerFeedRequest(fromNodeId, message); break
@@ -290,6 +291,13 @@
     }
   }
 
+  #receiveRaft (fromNodeId: string, message: Extract<PeerMessage, { kind: 'raft' }>): void {
+    const isSound = isVoter(message.from) && isVoter(message.to) && isConsensusMessage(message.message)
+    if (isSound) return this.#control?.receiveRaft(message)
+    this.#options.metrics.increment('peer.malformed_message')
+    this.#options.log.warn('malformed message of a peer ignored', { peerId: fromNodeId, kind: message.kind })
+  }
+
   #receiveHello (message: Extract<PeerMessage, { kind: 'hello' }>): void {
     if (message.control !== null) this.#control?.receiveHello(message.control)
   }
@@ -304,7 +312,10 @@
 
   async #executeLocally (operation: ControlOperation): Promise<ControlResult> {
     if (this.#control === undefined) return fail('not_leader', 'this node has no control role')
-    return await this.#control.execute(operation)
+    return await this.#control.execute(operation).catch((error: unknown) => {
+      this.#options.log.warn('unexpected error of the control service', { detail: String(error) })
+      return fail('internal_error', 'the control service failed to handle the operation')
+    })
   }
 
   #answerFeedRequest (fromNodeId: string, message: Extract<PeerMessage, { kind: 'feed_request' }>): void {
--- a/packages/node/src/peer-links.ts
+++ b/packages/node/src/peer-links.ts
@@ -41,16 +41,30 @@
 /** Dials a link to each peer and accepts those that peers dial; closes links without traffic and redials its own. */
 export class PeerLinks<Message extends LinkMessage = PeerMessage> {
   readonly #options: PeerLinksOptions<Message>
+  readonly #receiver: PeerLinksOptions<Message>['onMessage']
   readonly #outgoing = new Map<string, OutgoingLink<Message>>()
   readonly #incoming = new Set<IncomingLink<Message>>()
   readonly #server: Server
   #livenessTimer: NodeJS.Timeout | undefined
 
   constructor (options: PeerLinksOptions<Message>) {
-    this.#options = options
+    this.#options = { ...options, onMessage: (nodeId, message) => { this.#deliver(nodeId, message) } }
+    this.#receiver = options.onMessage
     this.#server = createServer(socket => { this.#accept(socket) })
     for (const peer of options.peers) {
-      if (peer.nodeId !== options.nodeId) this.#outgoing.set(peer.nodeId, new OutgoingLink(peer, options))
+      if (peer.nodeId !== options.nodeId) this.#outgoing.set(peer.nodeId, new OutgoingLink(peer, this.#options))
+    }
+  }
+
+  /** A message at which its receiver throws is ignored: a malformed one must not end the process. */
+  #deliver (nodeId: string, message: Message): void {
+    try {
+      this.#receiver(nodeId, message)
+    } catch (error) {
+      this.#options.metrics.increment('peer.malformed_message')
+      this.#options.log.warn('malformed message of a peer ignored', {
+        peerId: nodeId, kind: message.kind, detail: String(error)
+      })
     }
   }
 
--- a/packages/node/test/peer-links.test.ts
+++ b/packages/node/test/peer-links.test.ts
@@ -1,6 +1,6 @@
 import { createServer, connect, type AddressInfo, type Socket } from 'node:net'
 import test from 'ava'
-import { NullEventLog, NullMetrics } from '@comfreygrade/core'
+import { InMemoryMetrics, NullEventLog, NullMetrics } from '@comfreygrade/core'
 import { PeerLinks } from '../src/peer-links.js'
 import { encodeFrame, type PeerMessage } from '../src/peer-messages.js'
 import { SystemClock } from '../src/system-clock.js'
@@ -136,3 +136,40 @@
   await waitUntil(() => received.some(({ kind }) => kind === 'feed_request'))
   t.deepEqual(received.at(-1), request)
 })
+
+// Guards against a malformed message that ends the process which receives it.
+test('a message at which the receiver throws is ignored, and the next one is received', async t => {
+  const port = await findFreePort()
+  const received: string[] = []
+  const metrics = new InMemoryMetrics()
+  const links = new PeerLinks<PeerMessage>({
+    nodeId: 'n1',
+    host: HOST,
+    port,
+    peers: [],
+    acceptsUnknownNodes: true,
+    pingIntervalMs: 60_000,
+    silenceTimeoutMs: 60_000,
+    redialDelayMs: 60_000,
+    clock: new SystemClock(),
+    metrics,
+    log: new NullEventLog(),
+    hello: () => ({ kind: 'hello', nodeId: 'n1', control: null }),
+    onMessage: (_nodeId, message) => {
+      if (message.kind === 'members') throw new TypeError('records is not iterable')
+      received.push(message.kind)
+    },
+    onConnect: () => {},
+    onDisconnect: () => {}
+  })
+  await links.start()
+  const socket = connect(port, HOST)
+  for (const message of [{ kind: 'hello', nodeId: 'n2', control: null }, { kind: 'members' }, request]) {
+    socket.write(encodeFrame(message as PeerMessage))
+  }
+  await waitUntil(() => received.length === 2)
+  t.deepEqual(received, ['hello', 'feed_request'])
+  t.is(metrics.snapshot()['peer.malformed_message'], 1)
+  socket.destroy()
+  await links.stop()
+})
