Let no test, benchmark or soak miss an error that is only logged

Since the leader goes on after an unexpected error in one part, an exception in it no longer failed the tests that drive it: a test with a silent log could pass beside a broken part.

--- a/packages/batch-node/test/cluster.ts
+++ b/packages/batch-node/test/cluster.ts
@@ -5,7 +5,7 @@
 import { setTimeout as pause } from 'node:timers/promises'
 import { defaultBatchSettings, type BatchOperation, type BatchResult } from '@comfreygrade/batch'
 import { defaultReplicaSettings, type VoterId } from '@comfreygrade/consensus'
-import { NullEventLog, NullMetrics, Random } from '@comfreygrade/core'
+import { NullMetrics, Random, StrictEventLog } from '@comfreygrade/core'
 import { SystemClock, type PeerAddress } from '@comfreygrade/node/adapters'
 import { findFreePorts } from '@comfreygrade/standins'
 import { BatchNode, NullAdvicePort, NullVmPort, openControlDisk, type ControlDisk } from '../src/index.js'
@@ -107,7 +107,7 @@
       leaseClock: clock,
       random: new Random(address.port),
       metrics: new NullMetrics(),
-      log: new NullEventLog(),
+      log: new StrictEventLog(),
       advice: new NullAdvicePort(),
       vms: new NullVmPort(),
       failed: error => { throw error }
--- a/packages/batch/src/leader.ts
+++ b/packages/batch/src/leader.ts
@@ -1,5 +1,5 @@
 /** The batch leader: handles heartbeats and operations, and schedules runs, on top of the replicated state. */
-import { fail, type Clock, type EventLog, type Metrics } from '@comfreygrade/core'
+import { fail, UNEXPECTED_ERROR, type Clock, type EventLog, type Metrics } from '@comfreygrade/core'
 import { TicketCache, type Ticket } from './advice-tickets.js'
 import type { BatchState } from './batch-state.js'
 import { assignmentKey } from './run-keys.js'
@@ -171,7 +171,7 @@
       run()
     } catch (error) {
       this.#options.metrics.increment('leader.error', { part })
-      this.#options.log.warn('unexpected error of the leader', { part, detail: describeError(error) })
+      this.#options.log.warn(`${UNEXPECTED_ERROR} of the leader`, { part, detail: describeError(error) })
       onError()
     }
   }
--- a/packages/batch/test/leader-fixture.ts
+++ b/packages/batch/test/leader-fixture.ts
@@ -1,5 +1,5 @@
 /** A leader whose proposals commit at once unless a test delays them. */
-import { EventLog, ManualClock, NullEventLog, NullMetrics } from '@comfreygrade/core'
+import { EventLog, ManualClock, NullMetrics, StrictEventLog } from '@comfreygrade/core'
 import {
   BatchLeader, BatchState, defaultBatchSettings, type BatchOperation, type BatchResult, type BatchSettings,
   type LeaderEffect, type LeaderEvent, type MaintenanceCall, type WorkerOrders, type WorkerReport
@@ -53,7 +53,9 @@
    * the package.
    */
   constructor (
-    initialDocument = document(), settings: Partial<BatchSettings> = PROMPT_ANSWERS, log: EventLog = new NullEventLog()
+    initialDocument = document(),
+    settings: Partial<BatchSettings> = PROMPT_ANSWERS,
+    log: EventLog = new StrictEventLog()
   ) {
     this.#log = log
     this.#settings = { ...defaultBatchSettings, ...settings }
--- a/packages/batch/test/unexpected-errors.test.ts
+++ b/packages/batch/test/unexpected-errors.test.ts
@@ -33,7 +33,7 @@
 })
 
 test('an operation that causes an unexpected error is answered, and the next one is handled', t => {
-  const fixture = new LeaderFixture()
+  const fixture = new LeaderFixture(undefined, undefined, new RecordingLog())
   breakMethod(fixture, 'wave')
   t.like(fixture.execute({ kind: 'wave_state', waveId: '1' }), { ok: false, failure: { kind: 'internal_error' } })
   const request = { host: HOST, path: '/normal/', apiKey: KEY }
@@ -42,7 +42,7 @@
 
 // Guards against one report whose answer fails and takes the answers of all other workers with it.
 test('a report that causes an unexpected error does not keep others from being answered', t => {
-  const fixture = new LeaderFixture()
+  const fixture = new LeaderFixture(undefined, undefined, new RecordingLog())
   const { state } = fixture
   const lastEndSequence = state.lastEndSequence.bind(state)
   state.lastEndSequence = worker => {
--- a/packages/bench/src/batch-simulation.ts
+++ b/packages/bench/src/batch-simulation.ts
@@ -1,5 +1,5 @@
 /** Simulates the batch scheduler: the production leader on a manual clock, simulated workers, delayed commits. */
-import { ManualClock, NullEventLog, NullMetrics, Random } from '@comfreygrade/core'
+import { ManualClock, NullMetrics, Random, StrictEventLog } from '@comfreygrade/core'
 import {
   BatchLeader, BatchState, defaultBatchSettings, jobIdOf, parseTaskKey, type BatchSettings, type EndReason,
   type LeaderEffect, type LeaderEvent, type QueueDocument, type WorkerOrders, type WorkerReport
@@ -77,7 +77,7 @@
     this.#state.apply({ kind: 'put_configuration', document: queueDocument(options.kinds) }, 0)
     this.#workers = this.#createWorkers()
     this.#leader = new BatchLeader({
-      term: 1, state: this.#state, settings, clock: this.#clock, metrics: new NullMetrics(), log: new NullEventLog()
+      term: 1, state: this.#state, settings, clock: this.#clock, metrics: new NullMetrics(), log: new StrictEventLog()
     })
   }
 
--- a/packages/core/src/ports.ts
+++ b/packages/core/src/ports.ts
@@ -59,3 +59,18 @@
   override info (): void {}
   override warn (): void {}
 }
+
+/** Start of the messages about errors after which a component goes on with its other parts. */
+export const UNEXPECTED_ERROR = 'unexpected error'
+
+/**
+ * Discards all log lines but those about unexpected errors, for which it throws; for tests and benchmarks, which must
+ * not miss an error that is only logged.
+ */
+export class StrictEventLog extends EventLog {
+  override info (): void {}
+
+  override warn (message: string, fields: Readonly<Record<string, unknown>> = {}): void {
+    if (message.startsWith(UNEXPECTED_ERROR)) throw new Error(`${message}: ${JSON.stringify(fields)}`)
+  }
+}
--- a/packages/standins/test/protocol-node.ts
+++ b/packages/standins/test/protocol-node.ts
@@ -1,5 +1,5 @@
 /** A control node in the simulation of the run protocol: the production state and leader on a simulated log. */
-import { NullEventLog, NullMetrics, type Clock } from '@comfreygrade/core'
+import { NullMetrics, StrictEventLog, type Clock } from '@comfreygrade/core'
 import {
   BatchLeader, BatchState, type BatchCommand, type BatchResult, type BatchSettings, type LeaderEvent,
   type WorkerOrders
@@ -52,9 +52,9 @@
   }
 
   lead (term: number): void {
-    const { NULL_LOG, NULL_METRICS } = ProtocolNode
+    const { STRICT_LOG, NULL_METRICS } = ProtocolNode
     this.#leader = new BatchLeader({
-      term, state: this.#state, settings: this.#settings, clock: this.#clock, metrics: NULL_METRICS, log: NULL_LOG
+      term, state: this.#state, settings: this.#settings, clock: this.#clock, metrics: NULL_METRICS, log: STRICT_LOG
     })
     this.hasQuorumLease = true
   }
@@ -93,6 +93,6 @@
     if (this.hasQuorumLease) reply?.(answer)
   }
 
-  static readonly NULL_LOG = new NullEventLog()
+  static readonly STRICT_LOG = new StrictEventLog()
   static readonly NULL_METRICS = new NullMetrics()
 }
