Do not quarantine workers for the failures of faulty jobs

Sound jobs waited for up to 24 s beside idle workers, all of which were in quarantine, after jobs that can never succeed.

Cause: a failure counted against the worker unless it was of the same job as the one before, so that two hopeless jobs were enough for each worker. While all workers are in quarantine nothing can succeed, which would end it.

Change: where a task fails on two workers, the fault is that of its job: its failures count against no worker, and a quarantine that they led to ends. No quarantine holds while more than half of a service's workers are in it. Ruled out: judging by jobs instead of tasks, since a wide job has tasks on several faulty workers.

--- a/packages/batch/src/worker-health.ts
+++ b/packages/batch/src/worker-health.ts
@@ -13,20 +13,31 @@
 const MAX_QUARANTINE_MS = 24_000
 
 interface Health {
-  readonly failedJobs: Set<string>
+  /** Jobs whose failures count against the worker. */
+  failedJobs: Set<string>
+  /** Jobs whose failures led to the latest quarantine. */
+  quarantineCauses: Set<string>
   quarantines: number
   quarantinedUntilMs: number
 }
 
 function createHealth (): Health {
-  return { failedJobs: new Set(), quarantines: 0, quarantinedUntilMs: -Infinity }
+  return { failedJobs: new Set(), quarantineCauses: new Set(), quarantines: 0, quarantinedUntilMs: -Infinity }
 }
 
-/** Counts failures of different jobs, since a single job that can never succeed also fails on healthy workers. */
+/**
+ * Counts failures of different jobs, since a single job that can never succeed also fails on healthy workers. Where a
+ * task fails on two workers, the fault is taken to be that of its job, and its failures count against no worker.
+ *
+ * Load pattern: many jobs that can never succeed, which would put the whole fleet into quarantine.
+ */
 export class WorkerHealth {
   readonly #clock: Clock
   readonly #log: EventLog
   readonly #byWorker = new Map<string, Health>()
+  /** Worker of the first failure of each task. */
+  readonly #firstFailureByTask = new Map<string, string>()
+  readonly #faultyJobs = new Set<string>()
 
   constructor (clock: Clock, log: EventLog) {
     this.#clock = clock
@@ -40,10 +51,11 @@
   update (workerId: string, end: RunEnd): void {
     if (end.reason === 'done') this.#byWorker.delete(workerId)
     if (end.reason !== 'failed') return
-    const health = this.#byWorker.get(workerId) ?? createHealth()
-    this.#byWorker.set(workerId, health)
-    health.failedJobs.add(jobIdOf(end.taskKey))
-    if (health.failedJobs.size >= QUARANTINE_FAILED_JOBS || health.quarantines > 0) this.#quarantine(workerId, health)
+    const jobId = jobIdOf(end.taskKey)
+    const firstWorkerId = this.#firstFailureByTask.get(end.taskKey)
+    if (firstWorkerId === undefined) this.#firstFailureByTask.set(end.taskKey, workerId)
+    else if (firstWorkerId !== workerId) this.#blameJob(jobId)
+    if (!this.#faultyJobs.has(jobId)) this.#countFailure(workerId, jobId)
   }
 
   /** Whether a worker is in quarantine and so gets no new runs. */
@@ -51,11 +63,47 @@
     return (this.#byWorker.get(workerId)?.quarantinedUntilMs ?? -Infinity) > this.#clock.monotonicMs()
   }
 
+  /** Removes jobs that are no longer known. */
+  retainJobs (isKnown: (jobId: string) => boolean): void {
+    for (const jobId of this.#faultyJobs) if (!isKnown(jobId)) this.#faultyJobs.delete(jobId)
+    for (const taskKey of this.#firstFailureByTask.keys()) {
+      if (!isKnown(jobIdOf(taskKey))) this.#firstFailureByTask.delete(taskKey)
+    }
+  }
+
+  #countFailure (workerId: string, jobId: string): void {
+    const health = this.#byWorker.get(workerId) ?? createHealth()
+    this.#byWorker.set(workerId, health)
+    health.failedJobs.add(jobId)
+    if (health.failedJobs.size >= QUARANTINE_FAILED_JOBS || health.quarantines > 0) this.#quarantine(workerId, health)
+  }
+
   #quarantine (workerId: string, health: Health): void {
     const durationMs = Math.min(MAX_QUARANTINE_MS, INITIAL_QUARANTINE_MS * 2 ** health.quarantines)
     health.quarantines++
-    health.failedJobs.clear()
+    health.quarantineCauses = health.failedJobs
+    health.failedJobs = new Set()
     health.quarantinedUntilMs = this.#clock.monotonicMs() + durationMs
     this.#log.warn('worker quarantined', { workerId, durationMs })
   }
+
+  /** Failures of the job count no more, and a quarantine that they led to ends. */
+  #blameJob (jobId: string): void {
+    if (this.#faultyJobs.has(jobId)) return
+    this.#faultyJobs.add(jobId)
+    for (const [workerId, health] of this.#byWorker) {
+      health.failedJobs.delete(jobId)
+      if (health.quarantineCauses.delete(jobId)) this.#endQuarantine(workerId, health, jobId)
+    }
+  }
+
+  /** What is left of the causes counts again. */
+  #endQuarantine (workerId: string, health: Health, jobId: string): void {
+    if (!this.isQuarantined(workerId)) return
+    health.quarantinedUntilMs = -Infinity
+    health.quarantines--
+    health.failedJobs = new Set([...health.failedJobs, ...health.quarantineCauses])
+    health.quarantineCauses = new Set()
+    this.#log.info('worker quarantine ended', { workerId, faultyJobId: jobId })
+  }
 }
--- a/packages/batch/src/worker-registry.ts
+++ b/packages/batch/src/worker-registry.ts
@@ -61,6 +61,8 @@
   readonly #locations = new WorkerLocations()
   readonly #startedJobs = new Set<string>()
   readonly #termStartedAtMs: number
+  /** Whether most of the workers of a service are in quarantine, since a pass asks for each of them. */
+  #quarantinedPools = { atMs: -Infinity, byService: new Map<string, boolean>() }
 
   constructor (state: BatchState, settings: BatchSettings, clock: Clock, log: EventLog) {
     this.#state = state
@@ -136,8 +138,9 @@
     return this.#startedJobs.has(jobId)
   }
 
-  /** Removes started jobs that are no longer known. */
+  /** Removes what concerns jobs that are no longer known. */
   retainJobs (isKnown: (jobId: string) => boolean): void {
+    this.#health.retainJobs(isKnown)
     for (const jobId of this.#startedJobs) if (!isKnown(jobId)) this.#startedJobs.delete(jobId)
   }
 
@@ -171,10 +174,27 @@
     if (view.mayHaveCrashed) return 'may_have_crashed'
     if (!this.isResponsive(view)) return 'silent'
     if (view.leaseStatus !== 'held') return 'lease_uncertain'
-    if (this.#health.isQuarantined(latest.workerId)) return 'quarantined'
+    if (this.#health.isQuarantined(latest.workerId) && !this.#isMostOfPoolQuarantined(latest.service)) return 'quarantined'
     return this.hasSuspectRun(view) ? 'suspect_run' : undefined
   }
 
+  /**
+   * Whether most responsive workers of a service are in quarantine. The jobs rather than the workers are at fault then,
+   * and no work would be done at all.
+   */
+  #isMostOfPoolQuarantined (service: string): boolean {
+    const nowMs = this.#clock.monotonicMs()
+    if (this.#quarantinedPools.atMs !== nowMs) this.#quarantinedPools = { atMs: nowMs, byService: new Map() }
+    const { byService } = this.#quarantinedPools
+    const known = byService.get(service)
+    if (known !== undefined) return known
+    const pool = [...this.#views.values()].filter(view => view.latest.service === service && this.isResponsive(view))
+    const quarantined = pool.filter(view => this.#health.isQuarantined(view.latest.workerId))
+    const isMost = quarantined.length * 2 > pool.length
+    byService.set(service, isMost)
+    return isMost
+  }
+
   /** Whether the next report of a worker is not overdue. */
   isResponsive (view: WorkerView): boolean {
     return this.#clock.monotonicMs() - view.nextReportDueMs < this.#settings.reportOverdueMs
