Keep the jobs of the batch state in a table of their own, in order of end

A restored replica kept ended jobs for longer than the others: their order was that of their acceptance, and one that ended late held back those behind it. The answer to a question about such a job differed by who led.

--- a/packages/batch/src/batch-state.ts
+++ b/packages/batch/src/batch-state.ts
@@ -8,6 +8,7 @@
   Assignment, BatchCommand, CommandResult, Departure, MaintenanceWave, RunEnd, TaskCheckpoint, WorkerIncarnation
 } from './commands.js'
 import { assignmentKey } from './run-keys.js'
+import { JobTable } from './job-table.js'
 import { PresumedEnds } from './presumed-ends.js'
 import { QueueRegistry, type QueueRegistrySnapshot } from './queue-registry.js'
 import type { QueueConfiguration, QueueDirectory } from './queues.js'
@@ -47,23 +48,17 @@
 const MAX_FAILED_WORKERS_PER_TASK = 4
 
 /**
- * Deterministic state machine: the same commands at the same log times give the same state on every replica, except
- * that a restored replica may keep some ended jobs for longer.
+ * Deterministic state machine: the same commands at the same log times give the same state on every replica, also on
+ * one that was restored from a snapshot.
  *
  * @example
  * const state = new BatchState({ endedJobRetentionMs: 300_000 })
  * state.apply({ kind: 'cancel_job', jobId: '5c0e' }, 1_000) // { kind: 'unknown_job' }
  */
 export class BatchState {
-  readonly #endedJobRetentionMs: number
+  readonly #options: { readonly endedJobRetentionMs: number }
   #queues = new QueueRegistry({ document: null })
-  readonly #jobs = new Map<string, JobRecord>()
-  readonly #openJobs = new Map<string, JobRecord>()
-  /**
-   * In order of end; jobs that a snapshot contained are in order of acceptance, and one that ended late delays the
-   * removal of those behind it.
-   */
-  readonly #endedJobs: JobRecord[] = []
+  #jobs: JobTable
   #workers = new WorkerRecords([])
   readonly #runsByWorker = new Map<string, Map<string, Assignment>>()
   #presumedEnds = new PresumedEnds([])
@@ -72,32 +67,31 @@
   readonly #waves = new Map<string, WaveRecord>()
 
   constructor (options: { readonly endedJobRetentionMs: number }) {
-    this.#endedJobRetentionMs = options.endedJobRetentionMs
+    this.#options = options
+    this.#jobs = new JobTable(options, [])
   }
 
   /** Restores the state from a snapshot, whose records it takes over. */
   static restore (snapshot: BatchSnapshot, options: { readonly endedJobRetentionMs: number }): BatchState {
     const state = new BatchState(options)
     state.#queues = new QueueRegistry(snapshot)
-    for (const job of snapshot.jobs) state.#restoreJob(job)
+    state.#restoreJobs(snapshot.jobs)
     state.#workers = new WorkerRecords(snapshot.workers)
     state.#presumedEnds = new PresumedEnds(snapshot.presumedEnded ?? [])
     for (const record of snapshot.waves) state.#waves.set(record.wave.waveId, record)
     return state
   }
 
-  #restoreJob (job: JobRecord): void {
-    this.#jobs.set(job.spec.jobId, job)
-    if (job.state === 'open') this.#openJobs.set(job.spec.jobId, job)
-    else this.#endedJobs.push(job)
-    for (const run of this.activeRunsOf(job.spec.jobId)) this.#indexRun(run)
+  #restoreJobs (jobs: readonly JobRecord[]): void {
+    this.#jobs = new JobTable(this.#options, jobs)
+    for (const { spec } of jobs) for (const run of this.activeRunsOf(spec.jobId)) this.#indexRun(run)
   }
 
   /** Returns the state in serialisable form, for encoding before the next command is applied. */
   snapshot (): BatchSnapshot {
     return {
       ...this.#queues.snapshot(),
-      jobs: [...this.#jobs.values()],
+      jobs: [...this.#jobs.all()],
       workers: this.#workers.entries(),
       waves: [...this.#waves.values()],
       presumedEnded: this.#presumedEnds.runs()
@@ -124,7 +118,7 @@
 
   /** Jobs that have not ended, in order of acceptance. */
   openJobs (): Iterable<JobRecord> {
-    return this.#openJobs.values()
+    return this.#jobs.open()
   }
 
   /** Runs that may be on a worker, of any of its incarnations. */
@@ -192,7 +186,7 @@
 
   /** Applies a committed command. */
   apply (command: BatchCommand, logTimeMs: number): CommandResult {
-    this.#removeExpiredJobs(logTimeMs)
+    this.#jobs.removeExpired(logTimeMs)
     this.#workers.removeUnused(logTimeMs, workerId => this.hasRuns(workerId))
     switch (command.kind) {
       case 'put_configuration': return this.#putConfiguration(command)
@@ -211,18 +205,17 @@
 
   #putConfiguration ({ document }: CommandOf<'put_configuration'>): CommandResult {
     if (document.version <= (this.directory?.document.version ?? -Infinity)) return { kind: 'unchanged' }
-    const openJobs = [...this.#openJobs.values()]
+    const openJobs = [...this.#jobs.open()]
     this.#queues.replace(document, openJobs.map(job => job.queueAddress))
     for (const job of openJobs) job.service = this.queueOf(job)?.service ?? job.service
     return { kind: 'applied' }
   }
 
   #submit ({ spec, queueAddress, organisation, acceptedWallMs }: CommandOf<'submit_job'>): CommandResult {
-    if (this.#jobs.has(spec.jobId)) return { kind: 'unchanged' }
+    if (this.#jobs.get(spec.jobId) !== undefined) return { kind: 'unchanged' }
     const service = this.#queues.at(queueAddress)?.service ?? ''
     const job = createJobRecord({ spec, queueAddress, organisation, acceptedWallMs, service })
-    this.#jobs.set(spec.jobId, job)
-    this.#openJobs.set(spec.jobId, job)
+    this.#jobs.add(job)
     return { kind: 'applied' }
   }
 
@@ -230,7 +223,7 @@
     const job = this.#jobs.get(jobId)
     if (job === undefined) return { kind: 'unknown_job' }
     if (job.state !== 'open') return { kind: 'unchanged' }
-    this.#endJob(job, 'cancelled', logTimeMs)
+    this.#jobs.end(job, 'cancelled', logTimeMs)
     return { kind: 'applied' }
   }
 
@@ -251,7 +244,7 @@
   }
 
   #findOrCreateTask (id: TaskId): TaskRecord | undefined {
-    const job = this.#openJobs.get(id.jobId)
+    const job = this.#jobs.getOpen(id.jobId)
     if (job === undefined || id.occurrence >= job.occurrences.length) return undefined
     const occurrence: OccurrenceRecord = job.occurrences[id.occurrence] ??= createOccurrence(job.spec)
     return occurrence.steps[id.step]?.tasks[id.index]
@@ -287,7 +280,7 @@
   #taskDone ({ job, stepSpec, step, task }: TaskContext, logTimeMs: number): void {
     if (stepSpec.isLasting) return
     for (const member of stepSpec.isGang ? step.tasks : [task]) member.isDone = true
-    if (isJobDone(job)) this.#endJob(job, 'completed', logTimeMs)
+    if (isJobDone(job)) this.#jobs.end(job, 'completed', logTimeMs)
   }
 
   #taskFailed ({ job, stepSpec, step, task }: TaskContext, run: number, workerId: string, logTimeMs: number): void {
@@ -297,7 +290,7 @@
     step.lastFailedRun = Math.max(step.lastFailedRun, run)
     for (const member of stepSpec.isGang ? step.tasks : [task]) member.failures++
     const maxAttempts = this.queueOf(job)?.maxAttempts ?? Infinity
-    if (task.failures >= maxAttempts && !task.isDone) this.#endJob(job, 'failed', logTimeMs)
+    if (task.failures >= maxAttempts && !task.isDone) this.#jobs.end(job, 'failed', logTimeMs)
   }
 
   /** A checkpoint of any gang member applies to all members, which must start from the same one. */
@@ -361,23 +354,6 @@
     for (const run of [...this.runsOf(workerId)]) if (run.incarnation < incarnation) this.#removeRun(run)
   }
 
-  #endJob (job: JobRecord, state: 'completed' | 'failed' | 'cancelled', logTimeMs: number): void {
-    job.state = state
-    job.endedLogMs = logTimeMs
-    this.#openJobs.delete(job.spec.jobId)
-    this.#endedJobs.push(job)
-  }
-
-  /** Removes jobs that ended longer ago than the retention. */
-  #removeExpiredJobs (logTimeMs: number): void {
-    let first = this.#endedJobs[0]
-    while (first !== undefined && logTimeMs - first.endedLogMs > this.#endedJobRetentionMs) {
-      this.#jobs.delete(first.spec.jobId)
-      this.#endedJobs.shift()
-      first = this.#endedJobs[0]
-    }
-  }
-
   #indexRun (assignment: Assignment): void {
     const runs = this.#runsByWorker.get(assignment.workerId) ?? new Map<string, Assignment>()
     runs.set(assignmentKey(assignment), assignment)
--- a/packages/batch/test/batch-state.test.ts
+++ b/packages/batch/test/batch-state.test.ts
@@ -111,6 +111,21 @@
   t.is(state.job('j1'), undefined)
 })
 
+// Guards against replicas that differ: a restored one kept ended jobs for as long as those accepted before them.
+test('a restored replica removes ended jobs at the same time as the others', t => {
+  const state = createState()
+  const later = { kind: 'submit_job', spec: job('j2'), queueAddress: ADDRESS, organisation: 'org-a', acceptedWallMs: 6 } as const
+  state.apply(later, 6)
+  state.apply({ kind: 'cancel_job', jobId: 'j2' }, 100)
+  state.apply({ kind: 'cancel_job', jobId: 'j1' }, 5_000)
+  const restored = BatchState.restore(structuredClone(state.snapshot()), { endedJobRetentionMs: 10_000 })
+  for (const replica of [state, restored]) {
+    replica.apply({ kind: 'cancel_job', jobId: 'other' }, 10_101)
+    t.is(replica.job('j2'), undefined)
+    t.is(replica.job('j1')?.state, 'cancelled')
+  }
+})
+
 test('a cancelled job gets no further run', t => {
   const state = createState()
   state.apply({ kind: 'cancel_job', jobId: 'j1' }, 100)
