Split the gang scheduler: placements, the order of a pass, estimates, workers

scheduler.ts of the placement package had 668 lines and 20 private fields with half a dozen jobs: admission, availability of workers, the order in which waiting jobs are tried, carrying out plans and claims, estimates, and the history of refusals. No decision is changed.

Tests: all of placement and control pass.

--- a/packages/placement/src/scheduler.ts
+++ b/packages/placement/src/scheduler.ts
@@ -3,41 +3,27 @@
   type Configuration, type Failure, type JobExplanation, type JobSpec, type Placement, type Rules,
   defaultRules, emptyConfiguration, failure
 } from '@comfreygrade/core'
+import { checkAdmission } from './admission.js'
 import type { FleetReport, PlacementDecision, ReclaimCheck } from './decisions.js'
 import { JobExplainer, type ExplainerInput } from './job-explainer.js'
 import { Fleet } from './fleet.js'
+import { GangPlacer } from './gang-placer.js'
 import { buildFleetReport } from './fleet-report.js'
 import { type GangPlan, type JobRecord, createJobRecord, isPreemptible } from './job-record.js'
 import { OrganisationUsage } from './organisations.js'
-import { restorePlan, toPlacement } from './placements.js'
 import { PlanFinder } from './plan-finder.js'
 import { type PlacementPolicy, type WaitingOrderKey, comparePriority } from './policies.js'
 import { validateGuarantees } from './reclaim-check.js'
 import { ReservationTable } from './reservation-table.js'
 import { StartForecaster } from './start-forecaster.js'
+import { RefusalHistory } from './refusal-history.js'
+import { RunEndEstimator } from './run-end-estimator.js'
 import { RunTimeHistory } from './run-times.js'
 import type { PlacementSettings } from './settings.js'
-import { type GangShape, ShapeTable } from './shapes.js'
-import { Heap, type WaitingGroup, WaitingJobs, type WaitingQueue } from './waiting-jobs.js'
-import { WorkerHealth } from './worker-health.js'
-
-/** A job that runs longer than its estimate is expected to run on for this fraction of its elapsed time. */
-const OVERRUN_EXTENSION_FACTOR = 0.5
-/** Minimum of this extension. */
-const OVERRUN_EXTENSION_MIN_MS = 1_000
-
-/**
- * Result of a trial: one attempt to place a waiting job. `over_quota` means that even the smallest plan exceeds the
- * remaining quota; if only the plans that were found exceed it, the result is `no_fit`.
- */
-type TrialResult = 'placed' | 'claimed' | 'no_fit' | 'over_quota' | 'stopped'
-
-/** Entry of the heap of a pass: a job that may be tried, usually the first one of an open group. */
-interface PassEntry {
-  readonly group: WaitingGroup
-  readonly job: JobRecord
-  readonly orderKey: WaitingOrderKey
-}
+import { ShapeTable } from './shapes.js'
+import { WaitingJobs } from './waiting-jobs.js'
+import { type TrialResult, WaitingPass } from './waiting-pass.js'
+import { WorkerAvailability } from './worker-availability.js'
 
 /**
  * Places gangs while keeping all guarantees reclaimable. All calls are synchronous; decisions update the scheduler's
@@ -55,20 +41,13 @@
   readonly #policy: PlacementPolicy
   readonly #usage: OrganisationUsage
   readonly #runTimes: RunTimeHistory
-  readonly #workerHealth: WorkerHealth
+  readonly #estimator: RunEndEstimator
+  readonly #placer: GangPlacer
+  readonly #workers: WorkerAvailability
   readonly #jobs = new Map<string, JobRecord>()
-  readonly #joinedWorkerIds = new Set<string>()
-  readonly #drainingWorkerIds = new Set<string>()
   /** First job that did not fit, by accelerator model; used only if the policy does not backfill. */
   readonly #blockingJobs = new Map<string, JobRecord>()
-  /** Jobs whose claimed cells have been vacated by all preempted jobs; placed by the next pass. */
-  readonly #readyClaims = new Set<JobRecord>()
-  /** Accelerator models whose available cells changed since the last pass, so that their jobs are tried again. */
-  readonly #freedModels = new Set<string>()
-  /** Organisations that may have more quota left since the last pass. */
-  readonly #freedOrganisationIds = new Set<string>()
-  /** Failures of refused and of stopped jobs, by job ID. */
-  readonly #refusals = new Map<string, Failure>()
+  readonly #refusals: RefusalHistory
   #configuration: Configuration = emptyConfiguration()
   #rules: Rules = defaultRules
   #waitingJobs = new WaitingJobs()
@@ -77,9 +56,7 @@
   #reservations!: ReservationTable
   #planFinder!: PlanFinder
   #forecaster!: StartForecaster
-  #decisions: PlacementDecision[] = []
   #nextSequence = 1
-  #failedTrials = 0
   #nowMs = 0
 
   /**
@@ -91,7 +68,10 @@
     this.#policy = policy
     this.#usage = new OrganisationUsage(settings.serviceHalfLifeMs)
     this.#runTimes = new RunTimeHistory(settings)
-    this.#workerHealth = new WorkerHealth(settings)
+    this.#estimator = new RunEndEstimator(policy, this.#runTimes)
+    this.#workers = new WorkerAvailability(settings)
+    this.#placer = new GangPlacer({ fleet: () => this.#fleet, usage: this.#usage })
+    this.#refusals = new RefusalHistory(settings.explainHistoryLength)
     this.#buildFleetState()
   }
 
@@ -112,32 +92,33 @@
     this.#usage.configure(configuration.organisations)
     const isFleetUnchanged = before.workers === configuration.workers && before.guarantees === configuration.guarantees
     if (!isFleetUnchanged) this.#rebuildFleetState()
-    for (const organisationId of configuration.organisations.keys()) this.#freedOrganisationIds.add(organisationId)
+    const { freedOrganisationIds } = this.#placer
+    for (const organisationId of configuration.organisations.keys()) freedOrganisationIds.add(organisationId)
   }
 
   /** Records that a worker joined; it gets tasks once it is also in the configuration. */
   workerJoined (workerId: string, nowMs: number): void {
     this.#advanceClock(nowMs)
-    this.#joinedWorkerIds.add(workerId)
+    this.#workers.join(workerId)
     this.#refreshWorker(workerId)
   }
 
   /** Records that a worker was lost. Its jobs keep their cells until they end or are requeued. */
   workerLost (workerId: string, nowMs: number): void {
     this.#advanceClock(nowMs)
-    this.#joinedWorkerIds.delete(workerId)
+    this.#workers.leave(workerId)
     this.#refreshWorker(workerId)
   }
 
   /** Drains a worker: it gets no new tasks, running tasks stay. */
   drainWorker (workerId: string): void {
-    this.#drainingWorkerIds.add(workerId)
+    this.#workers.setDraining(workerId, true)
     this.#refreshWorker(workerId)
   }
 
   /** Ends a drain. */
   undrainWorker (workerId: string): void {
-    this.#drainingWorkerIds.delete(workerId)
+    this.#workers.setDraining(workerId, false)
     this.#refreshWorker(workerId)
   }
 
@@ -149,13 +130,15 @@
   submit (spec: JobSpec, nowMs: number): Failure | undefined {
     this.#advanceClock(nowMs)
     const shape = this.#shapes.shapeOf(spec)
-    const refusal = this.#checkAdmission(spec, shape)
+    const refusal = checkAdmission(spec, shape, {
+      hasJob: jobId => this.#jobs.has(jobId), usage: this.#usage, maxGangTasks: this.#rules.maxGangTasks
+    })
     if (refusal === undefined) {
       this.#enqueue(createJobRecord(spec, shape, this.#nextSequence++, nowMs))
       return undefined
     }
     // Under the same ID, this refusal would be taken for the fate of the existing job.
-    if (refusal.kind !== 'job_exists') this.#recordRefusal(spec.jobId, refusal)
+    if (refusal.kind !== 'job_exists') this.#refusals.record(spec.jobId, refusal)
     return refusal
   }
 
@@ -165,7 +148,7 @@
     job.startedMs = startedMs
     job.placement = placement
     this.#jobs.set(spec.jobId, job)
-    this.#occupyRecordedPlacement(job)
+    this.#placer.occupyRecorded(job, this.#nowMs)
   }
 
   /** Removes a waiting or claiming job immediately; a placed job keeps its cells until its end is recorded. */
@@ -188,7 +171,7 @@
     job.hasFailedTask = true
     job.failedWorkerIds.add(workerId)
     if (isWaiting) this.#waitingJobs.add(job)
-    if (this.#workerHealth.recordFailure(workerId, jobId, nowMs)) this.#refreshWorker(workerId)
+    if (this.#workers.health.recordFailure(workerId, jobId, nowMs)) this.#refreshWorker(workerId)
     if (job.failedWorkerIds.size < this.#settings.maxFailedPlacements) return
     this.#stop(job, `tasks failed on ${job.failedWorkerIds.size} different workers`)
   }
@@ -206,7 +189,7 @@
       return
     }
     if (!job.hasFailedTask && !job.isTerminating && !job.isBeingPreempted) this.#recordSuccess(job, nowMs)
-    this.#vacate(job)
+    this.#placer.vacate(job, this.#nowMs)
     this.#jobs.delete(jobId)
   }
 
@@ -218,7 +201,7 @@
     this.#advanceClock(nowMs)
     const job = this.#jobs.get(jobId)
     if (job === undefined || job.state !== 'placed') return
-    this.#vacate(job)
+    this.#placer.vacate(job, this.#nowMs)
     if (job.isTerminating) {
       this.#jobs.delete(jobId)
       return
@@ -229,15 +212,13 @@
   /** Runs a scheduling pass: places waiting jobs, and preempts jobs on lent capacity for guarantees or urgent jobs. */
   runPass (nowMs: number): PlacementDecision[] {
     this.#advanceClock(nowMs)
-    for (const workerId of this.#workerHealth.endExpiredQuarantines(nowMs)) this.#refreshWorker(workerId)
-    this.#placeReadyClaims()
-    const freedModels = new Set(this.#freedModels)
-    this.#freedModels.clear()
+    for (const workerId of this.#workers.health.endExpiredQuarantines(nowMs)) this.#refreshWorker(workerId)
+    this.#placer.placeReadyClaims(this.#nowMs)
+    const freedModels = new Set(this.#placer.freedModels)
+    this.#placer.freedModels.clear()
     this.#reopenGroups(freedModels)
     this.#tryWaitingJobs(freedModels)
-    const decisions = this.#decisions
-    this.#decisions = []
-    return decisions
+    return this.#placer.takeDecisions()
   }
 
   /** Explains why a job waits, which jobs block it and when it may start; or how it was placed or refused. */
@@ -252,8 +233,8 @@
       fleet: this.#fleet,
       jobs: [...this.#jobs.values()],
       waitingJobs: this.#waitingJobs.size,
-      quarantinedWorkerIds: this.#workerHealth.quarantinedWorkerIds(),
-      drainingWorkerIds: [...this.#drainingWorkerIds].sort(),
+      quarantinedWorkerIds: this.#workers.health.quarantinedWorkerIds(),
+      drainingWorkerIds: this.#workers.drainingWorkerIds(),
       missingOrQuarantinedWorkerIds: this.#missingOrQuarantinedWorkerIds()
     }))
   }
@@ -267,22 +248,6 @@
     this.#nowMs = Math.max(this.#nowMs, nowMs)
   }
 
-  #checkAdmission (spec: JobSpec, shape: GangShape): Failure | undefined {
-    const { organisationId, tasks } = spec
-    if (this.#jobs.has(spec.jobId)) return failure('job_exists', `job ${spec.jobId} already exists`)
-    if (!this.#usage.has(organisationId)) {
-      return failure('unknown_organisation', `organisation ${organisationId} is not in the configuration`)
-    }
-    if (!(tasks >= 1) || tasks > this.#rules.maxGangTasks) {
-      return failure('impossible_shape', `the job has ${tasks} tasks, 1 to ${this.#rules.maxGangTasks} are allowed`)
-    }
-    if (!shape.isPossible) return failure('impossible_shape', describeImpossibleShape(spec))
-    const quota = this.#usage.quota(organisationId)
-    if (shape.minAccelerators <= quota) return undefined
-    return failure('quota_exceeded',
-      `the job needs ${shape.minAccelerators} accelerators, the quota of organisation ${organisationId} is ${quota}`)
-  }
-
   #enqueue (job: JobRecord): void {
     job.state = 'waiting'
     this.#jobs.set(job.spec.jobId, job)
@@ -297,13 +262,15 @@
     this.#shapes = new ShapeTable(this.#fleet.tree)
     this.#reservations = new ReservationTable(this.#fleet)
     this.#planFinder = new PlanFinder(this.#fleet, this.#settings, this.#policy, this.#reservations,
-      spec => this.#estimateRunMs(spec))
+      spec => this.#estimator.estimateRunMs(spec))
     this.#forecaster = new StartForecaster(this.#fleet, this.#settings, job => this.#estimatedEndMs(job))
-    for (const { workerId } of this.#fleet.tree.workers) this.#fleet.setAvailable(workerId, this.#isInService(workerId))
+    for (const { workerId } of this.#fleet.tree.workers) {
+      this.#fleet.setAvailable(workerId, this.#workers.isInService(workerId))
+    }
   }
 
   #rebuildFleetState (): void {
-    for (const job of this.#jobs.values()) if (job.state === 'claiming') this.#releaseClaim(job)
+    for (const job of this.#jobs.values()) if (job.state === 'claiming') this.#placer.releaseClaim(job, this.#nowMs)
     this.#blockingJobs.clear()
     this.#buildFleetState()
     this.#waitingJobs = new WaitingJobs()
@@ -316,51 +283,39 @@
 
   #reoccupyRecordedPlacement (job: JobRecord): void {
     this.#usage.addInUse(job.spec.organisationId, -job.heldAccelerators, this.#nowMs)
-    this.#occupyRecordedPlacement(job)
-  }
-
-  #occupyRecordedPlacement (job: JobRecord): void {
-    const placement = job.placement!
-    job.state = 'placed'
-    job.plan = restorePlan(this.#fleet, job.spec, placement)
-    job.heldAccelerators = placement.tasks.reduce((sum, task) => sum + task.acceleratorCount, 0)
-    this.#fleet.occupy(job, job.plan)
-    this.#usage.addInUse(job.spec.organisationId, job.heldAccelerators, this.#nowMs)
-  }
-
-  /** Whether a worker may get new tasks, provided that it is in the inventory. */
-  #isInService (workerId: string): boolean {
-    return this.#joinedWorkerIds.has(workerId) && !this.#drainingWorkerIds.has(workerId) &&
-      !this.#workerHealth.isQuarantined(workerId)
+    this.#placer.occupyRecorded(job, this.#nowMs)
   }
 
   #missingOrQuarantinedWorkerIds (): string[] {
     const ids = this.#fleet.tree.workers.map(worker => worker.workerId)
-    return ids.filter(workerId => !this.#joinedWorkerIds.has(workerId) || this.#workerHealth.isQuarantined(workerId))
+    return ids.filter(workerId => this.#workers.isMissingOrQuarantined(workerId))
   }
 
   #refreshWorker (workerId: string): void {
     const worker = this.#configuration.workers.get(workerId)
-    const isAvailable = this.#isInService(workerId)
+    const isAvailable = this.#workers.isInService(workerId)
     if (worker === undefined || this.#fleet.isAvailable(workerId) === isAvailable) return
     this.#fleet.setAvailable(workerId, isAvailable)
     // Also after a loss: the reservation holder is tried again, and a job that fits only on workers where its tasks
     // failed is stopped.
-    this.#freedModels.add(worker.acceleratorModel)
+    this.#placer.freedModels.add(worker.acceleratorModel)
     if (isAvailable) return
-    for (const job of this.#fleet.claimantsOnWorker(workerId)) this.#requeueClaim(job)
+    for (const job of this.#fleet.claimantsOnWorker(workerId)) {
+      this.#placer.releaseClaim(job, this.#nowMs)
+      this.#waitingJobs.add(job)
+    }
   }
 
   // Waiting order
 
   #reopenGroups (freedModels: ReadonlySet<string>): void {
-    if (freedModels.size === 0 && this.#freedOrganisationIds.size === 0) return
+    if (freedModels.size === 0 && this.#placer.freedOrganisationIds.size === 0) return
     for (const model of freedModels) {
       this.#planFinder.capacityFreed(model)
       this.#blockingJobs.delete(model)
     }
-    this.#waitingJobs.reopen(freedModels, this.#freedOrganisationIds)
-    this.#freedOrganisationIds.clear()
+    this.#waitingJobs.reopen(freedModels, this.#placer.freedOrganisationIds)
+    this.#placer.freedOrganisationIds.clear()
   }
 
   /** A reservation holder comes first within its priority, so that new jobs of other organisations do not starve it. */
@@ -373,56 +328,28 @@
   }
 
   #tryWaitingJobs (freedModels: ReadonlySet<string>): void {
-    const heap = new Heap<PassEntry>((left, right) => this.#policy.compareWaiting(left.orderKey, right.orderKey))
-    for (const [model, { job, calculatedMs }] of this.#reservations.byModel) {
-      const isDue = this.#nowMs - calculatedMs >= this.#settings.reservationRefreshMs
-      if (isDue || freedModels.has(model)) heap.push(this.#entryOf(job))
-    }
-    for (const queue of this.#waitingJobs.queues) this.#pushNextOpen(heap, queue)
-    this.#failedTrials = 0
-    for (let entry = heap.pop(); entry !== undefined; entry = heap.pop()) {
-      if (this.#failedTrials >= this.#settings.maxFailedTrials) break
-      this.#processEntry(heap, entry)
-    }
-  }
-
-  #entryOf (job: JobRecord): PassEntry {
-    return { group: job.group!, job, orderKey: this.#orderKeyOf(job) }
-  }
-
-  /** Placing jobs raises the attained share of their organisation, so an entry may have to be queued again. */
-  #processEntry (heap: Heap<PassEntry>, { group, job, orderKey }: PassEntry): void {
-    // The job was placed, stopped or moved to another group since the entry was pushed.
-    if (job.group !== group) {
-      this.#pushNextOpen(heap, group.queue)
-      return
-    }
-    const current = this.#orderKeyOf(job)
-    if (this.#policy.compareWaiting(current, orderKey) > 0) heap.push({ group, job, orderKey: current })
-    else if (this.#isBlocked(job, current)) this.#skipGroup(heap, group)
-    else this.#scheduleJob(heap, group, job)
+    const pass = new WaitingPass({
+      policy: this.#policy,
+      waitingJobs: this.#waitingJobs,
+      maxFailedTrials: this.#settings.maxFailedTrials,
+      orderKeyOf: job => this.#orderKeyOf(job),
+      isBlocked: (job, orderKey) => this.#isBlocked(job, orderKey),
+      tryJob: job => this.#tryOrReserve(job)
+    })
+    pass.run(this.#dueReservationHolders(freedModels))
   }
 
-  /** Closes a group of a blocked model; it reopens when capacity of the model is freed, which also ends the block. */
-  #skipGroup (heap: Heap<PassEntry>, group: WaitingGroup): void {
-    this.#waitingJobs.close(group)
-    this.#pushNextOpen(heap, group.queue)
+  #dueReservationHolders (freedModels: ReadonlySet<string>): JobRecord[] {
+    const dueMs = this.#nowMs - this.#settings.reservationRefreshMs
+    return [...this.#reservations.byModel]
+      .filter(([model, { calculatedMs }]) => calculatedMs <= dueMs || freedModels.has(model))
+      .map(([, { job }]) => job)
   }
 
-  #scheduleJob (heap: Heap<PassEntry>, group: WaitingGroup, job: JobRecord): void {
-    const isFirst = group.first === job
+  #tryOrReserve (job: JobRecord): TrialResult {
     const result = this.#reservations.hasReservation(job) ? this.#tryReservationHolder(job) : this.#tryJob(job)
     if (result === 'no_fit') this.#reserveOrBlock(job)
-    if (result === 'no_fit' || result === 'over_quota') {
-      this.#failedTrials += 1
-      if (isFirst) this.#waitingJobs.close(group)
-    }
-    this.#pushNextOpen(heap, group.queue)
-  }
-
-  #pushNextOpen (heap: Heap<PassEntry>, queue: WaitingQueue): void {
-    const group = queue.firstOpen()
-    if (group !== undefined) heap.push(this.#entryOf(group.first!))
+    return result
   }
 
   #isBlocked (job: JobRecord, orderKey: WaitingOrderKey): boolean {
@@ -466,103 +393,25 @@
   #applyPlan (job: JobRecord, plan: GangPlan): void {
     this.#waitingJobs.remove(job)
     if (this.#reservations.hasReservation(job)) this.#cancelReservation(job.spec.acceleratorModel)
-    job.plan = plan
-    job.heldAccelerators = this.#fleet.acceleratorsOf(plan.cells)
-    this.#usage.addInUse(job.spec.organisationId, job.heldAccelerators, this.#nowMs)
-    if (plan.victims.size === 0) this.#place(job, plan)
-    else this.#claim(job, plan)
-  }
-
-  #place (job: JobRecord, plan: GangPlan): void {
-    this.#fleet.occupy(job, plan)
-    job.state = 'placed'
-    job.startedMs = this.#nowMs
-    job.hasFailedTask = false
-    job.placement = toPlacement(this.#fleet.tree, plan)
-    this.#decisions.push({ kind: 'place', jobId: job.spec.jobId, placement: job.placement })
-  }
-
-  #claim (job: JobRecord, plan: GangPlan): void {
-    job.state = 'claiming'
-    this.#fleet.claim(job, plan)
-    for (const victim of plan.victims) {
-      victim.claimants.add(job)
-      job.pendingVictims.add(victim)
-      if (!victim.isBeingPreempted && !victim.isTerminating) this.#preempt(victim, job, plan)
-    }
-  }
-
-  #preempt (victim: JobRecord, claimant: JobRecord, plan: GangPlan): void {
-    victim.isBeingPreempted = true
-    this.#decisions.push({
-      kind: 'reclaim',
-      jobId: victim.spec.jobId,
-      method: victim.spec.preemption === 'checkpoint' ? 'checkpoint' : 'stop',
-      forJobId: claimant.spec.jobId,
-      reason: `job ${claimant.spec.jobId} needs the capacity: ${plan.reason}`
-    })
-  }
-
-  #placeReadyClaims (): void {
-    for (const job of this.#readyClaims) {
-      const plan = job.plan!
-      this.#place(job, plan)
-      // Released only after the job occupies the cells: a binding without users would be released.
-      this.#fleet.releaseClaim(plan)
-    }
-    this.#readyClaims.clear()
-  }
-
-  #releaseClaim (job: JobRecord): void {
-    this.#fleet.releaseClaim(job.plan!)
-    for (const victim of job.pendingVictims) victim.claimants.delete(job)
-    job.pendingVictims.clear()
-    this.#readyClaims.delete(job)
-    this.#releaseCapacity(job)
-    job.state = 'waiting'
-  }
-
-  #requeueClaim (job: JobRecord): void {
-    this.#releaseClaim(job)
-    this.#waitingJobs.add(job)
-  }
-
-  #vacate (job: JobRecord): void {
-    this.#fleet.vacate(job, job.plan!)
-    this.#releaseCapacity(job)
-    job.placement = undefined
-    job.isBeingPreempted = false
-    for (const claimant of job.claimants) {
-      claimant.pendingVictims.delete(job)
-      if (claimant.pendingVictims.size === 0) this.#readyClaims.add(claimant)
-    }
-    job.claimants.clear()
-  }
-
-  #releaseCapacity (job: JobRecord): void {
-    this.#usage.addInUse(job.spec.organisationId, -job.heldAccelerators, this.#nowMs)
-    job.heldAccelerators = 0
-    job.plan = undefined
-    this.#freedModels.add(job.spec.acceleratorModel)
-    this.#freedOrganisationIds.add(job.spec.organisationId)
+    this.#placer.apply(job, plan, this.#nowMs)
   }
 
   #removeUnplaced (job: JobRecord): void {
     const model = job.spec.acceleratorModel
-    if (job.state === 'claiming') this.#releaseClaim(job)
+    if (job.state === 'claiming') this.#placer.releaseClaim(job, this.#nowMs)
     this.#waitingJobs.remove(job)
     if (this.#reservations.hasReservation(job)) this.#cancelReservation(model)
-    if (this.#blockingJobs.get(model) === job) this.#freedModels.add(model)
+    if (this.#blockingJobs.get(model) === job) this.#placer.freedModels.add(model)
     this.#jobs.delete(job.spec.jobId)
   }
 
   #stop (job: JobRecord, detail: string): void {
     const cause = failure('backend_failed', `job ${job.spec.jobId} was stopped: ${detail}`)
     job.isTerminating = true
-    this.#decisions.push({ kind: 'stop', jobId: job.spec.jobId, failure: cause })
-    this.#recordRefusal(job.spec.jobId, cause)
+    this.#placer.addDecision({ kind: 'stop', jobId: job.spec.jobId, failure: cause })
+    this.#refusals.record(job.spec.jobId, cause)
     for (const workerId of job.failedWorkerIds) {
-      if (this.#workerHealth.retractFailure(workerId, job.spec.jobId)) this.#refreshWorker(workerId)
+      if (this.#workers.health.retractFailure(workerId, job.spec.jobId)) this.#refreshWorker(workerId)
     }
     if (job.state !== 'placed') this.#removeUnplaced(job)
   }
@@ -584,14 +433,6 @@
     return this.#forecaster.forecast(job.shape, this.#nowMs, () => true) !== undefined
   }
 
-  #recordRefusal (jobId: string, cause: Failure): void {
-    this.#refusals.delete(jobId)
-    this.#refusals.set(jobId, cause)
-    if (this.#refusals.size <= this.#settings.explainHistoryLength) return
-    const [oldest] = this.#refusals.keys()
-    this.#refusals.delete(oldest!)
-  }
-
   // Reservations
 
   /**
@@ -605,7 +446,7 @@
     this.#planFinder.capacityFreed(model)
     const result = this.#tryJob(job)
     if (result !== 'no_fit') {
-      this.#freedModels.add(model)
+      this.#placer.freedModels.add(model)
       return result
     }
     if (this.#nowMs - reservation.calculatedMs >= this.#settings.reservationRefreshMs) this.#reserve(job)
@@ -625,33 +466,25 @@
 
   /** Ends the reservation of a model, if any; its cells count as freed capacity. */
   #cancelReservation (model: string): void {
-    if (this.#reservations.remove(model) !== undefined) this.#freedModels.add(model)
+    if (this.#reservations.remove(model) !== undefined) this.#placer.freedModels.add(model)
   }
 
   // Estimates
 
-  #estimateRunMs (spec: JobSpec): number {
-    return this.#policy.estimateRunMs(spec, this.#runTimes.learnedRunMs(spec))
-  }
-
   #estimatedEndMs (job: JobRecord): number {
-    const estimateMs = this.#estimateRunMs(job.spec)
-    if (job.state !== 'placed') return this.#nowMs + estimateMs
-    if (job.isBeingPreempted) return this.#nowMs + this.#rules.reclaimWithinMs
-    const elapsedMs = this.#nowMs - job.startedMs
-    if (elapsedMs < estimateMs) return job.startedMs + estimateMs
-    return this.#nowMs + Math.max(OVERRUN_EXTENSION_MIN_MS, elapsedMs * OVERRUN_EXTENSION_FACTOR)
+    const { reclaimWithinMs } = this.#rules
+    return this.#estimator.estimatedEndMs(job, { nowMs: this.#nowMs, reclaimWithinMs })
   }
 
   #recordSuccess (job: JobRecord, nowMs: number): void {
     this.#runTimes.record(job.spec, nowMs - job.startedMs)
-    for (const task of job.placement!.tasks) this.#workerHealth.recordSuccess(task.workerId)
+    for (const task of job.placement!.tasks) this.#workers.health.recordSuccess(task.workerId)
   }
 
   #explainerInput (): ExplainerInput {
     return {
       jobs: this.#jobs,
-      refusals: this.#refusals,
+      refusals: this.#refusals.failures,
       usage: this.#usage,
       reservationsByModel: this.#reservations.byModel,
       forecaster: this.#forecaster,
@@ -661,8 +494,3 @@
     }
   }
 }
-
-function describeImpossibleShape (spec: JobSpec): string {
-  return `the inventory cannot hold ${spec.tasks} tasks of ${spec.acceleratorsPerTask} ` +
-    `${spec.acceleratorModel} accelerators, ${spec.coresPerTask} cores and ${spec.memoryGbPerTask} GB with adjacency ${spec.adjacency}`
-}
