--- a/packages/batch/src/scheduler.ts
+++ b/packages/batch/src/scheduler.ts
@@ -96,8 +96,8 @@
  * short with a long queue. The latter go on in the next pass where those of this one end.
  */
 const MAX_UNPLACED_STEPS_PER_PASS = 64
-/** Most steps of a pass whose reason to wait is told, for the log. */
-const MAX_TOLD_WAITS = 64
+/** Most steps of a pass whose reason to wait is reported, for the log. */
+const MAX_REPORTED_WAITS = 64
 /**
  * Time after which a step's claim to the capacity freed for it expires: the longest time from the decision to stop runs
  * until the step has started.
@@ -215,7 +215,7 @@
 
   #recordWait (step: WaitingStep, reason: UnplacedReason, pass: Pass): void {
     if (step.hasAdvicePolicy) pass.stepsNeedingTickets.push(step)
-    if (pass.waits.length < MAX_TOLD_WAITS) pass.waits.push({ step, taskCount: step.taskIndexes.length, ...reason })
+    if (pass.waits.length < MAX_REPORTED_WAITS) pass.waits.push({ step, taskCount: step.taskIndexes.length, ...reason })
   }
 
   #assign (step: WaitingStep, placements: readonly TaskPlacement[], pass: Pass): void {
