Do not lengthen a quarantine for runs that fail during it

Cause: each failed run of a worker in quarantine counted as a further quarantine, which is twice as long. Where all runs of a worker fail together, as after one fault, a single report took it to the longest quarantine of 24 s at once.

Change: failures during a quarantine belong to those that led to it. The quarantine ends early only where what is left of them, without the jobs that turned out to be faulty, would not have led to it.

Two tests of worker-health.test.ts fail without the change.

--- a/packages/batch/src/worker-health.ts
+++ b/packages/batch/src/worker-health.ts
@@ -15,7 +15,7 @@
 interface Health {
   /** Jobs whose failures count against the worker. */
   failedJobs: Set<string>
-  /** Jobs whose failures led to the latest quarantine. */
+  /** Jobs whose failures led to the latest quarantine, and those whose runs failed during it. */
   quarantineCauses: Set<string>
   quarantines: number
   quarantinedUntilMs: number
@@ -74,8 +74,11 @@
   #countFailure (workerId: string, jobId: string): void {
     const health = this.#byWorker.get(workerId) ?? createHealth()
     this.#byWorker.set(workerId, health)
-    health.failedJobs.add(jobId)
-    if (health.failedJobs.size >= QUARANTINE_FAILED_JOBS || health.quarantines > 0) this.#quarantine(workerId, health)
+    // Runs that were started before a quarantine and fail during it say no more than those that led to it.
+    const isQuarantined = this.isQuarantined(workerId)
+    const failedJobs = isQuarantined ? health.quarantineCauses : health.failedJobs
+    failedJobs.add(jobId)
+    if (!isQuarantined && suffices(failedJobs, health.quarantines)) this.#quarantine(workerId, health)
   }
 
   #quarantine (workerId: string, health: Health): void {
@@ -97,9 +100,9 @@
     }
   }
 
-  /** What is left of the causes counts again. */
+  /** Ends a quarantine for which what is left of its causes would not suffice; that counts again. */
   #endQuarantine (workerId: string, health: Health, jobId: string): void {
-    if (!this.isQuarantined(workerId)) return
+    if (!this.isQuarantined(workerId) || suffices(health.quarantineCauses, health.quarantines - 1)) return
     health.quarantinedUntilMs = -Infinity
     health.quarantines--
     health.failedJobs = new Set([...health.failedJobs, ...health.quarantineCauses])
@@ -107,3 +110,8 @@
     this.#log.info('worker quarantine ended', { workerId, faultyJobId: jobId })
   }
 }
+
+/** Whether failures of these jobs put a worker that was quarantined before that often into quarantine. */
+function suffices (failedJobs: ReadonlySet<string>, earlierQuarantines: number): boolean {
+  return failedJobs.size >= (earlierQuarantines === 0 ? QUARANTINE_FAILED_JOBS : 1)
+}
--- a/packages/batch/test/worker-health.test.ts
+++ b/packages/batch/test/worker-health.test.ts
@@ -30,6 +30,25 @@
   t.false(health.isQuarantined('w1'))
 })
 
+// Guards against the longest quarantine at once, where all runs of a worker fail together.
+test('runs that fail during a quarantine do not make it longer', t => {
+  const { clock, health, report } = createHealth()
+  for (const job of ['a', 'b', 'c', 'd', 'e']) report('w1', `${job}.0.0.0`)
+  clock.advance(2_999)
+  t.true(health.isQuarantined('w1'))
+  clock.advance(1)
+  t.false(health.isQuarantined('w1'))
+})
+
+test('a quarantine stays while failures of other jobs suffice for it', t => {
+  const { health, report } = createHealth()
+  for (const job of ['a', 'b', 'c']) report('w1', `${job}.0.0.0`)
+  report('w2', 'a.0.0.0')
+  t.true(health.isQuarantined('w1'))
+  report('w2', 'b.0.0.0')
+  t.false(health.isQuarantined('w1'))
+})
+
 test('several failures of one job do not quarantine a worker', t => {
   const { health, report } = createHealth()
   for (const index of [0, 1, 2]) report('w1', `a.0.0.${index}`)
