Let a lease of an earlier leader last as long as heartbeats were slow

Cause: a new leader takes the lease that an earlier one may have granted to end `leaseMs` after the start of its term, converted to the worker's clock with the offset of the fastest heartbeat. That offset is too high by the delay of this heartbeat, so the end came out too early by as much. Where all heartbeats were slow and the answers to them were lost, runs were freed, and could start elsewhere, while their worker still held the lease.

Change: the report timeout, after which the worker discards the answer, is added. Leases that this leader granted are not concerned, since they are counted on the worker's clock alone.

The new test of worker-view.test.ts fails without the change ('lapsed').

--- a/packages/batch/src/worker-view.ts
+++ b/packages/batch/src/worker-view.ts
@@ -125,8 +125,10 @@
     const hasContinuingRun = running.some(task => this.reportedRuns.has(taskRunKey(task)))
     if (this.#lastGrantWorkerMs === undefined || hasContinuingRun) return 'held'
     if (clockMs < this.#minLeaseEndWorkerMs) return 'held'
-    // An earlier leader may have extended the lease up to the start of this term.
-    const inheritedEndWorkerMs = this.#termStartedAtMs - this.#clockOffsetMs + this.#settings.leaseMs
+    // An earlier leader may have extended the lease up to the start of this term. The offset is too high by the delay
+    // of the fastest heartbeat, and the worker discards the answer where that is longer than the report timeout.
+    const { leaseMs, reportTimeoutMs } = this.#settings
+    const inheritedEndWorkerMs = this.#termStartedAtMs - this.#clockOffsetMs + leaseMs + reportTimeoutMs
     return clockMs > Math.max(this.#maxLeaseEndWorkerMs, inheritedEndWorkerMs) ? 'lapsed' : 'uncertain'
   }
 
--- a/packages/batch/test/lost-worker.test.ts
+++ b/packages/batch/test/lost-worker.test.ts
@@ -11,6 +11,8 @@
 /** A worker with one run that has reported a checkpoint. */
 function createWorkerWithCheckpointedRun (): { fixture: LeaderFixture, running: WorkerReport['running'] } {
   const fixture = new LeaderFixture()
+  // No lease of an earlier leader outlasts those of this one.
+  fixture.advance(defaultBatchSettings.reportTimeoutMs)
   fixture.heartbeat('w1')
   fixture.submit('j1', [step({ taskCount: 1, isCheckpointing: true, estimateMs: 60_000 })])
   const running = runningTasks(fixture.heartbeat('w1')?.starts ?? [], 50).map(task => ({ ...task, checkpoint: CHECKPOINT }))
--- a/packages/batch/test/worker-view.test.ts
+++ b/packages/batch/test/worker-view.test.ts
@@ -70,6 +70,19 @@
   t.is(view.leaseStatus, 'uncertain')
 })
 
+// Guards against runs that are freed while their worker still holds the lease of an earlier leader.
+test('heartbeats that were all slow to arrive do not make a lease of an earlier leader count as lapsed', t => {
+  // The worker's clock is 90 s behind the leader's, so the term starts at 10 s of it. An earlier leader has granted a
+  // lease just before, for a heartbeat at 9.95 s; this leader gets one that the worker had given up before that.
+  const clock = new ManualClock(100_000)
+  const view = new WorkerView(report('w1', { clockMs: 8_900 }), 100_000, clock, settings)
+  view.recordLeaseGrant(settings.leaseMs)
+  clock.advance(6_400)
+  // Sent at 15.5 s, 450 ms before the end of that lease, and 900 ms under way.
+  view.accept(report('w1', { clockMs: 15_500, sequence: 2 }), clock.monotonicMs())
+  t.is(view.leaseStatus, 'uncertain')
+})
+
 test('a worker clock that is 2 percent slow does not make heartbeats count as late over time', t => {
   const { view, clock } = createView()
   for (let sequence = 2; sequence < 1_500; sequence++) {
