Agree on the interfaces of the decisions under load

Run times, worker speeds, shares of organisations and admission become abstract classes that the leader gets as its policies. The plain ones decide as before: callers' estimates, equal workers, unlimited shares, every job accepted.

--- /dev/null
+++ b/packages/batch/src/admission-policy.ts
@@ -0,0 +1,33 @@
+/** Decides whether a new job is accepted, from the load of the fleet. */
+import type { Failure } from '@comfreygrade/core'
+import type { JobSpec } from './jobs.js'
+import type { QueueConfiguration } from './queues.js'
+import type { PassDecision } from './scheduler.js'
+import type { WaitingStep } from './waiting-steps.js'
+
+/** A job that is about to be accepted. */
+export interface AdmissionRequest {
+  readonly spec: JobSpec
+  readonly queue: QueueConfiguration
+  /** Empty for a request without a key. */
+  readonly organisation: string
+  readonly nowMs: number
+}
+
+/** Admission of jobs; each rule is a subclass. */
+export abstract class AdmissionPolicy {
+  /** The reason for which the job is refused; undefined where it is accepted. */
+  abstract refusalOf (request: AdmissionRequest): Failure | undefined
+
+  /** Takes the result of a scheduling pass, and the steps that waited before it. */
+  abstract recordPass (steps: readonly WaitingStep[], decision: PassDecision, nowMs: number): void
+}
+
+/** Accepts every job. */
+export class AcceptAllJobs extends AdmissionPolicy {
+  override refusalOf (): undefined {
+    return undefined
+  }
+
+  override recordPass (): void {}
+}
--- a/packages/batch/src/leader.ts
+++ b/packages/batch/src/leader.ts
@@ -14,6 +14,7 @@
 import { OperationHandler, type ProposalOutcome } from './operation-handler.js'
 import type { BatchOperation, BatchResult } from './operations.js'
 import { OrderPlanner } from './order-planner.js'
+import { plainPolicies, type BatchPolicies } from './policies.js'
 import { ObjectiveSchedulingOrder } from './scheduling-order.js'
 import { ReportHandler } from './report-handler.js'
 import { BatchScheduler, type Reclaim } from './scheduler.js'
@@ -57,6 +58,8 @@
   readonly clock: Clock
   readonly metrics: Metrics
   readonly log: EventLog
+  /** {@link plainPolicies} where there are none. */
+  readonly policies?: BatchPolicies
 }
 
 /** The interval between passes is at least this multiple of their duration, so that heartbeats are answered in time. */
@@ -93,7 +96,7 @@
   #lastFleetCheckMs = -Infinity
 
   constructor (options: BatchLeaderOptions) {
-    const { state, settings, clock, log } = options
+    const { state, settings, clock, log, policies = plainPolicies() } = options
     this.#options = options
     this.#registry = new WorkerRegistry(state, settings, clock, log)
     this.#tickets = new TicketCache({ clock, maxWorkersPerRequest: settings.maxAdviceWorkers })
@@ -103,10 +106,11 @@
     this.#orders = new OrderPlanner({
       state, settings, clock, tickets: this.#tickets, assembly: this.#assembly, fencingToken: options.term, log
     })
-    this.#scheduler = new BatchScheduler(settings, clock, new ObjectiveSchedulingOrder())
+    this.#scheduler = new BatchScheduler(settings, clock, new ObjectiveSchedulingOrder(), policies)
     this.#operations = new OperationHandler({
       ...options,
       registry: this.#registry,
+      admission: policies.admission,
       propose: (command, onSettled) => { this.#propose(command, onSettled) },
       reply: (requestId, result) => { this.#effects.push({ kind: 'reply', requestId, result }) },
       onCancelled: jobId => { this.#wakeWorkersOf(jobId) }
@@ -116,6 +120,7 @@
       registry: this.#registry,
       orders: this.#orders,
       assembly: this.#assembly,
+      policies,
       propose: (command, onSettled) => { this.#propose(command, onSettled) },
       reply: (requestId, orders) => { this.#effects.push({ kind: 'reply_worker', requestId, orders }) },
       requestPass: () => { this.#isPassDue = true },
--- a/packages/batch/src/operation-handler.ts
+++ b/packages/batch/src/operation-handler.ts
@@ -1,5 +1,6 @@
 /** Operations of callers and operators: queries are answered from the state, changes are proposed to the log. */
 import { fail, succeed, type Clock, type EventLog, type Failure, type Metrics } from '@comfreygrade/core'
+import type { AdmissionPolicy } from './admission-policy.js'
 import type { BatchState } from './batch-state.js'
 import type { BatchCommand, CommandResult, MaintenanceWave } from './commands.js'
 import { visibleState } from './job-record.js'
@@ -18,6 +19,7 @@
 export interface OperationHandlerOptions {
   readonly state: BatchState
   readonly registry: WorkerRegistry
+  readonly admission: AdmissionPolicy
   readonly clock: Clock
   readonly metrics: Metrics
   readonly log: EventLog
@@ -70,6 +72,9 @@
     if (!valid.ok) return this.#refuse(requestId, valid.failure)
     if (this.#isBeingRemoved(queue)) return this.#refuse(requestId, queueIsBeingRemoved(queue))
     const spec = { ...fields, jobId }
+    const nowMs = this.#options.clock.monotonicMs()
+    const refusal = this.#options.admission.refusalOf({ spec, queue, organisation, nowMs })
+    if (refusal !== undefined) return this.#refuse(requestId, refusal)
     this.#options.propose({
       kind: 'submit_job',
       spec,
--- /dev/null
+++ b/packages/batch/src/organisation-shares.ts
@@ -0,0 +1,27 @@
+/** How the organisations share the capacity that no guarantee binds. */
+
+/** Resources that an organisation occupies now, as shares of the fleet. */
+export interface OrganisationUsage {
+  /** Share of the resource of which the organisation occupies the largest share (its dominant resource). */
+  readonly dominantShare: number
+}
+
+/** Attained service of the organisations; each rule of sharing is a subclass. */
+export abstract class OrganisationShares {
+  /** Takes the usage at the start of a scheduling pass; `waiting` are the organisations with steps that wait. */
+  abstract update (
+    usage: ReadonlyMap<string, OrganisationUsage>, waiting: ReadonlySet<string>, nowMs: number
+  ): void
+
+  /** Attained service as a multiple of the fair share: 1 at the share, more beyond it, 0 without any service. */
+  abstract attainedOf (organisation: string): number
+}
+
+/** Counts every organisation as being at its share. */
+export class UnlimitedShares extends OrganisationShares {
+  override update (): void {}
+
+  override attainedOf (): number {
+    return 1
+  }
+}
--- a/packages/batch/src/queues.ts
+++ b/packages/batch/src/queues.ts
@@ -33,6 +33,8 @@
   /** Requests need no API key. */
   readonly isAnonymous: boolean
   readonly advice?: AdvicePolicy
+  /** Regions in which the queue's tasks may run; absent or empty for all. */
+  readonly permittedRegions?: readonly string[]
 }
 
 /** A service is a pool of workers; each queue uses one. */
@@ -48,6 +50,8 @@
   readonly apiKeys: readonly string[]
   /** Accelerators that the organisation's jobs of priority 0 get at any time. */
   readonly guaranteedAccelerators: number
+  /** Regions in which the organisation's tasks may run; absent or empty for all. */
+  readonly permittedRegions?: readonly string[]
 }
 
 /** A complete configuration. */
--- a/packages/batch/src/report-handler.ts
+++ b/packages/batch/src/report-handler.ts
@@ -6,6 +6,7 @@
 import { jobIdOf } from './jobs.js'
 import type { ProposalOutcome } from './operation-handler.js'
 import type { OrderPlanner } from './order-planner.js'
+import type { BatchPolicies } from './policies.js'
 import { PendingReports, type PendingReport } from './pending-reports.js'
 import { ReportHold } from './report-hold.js'
 import { plausibleEnds } from './report-plausibility.js'
@@ -20,6 +21,7 @@
   readonly registry: WorkerRegistry
   readonly orders: OrderPlanner
   readonly assembly: GangAssembly
+  readonly policies: BatchPolicies
   readonly settings: BatchSettings
   readonly clock: Clock
   readonly metrics: Metrics
@@ -75,6 +77,7 @@
     const { view } = outcome
     if (!wasResponsive) this.#options.requestPass()
     this.#countMalformedEntries(report)
+    this.#options.policies.workerSpeeds.observe(view, nowMs)
     this.#checkLease(view)
     if (view.leaseStatus !== 'uncertain' && view.hasSecondReport) this.#proposeEnds(report)
     this.#releaseAbsentRuns(view)
--- a/packages/batch/src/scheduler.ts
+++ b/packages/batch/src/scheduler.ts
@@ -14,6 +14,7 @@
 import type { SchedulingOrder } from './scheduling-order.js'
 import { FailedPlacements } from './failed-placements.js'
 import { holdFreedCapacity, planReclaim, type ReclaimPlan } from './reclaim.js'
+import { plainPolicies, type BatchPolicies } from './policies.js'
 import { ObjectiveReclaimPolicy, type ReclaimPolicy } from './reclaim-policy.js'
 import { RackExpectations } from './rack-expectations.js'
 import { LazyReservation, reserve } from './reservation.js'
@@ -109,6 +110,7 @@
   readonly #settings: BatchSettings
   readonly #clock: Clock
   readonly #schedulingOrder: SchedulingOrder
+  readonly #policies: BatchPolicies
   readonly #reclaimPolicy: ReclaimPolicy
   readonly #termStartedAtMs: number
   /** Steps for which runs were stopped, with the time at which their claim on the freed capacity expires. */
@@ -117,8 +119,11 @@
   /** Key of the step at which the next pass goes on behind the steps that it tries in their order. */
   #resumeAtStep: string | undefined
 
-  constructor (settings: BatchSettings, clock: Clock, order: SchedulingOrder) {
+  constructor (
+    settings: BatchSettings, clock: Clock, order: SchedulingOrder, policies: BatchPolicies = plainPolicies()
+  ) {
     this.#settings = settings
+    this.#policies = policies
     this.#clock = clock
     this.#schedulingOrder = order
     this.#termStartedAtMs = clock.monotonicMs()
@@ -130,7 +135,7 @@
   runPass (state: BatchState, fleet: FleetView): PassDecision {
     const nowWallMs = this.#clock.wallMs()
     this.#removeExpiredClaims()
-    const steps = listWaitingSteps(state, this.#clock, this.#settings)
+    const steps = listWaitingSteps(state, this.#clock, this.#settings, this.#policies)
     const unschedulableWorkers = new Map<UnschedulableReason, number>()
     const workers = steps.length === 0 ? [] : this.#schedulableWorkers(state, fleet, unschedulableWorkers)
     const isFleetKnown = this.#clock.monotonicMs() - this.#termStartedAtMs >= this.#settings.fleetDiscoveryMs
@@ -154,6 +159,7 @@
     const remaining = this.#placeSteps(steps, MAX_UNPLACED_STEPS_PER_PASS, fleet, pass)
     const resumed = this.#placeSteps(this.#fromResumption(remaining), 2 * MAX_UNPLACED_STEPS_PER_PASS, fleet, pass)
     this.#resumeAtStep = resumed[0] === undefined ? undefined : waitingStepKey(resumed[0])
+    this.#policies.admission.recordPass(steps, pass, this.#clock.monotonicMs())
     return pass
   }
 
@@ -285,6 +291,7 @@
     state: BatchState, fleet: FleetView, unschedulableWorkers: Map<UnschedulableReason, number>
   ): WorkerCapacity[] {
     const nowMs = this.#clock.monotonicMs()
+    const { workerSpeeds } = this.#policies
     const workers: WorkerCapacity[] = []
     for (const view of fleet.views) {
       const reason = fleet.unschedulableReason(view)
@@ -293,7 +300,8 @@
         continue
       }
       const runs = listOccupyingRuns(state, view, fleet.isStopping, nowMs)
-      workers.push(new WorkerCapacity(view, runs, fleet.isReachable(view.latest.workerId)))
+      const isReachable = fleet.isReachable(view.latest.workerId)
+      workers.push(new WorkerCapacity(view, runs, isReachable, workerSpeeds.slowdownOf(view.latest)))
     }
     return workers
   }
--- a/packages/batch/src/settings.ts
+++ b/packages/batch/src/settings.ts
@@ -64,6 +64,8 @@
   readonly reclaimWorkFactor: number
   /** Core-seconds that may be discarded for any urgent step, however little work remains for it. */
   readonly minReclaimBudgetCoreSeconds: number
+  /** Region of each availability zone of the deployment; empty where the settings name none. */
+  readonly regionByAvailabilityZone: Readonly<Record<string, string>>
   /** Slowdown of a same-rack gang that is spread over several racks. */
   readonly farFactor: number
   /** Utilisation of the fleet from which steps may wait longer for a better rack. */
@@ -130,6 +132,7 @@
   fleetDiscoveryMs: 2_000,
   reclaimWorkFactor: 3,
   minReclaimBudgetCoreSeconds: 1_000,
+  regionByAvailabilityZone: {},
   farFactor: 3,
   busyFleetUtilisation: 0.6,
   maxReservations: 4,
--- a/packages/batch/src/waiting-steps.ts
+++ b/packages/batch/src/waiting-steps.ts
@@ -6,7 +6,9 @@
 import { occurrenceDueMs, type StepSpec } from './jobs.js'
 import { criticalPathMs, remainingPathMs } from './critical-path.js'
 import { GuaranteeCoverage } from './guarantee-coverage.js'
+import type { BatchPolicies } from './policies.js'
 import type { QueueConfiguration } from './queues.js'
+import type { RunTimePrediction } from './run-time-predictor.js'
 
 /** A step of one occurrence with the tasks that wait for workers. */
 export interface WaitingStep {
@@ -36,6 +38,10 @@
    */
   readonly estimateScaledSlackMs: number
   readonly hasAdvicePolicy: boolean
+  /** How long a task of the step is expected to run on a worker of typical speed. */
+  readonly runTime: RunTimePrediction
+  /** Attained service of the job's organisation, see {@link OrganisationShares.attainedOf}. */
+  readonly organisationAttained: number
   /** Whether the step is urgent and its organisation's guarantee covers it. */
   readonly isGuaranteed: boolean
 }
@@ -48,13 +54,17 @@
 /** Slack factor of such steps. */
 const DEFAULT_SLACK_FACTOR = 3
 
+type StepPolicies = Pick<BatchPolicies, 'runTimes' | 'shares'>
+
 /**
  * Lists the steps that wait for workers.
  *
  * @example
- * for (const step of listWaitingSteps(state, clock, settings)) consider(step)
+ * for (const step of listWaitingSteps(state, clock, settings, policies)) consider(step)
  */
-export function listWaitingSteps (state: BatchState, clock: Clock, settings: BatchSettings): WaitingStep[] {
+export function listWaitingSteps (
+  state: BatchState, clock: Clock, settings: BatchSettings, policies: StepPolicies
+): WaitingStep[] {
   const waiting: WaitingStep[] = []
   const nowWallMs = clock.wallMs()
   const latestDueMs = nowWallMs - settings.dueMarginMs
@@ -64,8 +74,8 @@
     const isGuaranteed = guarantees.covers(job)
     job.occurrences.forEach((record, occurrence) => {
       if (occurrenceDueMs(job.spec, occurrence) > latestDueMs) return
-      const open = { nowWallMs, job, occurrence, record: record ?? createOccurrence(job.spec), queue, isGuaranteed }
-      collectSteps(open, waiting)
+      const known = record ?? createOccurrence(job.spec)
+      collectSteps({ nowWallMs, job, occurrence, record: known, queue, isGuaranteed, policies }, waiting)
     })
   }
   return waiting
@@ -78,10 +88,11 @@
   readonly record: OccurrenceRecord
   readonly queue: QueueConfiguration | undefined
   readonly isGuaranteed: boolean
+  readonly policies: StepPolicies
 }
 
 function collectSteps (open: OpenOccurrence, waiting: WaitingStep[]): void {
-  const { nowWallMs, job, occurrence, record, queue, isGuaranteed } = open
+  const { nowWallMs, job, occurrence, record, queue, isGuaranteed, policies } = open
   job.spec.steps.forEach((spec, stepIndex) => {
     const step = record.steps[stepIndex]
     if (step === undefined || isStepDone(step)) return
@@ -107,6 +118,8 @@
       remainingCriticalPathMs: remainingPathMs(job.spec, stepIndex),
       estimateScaledSlackMs: estimateScaledObjectiveMs - jobCriticalPathMs,
       hasAdvicePolicy: queue?.advice !== undefined,
+      runTime: policies.runTimes.predict(job, stepIndex),
+      organisationAttained: policies.shares.attainedOf(job.organisation),
       isGuaranteed
     })
   })
--- a/packages/batch/src/worker-capacity.ts
+++ b/packages/batch/src/worker-capacity.ts
@@ -29,6 +29,8 @@
   readonly runs: readonly OccupyingRun[]
   /** Whether start orders reach the worker at once. */
   readonly isReachable: boolean
+  /** Run time on the worker as a multiple of that on a typical one. */
+  readonly slowdown: number
   readonly #free: MutableShape
   /** Time from now until the earliest reservation starts; `Infinity` without one. */
   #reservedAfterMs = Infinity
@@ -40,10 +42,11 @@
   /** For limits of tasks per worker. */
   readonly #taskCountByStep = new Map<string, number>()
 
-  constructor (view: WorkerView, runs: readonly OccupyingRun[], isReachable: boolean) {
+  constructor (view: WorkerView, runs: readonly OccupyingRun[], isReachable: boolean, slowdown = 1) {
     this.view = view
     this.runs = runs
     this.isReachable = isReachable
+    this.slowdown = slowdown
     this.#free = { ...view.latest.capacity }
     for (const { assignment, spec } of runs) {
       addTask(this.#free, spec, -1)
--- a/packages/batch/src/worker-view.ts
+++ b/packages/batch/src/worker-view.ts
@@ -39,6 +39,8 @@
   reportedAtMs: number
   /** Progress of the runs in the latest report, by task run. */
   readonly progress = new Map<string, RunProgress>()
+  /** Progress of the runs whose ends are reported and not recorded yet, from before their ends, by task run. */
+  readonly endedProgress = new Map<string, RunProgress>()
   /**
    * Sequence of the heartbeat whose answer last carried the start order of a run, by assignment. For a run of an
    * earlier term, whose order an earlier leader may have sent, it is at first a heartbeat after the grace time: a later
@@ -176,6 +178,7 @@
     const key = taskRunKey(assignment)
     this.reportedRuns.delete(key)
     this.#checkpoints.delete(key)
+    this.endedProgress.delete(key)
     this.startSentAtSequence.delete(assignmentKey(assignment))
     this.assignedInTerm.delete(assignmentKey(assignment))
   }
@@ -205,8 +208,16 @@
       if (known === undefined) this.progress.set(key, firstProgress(taskKey, percent, nowMs))
       else if (known.percent !== percent) Object.assign(known, { percent, lastChangeMs: nowMs })
     }
+    this.#keepEndedProgress(report)
     for (const key of this.progress.keys()) if (!reportedKeys.has(key)) this.progress.delete(key)
   }
+
+  #keepEndedProgress ({ ends }: WorkerReport): void {
+    for (const end of ends) {
+      const progress = this.progress.get(taskRunKey(end))
+      if (progress !== undefined) this.endedProgress.set(taskRunKey(end), progress)
+    }
+  }
 }
 
 function firstProgress (taskKey: string, percent: number, nowMs: number): RunProgress {
