--- a/packages/batch-node/src/batch-service.ts
+++ b/packages/batch-node/src/batch-service.ts
@@ -4,7 +4,7 @@
 import { randomUUID } from 'node:crypto'
 import { Encoder } from 'cbor-x'
 import {
-  BatchLeader, BatchState, type BatchCommand, type BatchSettings, type BatchSnapshot, type LeaderEffect,
+  adaptivePolicies, BatchLeader, BatchState, type BatchCommand, type BatchSettings, type BatchSnapshot, type LeaderEffect,
   type LeaderEvent
 } from '@comfreygrade/batch'
 import type { LogStorage, RecoveredLog, Replica, ReplicaSettings, VoterId } from '@comfreygrade/consensus'
@@ -154,7 +154,8 @@
 
   override leadershipStarted (term: number): void {
     const { settings, clock, metrics, log } = this.#options
-    this.#leader = new BatchLeader({ term, state: this.#state, settings, clock, metrics, log })
+    const policies = adaptivePolicies({ settings, clock, metrics, log })
+    this.#leader = new BatchLeader({ term, state: this.#state, settings, clock, metrics, log, policies })
     this.#dispatch({ kind: 'tick' })
     this.#options.onLeader({ nodeId: this.#options.self.nodeId, term })
   }
--- a/packages/batch/src/policies.ts
+++ b/packages/batch/src/policies.ts
@@ -1,7 +1,9 @@
 /** The decisions of the leader that have several implementations. */
+import type { Clock, EventLog, Metrics } from '@comfreygrade/core'
 import { AcceptAllJobs, type AdmissionPolicy } from './admission-policy.js'
 import { UnlimitedShares, type OrganisationShares } from './organisation-shares.js'
 import { CallerEstimates, type RunTimePredictor } from './run-time-predictor.js'
+import type { BatchSettings } from './settings.js'
 import { EqualWorkerSpeeds, type WorkerSpeeds } from './worker-speeds.js'
 
 /** One implementation of each decision. They hold state, so each leader gets its own. */
@@ -21,3 +23,16 @@
     admission: new AcceptAllJobs()
   }
 }
+
+/** What the adaptive policies need from their process. */
+export interface PolicyContext {
+  readonly settings: BatchSettings
+  readonly clock: Clock
+  readonly metrics: Metrics
+  readonly log: EventLog
+}
+
+/** Policies that learn from the load and decide by it. */
+export function adaptivePolicies (_context: PolicyContext): BatchPolicies {
+  return plainPolicies()
+}
