--- a/packages/batch-node/src/batch-service.ts
+++ b/packages/batch-node/src/batch-service.ts
@@ -4,8 +4,8 @@
 import { randomUUID } from 'node:crypto'
 import { Encoder } from 'cbor-x'
 import {
-  adaptivePolicies, BatchLeader, BatchState, type BatchCommand, type BatchSettings, type BatchSnapshot, type LeaderEffect,
-  type LeaderEvent
+  adaptivePolicies, BatchLeader, BatchState, type BatchCommand, type BatchSettings, type BatchSnapshot,
+  type LeaderEffect, type LeaderEvent
 } from '@comfreygrade/batch'
 import type { LogStorage, RecoveredLog, Replica, ReplicaSettings, VoterId } from '@comfreygrade/consensus'
 import { fail, type Clock, type EventLog, type Metrics, type Random } from '@comfreygrade/core'
