Refuse deep nesting in a YAML file before it is composed

The composer of the library recurses into each collection until the stack is exhausted, and where that happens while V8 compiles a regular expression, V8 ends the process without an exception. The depth is counted first now, without recursion; at most 200 levels are read. The new test fails without the count.

--- a/packages/documents/src/yaml-file.ts
+++ b/packages/documents/src/yaml-file.ts
@@ -1,5 +1,5 @@
 /** Validates a YAML or JSON file against a schema and reports all problems at once, each with its line. */
-import { isMap, isNode, isScalar, LineCounter, parseDocument, type Document } from 'yaml'
+import { isMap, isNode, isScalar, LineCounter, parseDocument, Parser, type CST, type Document } from 'yaml'
 import { z } from 'zod'
 
 /** One problem in a file. */
@@ -30,6 +30,11 @@
 /** Text for `found` when the schema has no such field. */
 export const UNKNOWN_FIELD = 'an unknown field'
 
+/**
+ * Most levels of collections within one another. The composer of the library recurses into each, and Node.js ends the
+ * whole process, without an exception, where the stack is exhausted while a regular expression is being compiled.
+ */
+const MAX_NESTING_LEVELS = 200
 /** Longer values are truncated in messages. */
 const MAX_FOUND_VALUE_CHARACTERS = 80
 
@@ -60,10 +65,15 @@
   | { readonly kind: 'read', readonly document: Document, readonly lineCounter: LineCounter, readonly data: unknown }
   | { readonly kind: 'invalid', readonly problems: readonly FileProblem[] }
 
-/** Nesting that exhausts the stack and aliases that multiply are problems of the file too. */
+/** Nesting that is too deep and aliases that multiply are problems of the file too. */
 function readDocument (file: string, text: string): DocumentReading {
   const lineCounter = new LineCounter()
   try {
+    const levels = countNestingLevels(text)
+    if (levels > MAX_NESTING_LEVELS) {
+      const allowed = `at most ${MAX_NESTING_LEVELS} levels`
+      return { kind: 'invalid', problems: [{ file, line: 1, field: '', found: `${levels} levels of nesting`, allowed }] }
+    }
     const document = parseDocument(text, { lineCounter })
     if (document.errors.length > 0) return { kind: 'invalid', problems: toSyntaxProblems(file, text, document) }
     return { kind: 'read', document, lineCounter, data: document.toJS() }
@@ -73,6 +83,26 @@
   }
 }
 
+/** Levels of collections in a file, without recursion. */
+function countNestingLevels (text: string): number {
+  let deepest = 0
+  for (const document of new Parser().parse(text)) {
+    const pending = [{ token: document, level: 0 }]
+    for (let next = pending.pop(); next !== undefined; next = pending.pop()) {
+      const level = next.level + ('items' in next.token ? 1 : 0)
+      deepest = Math.max(deepest, level)
+      for (const token of childTokens(next.token)) pending.push({ token, level })
+    }
+  }
+  return deepest
+}
+
+function childTokens (token: CST.Token): CST.Token[] {
+  if (token.type === 'document') return token.value === undefined ? [] : [token.value]
+  if (!('items' in token)) return []
+  return token.items.flatMap(({ key, value }) => [key, value]).filter(child => child !== undefined && child !== null)
+}
+
 /**
  * Formats a problem as one line.
  *
--- a/packages/documents/test/yaml-file.test.ts
+++ b/packages/documents/test/yaml-file.test.ts
@@ -50,3 +50,13 @@
     t.regex(problem ?? '', /^f\.yaml:1: found .{1,120}, allowed /)
   }
 })
+
+// Guards against nesting that ends the process without an exception; it did so once in a run of the whole suite.
+test('nesting is refused by its depth, before the document is composed', t => {
+  for (const [open, close] of [['[', ']'], ['{ a: ', ' }'], ['- ', ''], ['? ', '']] as const) {
+    const nest = (levels: number): string => `${open.repeat(levels)}x${close.repeat(levels)}\n`
+    const [problem] = formatProblems(nest(201))
+    t.is(problem, 'f.yaml:1: found 201 levels of nesting, allowed at most 200 levels')
+    t.false(formatProblems(nest(200)).some(line => line.includes('levels of nesting')))
+  }
+})
