Evacuate an availability zone on an operator's request

Cause: operators must be able to clear a zone that is about to fail, and no task may start there later than 5 s after the acknowledgement, at any leader.

Change: POST and DELETE of /api/evacuations/ZONE become the operations start_evacuation and end_evacuation. Both are proposed to the log even where they would change nothing, so that the log order alone decides between a request and a withdrawal. Workers in an evacuated zone get no new runs. A run that is not on its worker yet, or whose start order was lost, is stopped with its gang and released; until then no member of such a gang starts. A zone that neither the settings nor any worker names gets status 404; a new leader whose settings name no zones asks for a retry until all workers have reported.

--- a/packages/batch-node/src/leader-client.ts
+++ b/packages/batch-node/src/leader-client.ts
@@ -164,7 +164,9 @@
 /** Failures that depend on the request alone, so that every attempt fails in the same way. */
 const STATELESS_FAILURES: ReadonlySet<ErrorKind> = new Set(['invalid_request', 'invalid_configuration'])
 /** Operations without an effect, so that no attempt can have had one. */
-const READS: ReadonlySet<BatchOperation['kind']> = new Set(['job_state', 'get_configuration', 'wave_state'])
+const READS: ReadonlySet<BatchOperation['kind']> = new Set([
+  'job_state', 'get_configuration', 'wave_state', 'list_evacuations'
+])
 
 function isWithoutAnswer (outcome: AttemptOutcome): boolean {
   return outcome.kind === 'unknown' || outcome.kind === 'superseded'
--- a/packages/batch-node/src/message-validation.ts
+++ b/packages/batch-node/src/message-validation.ts
@@ -41,7 +41,10 @@
   start_wave: hasFields({
     wave: hasFields({ waveId: isString, vmIds: listOf(isString), maxConcurrent: isCount, durationMs: isNumber })
   }),
-  wave_state: hasFields({ waveId: isString })
+  wave_state: hasFields({ waveId: isString }),
+  start_evacuation: hasFields({ zone: isString, requestedBy: isString }),
+  end_evacuation: hasFields({ zone: isString, requestedBy: isString }),
+  list_evacuations: isObject
 })
 
 const isReport = hasFields({
--- a/packages/batch-node/test/batch-node.test.ts
+++ b/packages/batch-node/test/batch-node.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava'
 import type { BatchOperation, QueueDocument } from '@comfreygrade/batch'
+import type { BatchNode } from '../src/index.js'
 import { Cluster } from './cluster.js'
 
 const HOST = 'print.example'
@@ -106,3 +107,61 @@
     !result.ok && result.failure.kind === 'control_unavailable')
   t.false(rejected.ok)
 })
+
+const startEvacuation: BatchOperation = { kind: 'start_evacuation', zone: 'z1', requestedBy: '10.0.0.7' }
+const endEvacuation: BatchOperation = { kind: 'end_evacuation', zone: 'z1', requestedBy: '10.0.0.7' }
+/** Zones are known only from the reports of workers here, so a new leader asks for a retry until one has reported. */
+const REPORT_TIMEOUT_MS = 1_000
+
+async function reportFromZone (node: BatchNode, sequence: number): Promise<void> {
+  const shape = { cpuMillicores: 1, memoryMb: 1, acceleratorCount: 0 }
+  await node.forwardHeartbeat({
+    workerId: 'w1',
+    incarnation: 1,
+    service: 's',
+    address: 'w1:80',
+    vmId: 'vm-w1',
+    availabilityZone: 'z1',
+    sequence,
+    state: 'active',
+    capacity: shape,
+    labels: [],
+    rack: '',
+    clockMs: sequence * REPORT_TIMEOUT_MS,
+    coldRemainingMs: 0,
+    running: [],
+    ends: []
+  }, REPORT_TIMEOUT_MS)
+}
+
+async function listsEvacuation (cluster: Cluster, frontend: BatchNode): Promise<boolean> {
+  const result = await cluster.executeUntil(frontend, { kind: 'list_evacuations' })
+  return result.ok && result.value.kind === 'evacuations' &&
+    result.value.evacuations.some(({ zone, endedWallMs }) => zone === 'z1' && endedWallMs === undefined)
+}
+
+test.serial('an acknowledged evacuation survives the loss of the leader, a restart of all and the loss of a disk', async t => {
+  const { cluster, frontend } = await startCluster(t)
+  await reportFromZone(frontend, 1)
+  await cluster.executeUntil(frontend, startEvacuation)
+  await cluster.stop(cluster.leaderNodeId())
+  t.true(await listsEvacuation(cluster, frontend))
+  for (const nodeId of ['a', 'b', 'c']) await cluster.stop(nodeId)
+  await cluster.eraseDisk('b')
+  for (const nodeId of ['b', 'c', 'a']) await cluster.startControl(nodeId)
+  t.true(await listsEvacuation(cluster, frontend))
+  await cluster.executeUntil(frontend, endEvacuation)
+  t.false(await listsEvacuation(cluster, frontend))
+})
+
+// The operators retry their calls at any control node, so the outcome is the same from each of them.
+test.serial('a request repeated at another node after the loss of the leader takes effect once', async t => {
+  const { cluster, frontend } = await startCluster(t)
+  await reportFromZone(frontend, 1)
+  const first = frontend.execute(startEvacuation, 900)
+  await cluster.stop(cluster.leaderNodeId())
+  await first
+  await reportFromZone(frontend, 2)
+  await cluster.executeUntil(frontend, startEvacuation)
+  t.true(await listsEvacuation(cluster, frontend))
+})
--- a/packages/batch-node/test/cluster.ts
+++ b/packages/batch-node/test/cluster.ts
@@ -57,6 +57,11 @@
     await rm(join(this.#folder, nodeId), { recursive: true })
   }
 
+  /** The node that leads, if one does at this moment. */
+  leaderNodeId (): string {
+    return [...this.#nodes].find(([, node]) => node.survivableLosses !== null)?.[0] ?? ''
+  }
+
   /** Repeats an operation until its result is as expected, by default until it succeeds. */
   async executeUntil (
     node: BatchNode, operation: BatchOperation, isExpected: (result: BatchResult) => boolean = result => result.ok
--- a/packages/batch-node/test/malformed-messages.test.ts
+++ b/packages/batch-node/test/malformed-messages.test.ts
@@ -49,6 +49,8 @@
   { kind: 'ask', requestId: 'r', ask: { kind: 'worker_left', workerId: 'w' } },
   { kind: 'ask', requestId: 'r', ask: { kind: 'operation', operation: { kind: 'submit', ...SUBMISSION } } },
   { kind: 'ask', requestId: 'r', ask: { kind: 'operation', operation: { kind: 'put_configuration', document: { version: 0, queues: [], services: [], organisations: [], source: '' } } } },
+  { kind: 'ask', requestId: 'r', ask: { kind: 'operation', operation: { kind: 'start_evacuation', zone: 'z', requestedBy: 'h' } } },
+  { kind: 'ask', requestId: 'r', ask: { kind: 'operation', operation: { kind: 'list_evacuations' } } },
   { kind: 'answer', requestId: 'r', answer: { kind: 'not_leader', leaderNodeId: null } },
   { kind: 'answer', requestId: 'r', answer: { kind: 'result', result: { ok: true, value: { kind: 'accepted' } } } },
   { kind: 'answer', requestId: 'r', answer: { kind: 'result', result: { ok: false, failure: { kind: 'unknown_job', detail: '' } } } },
--- a/packages/batch/src/batch-state.ts
+++ b/packages/batch/src/batch-state.ts
@@ -1,4 +1,4 @@
-/** The replicated state: jobs, run ends by worker, configuration and maintenance waves. */
+/** The replicated state: jobs, run ends by worker, configuration, maintenance waves and evacuations. */
 import { parseTaskKey, taskKey, type StepSpec, type TaskId } from './jobs.js'
 import {
   createJobRecord, createOccurrence, isJobDone, type ActiveRun, type JobRecord, type OccurrenceRecord,
@@ -8,6 +8,7 @@
   Assignment, BatchCommand, CommandResult, Departure, MaintenanceWave, RunEnd, TaskCheckpoint, WorkerIncarnation
 } from './commands.js'
 import { assignmentKey } from './run-keys.js'
+import { Evacuations, type EvacuationRecord } from './evacuations.js'
 import { JobTable } from './job-table.js'
 import { PresumedEnds } from './presumed-ends.js'
 import { QueueRegistry, type QueueRegistrySnapshot } from './queue-registry.js'
@@ -34,6 +35,8 @@
   readonly waves: readonly WaveRecord[]
   /** Runs that are presumed to have ended; absent from snapshots of older versions. */
   readonly presumedEnded?: readonly Assignment[]
+  /** Absent from snapshots of older versions. */
+  readonly evacuations?: readonly EvacuationRecord[]
 }
 
 /** A task with its step and job. */
@@ -65,6 +68,7 @@
   /** Tasks with active runs, by key: a cache for the leader, which looks these up in every pass and heartbeat. */
   readonly #activeTasks = new Map<string, TaskContext>()
   readonly #waves = new Map<string, WaveRecord>()
+  #evacuations = new Evacuations([])
 
   constructor (options: { readonly endedJobRetentionMs: number }) {
     this.#options = options
@@ -79,6 +83,7 @@
     state.#workers = new WorkerRecords(snapshot.workers)
     state.#presumedEnds = new PresumedEnds(snapshot.presumedEnded ?? [])
     for (const record of snapshot.waves) state.#waves.set(record.wave.waveId, record)
+    state.#evacuations = new Evacuations(snapshot.evacuations ?? [])
     return state
   }
 
@@ -94,7 +99,8 @@
       jobs: [...this.#jobs.all()],
       workers: this.#workers.entries(),
       waves: [...this.#waves.values()],
-      presumedEnded: this.#presumedEnds.runs()
+      presumedEnded: this.#presumedEnds.runs(),
+      evacuations: this.#evacuations.records()
     }
   }
 
@@ -166,6 +172,11 @@
     return this.#waves.get(waveId)
   }
 
+  /** Evacuations of availability zones; changed only by commands. */
+  get evacuations (): Omit<Evacuations, 'start' | 'end'> {
+    return this.#evacuations
+  }
+
   /** Finds a task; undefined where its job is not known or no run of its occurrence was ever assigned. */
   findTask (key: string): TaskContext | undefined {
     const known = this.#activeTasks.get(key)
@@ -200,6 +211,8 @@
       case 'record_departure': return this.#recordDeparture(command, logTimeMs)
       case 'start_wave': return this.#startWave(command)
       case 'maintenance_done': return this.#maintenanceDone(command)
+      case 'start_evacuation': return this.#evacuations.start(command)
+      case 'end_evacuation': return this.#evacuations.end(command)
     }
   }
 
--- a/packages/batch/src/commands.ts
+++ b/packages/batch/src/commands.ts
@@ -62,6 +62,14 @@
   readonly durationMs: number
 }
 
+/** An operator's request that concerns the evacuation of an availability zone. */
+export interface EvacuationRequest {
+  readonly zone: string
+  /** Address that sent the request. */
+  readonly requestedBy: string
+  readonly requestedWallMs: number
+}
+
 /** Everything that changes the replicated state. */
 export type BatchCommand =
   | { readonly kind: 'put_configuration', readonly document: QueueDocument }
@@ -87,6 +95,10 @@
   | { readonly kind: 'start_wave', readonly wave: MaintenanceWave, readonly startedWallMs: number }
   /** The platform has begun the maintenance of a VM, or the VM needs none. */
   | { readonly kind: 'maintenance_done', readonly waveId: string, readonly vmId: string }
+  /** Nothing more is started in the zone. */
+  | ({ readonly kind: 'start_evacuation' } & EvacuationRequest)
+  /** Withdraws the evacuation of the zone. */
+  | ({ readonly kind: 'end_evacuation' } & EvacuationRequest)
 
 /** Effect of a command on the state. */
 export type CommandResult =
--- a/packages/batch/src/index.ts
+++ b/packages/batch/src/index.ts
@@ -1,6 +1,7 @@
 export type { Ticket } from './advice-tickets.js'
 export * from './batch-state.js'
 export * from './commands.js'
+export * from './evacuations.js'
 export * from './jobs.js'
 export * from './leader.js'
 export * from './operations.js'
--- a/packages/batch/src/leader.ts
+++ b/packages/batch/src/leader.ts
@@ -104,7 +104,14 @@
     this.#assembly = new GangAssembly(clock, settings.gangAssemblyMs)
     this.#brokenGangs = new BrokenGangs(state)
     this.#orders = new OrderPlanner({
-      state, settings, clock, tickets: this.#tickets, assembly: this.#assembly, fencingToken: options.term, log
+      state,
+      settings,
+      clock,
+      tickets: this.#tickets,
+      assembly: this.#assembly,
+      fencingToken: options.term,
+      log,
+      viewOf: workerId => this.#registry.view(workerId)
     })
     this.#scheduler = new BatchScheduler(settings, clock, new ObjectiveSchedulingOrder(), policies)
     this.#operations = new OperationHandler({
@@ -246,6 +253,25 @@
     this.#propose({ kind: 'release', runs }, () => { this.#isPassDue = true })
   }
 
+  /** Runs that have not started in an evacuated zone are stopped, and assigned elsewhere; their gangs with them. */
+  #stopUnstartedEvacuatedRuns (): void {
+    if (!this.#options.state.evacuations.isAnyEvacuated) return
+    const evacuated = [...this.#registry.views()].filter(view => this.#registry.isEvacuated(view))
+    const absent = evacuated.flatMap(view => this.#orders.absentRuns(view))
+    if (absent.length === 0) return
+    const stopped = absent.flatMap(run => this.#stop(run))
+    const unsent = stopped.filter(run => this.#orders.isUnsent(run, this.#registry.view(run.workerId)))
+    const runs = [...new Map([...absent, ...unsent].map(run => [assignmentKey(run), run])).values()]
+    this.#options.metrics.increment('evacuation.run_not_started', {}, runs.length)
+    this.#options.log.info('runs not started in an evacuated zone', {
+      runs: runs.map(({ taskKey, run, workerId }) => ({ taskKey, run, workerId }))
+    })
+    this.#propose({ kind: 'release', runs }, outcome => {
+      if (outcome.kind === 'applied') for (const run of runs) this.#registry.view(run.workerId)?.removeRun(run)
+      this.#isPassDue = true
+    })
+  }
+
   /** The end of a run may mean that others are stopped: those of its gang, or all of a job that has failed. */
   #handleRunEnded ({ taskKey, run, reason }: RunEnd): void {
     if (reason !== 'done') this.#wakeWorkersOf(jobIdOf(taskKey))
@@ -328,6 +354,7 @@
     this.#isPassDue = true
     this.#guard('gone_workers', () => { this.#reports.releaseGoneWorkers() })
     this.#guard('unsent_runs', () => { this.#moveUnsentRuns() })
+    this.#guard('evacuations', () => { this.#stopUnstartedEvacuatedRuns() })
     this.#guard('evictions', () => { this.#evictRuns() })
     this.#guard('maintenance', () => { this.#beginDueMaintenance() })
     this.#guard('clean_up', () => { this.#removeStale() })
--- a/packages/batch/src/operation-handler.ts
+++ b/packages/batch/src/operation-handler.ts
@@ -3,10 +3,12 @@
 import type { AdmissionPolicy } from './admission-policy.js'
 import type { BatchState } from './batch-state.js'
 import type { BatchCommand, CommandResult, MaintenanceWave } from './commands.js'
+import { EvacuationRequests } from './evacuation-requests.js'
 import { visibleState } from './job-record.js'
 import { isValidJobId, MAX_JOB_ID_LENGTH, validateJob, type JobSpec, type StepSpec } from './jobs.js'
 import type { BatchOperation, BatchResult, QueueRequest } from './operations.js'
 import { queueAddress, QueueDirectory, validateDocument, type QueueConfiguration } from './queues.js'
+import type { BatchSettings } from './settings.js'
 import type { WorkerRegistry } from './worker-registry.js'
 
 /** Outcome of a proposed command. */
@@ -19,6 +21,7 @@
 export interface OperationHandlerOptions {
   readonly state: BatchState
   readonly registry: WorkerRegistry
+  readonly settings: BatchSettings
   readonly admission: AdmissionPolicy
   readonly clock: Clock
   readonly metrics: Metrics
@@ -42,11 +45,17 @@
 /** Handles the operations that reach the leader. */
 export class OperationHandler {
   readonly #options: OperationHandlerOptions
+  readonly #evacuations: EvacuationRequests
   /** Configurations that are proposed and not settled yet. */
   readonly #proposedDirectories = new Set<QueueDirectory>()
 
   constructor (options: OperationHandlerOptions) {
     this.#options = options
+    this.#evacuations = new EvacuationRequests({
+      ...options,
+      refuse: (requestId, failure) => { this.#refuse(requestId, failure) },
+      answerProposal: (requestId, outcome) => { this.#answerProposal(requestId, outcome) }
+    })
   }
 
   /** Answers an operation, either at once or after its command is committed. */
@@ -59,6 +68,9 @@
       case 'get_configuration': return this.#answerConfiguration(requestId)
       case 'start_wave': return this.#startWave(requestId, operation.wave)
       case 'wave_state': return this.#answerWaveState(requestId, operation.waveId)
+      case 'start_evacuation':
+      case 'end_evacuation': return this.#evacuations.handle(requestId, operation)
+      case 'list_evacuations': return this.#reply(requestId, succeed(this.#evacuations.list()))
     }
   }
 
--- a/packages/batch/src/operations.ts
+++ b/packages/batch/src/operations.ts
@@ -1,6 +1,7 @@
 /** Operations of callers and operators on the batch scheduler, and their answers. */
 import type { Result } from '@comfreygrade/core'
-import type { MaintenanceWave } from './commands.js'
+import type { Assignment, MaintenanceWave } from './commands.js'
+import type { EvacuationRecord } from './evacuations.js'
 import type { JobSpec, JobState } from './jobs.js'
 import type { QueueDocument } from './queues.js'
 
@@ -22,6 +23,19 @@
   | { readonly kind: 'get_configuration' }
   | { readonly kind: 'start_wave', readonly wave: MaintenanceWave }
   | { readonly kind: 'wave_state', readonly waveId: string }
+  /** `requestedBy` is the address that sent the request. */
+  | { readonly kind: 'start_evacuation', readonly zone: string, readonly requestedBy: string }
+  /** Withdraws the evacuation of a zone; accepted without an effect where the zone is not evacuated. */
+  | { readonly kind: 'end_evacuation', readonly zone: string, readonly requestedBy: string }
+  | { readonly kind: 'list_evacuations' }
+
+/** The latest evacuation of a zone, with what remains there. */
+export interface EvacuationStatus extends EvacuationRecord {
+  /** Number of workers in the zone that have reported to the leader. */
+  readonly workers: number
+  /** Runs that may be on workers of the zone; none where the evacuation has ended. */
+  readonly remainingRuns: readonly Assignment[]
+}
 
 /** Result of a successful operation. */
 export type BatchAnswer =
@@ -30,5 +44,6 @@
   | { readonly kind: 'queue', readonly pendingJobs: number }
   | { readonly kind: 'configuration', readonly source: string }
   | { readonly kind: 'wave', readonly state: 'running' | 'completed' }
+  | { readonly kind: 'evacuations', readonly evacuations: readonly EvacuationStatus[] }
 
 export type BatchResult = Result<BatchAnswer>
--- a/packages/batch/src/order-planner.ts
+++ b/packages/batch/src/order-planner.ts
@@ -19,6 +19,8 @@
   readonly tickets: TicketCache
   readonly assembly: GangAssembly
   readonly fencingToken: number
+  /** View of a worker that has reported in this term. */
+  readonly viewOf: (workerId: string) => WorkerView | undefined
   readonly log: EventLog
 }
 
@@ -131,10 +133,29 @@
   }
 
   #runsToStart (view: WorkerView): Assignment[] {
+    return this.absentRuns(view).filter(assignment => !this.#isHeldByEvacuation(assignment))
+  }
+
+  /** Runs to start that the worker certainly does not have: their orders were not sent, or were lost. */
+  absentRuns (view: WorkerView): Assignment[] {
     return this.#runsOf(view).filter(assignment => !this.isStopping(assignment) && !isReported(view, assignment) &&
       (this.isUnsent(assignment, view) || this.#checkMissing(view, assignment)))
   }
 
+  /**
+   * Whether a run must not start because it, or another member of its gang that may not have started, is in an
+   * evacuated zone. The zone of a worker that has not reported in this term is not known, so it may be evacuated.
+   */
+  #isHeldByEvacuation (assignment: Assignment): boolean {
+    const { state, viewOf } = this.#options
+    if (!state.evacuations.isAnyEvacuated) return false
+    return this.#gangRuns(assignment).some(member => {
+      const view = viewOf(member.workerId)
+      if (view === undefined) return true
+      return state.evacuations.isEvacuated(view.latest.availabilityZone) && !view.reportedRuns.has(taskRunKey(member))
+    })
+  }
+
   #startOrders (view: WorkerView, { mayStartIncompleteGangs }: StartPermission): StartOrder[] {
     const { assembly } = this.#options
     const starts: StartOrder[] = []
--- a/packages/batch/src/settings.ts
+++ b/packages/batch/src/settings.ts
@@ -100,6 +100,11 @@
    * limit while the disruption budget of a lasting step forbids to stop one of them.
    */
   readonly maxMaintenanceDrainMs: number
+  /**
+   * Time from the acknowledgement of an evacuation after which no task starts in its zone; a run that a worker reports
+   * as started later is logged. Longer than `reportTimeoutMs`, for which a start order may be on its way.
+   */
+  readonly evacuateMs: number
   /** Time for which ended jobs are kept. */
   readonly endedJobRetentionMs: number
   /** Most workers that one request to the advice service may name. */
@@ -145,6 +150,7 @@
   maintenanceCallGraceMs: 3_000,
   maintenanceDownMs: 3_500,
   maxMaintenanceDrainMs: 10_000,
+  evacuateMs: 5_000,
   endedJobRetentionMs: 240_000,
   maxAdviceWorkers: 100
 }
--- a/packages/batch/src/worker-registry.ts
+++ b/packages/batch/src/worker-registry.ts
@@ -4,6 +4,7 @@
 import type { Assignment, RunEnd, WorkerIncarnation } from './commands.js'
 import { couldHold } from './worker-capacity.js'
 import { jobIdOf } from './jobs.js'
+import { taskRunKey } from './run-keys.js'
 import type { BatchSettings } from './settings.js'
 import { originOf, type ReportOrigin } from './report-plausibility.js'
 import { WorkerHealth } from './worker-health.js'
@@ -31,6 +32,8 @@
 
 /** Why a worker gets no new runs; the leader adds `cordoned` for a worker whose VM is due for maintenance. */
 export type UnschedulableReason =
+  /** Its availability zone is evacuated. */
+  | 'evacuated'
   | 'leaving'
   /** One of its runs has ended without a report, so the worker may have crashed. */
   | 'may_have_crashed'
@@ -91,6 +94,7 @@
       return { kind: 'accepted', view: this.#add(report), replaced }
     }
     const { latest } = known
+    this.#logLateStarts(known, report)
     const isAccepted = known.accept(report, this.#clock.monotonicMs())
     if (!isAccepted) return { kind: 'ignored', reason: 'late', replaced }
     if (latest.address !== report.address || latest.vmId !== report.vmId) this.#updateLocation(latest, report)
@@ -154,6 +158,22 @@
     return view
   }
 
+  /**
+   * Logs runs that started in an evacuated zone although their orders should have been discarded. The overdue time of a
+   * heartbeat is the longest from a start until its report.
+   */
+  #logLateStarts (view: WorkerView, { workerId, availabilityZone, running }: WorkerReport): void {
+    const evacuation = this.#state.evacuations.latestOf(availabilityZone)
+    if (evacuation === undefined || evacuation.endedWallMs !== undefined) return
+    const { evacuateMs, reportOverdueMs } = this.#settings
+    const elapsedMs = this.#clock.wallMs() - evacuation.requestedWallMs
+    if (elapsedMs <= evacuateMs + reportOverdueMs) return
+    for (const { taskKey, run } of running) {
+      if (view.reportedRuns.has(taskRunKey({ taskKey, run }))) continue
+      this.#log.warn('run started in an evacuated zone', { taskKey, run, workerId, zone: availabilityZone, elapsedMs })
+    }
+  }
+
   #recordStartedJobs (report: WorkerReport): void {
     for (const { taskKey } of report.running) this.#startedJobs.add(jobIdOf(taskKey))
   }
@@ -184,6 +204,16 @@
     return this.#views.values()
   }
 
+  /** Views of the workers in an availability zone. */
+  viewsIn (zone: string): WorkerView[] {
+    return [...this.#views.values()].filter(view => view.latest.availabilityZone === zone)
+  }
+
+  /** Whether nothing may start on a worker because its availability zone is evacuated. */
+  isEvacuated ({ latest }: WorkerView): boolean {
+    return this.#state.evacuations.isEvacuated(latest.availabilityZone)
+  }
+
   /** Removes a worker that has gone. */
   remove (workerId: string): void {
     const view = this.#views.get(workerId)
@@ -195,6 +225,7 @@
   /** Why a worker gets no new runs; undefined where it may get some. */
   unschedulableReason (view: WorkerView): UnschedulableReason | undefined {
     const { latest } = view
+    if (this.isEvacuated(view)) return 'evacuated'
     if (latest.state !== 'active' || this.#state.departureOf(latest) !== undefined) return 'leaving'
     if (view.mayHaveCrashed) return 'may_have_crashed'
     if (!this.isResponsive(view)) return 'silent'
--- a/packages/core/src/errors.ts
+++ b/packages/core/src/errors.ts
@@ -63,6 +63,8 @@
   | 'unknown_job'
   /** The maintenance wave is not known. */
   | 'unknown_wave'
+  /** No worker and no setting names the availability zone. */
+  | 'unknown_zone'
   /** No configuration has been accepted yet. */
   | 'no_configuration'
   /** The configuration version was already accepted with other content, or is too old to compare. */
@@ -157,6 +159,7 @@
   unknown_key: response(401, 'not_run', 'never'),
   unknown_job: response(410, 'not_applicable', 'never'),
   unknown_wave: response(404, 'not_applicable', 'never'),
+  unknown_zone: response(404, 'not_applicable', 'never'),
   no_configuration: response(503, 'not_run', 'later', 1_000),
   version_conflict: response(409, 'not_run', 'never'),
   version_gap: response(409, 'not_run', 'never'),
