Run tasks only in regions that the queue and the organisation permit

Cause: allowedRegions of routes and tenants was ignored, so tasks ran in every region.

Change: the configuration body decodes the lists, and PermittedRegions intersects those of the queue and the organisation under the configuration in force. The scheduler and the requests for tickets consider only workers in a permitted region; a worker whose zone the settings do not name is in none. StartRules applies both evacuations and regions, so a run that was assigned before a change of the configuration and has not started is stopped with its gang. A job that no region of the deployment remains for is refused with status 422, region_not_permitted; while a configuration that permits it nowhere is being committed, it gets a retry. The counter of stopped runs is run.obstructed.

--- a/packages/batch-node/src/message-validation.ts
+++ b/packages/batch-node/src/message-validation.ts
@@ -25,10 +25,16 @@
     targetLatencyMs: isNumber,
     priority: isNumber,
     maxAttempts: isNumber,
-    slackFactor: isNumber
+    slackFactor: isNumber,
+    permittedRegions: either(isAbsent, listOf(isString))
   })),
   services: listOf(hasFields({ name: isString })),
-  organisations: listOf(hasFields({ name: isString, apiKeys: listOf(isString), guaranteedAccelerators: isNumber })),
+  organisations: listOf(hasFields({
+    name: isString,
+    apiKeys: listOf(isString),
+    guaranteedAccelerators: isNumber,
+    permittedRegions: either(isAbsent, listOf(isString))
+  })),
   source: isString
 })
 
--- a/packages/batch-node/test/malformed-messages.test.ts
+++ b/packages/batch-node/test/malformed-messages.test.ts
@@ -48,7 +48,7 @@
   { kind: 'ask', requestId: 'r', ask: { kind: 'report', report: REPORT } },
   { kind: 'ask', requestId: 'r', ask: { kind: 'worker_left', workerId: 'w' } },
   { kind: 'ask', requestId: 'r', ask: { kind: 'operation', operation: { kind: 'submit', ...SUBMISSION } } },
-  { kind: 'ask', requestId: 'r', ask: { kind: 'operation', operation: { kind: 'put_configuration', document: { version: 0, queues: [], services: [], organisations: [], source: '' } } } },
+  { kind: 'ask', requestId: 'r', ask: { kind: 'operation', operation: { kind: 'put_configuration', document: { version: 0, queues: [], services: [], organisations: [{ name: 'o', apiKeys: [], guaranteedAccelerators: 0, permittedRegions: ['r'] }], source: '' } } } },
   { kind: 'ask', requestId: 'r', ask: { kind: 'operation', operation: { kind: 'start_evacuation', zone: 'z', requestedBy: 'h' } } },
   { kind: 'ask', requestId: 'r', ask: { kind: 'operation', operation: { kind: 'list_evacuations' } } },
   { kind: 'answer', requestId: 'r', answer: { kind: 'not_leader', leaderNodeId: null } },
--- a/packages/batch/src/batch-state.ts
+++ b/packages/batch/src/batch-state.ts
@@ -109,6 +109,11 @@
     return this.#queues.directory
   }
 
+  /** Whether the regions of any job may be restricted. */
+  get hasRegionRules (): boolean {
+    return this.#queues.hasRegionRules
+  }
+
   /**
    * Queue of a job, also where the configuration in force does not contain it any more. Undefined only for a job that
    * an older version accepted and whose queue was removed before the update.
--- a/packages/batch/src/leader.ts
+++ b/packages/batch/src/leader.ts
@@ -16,6 +16,7 @@
 import { OrderPlanner } from './order-planner.js'
 import { plainPolicies, type BatchPolicies } from './policies.js'
 import { ObjectiveSchedulingOrder } from './scheduling-order.js'
+import { StartRules } from './start-rules.js'
 import { ReportHandler } from './report-handler.js'
 import { BatchScheduler, type Reclaim } from './scheduler.js'
 import type { BatchSettings } from './settings.js'
@@ -108,6 +109,7 @@
       settings,
       clock,
       tickets: this.#tickets,
+      startRules: new StartRules(state, settings),
       assembly: this.#assembly,
       fencingToken: options.term,
       log,
@@ -253,17 +255,18 @@
     this.#propose({ kind: 'release', runs }, () => { this.#isPassDue = true })
   }
 
-  /** Runs that have not started in an evacuated zone are stopped, and assigned elsewhere; their gangs with them. */
-  #stopUnstartedEvacuatedRuns (): void {
-    if (!this.#options.state.evacuations.isAnyEvacuated) return
-    const evacuated = [...this.#registry.views()].filter(view => this.#registry.isEvacuated(view))
-    const absent = evacuated.flatMap(view => this.#orders.absentRuns(view))
-    if (absent.length === 0) return
-    const stopped = absent.flatMap(run => this.#stop(run))
+  /**
+   * Runs that have not started in a zone where they must not start any more are stopped, and assigned elsewhere; their
+   * gangs with them.
+   */
+  #stopObstructedRuns (): void {
+    const obstructed = [...this.#registry.views()].flatMap(view => this.#orders.obstructedRuns(view))
+    if (obstructed.length === 0) return
+    const stopped = obstructed.flatMap(run => this.#stop(run))
     const unsent = stopped.filter(run => this.#orders.isUnsent(run, this.#registry.view(run.workerId)))
-    const runs = [...new Map([...absent, ...unsent].map(run => [assignmentKey(run), run])).values()]
-    this.#options.metrics.increment('evacuation.run_not_started', {}, runs.length)
-    this.#options.log.info('runs not started in an evacuated zone', {
+    const runs = [...new Map([...obstructed, ...unsent].map(run => [assignmentKey(run), run])).values()]
+    this.#options.metrics.increment('run.obstructed', {}, runs.length)
+    this.#options.log.info('runs stopped that must not start in their zone any more', {
       runs: runs.map(({ taskKey, run, workerId }) => ({ taskKey, run, workerId }))
     })
     this.#propose({ kind: 'release', runs }, outcome => {
@@ -354,7 +357,7 @@
     this.#isPassDue = true
     this.#guard('gone_workers', () => { this.#reports.releaseGoneWorkers() })
     this.#guard('unsent_runs', () => { this.#moveUnsentRuns() })
-    this.#guard('evacuations', () => { this.#stopUnstartedEvacuatedRuns() })
+    this.#guard('obstructed_runs', () => { this.#stopObstructedRuns() })
     this.#guard('evictions', () => { this.#evictRuns() })
     this.#guard('maintenance', () => { this.#beginDueMaintenance() })
     this.#guard('clean_up', () => { this.#removeStale() })
--- a/packages/batch/src/operation-handler.ts
+++ b/packages/batch/src/operation-handler.ts
@@ -7,6 +7,7 @@
 import { visibleState } from './job-record.js'
 import { isValidJobId, MAX_JOB_ID_LENGTH, validateJob, type JobSpec, type StepSpec } from './jobs.js'
 import type { BatchOperation, BatchResult, QueueRequest } from './operations.js'
+import { PermittedRegions } from './permitted-regions.js'
 import { queueAddress, QueueDirectory, validateDocument, type QueueConfiguration } from './queues.js'
 import type { BatchSettings } from './settings.js'
 import type { WorkerRegistry } from './worker-registry.js'
@@ -46,11 +47,13 @@
 export class OperationHandler {
   readonly #options: OperationHandlerOptions
   readonly #evacuations: EvacuationRequests
+  readonly #regions: PermittedRegions
   /** Configurations that are proposed and not settled yet. */
   readonly #proposedDirectories = new Set<QueueDirectory>()
 
   constructor (options: OperationHandlerOptions) {
     this.#options = options
+    this.#regions = new PermittedRegions(options.state, options.settings)
     this.#evacuations = new EvacuationRequests({
       ...options,
       refuse: (requestId, failure) => { this.#refuse(requestId, failure) },
@@ -80,6 +83,8 @@
     const { queue, jobId, organisation } = resolved
     if (!isValidJobId(jobId)) return this.#refuse(requestId, invalidJobId(jobId))
     if (this.#options.state.job(jobId) !== undefined) return this.#accept(requestId)
+    const regionRefusal = this.#regionRefusalOf(queue, organisation)
+    if (regionRefusal !== undefined) return this.#refuse(requestId, regionRefusal)
     const valid = validateJob(fields)
     if (!valid.ok) return this.#refuse(requestId, valid.failure)
     if (this.#isBeingRemoved(queue)) return this.#refuse(requestId, queueIsBeingRemoved(queue))
@@ -111,6 +116,19 @@
     return [...this.#proposedDirectories].some(directory => directory.at(queueAddress(queue)) === undefined)
   }
 
+  /** A job that is committed after a configuration which permits it nowhere would not run either. */
+  #regionRefusalOf (queue: QueueConfiguration, organisation: string): Failure | undefined {
+    const { directory } = this.#options.state
+    const refusal = directory === null ? undefined : this.#regions.refusalOf(queue, organisation, directory)
+    if (refusal !== undefined) return refusal
+    const isToBeRefused = [...this.#proposedDirectories].some(proposed => {
+      const proposedQueue = proposed.at(queueAddress(queue))
+      return proposedQueue !== undefined && this.#regions.refusalOf(proposedQueue, organisation, proposed) !== undefined
+    })
+    const detail = `a configuration that permits queue ${queue.name} in no region is being committed`
+    return isToBeRefused ? { kind: 'control_unavailable', detail } : undefined
+  }
+
   #cancel (requestId: string, request: QueueRequest): void {
     const resolved = this.#resolve(request)
     if ('kind' in resolved) return this.#refuse(requestId, resolved)
--- a/packages/batch/src/order-planner.ts
+++ b/packages/batch/src/order-planner.ts
@@ -8,6 +8,7 @@
 import { stepKeyOf } from './jobs.js'
 import { FillerPacing } from './filler-pacing.js'
 import type { BatchSettings } from './settings.js'
+import type { StartRules } from './start-rules.js'
 import type { StartOrder, StopOrder, WorkerOrders } from './worker-messages.js'
 import type { WorkerView } from './worker-view.js'
 
@@ -17,6 +18,7 @@
   readonly settings: BatchSettings
   readonly clock: Clock
   readonly tickets: TicketCache
+  readonly startRules: StartRules
   readonly assembly: GangAssembly
   readonly fencingToken: number
   /** View of a worker that has reported in this term. */
@@ -133,26 +135,39 @@
   }
 
   #runsToStart (view: WorkerView): Assignment[] {
-    return this.absentRuns(view).filter(assignment => !this.#isHeldByEvacuation(assignment))
+    return this.#absentRuns(view).filter(assignment => !this.#isObstructed(assignment))
   }
 
   /** Runs to start that the worker certainly does not have: their orders were not sent, or were lost. */
-  absentRuns (view: WorkerView): Assignment[] {
+  #absentRuns (view: WorkerView): Assignment[] {
     return this.#runsOf(view).filter(assignment => !this.isStopping(assignment) && !isReported(view, assignment) &&
       (this.isUnsent(assignment, view) || this.#checkMissing(view, assignment)))
   }
 
   /**
-   * Whether a run must not start because it, or another member of its gang that may not have started, is in an
-   * evacuated zone. The zone of a worker that has not reported in this term is not known, so it may be evacuated.
+   * Whether a run must not start because it, or another member of its gang that may not have started, is in a zone
+   * where it must not start. The zone of a worker that has not reported in this term is not known, so it may be one.
    */
-  #isHeldByEvacuation (assignment: Assignment): boolean {
-    const { state, viewOf } = this.#options
-    if (!state.evacuations.isAnyEvacuated) return false
+  #isObstructed (assignment: Assignment): boolean {
+    const { state, startRules, viewOf } = this.#options
+    if (!startRules.isAnyInForce) return false
+    const job = state.findTask(assignment.taskKey)?.job
+    if (job === undefined || !startRules.mayObstruct(job)) return false
     return this.#gangRuns(assignment).some(member => {
       const view = viewOf(member.workerId)
       if (view === undefined) return true
-      return state.evacuations.isEvacuated(view.latest.availabilityZone) && !view.reportedRuns.has(taskRunKey(member))
+      const isStarted = view.reportedRuns.has(taskRunKey(member))
+      return !isStarted && startRules.obstacleIn(view.latest.availabilityZone, job) !== undefined
+    })
+  }
+
+  /** Runs to start that the worker certainly does not have, and that must not start there. */
+  obstructedRuns (view: WorkerView): Assignment[] {
+    const { state, startRules } = this.#options
+    if (!startRules.isAnyInForce) return []
+    return this.#absentRuns(view).filter(({ taskKey }) => {
+      const job = state.findTask(taskKey)?.job
+      return job !== undefined && startRules.obstacleIn(view.latest.availabilityZone, job) !== undefined
     })
   }
 
--- a/packages/batch/src/queue-registry.ts
+++ b/packages/batch/src/queue-registry.ts
@@ -36,6 +36,12 @@
     return this.#directory?.at(address) ?? this.#removedQueues.get(address)
   }
 
+  /** Whether any queue, also a removed one, or any organisation restricts the regions of its tasks. */
+  get hasRegionRules (): boolean {
+    return this.#directory?.hasRegionRules === true ||
+      [...this.#removedQueues.values()].some(({ permittedRegions = [] }) => permittedRegions.length > 0)
+  }
+
   /** Puts a configuration in force; `openAddresses` are the queue addresses of the open jobs. */
   replace (document: QueueDocument, openAddresses: Iterable<string>): void {
     const directory = new QueueDirectory(document)
--- a/packages/batch/src/queues.ts
+++ b/packages/batch/src/queues.ts
@@ -115,10 +115,13 @@
   readonly #organisationByKey = new Map<string, string>()
   readonly #organisations = new Map<string, OrganisationConfiguration>()
   readonly #services: ReadonlySet<string>
+  readonly #hasRegionRules: boolean
 
   constructor (document: QueueDocument) {
     this.document = document
     this.#services = new Set(document.services.map(service => service.name))
+    this.#hasRegionRules = [...document.queues, ...document.organisations]
+      .some(({ permittedRegions = [] }) => permittedRegions.length > 0)
     for (const queue of document.queues) {
       this.#byAddress.set(queueAddress(queue), queue)
       const queues = this.#byHost.get(queue.host) ?? []
@@ -152,6 +155,16 @@
     return this.#organisationByKey.get(key)
   }
 
+  /** Regions in which an organisation's tasks may run; empty for all. */
+  permittedRegions (organisation: string): readonly string[] {
+    return this.#organisations.get(organisation)?.permittedRegions ?? []
+  }
+
+  /** Whether any queue or organisation restricts the regions of its tasks. */
+  get hasRegionRules (): boolean {
+    return this.#hasRegionRules
+  }
+
   /** Accelerators guaranteed to an organisation; 0 where it is unknown. */
   guaranteedAccelerators (organisation: string): number {
     return this.#organisations.get(organisation)?.guaranteedAccelerators ?? 0
--- a/packages/batch/src/scheduler.ts
+++ b/packages/batch/src/scheduler.ts
@@ -14,6 +14,7 @@
 import type { SchedulingOrder } from './scheduling-order.js'
 import { FailedPlacements } from './failed-placements.js'
 import { holdFreedCapacity, planReclaim, type ReclaimPlan } from './reclaim.js'
+import { PermittedRegions } from './permitted-regions.js'
 import { plainPolicies, type BatchPolicies } from './policies.js'
 import { ObjectiveReclaimPolicy, type ReclaimPolicy } from './reclaim-policy.js'
 import { RackExpectations } from './rack-expectations.js'
@@ -44,11 +45,12 @@
 }
 
 /**
- * Why tasks of a step were not placed: the step needs tickets, no worker could ever hold a task, all racks that could
+ * Why tasks of a step were not placed: the step needs tickets, no worker could ever hold a task, none is in a region
+ * that the step may run in, all racks that could
  * hold the gang or that have the data are in use, runs are being stopped for it, capacity is reserved for it, or it has
  * to wait for any capacity.
  */
-export type WaitReason = 'ticket' | 'no_worker' | 'rack' | 'data_rack' | 'reclaim' | 'reservation' | 'capacity'
+export type WaitReason = 'ticket' | 'no_worker' | 'region' | 'rack' | 'data_rack' | 'reclaim' | 'reservation' | 'capacity'
 
 /** A step with tasks that were not placed in a pass. */
 export interface StepWait {
@@ -77,6 +79,7 @@
   readonly workers: readonly WorkerCapacity[]
   readonly nowWallMs: number
   readonly isFleetKnown: boolean
+  readonly regions: PermittedRegions
   /** Longest wait for a better rack; unlimited while the fleet is busy. */
   readonly maxRackWaitMs: number
   readonly assignments: Assignment[]
@@ -143,6 +146,7 @@
       workers,
       nowWallMs,
       isFleetKnown,
+      regions: new PermittedRegions(state, this.#settings),
       maxRackWaitMs: peakUtilisation(workers) < this.#settings.busyFleetUtilisation ? MAX_RACK_WAIT_MS : Infinity,
       assignments: [],
       reclaims: [],
@@ -196,10 +200,13 @@
     if (permitted?.size === 0) return this.#recordWait(step, { reason: 'ticket' }, pass)
     const knownReason = this.#mayOnlyBePlaced(step, pass) ? pass.failed.reasonFor(step) : undefined
     if (knownReason !== undefined) return this.#recordWait(step, { reason: knownReason }, pass)
-    const eligible = pass.workers.filter(worker => mayRun(worker, step, permitted))
+    const regions = pass.regions.ofJob(step.job)
+    const eligible = pass.workers.filter(worker => mayRun(worker, step, permitted) &&
+      pass.regions.includesZone(regions, worker.view.latest.availabilityZone))
     if (eligible.length === 0) {
-      pass.failed.add(step, asSingleGroup(eligible), 'no_worker')
-      return this.#recordWait(step, { reason: 'no_worker' }, pass)
+      // Steps that may run in other regions still find workers.
+      if (regions === undefined) pass.failed.add(step, asSingleGroup(eligible), 'no_worker')
+      return this.#recordWait(step, { reason: regions === undefined ? 'no_worker' : 'region' }, pass)
     }
     const candidates = findCandidates(step, eligible, pass.maxRackWaitMs)
     const placements = placeTasks(step, candidates)
@@ -209,7 +216,7 @@
     if (unplaced.taskIndexes.length === 0) return
     const reason = this.#reclaimOrReserve(unplaced, candidates, pass)
     if (reason === undefined) return
-    pass.failed.add(step, candidates, lackOf(step, candidates))
+    if (regions === undefined) pass.failed.add(step, candidates, lackOf(step, candidates))
     this.#recordWait(unplaced, reason, pass)
   }
 
--- a/packages/batch/src/worker-registry.ts
+++ b/packages/batch/src/worker-registry.ts
@@ -5,6 +5,7 @@
 import { couldHold } from './worker-capacity.js'
 import { jobIdOf } from './jobs.js'
 import { taskRunKey } from './run-keys.js'
+import { PermittedRegions } from './permitted-regions.js'
 import type { BatchSettings } from './settings.js'
 import { originOf, type ReportOrigin } from './report-plausibility.js'
 import { WorkerHealth } from './worker-health.js'
@@ -60,6 +61,7 @@
   readonly #clock: Clock
   readonly #log: EventLog
   readonly #health: WorkerHealth
+  readonly #regions: PermittedRegions
   readonly #views = new Map<string, WorkerView>()
   readonly #locations = new WorkerLocations()
   readonly #startedJobs = new Set<string>()
@@ -73,6 +75,7 @@
     this.#clock = clock
     this.#log = log
     this.#health = new WorkerHealth(clock, log)
+    this.#regions = new PermittedRegions(state, settings)
     this.#termStartedAtMs = clock.monotonicMs()
   }
 
@@ -282,8 +285,10 @@
    * that may get new runs come first.
    */
   adviceCandidates ({ job, spec }: WaitingStep): WorkerIncarnation[] {
+    const regions = this.#regions.ofJob(job)
     const candidates = [...this.#views.values()].filter(view => this.isResponsive(view) &&
       view.latest.service === job.service && couldHold(view.latest.capacity, spec) &&
+      this.#regions.includesZone(regions, view.latest.availabilityZone) &&
       (spec.requiredLabel === '' || view.latest.labels.includes(spec.requiredLabel)))
     const schedulable: WorkerIncarnation[] = []
     const others: WorkerIncarnation[] = []
--- a/packages/core/src/errors.ts
+++ b/packages/core/src/errors.ts
@@ -63,6 +63,8 @@
   | 'unknown_job'
   /** The maintenance wave is not known. */
   | 'unknown_wave'
+  /** The queue and the organisation permit the job in no common region of the deployment. */
+  | 'region_not_permitted'
   /** No worker and no setting names the availability zone. */
   | 'unknown_zone'
   /** No configuration has been accepted yet. */
@@ -159,6 +161,7 @@
   unknown_key: response(401, 'not_run', 'never'),
   unknown_job: response(410, 'not_applicable', 'never'),
   unknown_wave: response(404, 'not_applicable', 'never'),
+  region_not_permitted: response(422, 'not_run', 'never'),
   unknown_zone: response(404, 'not_applicable', 'never'),
   no_configuration: response(503, 'not_run', 'later', 1_000),
   version_conflict: response(409, 'not_run', 'never'),
