Keep urgent work and gangs off cold workers, and return work to a zone in steps

Cause: a worker is slow for a while after its start. An urgent job, or a gang, which ends with its slowest member, is late with it; and a zone whose evacuation has ended got work on all its workers at once, which may all be cold.

Change: urgent steps and gangs are placed on warm workers first. A gang takes cold ones if it does not fit on the warm ones now; an urgent step once it has waited for 1 s, the fixed part of the objectives of urgent jobs, or if no worker is warm. After a withdrawal, a fifth of the workers of each service in the zone gets work at once and another fifth every 500 ms; the others are unschedulable with the reason `returning`. The time of the withdrawal is replicated, so a new leader continues.

--- a/packages/batch/src/scheduler.ts
+++ b/packages/batch/src/scheduler.ts
@@ -9,6 +9,7 @@
   findCandidates, placeTasks, asSingleGroup, MAX_RACK_WAIT_MS, undoPlacements, waitingStepKey, type Candidates,
   type TaskPlacement
 } from './worker-selection.js'
+import { workersByWarmth } from './cold-workers.js'
 import { couldHold, listOccupyingRuns, peakUtilisation, WorkerCapacity } from './worker-capacity.js'
 import { taskKey } from './jobs.js'
 import type { SchedulingOrder } from './scheduling-order.js'
@@ -208,18 +209,32 @@
       if (regions === undefined) pass.failed.add(step, asSingleGroup(eligible), 'no_worker')
       return this.#recordWait(step, { reason: regions === undefined ? 'no_worker' : 'region' }, pass)
     }
-    const candidates = findCandidates(step, eligible, pass.maxRackWaitMs)
-    const placements = placeTasks(step, candidates)
-    this.#assign(step, placements, pass)
-    const placed = new Set(placements.map(placement => placement.taskIndex))
-    const unplaced = { ...step, taskIndexes: step.taskIndexes.filter(index => !placed.has(index)) }
+    const pools = workersByWarmth(step, eligible, this.#clock.monotonicMs())
+    const { unplaced, candidates } = this.#placeOn(pools, step, pass)
     if (unplaced.taskIndexes.length === 0) return
     const reason = this.#reclaimOrReserve(unplaced, candidates, pass)
     if (reason === undefined) return
-    if (regions === undefined) pass.failed.add(step, candidates, lackOf(step, candidates))
+    if (regions === undefined && pools.includes(eligible)) pass.failed.add(step, candidates, lackOf(step, candidates))
     this.#recordWait(unplaced, reason, pass)
   }
 
+  /** Places the tasks of a step on sets of workers in turn; returns those that did not fit, and the last candidates. */
+  #placeOn (
+    pools: ReadonlyArray<readonly WorkerCapacity[]>, step: WaitingStep, pass: Pass
+  ): { readonly unplaced: WaitingStep, readonly candidates: Candidates } {
+    let unplaced = step
+    let candidates = asSingleGroup([])
+    for (const pool of pools) {
+      candidates = findCandidates(unplaced, pool, pass.maxRackWaitMs)
+      const placements = placeTasks(unplaced, candidates)
+      this.#assign(unplaced, placements, pass)
+      const placed = new Set(placements.map(placement => placement.taskIndex))
+      unplaced = { ...unplaced, taskIndexes: unplaced.taskIndexes.filter(index => !placed.has(index)) }
+      if (unplaced.taskIndexes.length === 0) break
+    }
+    return { unplaced, candidates }
+  }
+
   /** Whether a step neither preempts others nor gets a reservation, so that it is only placed or waits. */
   #mayOnlyBePlaced (step: WaitingStep, pass: Pass): boolean {
     return pass.reservationCount >= this.#settings.maxReservations && !this.#reclaimPolicy.mayReclaim(step) &&
--- a/packages/batch/src/worker-registry.ts
+++ b/packages/batch/src/worker-registry.ts
@@ -2,6 +2,7 @@
 import type { Clock, EventLog } from '@comfreygrade/core'
 import type { BatchState } from './batch-state.js'
 import type { Assignment, RunEnd, WorkerIncarnation } from './commands.js'
+import { EvacuationReturn } from './evacuation-return.js'
 import { couldHold } from './worker-capacity.js'
 import { jobIdOf } from './jobs.js'
 import { taskRunKey } from './run-keys.js'
@@ -35,6 +36,8 @@
 export type UnschedulableReason =
   /** Its availability zone is evacuated. */
   | 'evacuated'
+  /** The evacuation of its availability zone has ended, and the worker is not among the first to get work again. */
+  | 'returning'
   | 'leaving'
   /** One of its runs has ended without a report, so the worker may have crashed. */
   | 'may_have_crashed'
@@ -62,6 +65,7 @@
   readonly #log: EventLog
   readonly #health: WorkerHealth
   readonly #regions: PermittedRegions
+  readonly #evacuationReturn: EvacuationReturn
   readonly #views = new Map<string, WorkerView>()
   readonly #locations = new WorkerLocations()
   readonly #startedJobs = new Set<string>()
@@ -76,6 +80,9 @@
     this.#log = log
     this.#health = new WorkerHealth(clock, log)
     this.#regions = new PermittedRegions(state, settings)
+    this.#evacuationReturn = new EvacuationReturn({
+      clock, latestOf: zone => state.evacuations.latestOf(zone), viewsIn: zone => this.viewsIn(zone)
+    })
     this.#termStartedAtMs = clock.monotonicMs()
   }
 
@@ -229,6 +236,7 @@
   unschedulableReason (view: WorkerView): UnschedulableReason | undefined {
     const { latest } = view
     if (this.isEvacuated(view)) return 'evacuated'
+    if (this.#evacuationReturn.isHeld(view)) return 'returning'
     if (latest.state !== 'active' || this.#state.departureOf(latest) !== undefined) return 'leaving'
     if (view.mayHaveCrashed) return 'may_have_crashed'
     if (!this.isResponsive(view)) return 'silent'
