--- a/packages/batch-node/src/message-validation.ts
+++ b/packages/batch-node/src/message-validation.ts
@@ -25,10 +25,16 @@
     targetLatencyMs: isNumber,
     priority: isNumber,
     maxAttempts: isNumber,
-    slackFactor: isNumber
+    slackFactor: isNumber,
+    permittedRegions: either(isAbsent, listOf(isString))
   })),
   services: listOf(hasFields({ name: isString })),
-  organisations: listOf(hasFields({ name: isString, apiKeys: listOf(isString), guaranteedAccelerators: isNumber })),
+  organisations: listOf(hasFields({
+    name: isString,
+    apiKeys: listOf(isString),
+    guaranteedAccelerators: isNumber,
+    permittedRegions: either(isAbsent, listOf(isString))
+  })),
   source: isString
 })
 
@@ -41,7 +47,10 @@
   start_wave: hasFields({
     wave: hasFields({ waveId: isString, vmIds: listOf(isString), maxConcurrent: isCount, durationMs: isNumber })
   }),
-  wave_state: hasFields({ waveId: isString })
+  wave_state: hasFields({ waveId: isString }),
+  start_evacuation: hasFields({ zone: isString, requestedBy: isString }),
+  end_evacuation: hasFields({ zone: isString, requestedBy: isString }),
+  list_evacuations: isObject
 })
 
 const isReport = hasFields({
--- a/packages/batch/src/leader.ts
+++ b/packages/batch/src/leader.ts
@@ -16,6 +16,7 @@
 import { OrderPlanner } from './order-planner.js'
 import { plainPolicies, type BatchPolicies } from './policies.js'
 import { ObjectiveSchedulingOrder } from './scheduling-order.js'
+import { StartRules } from './start-rules.js'
 import { ReportHandler } from './report-handler.js'
 import { BatchScheduler, type Reclaim } from './scheduler.js'
 import type { BatchSettings } from './settings.js'
@@ -104,7 +105,15 @@
     this.#assembly = new GangAssembly(clock, settings.gangAssemblyMs)
     this.#brokenGangs = new BrokenGangs(state)
     this.#orders = new OrderPlanner({
-      state, settings, clock, tickets: this.#tickets, assembly: this.#assembly, fencingToken: options.term, log
+      state,
+      settings,
+      clock,
+      tickets: this.#tickets,
+      startRules: new StartRules(state, settings),
+      assembly: this.#assembly,
+      fencingToken: options.term,
+      log,
+      viewOf: workerId => this.#registry.view(workerId)
     })
     this.#scheduler = new BatchScheduler(settings, clock, new ObjectiveSchedulingOrder(), policies)
     this.#operations = new OperationHandler({
@@ -246,6 +255,26 @@
     this.#propose({ kind: 'release', runs }, () => { this.#isPassDue = true })
   }
 
+  /**
+   * Runs that have not started in a zone where they must not start any more are stopped, and assigned elsewhere; their
+   * gangs with them.
+   */
+  #stopObstructedRuns (): void {
+    const obstructed = [...this.#registry.views()].flatMap(view => this.#orders.obstructedRuns(view))
+    if (obstructed.length === 0) return
+    const stopped = obstructed.flatMap(run => this.#stop(run))
+    const unsent = stopped.filter(run => this.#orders.isUnsent(run, this.#registry.view(run.workerId)))
+    const runs = [...new Map([...obstructed, ...unsent].map(run => [assignmentKey(run), run])).values()]
+    this.#options.metrics.increment('run.obstructed', {}, runs.length)
+    this.#options.log.info('runs stopped that must not start in their zone any more', {
+      runs: runs.map(({ taskKey, run, workerId }) => ({ taskKey, run, workerId }))
+    })
+    this.#propose({ kind: 'release', runs }, outcome => {
+      if (outcome.kind === 'applied') for (const run of runs) this.#registry.view(run.workerId)?.removeRun(run)
+      this.#isPassDue = true
+    })
+  }
+
   /** The end of a run may mean that others are stopped: those of its gang, or all of a job that has failed. */
   #handleRunEnded ({ taskKey, run, reason }: RunEnd): void {
     if (reason !== 'done') this.#wakeWorkersOf(jobIdOf(taskKey))
@@ -328,6 +357,7 @@
     this.#isPassDue = true
     this.#guard('gone_workers', () => { this.#reports.releaseGoneWorkers() })
     this.#guard('unsent_runs', () => { this.#moveUnsentRuns() })
+    this.#guard('obstructed_runs', () => { this.#stopObstructedRuns() })
     this.#guard('evictions', () => { this.#evictRuns() })
     this.#guard('maintenance', () => { this.#beginDueMaintenance() })
     this.#guard('clean_up', () => { this.#removeStale() })
--- a/packages/batch/src/operation-handler.ts
+++ b/packages/batch/src/operation-handler.ts
@@ -3,10 +3,13 @@
 import type { AdmissionPolicy } from './admission-policy.js'
 import type { BatchState } from './batch-state.js'
 import type { BatchCommand, CommandResult, MaintenanceWave } from './commands.js'
+import { EvacuationRequests } from './evacuation-requests.js'
 import { visibleState } from './job-record.js'
 import { isValidJobId, MAX_JOB_ID_LENGTH, validateJob, type JobSpec, type StepSpec } from './jobs.js'
 import type { BatchOperation, BatchResult, QueueRequest } from './operations.js'
+import { PermittedRegions } from './permitted-regions.js'
 import { queueAddress, QueueDirectory, validateDocument, type QueueConfiguration } from './queues.js'
+import type { BatchSettings } from './settings.js'
 import type { WorkerRegistry } from './worker-registry.js'
 
 /** Outcome of a proposed command. */
@@ -19,6 +22,7 @@
 export interface OperationHandlerOptions {
   readonly state: BatchState
   readonly registry: WorkerRegistry
+  readonly settings: BatchSettings
   readonly admission: AdmissionPolicy
   readonly clock: Clock
   readonly metrics: Metrics
@@ -42,11 +46,19 @@
 /** Handles the operations that reach the leader. */
 export class OperationHandler {
   readonly #options: OperationHandlerOptions
+  readonly #evacuations: EvacuationRequests
+  readonly #regions: PermittedRegions
   /** Configurations that are proposed and not settled yet. */
   readonly #proposedDirectories = new Set<QueueDirectory>()
 
   constructor (options: OperationHandlerOptions) {
     this.#options = options
+    this.#regions = new PermittedRegions(options.state, options.settings)
+    this.#evacuations = new EvacuationRequests({
+      ...options,
+      refuse: (requestId, failure) => { this.#refuse(requestId, failure) },
+      answerProposal: (requestId, outcome) => { this.#answerProposal(requestId, outcome) }
+    })
   }
 
   /** Answers an operation, either at once or after its command is committed. */
@@ -59,6 +71,9 @@
       case 'get_configuration': return this.#answerConfiguration(requestId)
       case 'start_wave': return this.#startWave(requestId, operation.wave)
       case 'wave_state': return this.#answerWaveState(requestId, operation.waveId)
+      case 'start_evacuation':
+      case 'end_evacuation': return this.#evacuations.handle(requestId, operation)
+      case 'list_evacuations': return this.#reply(requestId, succeed(this.#evacuations.list()))
     }
   }
 
@@ -68,6 +83,8 @@
     const { queue, jobId, organisation } = resolved
     if (!isValidJobId(jobId)) return this.#refuse(requestId, invalidJobId(jobId))
     if (this.#options.state.job(jobId) !== undefined) return this.#accept(requestId)
+    const regionRefusal = this.#regionRefusalOf(queue, organisation)
+    if (regionRefusal !== undefined) return this.#refuse(requestId, regionRefusal)
     const valid = validateJob(fields)
     if (!valid.ok) return this.#refuse(requestId, valid.failure)
     if (this.#isBeingRemoved(queue)) return this.#refuse(requestId, queueIsBeingRemoved(queue))
@@ -99,6 +116,19 @@
     return [...this.#proposedDirectories].some(directory => directory.at(queueAddress(queue)) === undefined)
   }
 
+  /** A job that is committed after a configuration which permits it nowhere would not run either. */
+  #regionRefusalOf (queue: QueueConfiguration, organisation: string): Failure | undefined {
+    const { directory } = this.#options.state
+    const refusal = directory === null ? undefined : this.#regions.refusalOf(queue, organisation, directory)
+    if (refusal !== undefined) return refusal
+    const isToBeRefused = [...this.#proposedDirectories].some(proposed => {
+      const proposedQueue = proposed.at(queueAddress(queue))
+      return proposedQueue !== undefined && this.#regions.refusalOf(proposedQueue, organisation, proposed) !== undefined
+    })
+    const detail = `a configuration that permits queue ${queue.name} in no region is being committed`
+    return isToBeRefused ? { kind: 'control_unavailable', detail } : undefined
+  }
+
   #cancel (requestId: string, request: QueueRequest): void {
     const resolved = this.#resolve(request)
     if ('kind' in resolved) return this.#refuse(requestId, resolved)
