Let the batch benchmark run the leader with given policies

Change: an option of the simulation and of runPattern creates the policies, and a refused submission is repeated up to four times after the delay that the refusal asks for, as callers do.

--- a/packages/bench/src/batch-bench.ts
+++ b/packages/bench/src/batch-bench.ts
@@ -1,9 +1,9 @@
 /** Benchmark of the batch scheduler's decisions under normal load, peaks of urgent or large gangs, and overload. */
-import type { BatchSettings } from '@comfreygrade/batch'
+import { plainPolicies, type BatchSettings } from '@comfreygrade/batch'
 import { drawJobs } from './batch-load.js'
 import { wasteCauses, type BatchSimulationResult } from './batch-measures.js'
 import { loadPatterns, type LoadPattern } from './batch-patterns.js'
-import { simulateBatch } from './batch-simulation.js'
+import { simulateBatch, type BatchSimulationOptions } from './batch-simulation.js'
 import type { BenchTable } from './format.js'
 
 const ARRIVAL_PERIOD_MS = 34_000
@@ -17,7 +17,8 @@
  * const results = runPattern(loadPatterns[1], [1, 2, 3], { maxReservations: 8 })
  */
 export function runPattern (
-  pattern: LoadPattern, seeds: readonly number[], settings: Partial<BatchSettings> = {}
+  pattern: LoadPattern, seeds: readonly number[], settings: Partial<BatchSettings> = {},
+  createPolicies: BatchSimulationOptions['createPolicies'] = plainPolicies
 ): BatchSimulationResult[] {
   const { loadFactor, peaks } = pattern
   const kinds = pattern.kinds.map(kind => ({ ...kind, arrivalsPerSecond: kind.arrivalsPerSecond * loadFactor }))
@@ -27,6 +28,7 @@
     kinds,
     jobs: drawJobs(seed, kinds, ARRIVAL_PERIOD_MS, peaks),
     settings,
+    createPolicies,
     endsAtMs: ARRIVAL_PERIOD_MS + AFTER_ARRIVALS_MS
   }))
 }
--- a/packages/bench/src/batch-simulation.ts
+++ b/packages/bench/src/batch-simulation.ts
@@ -1,8 +1,9 @@
 /** Simulates the batch scheduler: the production leader on a manual clock, simulated workers, delayed commits. */
-import { ManualClock, NullMetrics, Random, StrictEventLog } from '@comfreygrade/core'
+import { errorTable, ManualClock, NullMetrics, Random, StrictEventLog } from '@comfreygrade/core'
 import {
-  BatchLeader, BatchState, defaultBatchSettings, jobIdOf, parseTaskKey, type BatchSettings, type EndReason,
-  type LeaderEffect, type LeaderEvent, type QueueDocument, type WorkerOrders, type WorkerReport
+  BatchLeader, BatchState, defaultBatchSettings, jobIdOf, parseTaskKey, plainPolicies, type BatchPolicies,
+  type BatchResult, type BatchSettings, type EndReason, type LeaderEffect, type LeaderEvent, type PolicyContext,
+  type QueueDocument, type WorkerOrders, type WorkerReport
 } from '@comfreygrade/batch'
 import { INITIAL_JOBS_MS, ORGANISATIONS, WORKERS_PER_RACK, type JobKind, type SimulatedJob } from './batch-load.js'
 import { BatchMeasures, type BatchSimulationResult, type WasteCause } from './batch-measures.js'
@@ -19,6 +20,8 @@
   readonly cuts: readonly WorkerCut[]
   readonly losses: readonly WorkerLoss[]
   readonly settings?: Partial<BatchSettings>
+  /** The leader's policies; the plain ones by default. */
+  readonly createPolicies?: (context: PolicyContext) => BatchPolicies
   /** Jobs that have not ended by this time count as not served. */
   readonly endsAtMs: number
 }
@@ -37,6 +40,8 @@
 const MEAN_CHECKPOINT_LOSS_MS = CHECKPOINT_INTERVAL_MS / 2
 /** Delay of a heartbeat that its worker has given up when it arrives. */
 const LATE_HEARTBEAT_MS = 2_000
+/** Callers repeat a refused submission this many times, each time after the delay that the refusal asks for. */
+const MAX_SUBMISSION_RETRIES = 4
 
 /**
  * Simulates the jobs on a fleet of workers.
@@ -61,6 +66,7 @@
   readonly #jobs: ReadonlyMap<string, SimulatedJob>
   readonly #membersByRun = new Map<string, Array<{ worker: SimulatedWorker, run: SimulatedRun }>>()
   readonly #replies = new Map<string, (orders: WorkerOrders | undefined) => void>()
+  readonly #submissions = new Map<string, (result: BatchResult) => void>()
   readonly #startMs: number
   /** Events by the step in which they are due. */
   readonly #eventsByStepMs = new Map<number, Array<() => void>>()
@@ -72,13 +78,13 @@
     this.#random = new Random(options.seed)
     this.#startMs = this.#clock.monotonicMs()
     const settings = { ...defaultBatchSettings, ...options.settings }
+    const ports = { clock: this.#clock, metrics: new NullMetrics(), log: new StrictEventLog() }
+    const policies = (options.createPolicies ?? plainPolicies)({ settings, ...ports })
     this.#jobs = new Map(options.jobs.map(job => [job.jobId, job]))
     this.#state = new BatchState(settings)
     this.#state.apply({ kind: 'put_configuration', document: queueDocument(options.kinds) }, 0)
     this.#workers = this.#createWorkers()
-    this.#leader = new BatchLeader({
-      term: 1, state: this.#state, settings, clock: this.#clock, metrics: new NullMetrics(), log: new StrictEventLog()
-    })
+    this.#leader = new BatchLeader({ term: 1, state: this.#state, settings, policies, ...ports })
   }
 
   run (): BatchSimulationResult {
@@ -214,11 +220,20 @@
       this.#workers.indexOf(worker) < share * this.#workers.length)
   }
 
-  #submit ({ jobId, kind, organisationIndex, step }: SimulatedJob): void {
+  #submit (job: SimulatedJob, retries = MAX_SUBMISSION_RETRIES): void {
+    const { jobId, kind, organisationIndex, step } = job
     const request = { host: HOST, path: `${kind.pathPrefix}${jobId}`, apiKey: `key-${organisationIndex}` }
+    const requestId = `s${++this.#requestCount}`
+    this.#submissions.set(requestId, result => {
+      if (result.ok) return
+      const { repeat, retryAfterMs } = errorTable[result.failure.kind]
+      if (repeat !== 'later' || retries === 0) return
+      const delayMs = Math.ceil((result.failure.retryAfterMs ?? retryAfterMs) / 1_000) * 1_000
+      this.#after(delayMs, () => { this.#submit(job, retries - 1) })
+    })
     this.#handle({
       kind: 'operation',
-      requestId: `s${++this.#requestCount}`,
+      requestId,
       operation: { kind: 'submit', request, spec: { payload: '', steps: [step] } }
     })
   }
@@ -226,12 +241,18 @@
   #handle (event: LeaderEvent): void {
     for (const effect of this.#leader.handle(event)) {
       if (effect.kind === 'propose') this.#after(COMMIT_DELAY_MS, () => { this.#commit(effect) })
+      if (effect.kind === 'reply') this.#settleSubmission(effect)
       if (effect.kind !== 'reply_worker') continue
       this.#replies.get(effect.requestId)?.(effect.orders)
       this.#replies.delete(effect.requestId)
     }
   }
 
+  #settleSubmission ({ requestId, result }: Extract<LeaderEffect, { kind: 'reply' }>): void {
+    this.#submissions.get(requestId)?.(result)
+    this.#submissions.delete(requestId)
+  }
+
   #commit ({ proposalId, command }: Extract<LeaderEffect, { kind: 'propose' }>): void {
     const result = this.#state.apply(command, this.#nowMs)
     if (command.kind === 'record_ends') for (const end of command.ends) this.#recordEnd(jobIdOf(end.taskKey))
