Order jobs by the fair shares of their organisations

Cause: within a priority only the objective decided, so an organisation that submits many jobs with early objectives kept the others waiting. Change: FairShares measures attained service; between the priority and the objective, steps of organisations over their share come later, in coarse steps, and a reclaim stops their runs first on each worker. The adaptive policies contain it.

--- a/packages/batch/src/organisation-shares.ts
+++ b/packages/batch/src/organisation-shares.ts
@@ -25,3 +25,25 @@
     return 1
   }
 }
+
+/**
+ * Attained service from which an organisation counts as over its share. One large gang more or less than its share
+ * would otherwise reorder the jobs of organisations with like demand.
+ */
+const OVER_SHARE = 1.5
+
+/** Whether attained service is over the share by more than the size of a few jobs. */
+export function isOverShare (attained: number): boolean {
+  return attained > OVER_SHARE
+}
+
+/**
+ * Coarse step of attained service: 0 up to about the share, and one more for each doubling beyond it. Small differences
+ * do not reorder jobs.
+ *
+ * @example
+ * shareStep(0.4) === shareStep(1.2) // true
+ */
+export function shareStep (attained: number): number {
+  return isOverShare(attained) ? 1 + Math.floor(Math.log2(attained / OVER_SHARE)) : 0
+}
--- a/packages/batch/src/policies.ts
+++ b/packages/batch/src/policies.ts
@@ -1,6 +1,7 @@
 /** The decisions of the leader that have several implementations. */
 import type { Clock, EventLog, Metrics } from '@comfreygrade/core'
 import { AcceptAllJobs, type AdmissionPolicy } from './admission-policy.js'
+import { FairShares } from './fair-shares.js'
 import { UnlimitedShares, type OrganisationShares } from './organisation-shares.js'
 import { CallerEstimates, type RunTimePredictor } from './run-time-predictor.js'
 import type { BatchSettings } from './settings.js'
@@ -33,6 +34,6 @@
 }
 
 /** Policies that learn from the load and decide by it. */
-export function adaptivePolicies (_context: PolicyContext): BatchPolicies {
-  return plainPolicies()
+export function adaptivePolicies (context: PolicyContext): BatchPolicies {
+  return { ...plainPolicies(), shares: new FairShares(context) }
 }
--- a/packages/batch/src/reclaim.ts
+++ b/packages/batch/src/reclaim.ts
@@ -6,6 +6,7 @@
 import type { OccupyingRun, WorkerCapacity } from './worker-capacity.js'
 import { placeTasks, asSingleGroup, undoPlacements, type Candidates, type TaskPlacement } from './worker-selection.js'
 import { coresOf } from './jobs.js'
+import { isOverShare, type OrganisationShares } from './organisation-shares.js'
 import type { WaitingStep } from './waiting-steps.js'
 
 interface Victim {
@@ -30,15 +31,18 @@
 
 /**
  * Plans which runs to stop for a step. Capacity of runs that are already being stopped counts as free. No task is
- * assigned yet, but the capacity that the step will take is held for the rest of the pass.
+ * assigned yet, but the capacity that the step will take is held for the rest of the pass. On each worker, runs of
+ * organisations over their share are stopped first.
  *
  * @returns undefined where preemption cannot free enough capacity for all waiting tasks
  * @example
- * const plan = planReclaim(step, findCandidates(step, workers))
+ * const plan = planReclaim(step, findCandidates(step, workers), new UnlimitedShares())
  */
-export function planReclaim (step: WaitingStep, candidates: Candidates): ReclaimPlan | undefined {
+export function planReclaim (
+  step: WaitingStep, candidates: Candidates, shares: OrganisationShares
+): ReclaimPlan | undefined {
   return withStoppingRunsFreed(candidates, () =>
-    placeWithoutVictims(step, candidates) ?? placeWithVictims(step, candidates))
+    placeWithoutVictims(step, candidates) ?? placeWithVictims(step, candidates, shares))
 }
 
 /**
@@ -69,10 +73,12 @@
 }
 
 /** Takes the group of workers in which preemption loses the least work. */
-function placeWithVictims (step: WaitingStep, { groups }: Candidates): ReclaimPlan | undefined {
+function placeWithVictims (
+  step: WaitingStep, { groups }: Candidates, shares: OrganisationShares
+): ReclaimPlan | undefined {
   let best: { readonly group: readonly WorkerCapacity[], readonly victims: Victim[] } | undefined
   for (const group of groups) {
-    const victims = findCheapestVictims(step, group)
+    const victims = findCheapestVictims(step, group, shares)
     if (victims === undefined) continue
     if (best === undefined || totalLoss(victims) < totalLoss(best.victims)) best = { group, victims }
   }
@@ -89,11 +95,13 @@
 }
 
 /** Places the tasks one by one, each on the worker where preemption loses the least work. */
-function findCheapestVictims (step: WaitingStep, workers: readonly WorkerCapacity[]): Victim[] | undefined {
+function findCheapestVictims (
+  step: WaitingStep, workers: readonly WorkerCapacity[], shares: OrganisationShares
+): Victim[] | undefined {
   const victims: Victim[] = []
   const placed: WorkerCapacity[] = []
   for (let count = 0; count < step.taskIndexes.length; count++) {
-    const next = findCheapestWorker(step, workers, victims)
+    const next = findCheapestWorker(step, workers, victims, shares)
     if (next === undefined) break
     setPreempted(next.victims, true)
     victims.push(...next.victims)
@@ -108,23 +116,30 @@
 }
 
 function findCheapestWorker (
-  step: WaitingStep, workers: readonly WorkerCapacity[], taken: readonly Victim[]
+  step: WaitingStep, workers: readonly WorkerCapacity[], taken: readonly Victim[], shares: OrganisationShares
 ): { worker: WorkerCapacity, victims: Victim[] } | undefined {
   let best: { worker: WorkerCapacity, victims: Victim[] } | undefined
   for (const worker of workers) {
-    const victims = findVictimsOn(worker, step, taken)
+    const victims = findVictimsOn(worker, step, taken, shares)
     if (victims === undefined) continue
     if (best === undefined || totalLoss(victims) < totalLoss(best.victims)) best = { worker, victims }
   }
   return best
 }
 
-/** The runs of one worker with the least loss that make one more task fit; none where it fits already. */
-function findVictimsOn (worker: WorkerCapacity, step: WaitingStep, taken: readonly Victim[]): Victim[] | undefined {
+/**
+ * The runs of one worker that make one more task fit: those of organisations over their share first, then those with
+ * the least loss; none where it fits already.
+ */
+function findVictimsOn (
+  worker: WorkerCapacity, step: WaitingStep, taken: readonly Victim[], shares: OrganisationShares
+): Victim[] | undefined {
+  const isOver = (run: OccupyingRun): boolean => isOverShare(shares.attainedOf(run.organisation))
   const candidates = worker.runs
     .filter(run => !run.isStopping && run.priority > step.priority && !run.spec.isLasting &&
       !taken.some(victim => victim.run === run))
-    .sort((left, right) => lossCoreSeconds(left) - lossCoreSeconds(right))
+    .sort((left, right) => Number(isOver(right)) - Number(isOver(left)) ||
+      lossCoreSeconds(left) - lossCoreSeconds(right))
   const victims: Victim[] = []
   for (const run of candidates) {
     if (worker.fits(step.spec)) break
--- a/packages/batch/src/scheduler.ts
+++ b/packages/batch/src/scheduler.ts
@@ -14,6 +14,7 @@
 import type { SchedulingOrder } from './scheduling-order.js'
 import { FailedPlacements } from './failed-placements.js'
 import { holdFreedCapacity, planReclaim, type ReclaimPlan } from './reclaim.js'
+import { usageByOrganisation } from './organisation-usage.js'
 import { plainPolicies, type BatchPolicies } from './policies.js'
 import { ObjectiveReclaimPolicy, type ReclaimPolicy } from './reclaim-policy.js'
 import { RackExpectations } from './rack-expectations.js'
@@ -135,9 +136,10 @@
   runPass (state: BatchState, fleet: FleetView): PassDecision {
     const nowWallMs = this.#clock.wallMs()
     this.#removeExpiredClaims()
-    const steps = listWaitingSteps(state, this.#clock, this.#settings, this.#policies)
+    const listed = listWaitingSteps(state, this.#clock, this.#settings, this.#policies)
     const unschedulableWorkers = new Map<UnschedulableReason, number>()
-    const workers = steps.length === 0 ? [] : this.#schedulableWorkers(state, fleet, unschedulableWorkers)
+    const workers = listed.length === 0 ? [] : this.#schedulableWorkers(state, fleet, unschedulableWorkers)
+    const steps = this.#withAttainedService(listed, workers)
     const isFleetKnown = this.#clock.monotonicMs() - this.#termStartedAtMs >= this.#settings.fleetDiscoveryMs
     const pass: Pass = {
       workers,
@@ -163,6 +165,15 @@
     return pass
   }
 
+  /** Updates the attained service of all organisations; without waiting steps nothing depends on it. */
+  #withAttainedService (steps: readonly WaitingStep[], workers: readonly WorkerCapacity[]): WaitingStep[] {
+    if (steps.length === 0) return []
+    const { shares } = this.#policies
+    const waiting = new Set(steps.map(step => step.job.organisation))
+    shares.update(usageByOrganisation(workers), waiting, this.#clock.monotonicMs())
+    return steps.map(step => ({ ...step, organisationAttained: shares.attainedOf(step.job.organisation) }))
+  }
+
   /** Tries steps until the given number of them did not fit in the pass; returns those that were not tried. */
   #placeSteps (
     steps: readonly WaitingStep[], maxUnplaced: number, fleet: FleetView, pass: Pass
@@ -269,7 +280,8 @@
    * Returns whether the capacity for the step is now held; some of it becomes free only when the victims have stopped.
    */
   #reclaim (step: WaitingStep, candidates: Candidates, budget: number, pass: Pass): boolean {
-    const plan = planReclaim(step, candidates) ?? this.#planReclaimAcrossRacks(step, candidates, budget)
+    const { shares } = this.#policies
+    const plan = planReclaim(step, candidates, shares) ?? this.#planReclaimAcrossRacks(step, candidates, budget)
     if (plan === undefined) return false
     const { runs, lostCoreSeconds, heldPlacements } = plan
     if (lostCoreSeconds > budget) {
@@ -283,7 +295,7 @@
 
   /** A guarantee that is due does not wait for capacity within one rack. */
   #planReclaimAcrossRacks (step: WaitingStep, { workers }: Candidates, budget: number): ReclaimPlan | undefined {
-    return budget === Infinity ? planReclaim(step, asSingleGroup(workers)) : undefined
+    return budget === Infinity ? planReclaim(step, asSingleGroup(workers), this.#policies.shares) : undefined
   }
 
   /** Returns the workers that may get new runs, and counts the others by reason. */
--- a/packages/batch/src/scheduling-order.ts
+++ b/packages/batch/src/scheduling-order.ts
@@ -1,4 +1,5 @@
 /** The order in which a scheduling pass considers waiting steps. */
+import { shareStep } from './organisation-shares.js'
 import type { WaitingStep } from './waiting-steps.js'
 
 /** Scheduling order; each policy is a subclass. */
@@ -13,16 +14,22 @@
 /**
  * Earliest objective first within priorities, in three classes: steps that are guaranteed, lasting or can still meet
  * their objective, then steps that are late but still useful, then the rest. Under overload this keeps late jobs from
- * making all later jobs late as well.
+ * making all later jobs late as well. Within a class and priority, steps of organisations over their share come after
+ * the others; guaranteed steps do not.
  */
 export class ObjectiveSchedulingOrder extends SchedulingOrder {
   override compare (left: WaitingStep, right: WaitingStep, nowWallMs: number): number {
     return latenessClass(left, nowWallMs) - latenessClass(right, nowWallMs) ||
       left.priority - right.priority ||
+      shareStepOf(left) - shareStepOf(right) ||
       left.objectiveWallMs - right.objectiveWallMs
   }
 }
 
+function shareStepOf ({ isGuaranteed, organisationAttained }: WaitingStep): number {
+  return isGuaranteed ? 0 : shareStep(organisationAttained)
+}
+
 function latenessClass (step: WaitingStep, nowWallMs: number): number {
   const endsAtWallMs = nowWallMs + step.remainingCriticalPathMs
   if (endsAtWallMs <= step.objectiveWallMs || step.spec.isLasting || step.isGuaranteed) return 0
--- a/packages/batch/src/worker-capacity.ts
+++ b/packages/batch/src/worker-capacity.ts
@@ -9,6 +9,7 @@
 export interface OccupyingRun {
   readonly assignment: Assignment
   readonly spec: StepSpec
+  readonly organisation: string
   readonly priority: number
   readonly isStopping: boolean
   /** Time since the run was first reported to this leader. */
@@ -198,7 +199,8 @@
     const elapsedMs = view.elapsedMs(assignment.taskKey, assignment.run, nowMs) ?? 0
     const isBeingStopped = isStopping(assignment)
     const remainingMs = isBeingStopped ? EXPECTED_STOP_MS : estimateRemainingMs(view, assignment, spec, nowMs)
-    runs.push({ assignment, spec, priority, isStopping: isBeingStopped, elapsedMs, remainingMs })
+    const { organisation } = job
+    runs.push({ assignment, spec, organisation, priority, isStopping: isBeingStopped, elapsedMs, remainingMs })
   }
   return runs
 }
--- /dev/null
+++ b/packages/batch/test/fair-shares.test.ts
@@ -0,0 +1,157 @@
+import test from 'ava'
+import fc from 'fast-check'
+import { NullEventLog, NullMetrics } from '@comfreygrade/core'
+import { plainPolicies, type BatchPolicies, type RunEnd, type StepSpec } from '../src/index.js'
+import { FairShares } from '../src/fair-shares.js'
+import { shareStep } from '../src/organisation-shares.js'
+import { HEARTBEAT_WAIT_MS, LeaderFixture, RecordingLog, runningTasks } from './leader-fixture.js'
+import { document, HOST, step } from './sample-data.js'
+
+const WORKER_ACCELERATORS = 8
+const MAX_WORKERS = 8
+const accelerators = (acceleratorCount: number): Partial<StepSpec> =>
+  ({ taskCount: 1, shape: { cpuMillicores: 1_000, memoryMb: 1_000, acceleratorCount } })
+const organisations = ['large', 'small', 'urgent'].map(name => ({ name, apiKeys: [name], guaranteedAccelerators: 0 }))
+const createShares = (): FairShares => new FairShares({ metrics: new NullMetrics(), log: new NullEventLog() })
+const fairPolicies = (): BatchPolicies => ({ ...plainPolicies(), shares: createShares() })
+
+interface SimulatedWorker {
+  readonly workerId: string
+  running: ReturnType<typeof runningTasks>
+  ends: RunEnd[]
+  endCount: number
+}
+
+/** Workers that carry out their orders, and whose runs end after a fixed time. */
+class Fleet {
+  readonly fixture: LeaderFixture
+  readonly startedMs = new Map<string, number>()
+  readonly #runMs: number
+  readonly #workers: SimulatedWorker[]
+
+  constructor (workerCount: number, runMs: number, createPolicies: () => BatchPolicies, log = new RecordingLog()) {
+    this.fixture = new LeaderFixture({ ...document(), organisations }, undefined, log, createPolicies)
+    this.#runMs = runMs
+    this.#workers = Array.from({ length: workerCount }, (_, index) =>
+      ({ workerId: `w${index}`, running: [], ends: [], endCount: 0 }))
+    this.round()
+    this.fixture.advance(2_000)
+    this.round()
+  }
+
+  get nowMs (): number {
+    return this.fixture.clock.monotonicMs()
+  }
+
+  submit (jobId: string, organisation: string, fields: Partial<StepSpec>, queuePath = '/normal/'): void {
+    const request = { host: HOST, path: `${queuePath}${jobId}`, apiKey: organisation }
+    this.fixture.execute({ kind: 'submit', request, spec: { payload: '', steps: [step(fields)] } })
+  }
+
+  /** One heartbeat of each worker. */
+  round (): string[] {
+    return this.#workers.flatMap(worker => {
+      for (const { taskKey, run } of worker.running.filter(task => this.#hasEnded(task.taskKey))) {
+        worker.ends.push({ sequence: ++worker.endCount, taskKey, run, reason: 'done', checkpoint: '' })
+      }
+      worker.running = worker.running.filter(task => !this.#hasEnded(task.taskKey))
+        .map(task => ({ ...task, percent: task.percent + 0.1 }))
+      const orders = this.fixture.heartbeat(worker.workerId, { running: worker.running, ends: worker.ends })
+      if (orders === undefined) return []
+      worker.ends = worker.ends.filter(end => end.sequence > orders.recordedEndSequence)
+      for (const { taskKey } of orders.starts) this.startedMs.set(taskKey, this.nowMs)
+      worker.running = [...worker.running, ...runningTasks(orders.starts, 1)]
+      return orders.stops.map(({ taskKey }) => taskKey)
+    })
+  }
+
+  #hasEnded (taskKey: string): boolean {
+    return this.nowMs - (this.startedMs.get(taskKey) ?? Infinity) >= this.#runMs
+  }
+}
+
+/** Time from the end of a run until the next task runs in its place: two rounds of heartbeats of all workers. */
+const MAX_HANDOVER_MS = 2 * MAX_WORKERS * HEARTBEAT_WAIT_MS
+
+interface Load {
+  readonly workers: number
+  readonly runMs: number
+  readonly jobs: number
+  readonly delayRounds: number
+}
+
+/** Wait of a job of the small organisation behind the jobs of the large one, which were all submitted before. */
+function waitOfSmallOrganisation (load: Load, createPolicies: () => BatchPolicies): number {
+  const { workers, runMs, jobs, delayRounds } = load
+  const fleet = new Fleet(workers, runMs, createPolicies)
+  const whole = { ...accelerators(WORKER_ACCELERATORS), estimateMs: runMs }
+  for (let index = 0; index < jobs; index++) fleet.submit(`large${index}`, 'large', whole)
+  for (let round = 0; round < delayRounds; round++) fleet.round()
+  const submittedMs = fleet.nowMs
+  fleet.submit('small', 'small', whole)
+  const deadlineMs = submittedMs + 10 * (runMs + MAX_HANDOVER_MS)
+  while (!fleet.startedMs.has('small.0.0.0') && fleet.nowMs < deadlineMs) fleet.round()
+  return (fleet.startedMs.get('small.0.0.0') ?? Infinity) - submittedMs
+}
+
+const loads = fc.record({
+  workers: fc.integer({ min: 5, max: MAX_WORKERS }),
+  runMs: fc.integer({ min: 500, max: 3_000 }),
+  jobs: fc.integer({ min: 30, max: 60 }),
+  delayRounds: fc.integer({ min: 1, max: 4 })
+})
+
+// Guards against a load in which the many jobs of one organisation, with the earlier objectives, go before the others.
+test('an organisation with work waits behind one that is over its share for no longer than one run', t => {
+  fc.assert(fc.property(loads, load => {
+    const waitMs = waitOfSmallOrganisation(load, fairPolicies)
+    t.true(waitMs <= load.runMs + MAX_HANDOVER_MS, `waited ${waitMs} ms: ${JSON.stringify(load)}`)
+  }), { seed: 1, numRuns: 25 })
+  const load = { workers: 5, runMs: 2_000, jobs: 40, delayRounds: 1 }
+  t.true(waitOfSmallOrganisation(load, plainPolicies) > load.runMs + MAX_HANDOVER_MS, 'the load is no test of the shares')
+})
+
+// Guards against the loss of work of an organisation within its share while another one is over it.
+test('an urgent step preempts runs of an organisation over its share, also where that discards more work', t => {
+  const stopsWith = (createPolicies: () => BatchPolicies): string[] => {
+    const fleet = new Fleet(2, 60_000, createPolicies)
+    fleet.submit('whole', 'large', { ...accelerators(8), estimateMs: 60_000 })
+    fleet.submit('half', 'large', { ...accelerators(4), estimateMs: 60_000 })
+    fleet.round()
+    fleet.submit('later', 'small', { ...accelerators(4), estimateMs: 60_000 })
+    for (let round = 0; round < 3; round++) fleet.round()
+    fleet.submit('urgent', 'urgent', { ...accelerators(4), estimateMs: 1_000 }, '/urgent/')
+    return [...new Set(Array.from({ length: 8 }, () => fleet.round()).flat())]
+  }
+  t.deepEqual(stopsWith(plainPolicies), ['later.0.0.0'])
+  t.deepEqual(stopsWith(fairPolicies), ['half.0.0.0'])
+})
+
+test('differences within the share, or of a few jobs, do not reorder jobs', t => {
+  t.deepEqual([0, 0.5, 1, 1.4].map(shareStep), [0, 0, 0, 0])
+  t.true(shareStep(2) < shareStep(4))
+})
+
+test('the debt of an organisation decays, and use of capacity that nobody waits for adds none', t => {
+  const usage = new Map([['large', { dominantShare: 0.9 }]])
+  const debtAfter = (waiting: string[], idleMs: number): number => {
+    const shares = createShares()
+    for (let nowMs = 0; nowMs <= 10_000; nowMs += 100) shares.update(usage, new Set(waiting), nowMs)
+    shares.update(new Map(), new Set(['large', 'small']), 10_000 + idleMs)
+    return shares.attainedOf('large')
+  }
+  t.is(debtAfter([], 1), 0)
+  t.is(debtAfter(['large'], 1), 0)
+  t.true(debtAfter(['small'], 1) > 1)
+  t.true(debtAfter(['small'], 60_000) < 0.01)
+})
+
+test('the log says when an organisation exceeds its share and when it no longer does', t => {
+  const log = new RecordingLog()
+  const shares = new FairShares({ metrics: new NullMetrics(), log })
+  shares.update(new Map([['large', { dominantShare: 0.9 }]]), new Set(['small']), 0)
+  shares.update(new Map(), new Set(['large', 'small']), 1)
+  t.deepEqual(log.lines.map(line => line.message), [
+    'organisation exceeds its share', 'organisation is within its share again'
+  ])
+})
--- a/packages/batch/test/leader-fixture.ts
+++ b/packages/batch/test/leader-fixture.ts
@@ -1,8 +1,9 @@
 /** A leader whose proposals commit at once unless a test delays them. */
 import { EventLog, ManualClock, NullMetrics, StrictEventLog } from '@comfreygrade/core'
 import {
-  BatchLeader, BatchState, defaultBatchSettings, type BatchOperation, type BatchResult, type BatchSettings,
-  type LeaderEffect, type LeaderEvent, type MaintenanceCall, type WorkerOrders, type WorkerReport
+  BatchLeader, BatchState, defaultBatchSettings, plainPolicies, type BatchOperation, type BatchPolicies,
+  type BatchResult, type BatchSettings, type LeaderEffect, type LeaderEvent, type MaintenanceCall, type PolicyContext,
+  type WorkerOrders, type WorkerReport
 } from '../src/index.js'
 import { document, HOST, KEY, report } from './sample-data.js'
 import type { StepSpec } from '../src/index.js'
@@ -45,6 +46,7 @@
   readonly #orders = new Map<string, WorkerOrders | undefined>()
   readonly #settings: BatchSettings
   readonly #log: EventLog
+  readonly #createPolicies: (context: PolicyContext) => BatchPolicies
   #term = 1
   #requestCount = 0
 
@@ -55,9 +57,11 @@
   constructor (
     initialDocument = document(),
     settings: Partial<BatchSettings> = PROMPT_ANSWERS,
-    log: EventLog = new StrictEventLog()
+    log: EventLog = new StrictEventLog(),
+    createPolicies: (context: PolicyContext) => BatchPolicies = plainPolicies
   ) {
     this.#log = log
+    this.#createPolicies = createPolicies
     this.#settings = { ...defaultBatchSettings, ...settings }
     this.state.apply({ kind: 'put_configuration', document: initialDocument }, 0)
     this.leader = this.#createLeader()
@@ -119,14 +123,8 @@
 
   #createLeader (): BatchLeader {
     const { clock, state } = this
-    return new BatchLeader({
-      term: this.#term,
-      state,
-      settings: this.#settings,
-      clock,
-      metrics: new NullMetrics(),
-      log: this.#log
-    })
+    const context = { settings: this.#settings, clock, metrics: new NullMetrics(), log: this.#log }
+    return new BatchLeader({ ...context, term: this.#term, state, policies: this.#createPolicies(context) })
   }
 
   #carryOut (effect: LeaderEffect): void {
