--- a/packages/bench/src/batch-load.ts
+++ b/packages/bench/src/batch-load.ts
@@ -21,6 +21,8 @@
   readonly maxTasks: number
   /** Standard deviation of the logarithm of the run times of one job's tasks. */
   readonly taskLogSigma: number
+  /** Share of the jobs with a second step like the first one, which depends on it; absent for none. */
+  readonly secondStepShare?: number
   readonly shape: Omit<TaskShape, 'acceleratorCount'>
   /** Accelerators per task, drawn uniformly; a repeated value is drawn more often. */
   readonly acceleratorChoices: readonly number[]
@@ -45,6 +47,8 @@
   readonly organisationIndex: number
   readonly arrivesAtMs: number
   readonly step: StepSpec
+  /** Number of steps like `step`, each of which depends on the one before it. */
+  readonly stepCount: number
   /** Mean run time of its tasks on a worker of speed 1. */
   readonly runMs: number
   /** Run times of the tasks relative to the mean, by index. */
@@ -63,8 +67,9 @@
  * @example
  * const value = job.kind.value * sizeFactor(job)
  */
-export function sizeFactor ({ kind, runMs, step }: SimulatedJob): number {
-  const relativeWork = runMs * step.taskCount / (kind.meanRunMs * kind.meanTasks)
+export function sizeFactor ({ kind, runMs, step, stepCount }: SimulatedJob): number {
+  const meanSteps = 1 + (kind.secondStepShare ?? 0)
+  const relativeWork = runMs * step.taskCount * stepCount / (kind.meanRunMs * kind.meanTasks * meanSteps)
   return Math.min(MAX_SIZE_FACTOR, FIXED_VALUE_SHARE + (1 - FIXED_VALUE_SHARE) * relativeWork)
 }
 
@@ -72,15 +77,49 @@
 const LONG_RUN_FACTOR = 7
 const LONG_RUN_SHARE = 0.03
 const TASK_COUNT_LOG_SIGMA = 0.8
-/** Capacity of every simulated worker. */
-export const WORKER_CAPACITY: TaskShape = { cpuMillicores: 64_000, memoryMb: 262_144, acceleratorCount: 8 }
-export const WORKERS_PER_RACK = 8
 /** Time from the initial jobs to the beginning of the other arrivals. */
 export const INITIAL_JOBS_MS = 8_000
-/** Number of organisations that submit jobs. */
-export const ORGANISATIONS = 4
 const DISCARDED_DRAWS = 20
 
+/** What the workers of a fleet are like. */
+export interface FleetShape {
+  readonly workerCapacity: TaskShape
+  readonly workersPerRack: number
+  /** The racks are spread evenly over this many availability zones. */
+  readonly zones: number
+  /** Speeds of the workers, drawn uniformly; a repeated value is drawn more often. */
+  readonly workerSpeeds: readonly number[]
+}
+
+export const defaultFleetShape: FleetShape = {
+  workerCapacity: { cpuMillicores: 64_000, memoryMb: 262_144, acceleratorCount: 8 },
+  workersPerRack: 8,
+  zones: 1,
+  workerSpeeds: [0.8, 1, 1.25]
+}
+
+/** Organisations that submit jobs, and how their demand differs and varies. */
+export interface Demand {
+  readonly organisations: number
+  /** Demand of an organisation as a multiple of that of the one before it. */
+  readonly decay: number
+  /** Undefined where the demand does not vary. */
+  readonly waves: DemandWaves | undefined
+}
+
+/**
+ * Recurring peaks of demand that reach one availability zone after the other. The organisations are assigned to the
+ * zones in turn.
+ */
+export interface DemandWaves {
+  readonly zones: number
+  readonly periodMs: number
+  readonly peakMs: number
+  readonly peakFactor: number
+}
+
+export const defaultDemand: Demand = { organisations: 4, decay: 1, waves: undefined }
+
 /** Job kinds with the arrival rates of a busy day on 33 workers, of whose accelerator time they need about 86 %. */
 export const defaultJobKinds: readonly JobKind[] = [
   {
@@ -170,31 +209,62 @@
  * const jobs = drawJobs(7, defaultJobKinds, 30_000, peaks)
  */
 export function drawJobs (
-  seed: number, kinds: readonly JobKind[], durationMs: number, peaks: readonly LoadPeak[]
+  seed: number, kinds: readonly JobKind[], durationMs: number, peaks: readonly LoadPeak[],
+  demand: Demand = defaultDemand, fleet: FleetShape = defaultFleetShape
 ): SimulatedJob[] {
   const random = new Random(seed)
   // The generator's first numbers after a small seed are far from uniform.
   for (let count = 0; count < DISCARDED_DRAWS; count++) random.nextFloat()
-  const jobs = kinds.flatMap(kind => drawJobsOfKind(random, kind, durationMs, peaks))
+  const draw: JobDraw = { random, durationMs, peaks, demand, fleet }
+  const jobs = kinds.flatMap(kind => drawJobsOfKind(draw, kind))
   return jobs.sort((left, right) => left.arrivesAtMs - right.arrivesAtMs)
 }
 
-function drawJobsOfKind (
-  random: Random, kind: JobKind, durationMs: number, peaks: readonly LoadPeak[]
-): SimulatedJob[] {
+interface JobDraw {
+  readonly random: Random
+  readonly durationMs: number
+  readonly peaks: readonly LoadPeak[]
+  readonly demand: Demand
+  readonly fleet: FleetShape
+}
+
+function drawJobsOfKind (draw: JobDraw, kind: JobKind): SimulatedJob[] {
+  const { random, durationMs, demand: { waves } } = draw
   const jobs: SimulatedJob[] = []
-  for (let index = 0; index < kind.initialJobs; index++) jobs.push(drawJob(random, kind, -INITIAL_JOBS_MS, index))
+  for (let index = 0; index < kind.initialJobs; index++) {
+    jobs.push(drawJob(draw, kind, -INITIAL_JOBS_MS, index))
+  }
+  const maxWaveFactor = waves?.peakFactor ?? 1
   let atMs = 0
   while (true) {
-    const peak = peaks.find(({ kindName, fromMs, toMs }) => kindName === kind.name && atMs >= fromMs && atMs < toMs)
-    atMs += drawExponential(random) * 1_000 / (kind.arrivalsPerSecond * (peak?.factor ?? 1))
+    const rate = kind.arrivalsPerSecond * peakFactor(draw.peaks, kind, atMs) * maxWaveFactor
+    atMs += drawExponential(random) * 1_000 / rate
     if (atMs >= durationMs) return jobs
-    jobs.push(drawJob(random, kind, atMs, jobs.length))
+    const job = drawJob(draw, kind, atMs, jobs.length)
+    // Jobs are drawn at the rate of the wave's peak, of which only a share arrives at other times.
+    if (waves === undefined || random.nextFloat() * maxWaveFactor < waveFactor(waves, job)) jobs.push(job)
   }
 }
 
+function peakFactor (peaks: readonly LoadPeak[], kind: JobKind, atMs: number): number {
+  const peak = peaks.find(({ kindName, fromMs, toMs }) => kindName === kind.name && atMs >= fromMs && atMs < toMs)
+  return peak?.factor ?? 1
+}
+
+function waveFactor ({ zones, periodMs, peakMs, peakFactor }: DemandWaves, job: SimulatedJob): number {
+  const phaseMs = (job.organisationIndex % zones) * periodMs / zones
+  return (job.arrivesAtMs + periodMs - phaseMs) % periodMs < peakMs ? peakFactor : 1
+}
+
+function drawOrganisation (random: Random, { organisations, decay }: Demand): number {
+  if (decay === 1) return random.nextInt(0, organisations - 1)
+  const total = (1 - decay ** organisations) / (1 - decay)
+  const point = random.nextFloat() * total
+  return Math.min(organisations - 1, Math.floor(Math.log(1 - point * (1 - decay)) / Math.log(decay)))
+}
+
 /** Draws a job. Its run time is at least 100 ms. */
-function drawJob (random: Random, kind: JobKind, arrivesAtMs: number, index: number): SimulatedJob {
+function drawJob ({ random, demand, fleet }: JobDraw, kind: JobKind, arrivesAtMs: number, index: number): SimulatedJob {
   const factor = random.nextFloat() < LONG_RUN_SHARE ? LONG_RUN_FACTOR : 1
   const runMs = Math.max(100, drawLognormal(random, kind.meanRunMs, kind.runLogSigma) * factor)
   const accelerators = kind.acceleratorChoices[random.nextInt(0, kind.acceleratorChoices.length - 1)] ?? 1
@@ -204,7 +274,7 @@
   return {
     jobId: `${kind.name.replace(' ', '-')}-${index}`,
     kind,
-    organisationIndex: random.nextInt(0, ORGANISATIONS - 1),
+    organisationIndex: drawOrganisation(random, demand),
     arrivesAtMs,
     runMs,
     taskFactors: Array.from({ length: taskCount }, () => drawLognormal(random, 1, kind.taskLogSigma)),
@@ -216,7 +286,7 @@
       dependsOn: [],
       isCheckpointing: random.nextFloat() < kind.checkpointingShare,
       isGang: kind.isGang,
-      isSameRack: random.nextFloat() < kind.sameRackShare && fitsInRack(kind, accelerators, taskCount),
+      isSameRack: random.nextFloat() < kind.sameRackShare && fitsInRack(fleet, kind, accelerators, taskCount),
       requiredLabel: '',
       dataRack: '',
       maxTasksPerWorker: 0,
@@ -225,7 +295,8 @@
       image: '',
       targetLatencyMs: 0,
       isFiller: false
-    }
+    },
+    stepCount: kind.secondStepShare !== undefined && random.nextFloat() < kind.secondStepShare ? 2 : 1
   }
 }
 
@@ -238,13 +309,15 @@
 }
 
 /** Callers ask for one rack only where a rack could hold the gang. */
-function fitsInRack (kind: JobKind, accelerators: number, taskCount: number): boolean {
+function fitsInRack (
+  { workerCapacity, workersPerRack }: FleetShape, kind: JobKind, accelerators: number, taskCount: number
+): boolean {
   const tasksPerWorker = Math.floor(Math.min(
-    WORKER_CAPACITY.acceleratorCount / accelerators,
-    WORKER_CAPACITY.cpuMillicores / kind.shape.cpuMillicores,
-    WORKER_CAPACITY.memoryMb / kind.shape.memoryMb
+    workerCapacity.acceleratorCount / accelerators,
+    workerCapacity.cpuMillicores / kind.shape.cpuMillicores,
+    workerCapacity.memoryMb / kind.shape.memoryMb
   ))
-  return taskCount <= tasksPerWorker * WORKERS_PER_RACK
+  return taskCount <= tasksPerWorker * workersPerRack
 }
 
 function drawExponential (random: Random): number {
--- a/packages/bench/src/batch-measures.ts
+++ b/packages/bench/src/batch-measures.ts
@@ -1,6 +1,6 @@
 /** Measures of a simulated load: value served, over windows and organisations, and core time thrown away. */
 import { coresOf } from '@comfreygrade/batch'
-import { ORGANISATIONS, sizeFactor, type JobKind, type SimulatedJob } from './batch-load.js'
+import { sizeFactor, type JobKind, type SimulatedJob } from './batch-load.js'
 
 /** Job counts of one kind. Jobs that are neither within their objective nor late were not served. */
 export interface KindResult {
@@ -16,6 +16,8 @@
 
 export interface BatchSimulationResult {
   readonly byKind: ReadonlyMap<string, KindResult>
+  /** Share of the jobs that ended neither within their objective nor late. */
+  readonly unservedJobsShare: number
   /** Value of the jobs that ended within their objective or late, as a share of the value of all jobs. */
   readonly servedValueShare: number
   /** The same over the jobs that arrived in the two worst windows. */
@@ -56,37 +58,44 @@
     const byKind = new Map(kinds.map(kind => [kind.name, { jobs: 0, withinObjective: 0, late: 0 }]))
     const all: Share = { total: 0, served: 0 }
     const byWindow = new Map<number, Share>()
-    const byOrganisation = Array.from({ length: ORGANISATIONS }, (): Share => ({ total: 0, served: 0 }))
+    const byOrganisation = new Map<number, Share>()
+    let unservedCount = 0
     for (const job of jobs) {
       const outcome = this.#outcome(job)
       const counts = byKind.get(job.kind.name) as { jobs: number, withinObjective: number, late: number }
       counts.jobs++
-      if (outcome !== 'not_served') counts[outcome]++
-      const window = Math.floor(job.arrivesAtMs / WINDOW_MS)
-      const windowShare = byWindow.get(window) ?? { total: 0, served: 0 }
-      byWindow.set(window, windowShare)
-      const organisationShare = byOrganisation[job.organisationIndex] as Share
+      if (outcome === 'not_served') unservedCount++
+      else counts[outcome]++
+      const windowShare = shareIn(byWindow, Math.floor(job.arrivesAtMs / WINDOW_MS))
+      const organisationShare = shareIn(byOrganisation, job.organisationIndex)
       for (const share of [all, windowShare, organisationShare]) addJob(share, job, outcome)
     }
     const windowShares = [...byWindow.values()].map(shareOf).sort((left, right) => left - right)
     const worst = windowShares.slice(0, WORST_WINDOWS)
     return {
       byKind,
+      unservedJobsShare: unservedCount / Math.max(1, jobs.length),
       servedValueShare: shareOf(all),
       worstWindowsShare: worst.reduce((sum, share) => sum + share, 0) / Math.max(1, worst.length),
-      worstOrganisationShare: Math.min(...byOrganisation.map(shareOf)),
+      worstOrganisationShare: Math.min(1, ...[...byOrganisation.values()].map(shareOf)),
       wastedCoreSeconds: new Map([...this.#wastedCoreMs].map(([cause, coreMs]) => [cause, coreMs / 1_000]))
     }
   }
 
-  #outcome ({ jobId, kind, arrivesAtMs, runMs, taskFactors }: SimulatedJob): Outcome {
+  #outcome ({ jobId, kind, arrivesAtMs, runMs, taskFactors, stepCount }: SimulatedJob): Outcome {
     const tookMs = (this.#endedAtMs.get(jobId) ?? Infinity) - arrivesAtMs
-    const objectiveMs = runMs * Math.max(...taskFactors) * kind.slackFactor + kind.targetLatencyMs
+    const objectiveMs = runMs * stepCount * Math.max(...taskFactors) * kind.slackFactor + kind.targetLatencyMs
     if (tookMs <= objectiveMs) return 'withinObjective'
     return tookMs <= objectiveMs * LATE_LIMIT_FACTOR ? 'late' : 'not_served'
   }
 }
 
+function shareIn (shares: Map<number, Share>, key: number): Share {
+  const share = shares.get(key) ?? { total: 0, served: 0 }
+  shares.set(key, share)
+  return share
+}
+
 function addJob (share: Share, job: SimulatedJob, outcome: Outcome): void {
   const { kind } = job
   const factor = sizeFactor(job)
--- a/packages/bench/src/batch-simulation.ts
+++ b/packages/bench/src/batch-simulation.ts
@@ -1,14 +1,20 @@
 /** Simulates the batch scheduler: the production leader on a manual clock, simulated workers, delayed commits. */
 import { ManualClock, NullMetrics, Random, StrictEventLog } from '@comfreygrade/core'
 import {
-  BatchLeader, BatchState, defaultBatchSettings, jobIdOf, parseTaskKey, type BatchSettings, type EndReason,
-  type LeaderEffect, type LeaderEvent, type QueueDocument, type WorkerOrders, type WorkerReport
+  adaptivePolicies, BatchLeader, BatchState, defaultBatchSettings, jobIdOf, parseTaskKey, plainPolicies,
+  type BatchPolicies, type BatchSettings, type EndReason, type LeaderEffect, type LeaderEvent, type PolicyContext,
+  type QueueDocument, type WorkerOrders, type WorkerReport
 } from '@comfreygrade/batch'
-import { INITIAL_JOBS_MS, ORGANISATIONS, WORKERS_PER_RACK, type JobKind, type SimulatedJob } from './batch-load.js'
+import {
+  defaultDemand, defaultFleetShape, INITIAL_JOBS_MS, type FleetShape, type JobKind, type SimulatedJob
+} from './batch-load.js'
 import { BatchMeasures, type BatchSimulationResult, type WasteCause } from './batch-measures.js'
 import type { HeartbeatNetwork, WorkerCut, WorkerLoss } from './batch-patterns.js'
 import { CHECKPOINT_INTERVAL_MS, RunListener, SimulatedWorker, type SimulatedRun } from './batch-worker.js'
 
+/** The policies of the leader: those that learn nothing, or those that learn from the load. */
+export type PolicyChoice = 'plain' | 'adaptive'
+
 /** Options of {@link simulateBatch}. */
 export interface BatchSimulationOptions {
   readonly seed: number
@@ -19,15 +25,21 @@
   readonly cuts: readonly WorkerCut[]
   readonly losses: readonly WorkerLoss[]
   readonly settings?: Partial<BatchSettings>
+  /** Default: plain. */
+  readonly policies?: PolicyChoice
+  readonly fleet?: FleetShape
+  /** Number of organisations; default: that of the default demand. */
+  readonly organisations?: number
   /** Jobs that have not ended by this time count as not served. */
   readonly endsAtMs: number
 }
 
 const STEP_MS = 10
 const COMMIT_DELAY_MS = 15
-const WORKER_SPEEDS = [0.8, 1, 1.25]
 /** Factor on the run time of a same-rack gang that was placed on several racks. */
 const CROSS_RACK_RUN_FACTOR = 3
+/** The zones are named by letters. */
+const FIRST_ZONE_CODE = 'a'.charCodeAt(0)
 const HOST = 'simulated.example'
 /** Time for the first heartbeat of every worker to arrive before the first job. */
 const FIRST_HEARTBEATS_MS = 1_000
@@ -74,11 +86,12 @@
     const settings = { ...defaultBatchSettings, ...options.settings }
     this.#jobs = new Map(options.jobs.map(job => [job.jobId, job]))
     this.#state = new BatchState(settings)
-    this.#state.apply({ kind: 'put_configuration', document: queueDocument(options.kinds) }, 0)
-    this.#workers = this.#createWorkers()
-    this.#leader = new BatchLeader({
-      term: 1, state: this.#state, settings, clock: this.#clock, metrics: new NullMetrics(), log: new StrictEventLog()
-    })
+    const document = queueDocument(options.kinds, options.organisations ?? defaultDemand.organisations)
+    this.#state.apply({ kind: 'put_configuration', document }, 0)
+    this.#workers = this.#createWorkers(options.fleet ?? defaultFleetShape)
+    const context = { settings, clock: this.#clock, metrics: new NullMetrics(), log: new StrictEventLog() }
+    const policies = createPolicies(options.policies ?? 'plain', context)
+    this.#leader = new BatchLeader({ ...context, term: 1, state: this.#state, policies })
   }
 
   run (): BatchSimulationResult {
@@ -99,7 +112,7 @@
     const members = this.#membersOf(run)
     members.push({ worker, run })
     if (members.length < job.step.taskCount) return
-    const racks = new Set(members.map(member => member.worker.rack))
+    const racks = new Set(members.map(member => member.worker.identity.rack))
     this.#startWork(members, job.step.isSameRack && racks.size > 1 ? CROSS_RACK_RUN_FACTOR : 1)
   }
 
@@ -150,12 +163,14 @@
     return this.#jobs.get(jobIdOf(taskKey)) as SimulatedJob
   }
 
-  #createWorkers (): SimulatedWorker[] {
+  #createWorkers ({ workerSpeeds, workersPerRack, zones, workerCapacity }: FleetShape): SimulatedWorker[] {
     return Array.from({ length: this.#options.workers }, (_, index) => {
-      const speed = WORKER_SPEEDS[this.#random.nextInt(0, WORKER_SPEEDS.length - 1)] as number
+      const speed = workerSpeeds[this.#random.nextInt(0, workerSpeeds.length - 1)] as number
       const firstMs = this.#startMs + this.#random.nextInt(0, FIRST_HEARTBEATS_MS / 2)
-      const rack = `r${Math.floor(index / WORKERS_PER_RACK)}`
-      const worker = new SimulatedWorker(`w${index}`, rack, speed, firstMs, this)
+      const rackIndex = Math.floor(index / workersPerRack)
+      const zone = String.fromCharCode(FIRST_ZONE_CODE + rackIndex % zones)
+      const identity = { workerId: `w${index}`, rack: `r${rackIndex}`, zone, capacity: workerCapacity }
+      const worker = new SimulatedWorker(identity, speed, firstMs, this)
       this.#delayMs.set(worker, this.#random.nextInt(0, this.#options.network.maxDelayMs))
       return worker
     })
@@ -214,12 +229,14 @@
       this.#workers.indexOf(worker) < share * this.#workers.length)
   }
 
-  #submit ({ jobId, kind, organisationIndex, step }: SimulatedJob): void {
+  #submit ({ jobId, kind, organisationIndex, step, stepCount }: SimulatedJob): void {
+    const steps = Array.from({ length: stepCount }, (_, index) =>
+      ({ ...step, dependsOn: index === 0 ? [] : [index - 1] }))
     const request = { host: HOST, path: `${kind.pathPrefix}${jobId}`, apiKey: `key-${organisationIndex}` }
     this.#handle({
       kind: 'operation',
       requestId: `s${++this.#requestCount}`,
-      operation: { kind: 'submit', request, spec: { payload: '', steps: [step] } }
+      operation: { kind: 'submit', request, spec: { payload: '', steps } }
     })
   }
 
@@ -248,9 +265,13 @@
   return `${jobIdOf(taskKey)}#${run}`
 }
 
+function createPolicies (choice: PolicyChoice, context: PolicyContext): BatchPolicies {
+  return choice === 'adaptive' ? adaptivePolicies(context) : plainPolicies()
+}
+
 /** Returns one queue per job kind, and the organisations from which `drawJobs` draws. */
-function queueDocument (kinds: readonly JobKind[]): QueueDocument {
-  const organisations = Array.from({ length: ORGANISATIONS }, (_, index) => ({
+function queueDocument (kinds: readonly JobKind[], organisationCount: number): QueueDocument {
+  const organisations = Array.from({ length: organisationCount }, (_, index) => ({
     name: `organisation-${index}`, apiKeys: [`key-${index}`], guaranteedAccelerators: 40
   }))
   const queues = kinds.map(kind => ({
--- a/packages/bench/src/batch-worker.ts
+++ b/packages/bench/src/batch-worker.ts
@@ -1,7 +1,13 @@
 /** Simulated worker of the batch scheduler. The caller passes the time in. */
-import type { EndReason, RunEnd, RunningTask, WorkerOrders, WorkerReport } from '@comfreygrade/batch'
+import type { EndReason, RunEnd, RunningTask, TaskShape, WorkerOrders, WorkerReport } from '@comfreygrade/batch'
 
-import { WORKER_CAPACITY } from './batch-load.js'
+/** What a worker reports of itself. */
+export interface WorkerIdentity {
+  readonly workerId: string
+  readonly rack: string
+  readonly zone: string
+  readonly capacity: TaskShape
+}
 
 /** A run of one task on a worker. */
 export interface SimulatedRun {
@@ -39,8 +45,7 @@
 
 /** One incarnation of a worker. */
 export class SimulatedWorker {
-  readonly workerId: string
-  readonly rack: string
+  readonly identity: WorkerIdentity
   readonly speed: number
   readonly runs = new Map<string, SimulatedRun>()
   readonly #listener: RunListener
@@ -54,9 +59,8 @@
   #leaseEndsAtMs = -Infinity
   #hasCrashed = false
 
-  constructor (workerId: string, rack: string, speed: number, firstHeartbeatMs: number, listener: RunListener) {
-    this.workerId = workerId
-    this.rack = rack
+  constructor (identity: WorkerIdentity, speed: number, firstHeartbeatMs: number, listener: RunListener) {
+    this.identity = identity
     this.speed = speed
     this.#nextHeartbeatMs = firstHeartbeatMs
     this.#listener = listener
@@ -98,18 +102,19 @@
   heartbeat (nowMs: number): WorkerReport | undefined {
     if (this.#hasCrashed || this.#sentAtMs !== undefined || nowMs < this.#nextHeartbeatMs) return undefined
     this.#sentAtMs = nowMs
+    const { workerId, rack, zone, capacity } = this.identity
     return {
-      workerId: this.workerId,
+      workerId,
       incarnation: 1,
       service: 'simulated',
-      address: `${this.workerId}:80`,
-      vmId: this.workerId,
-      availabilityZone: 'a',
+      address: `${workerId}:80`,
+      vmId: workerId,
+      availabilityZone: zone,
       sequence: ++this.#sequence,
       state: 'active',
-      capacity: WORKER_CAPACITY,
-      labels: ['a', this.rack],
-      rack: this.rack,
+      capacity,
+      labels: [zone, rack],
+      rack,
       clockMs: nowMs,
       coldRemainingMs: 0,
       running: [...this.runs.values()].map(run => toRunningTask(run, nowMs)),
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -14,10 +14,13 @@
 
 /** Exports of a benchmark module. */
 interface BenchModule {
-  run (options: { seeds: readonly number[], quick: boolean }): Promise<BenchTable[]>
+  run (options: {
+    seeds: readonly number[], quick: boolean, policies?: readonly string[], loads?: readonly string[]
+  }): Promise<BenchTable[]>
 }
 
 const DEFAULT_SEEDS = [1, 2, 3]
+const POLICIES = ['plain', 'adaptive']
 
 const cli = meow(`
   Usage
@@ -28,6 +31,8 @@
   Options
     --seed N        random seed of placement, routing and batch; repeatable (default ${DEFAULT_SEEDS.join(', ')});
                     routing uses all seeds from the lowest to the highest
+    --policies P    policies of batch: plain, adaptive; repeatable (default both)
+    --load NAME     only the loads of batch whose names begin like this; repeatable
     --quick         less work, to check that the benchmarks run; no effect on consensus and control
     --out FILE      write the results as JSON
     --compare FILE  compare with a file written by --out
@@ -36,6 +41,8 @@
   allowUnknownFlags: false,
   flags: {
     seed: { type: 'number', isMultiple: true, default: DEFAULT_SEEDS },
+    policies: { type: 'string', isMultiple: true, choices: POLICIES, default: POLICIES },
+    load: { type: 'string', isMultiple: true, default: [] },
     quick: { type: 'boolean', default: false },
     out: { type: 'string' },
     compare: { type: 'string' }
@@ -64,7 +71,8 @@
 
 async function runBench (name: BenchName): Promise<BenchTable[]> {
   const bench = await import(moduleUrl(name).href) as BenchModule
-  const tables = await bench.run({ seeds: cli.flags.seed, quick: cli.flags.quick })
+  const { seed, quick, policies, load } = cli.flags
+  const tables = await bench.run({ seeds: seed, quick, policies, loads: load })
   for (const table of tables) console.log(`${formatTable(table)}\n`)
   return tables
 }
