Refuse jobs that could only end too late or never start

Cause: under a long backlog a caller waited for a job that could only end without value, and a job larger than any worker waited without end. Change: ShapeAdmission refuses a task that no worker could hold (422), BacklogAdmission also refuses a job that cannot start in time even if all estimates are wrong in its favour (429). A job whose earlier submission is being committed is not refused.

--- a/packages/batch/src/admission-policy.ts
+++ b/packages/batch/src/admission-policy.ts
@@ -4,6 +4,7 @@
 import type { QueueConfiguration } from './queues.js'
 import type { PassDecision } from './scheduler.js'
 import type { WaitingStep } from './waiting-steps.js'
+import type { WorkerView } from './worker-view.js'
 
 /** A job that is about to be accepted. */
 export interface AdmissionRequest {
@@ -12,6 +13,12 @@
   /** Empty for a request without a key. */
   readonly organisation: string
   readonly nowMs: number
+  /** The workers that have reported to this leader. */
+  readonly views: Iterable<WorkerView>
+  /** Whether a configuration is proposed that is not committed yet. */
+  readonly isConfigurationPending: boolean
+  /** Whether the job is urgent and fits into its organisation's guarantee beside the urgent jobs that are open. */
+  readonly isWithinGuarantee: () => boolean
 }
 
 /** Admission of jobs; each rule is a subclass. */
--- /dev/null
+++ b/packages/batch/src/backlog-admission.ts
@@ -0,0 +1,197 @@
+/**
+ * Admission under a backlog that outlasts the use of new jobs: a job that could only end too late is refused at once,
+ * so that its caller need not wait for nothing and the replicated state does not grow with it.
+ */
+import { failure, type EventLog, type Failure } from '@comfreygrade/core'
+import type { AdmissionRequest } from './admission-policy.js'
+import {
+  compareBacklogSteps, mayStartBefore, type Backlog, type BacklogRun, type BacklogStep, type Resource
+} from './backlog.js'
+import { criticalPathMs } from './critical-path.js'
+import type { JobSpec, StepSpec, TaskShape } from './jobs.js'
+import { isOverShare } from './organisation-shares.js'
+import type { QueueConfiguration } from './queues.js'
+import type { PassDecision } from './scheduler.js'
+import { USEFUL_OBJECTIVE_FACTOR } from './scheduling-order.js'
+import { ShapeAdmission, type ShapeAdmissionOptions } from './shape-admission.js'
+import type { WaitingStep } from './waiting-steps.js'
+import type { WorkerCapacity } from './worker-capacity.js'
+
+/** Options of {@link BacklogAdmission}. */
+export interface BacklogAdmissionOptions extends ShapeAdmissionOptions {
+  readonly log: EventLog
+}
+
+/** State of the fleet after a scheduling pass. */
+interface LoadedPass {
+  readonly atMs: number
+  readonly atWallMs: number
+  readonly steps: readonly WaitingStep[]
+  readonly workers: readonly WorkerCapacity[]
+}
+
+/** Estimates of bulk jobs may be wrong by this factor in either direction, see docs/hard-load.md. */
+const MAX_ESTIMATE_ERROR = Math.exp(0.9)
+/** A pass older than this says nothing about the load, since the leader may have been suspended. */
+const PASS_VALIDITY_MS = 1_000
+/** The shortest delay that a Retry-After header can state. */
+const MIN_RETRY_AFTER_MS = 1_000
+/** The first callers are told to come back after this time at the latest, since the load may have changed by then. */
+const MAX_FIRST_RETRY_MS = 60_000
+/** A queue for which no job was refused for this long counts as no longer refusing jobs, for the log. */
+const REFUSALS_END_MS = 5_000
+
+const NOTHING: TaskShape = { cpuMillicores: 0, memoryMb: 0, acceleratorCount: 0 }
+const RESOURCES: readonly Resource[] = ['acceleratorCount', 'cpuMillicores', 'memoryMb']
+
+/**
+ * Refuses a job that, even if all estimates are wrong in its favour, cannot end before it has lost its value because of
+ * the work ahead of it, and a job of which no worker of the service could hold a task. In doubt a job is accepted. The
+ * state is that of the last pass and is lost with the leader.
+ */
+export class BacklogAdmission extends ShapeAdmission {
+  readonly #options: BacklogAdmissionOptions
+  readonly #refusedAtMs = new Map<string, number>()
+  #pass: LoadedPass | undefined
+
+  constructor (options: BacklogAdmissionOptions) {
+    super(options)
+    this.#options = options
+  }
+
+  override recordPass (steps: readonly WaitingStep[], decision: PassDecision, nowMs: number): void {
+    const isLoaded = decision.isFleetKnown && decision.waits.length > 0
+    const atWallMs = this.#options.clock.wallMs()
+    this.#pass = isLoaded ? { atMs: nowMs, atWallMs, steps, workers: decision.workers } : undefined
+    this.#logEndsOfRefusals(nowMs)
+  }
+
+  override refusalOf (request: AdmissionRequest): Failure | undefined {
+    return super.refusalOf(request) ?? this.#backlogRefusalOf(request)
+  }
+
+  #backlogRefusalOf (request: AdmissionRequest): Failure | undefined {
+    const { spec, queue, organisation, nowMs } = request
+    const pass = this.#pass
+    if (pass === undefined || nowMs - pass.atMs > PASS_VALIDITY_MS) return undefined
+    if (spec.schedule !== undefined || spec.steps.some(step => step.isLasting)) return undefined
+    if (hasFreeCapacity(spec, queue.service, pass.workers) || request.isWithinGuarantee()) return undefined
+    const nowWallMs = this.#options.clock.wallMs()
+    const pathMs = criticalPathMs(spec)
+    const step = newStep(request, pathMs, nowWallMs)
+    const latestStartWallMs = nowWallMs + latestUsefulStartMs(request, pathMs * MAX_ESTIMATE_ERROR)
+    const backlog = this.#backlogAheadOf(queue, organisation, pass)
+    const isTooLate = RESOURCES.some(resource => spec.steps.every(({ shape }) => shape[resource] > 0) &&
+      !mayStartBefore(latestStartWallMs, step, backlog, resource))
+    return isTooLate ? this.#refuse(request, latestStartWallMs - nowWallMs, drainMs(backlog)) : undefined
+  }
+
+  /**
+   * Steps of other organisations over their share do not count, since they would come after the new job, nor do runs
+   * that could be preempted for it.
+   */
+  #backlogAheadOf (
+    { service, priority }: QueueConfiguration, organisation: string, { atWallMs, steps, workers }: LoadedPass
+  ): Backlog {
+    const runs = workers.filter(worker => worker.view.latest.service === service).flatMap(worker => worker.runs)
+    const unpreemptable = priority === 0 ? runs.filter(run => run.priority === 0) : runs
+    const ahead = steps.filter(({ job, isGuaranteed, organisationAttained }) => job.service === service &&
+      (job.organisation === organisation || isGuaranteed || !isOverShare(organisationAttained)))
+    return {
+      atWallMs,
+      steps: ahead.map(toBacklogStep).sort(compareBacklogSteps),
+      running: unpreemptable.map(run => toBacklogRun(run.spec, 1, finiteMs(run.remainingMs))),
+      capacity: this.fleet.capacityOf(service)
+    }
+  }
+
+  #refuse ({ spec, queue, nowMs }: AdmissionRequest, latestStartMs: number, backlogMs: number): Failure {
+    const { metrics, log } = this.#options
+    const retryAfterMs = retryDelayMs(spec.jobId, backlogMs, latestStartMs)
+    metrics.increment('admission.refused', { reason: 'backlog' })
+    if (!this.#refusedAtMs.has(queue.name)) {
+      log.warn('queue refuses jobs because of its backlog', { queue: queue.name, backlogMs: Math.round(backlogMs) })
+    }
+    this.#refusedAtMs.set(queue.name, nowMs)
+    return failure('queue_full', `the work ahead of the job takes at least ${Math.round(backlogMs)} ms, ` +
+      `and the job has no value if it starts later than ${Math.round(latestStartMs)} ms from now`, retryAfterMs)
+  }
+
+  #logEndsOfRefusals (nowMs: number): void {
+    for (const [queue, refusedAtMs] of this.#refusedAtMs) {
+      if (nowMs - refusedAtMs < REFUSALS_END_MS) continue
+      this.#refusedAtMs.delete(queue)
+      this.#options.log.info('queue no longer refuses jobs', { queue })
+    }
+  }
+}
+
+function hasFreeCapacity ({ steps }: JobSpec, service: string, workers: readonly WorkerCapacity[]): boolean {
+  return steps.some(step => step.dependsOn.length === 0 &&
+    workers.some(worker => worker.view.latest.service === service && worker.fits(step)))
+}
+
+/** Latest time from now at which the job may start and be of use, with a critical path of this length. */
+function latestUsefulStartMs ({ queue }: AdmissionRequest, pathMs: number): number {
+  return (queue.slackFactor * pathMs + queue.targetLatencyMs) * USEFUL_OBJECTIVE_FACTOR - pathMs
+}
+
+function newStep ({ queue }: AdmissionRequest, pathMs: number, nowWallMs: number): BacklogStep {
+  return {
+    priority: queue.priority,
+    shape: NOTHING,
+    minRunMs: 0,
+    objectiveWallMs: nowWallMs + queue.slackFactor * pathMs + queue.targetLatencyMs,
+    waitingSinceWallMs: nowWallMs,
+    remainingCriticalPathMs: pathMs,
+    isGuaranteed: false,
+    spec: { isLasting: false }
+  }
+}
+
+function toBacklogStep (step: WaitingStep): BacklogStep {
+  const { priority, objectiveWallMs, waitingSinceWallMs, remainingCriticalPathMs, isGuaranteed, spec } = step
+  const run = toBacklogRun(spec, step.taskIndexes.length, step.runTime.typicalMs)
+  return { ...run, priority, objectiveWallMs, waitingSinceWallMs, remainingCriticalPathMs, isGuaranteed, spec }
+}
+
+/** Tasks whose estimate is as wrong as it may be. */
+function toBacklogRun ({ shape, isFiller }: StepSpec, taskCount: number, estimateMs: number): BacklogRun {
+  const occupied = {
+    cpuMillicores: isFiller ? 0 : shape.cpuMillicores * taskCount,
+    memoryMb: shape.memoryMb * taskCount,
+    acceleratorCount: shape.acceleratorCount * taskCount
+  }
+  return { shape: occupied, minRunMs: estimateMs / MAX_ESTIMATE_ERROR }
+}
+
+/** Lasting runs count as ending now: when an operator ends them is not known. */
+function finiteMs (remainingMs: number): number {
+  return Number.isFinite(remainingMs) ? remainingMs : 0
+}
+
+/** Time for which the backlog occupies all workers at least, for the resource that is scarcest. */
+function drainMs ({ steps, running, capacity }: Backlog): number {
+  return Math.max(...RESOURCES.map(resource => {
+    const work = [...running, ...steps].reduce((sum, { shape, minRunMs }) => sum + shape[resource] * minRunMs, 0)
+    return work / Math.max(1, capacity[resource])
+  }))
+}
+
+/**
+ * Callers come back spread over the time in which the backlog is worked off, from the time on at which it is short
+ * enough for them. The delay depends on the job, not on the number of its attempts, so that retrying more often gains
+ * nothing.
+ */
+function retryDelayMs (jobId: string, backlogMs: number, latestStartMs: number): number {
+  const earliestMs = Math.min(MAX_FIRST_RETRY_MS, Math.max(MIN_RETRY_AFTER_MS, backlogMs - latestStartMs))
+  return earliestMs + shareOfJob(jobId) * latestStartMs
+}
+
+/** A number from 0 to 1 that is spread evenly over job IDs, also where they are numbered (FNV-1a with a final mix). */
+function shareOfJob (jobId: string): number {
+  let hash = 0x811c9dc5
+  for (let index = 0; index < jobId.length; index++) hash = Math.imul(hash ^ jobId.charCodeAt(index), 0x01000193)
+  hash = Math.imul(hash ^ (hash >>> 16), 0x85ebca6b)
+  return ((hash ^ (hash >>> 13)) >>> 0) / 2 ** 32
+}
--- a/packages/batch/src/guarantee-coverage.ts
+++ b/packages/batch/src/guarantee-coverage.ts
@@ -1,6 +1,8 @@
 /** Decides which urgent jobs are covered by the guarantees of their organisations. */
 import type { BatchState } from './batch-state.js'
 import type { JobRecord } from './job-record.js'
+import type { JobSpec } from './jobs.js'
+import type { QueueConfiguration } from './queues.js'
 
 /**
  * Compares the demand of each organisation's open jobs of priority 0 with its guarantee, which is in accelerators. The
@@ -16,7 +18,7 @@
     for (const job of state.openJobs()) {
       if (!this.#isUrgent(job)) continue
       const demand = this.#demandByOrganisation.get(job.organisation) ?? 0
-      this.#demandByOrganisation.set(job.organisation, demand + widestStepAccelerators(job))
+      this.#demandByOrganisation.set(job.organisation, demand + widestStepAccelerators(job.spec))
     }
   }
 
@@ -30,11 +32,17 @@
     return (this.#demandByOrganisation.get(job.organisation) ?? 0) <= guaranteed
   }
 
+  /** Whether a new job is urgent and fits into the guarantee beside the open urgent jobs of its organisation. */
+  wouldCover (spec: JobSpec, { priority }: QueueConfiguration, organisation: string): boolean {
+    const demand = (this.#demandByOrganisation.get(organisation) ?? 0) + widestStepAccelerators(spec)
+    return priority === 0 && demand <= (this.#state.directory?.guaranteedAccelerators(organisation) ?? 0)
+  }
+
   #isUrgent (job: JobRecord): boolean {
     return this.#state.queueOf(job)?.priority === 0
   }
 }
 
-function widestStepAccelerators (job: JobRecord): number {
-  return Math.max(0, ...job.spec.steps.map(step => step.taskCount * step.shape.acceleratorCount))
+function widestStepAccelerators ({ steps }: JobSpec): number {
+  return Math.max(0, ...steps.map(step => step.taskCount * step.shape.acceleratorCount))
 }
--- a/packages/batch/src/operation-handler.ts
+++ b/packages/batch/src/operation-handler.ts
@@ -3,6 +3,7 @@
 import type { AdmissionPolicy } from './admission-policy.js'
 import type { BatchState } from './batch-state.js'
 import type { BatchCommand, CommandResult, MaintenanceWave } from './commands.js'
+import { GuaranteeCoverage } from './guarantee-coverage.js'
 import { visibleState } from './job-record.js'
 import { isValidJobId, MAX_JOB_ID_LENGTH, validateJob, type JobSpec, type StepSpec } from './jobs.js'
 import type { BatchOperation, BatchResult, QueueRequest } from './operations.js'
@@ -44,6 +45,8 @@
   readonly #options: OperationHandlerOptions
   /** Configurations that are proposed and not settled yet. */
   readonly #proposedDirectories = new Set<QueueDirectory>()
+  /** Number of submissions of each job that are proposed and not settled yet. */
+  readonly #proposedJobs = new Map<string, number>()
 
   constructor (options: OperationHandlerOptions) {
     this.#options = options
@@ -72,9 +75,9 @@
     if (!valid.ok) return this.#refuse(requestId, valid.failure)
     if (this.#isBeingRemoved(queue)) return this.#refuse(requestId, queueIsBeingRemoved(queue))
     const spec = { ...fields, jobId }
-    const nowMs = this.#options.clock.monotonicMs()
-    const refusal = this.#options.admission.refusalOf({ spec, queue, organisation, nowMs })
+    const refusal = this.#refusalOf(spec, resolved)
     if (refusal !== undefined) return this.#refuse(requestId, refusal)
+    this.#proposedJobs.set(jobId, (this.#proposedJobs.get(jobId) ?? 0) + 1)
     this.#options.propose({
       kind: 'submit_job',
       spec,
@@ -82,6 +85,7 @@
       organisation,
       acceptedWallMs: this.#options.clock.wallMs()
     }, outcome => {
+      this.#settleProposedJob(jobId)
       this.#options.log.info('job submission settled', {
         jobId,
         queue: queue.name,
@@ -94,6 +98,27 @@
     })
   }
 
+  /** A job whose earlier submission is about to be committed is not refused, since it will run. */
+  #refusalOf (spec: JobSpec, { queue, organisation }: ResolvedRequest): Failure | undefined {
+    const { admission, clock, registry, state } = this.#options
+    if (this.#proposedJobs.has(spec.jobId)) return undefined
+    return admission.refusalOf({
+      spec,
+      queue,
+      organisation,
+      nowMs: clock.monotonicMs(),
+      views: registry.views(),
+      isConfigurationPending: this.#proposedDirectories.size > 0,
+      isWithinGuarantee: () => new GuaranteeCoverage(state).wouldCover(spec, queue, organisation)
+    })
+  }
+
+  #settleProposedJob (jobId: string): void {
+    const count = this.#proposedJobs.get(jobId) ?? 0
+    if (count > 1) this.#proposedJobs.set(jobId, count - 1)
+    else this.#proposedJobs.delete(jobId)
+  }
+
   /** A job that is committed after the configuration that removes its queue would never run. */
   #isBeingRemoved (queue: QueueConfiguration): boolean {
     return [...this.#proposedDirectories].some(directory => directory.at(queueAddress(queue)) === undefined)
--- a/packages/batch/src/policies.ts
+++ b/packages/batch/src/policies.ts
@@ -5,6 +5,7 @@
 import { UnlimitedShares, type OrganisationShares } from './organisation-shares.js'
 import { CallerEstimates, type RunTimePredictor } from './run-time-predictor.js'
 import type { BatchSettings } from './settings.js'
+import { ShapeAdmission } from './shape-admission.js'
 import { EqualWorkerSpeeds, type WorkerSpeeds } from './worker-speeds.js'
 
 /** One implementation of each decision. They hold state, so each leader gets its own. */
@@ -35,5 +36,5 @@
 
 /** Policies that learn from the load and decide by it. */
 export function adaptivePolicies (context: PolicyContext): BatchPolicies {
-  return { ...plainPolicies(), shares: new FairShares(context) }
+  return { ...plainPolicies(), shares: new FairShares(context), admission: new ShapeAdmission(context) }
 }
--- a/packages/batch/src/scheduler.ts
+++ b/packages/batch/src/scheduler.ts
@@ -63,6 +63,10 @@
 
 /** Result of a pass. */
 export interface PassDecision {
+  /** Workers that may get new runs, with the capacity that the pass left free; empty where no step waited. */
+  readonly workers: readonly WorkerCapacity[]
+  /** Whether all workers have had time to report to this leader. */
+  readonly isFleetKnown: boolean
   readonly assignments: readonly Assignment[]
   readonly reclaims: readonly Reclaim[]
   /** Steps with tasks that were not placed and could be, if the advice service granted further tickets for them. */
@@ -74,17 +78,14 @@
 }
 
 /** Working state of a pass. */
-interface Pass {
-  readonly workers: readonly WorkerCapacity[]
+interface Pass extends PassDecision {
   readonly nowWallMs: number
-  readonly isFleetKnown: boolean
   /** Longest wait for a better rack; unlimited while the fleet is busy. */
   readonly maxRackWaitMs: number
   readonly assignments: Assignment[]
   readonly reclaims: Reclaim[]
   readonly stepsNeedingTickets: WaitingStep[]
   readonly waits: StepWait[]
-  readonly unschedulableWorkers: ReadonlyMap<UnschedulableReason, number>
   readonly failed: FailedPlacements
   reservationCount: number
   /** Number of steps that were tried and did not fit completely. */
--- a/packages/batch/src/scheduling-order.ts
+++ b/packages/batch/src/scheduling-order.ts
@@ -9,7 +9,7 @@
 }
 
 /** A result that is later than this multiple of its objective is of no use to the caller. */
-const USEFUL_OBJECTIVE_FACTOR = 3
+export const USEFUL_OBJECTIVE_FACTOR = 3
 
 /**
  * Earliest objective first within priorities, in three classes: steps that are guaranteed, lasting or can still meet
@@ -30,9 +30,19 @@
   return isGuaranteed ? 0 : shareStep(organisationAttained)
 }
 
-function latenessClass (step: WaitingStep, nowWallMs: number): number {
+/** What the lateness class of a step depends on. */
+export type StepDeadlines = Pick<
+  WaitingStep, 'objectiveWallMs' | 'waitingSinceWallMs' | 'remainingCriticalPathMs' | 'isGuaranteed'
+> & { readonly spec: Pick<WaitingStep['spec'], 'isLasting'> }
+
+/** 0 while a step goes first or can meet its objective, 1 while it is late but still useful, 2 afterwards. */
+export function latenessClass (step: StepDeadlines, nowWallMs: number): 0 | 1 | 2 {
   const endsAtWallMs = nowWallMs + step.remainingCriticalPathMs
   if (endsAtWallMs <= step.objectiveWallMs || step.spec.isLasting || step.isGuaranteed) return 0
-  const usefulForMs = (step.objectiveWallMs - step.waitingSinceWallMs) * USEFUL_OBJECTIVE_FACTOR
-  return endsAtWallMs <= step.waitingSinceWallMs + usefulForMs ? 1 : 2
+  return endsAtWallMs <= uselessFromWallMs(step) ? 1 : 2
+}
+
+/** Unix time from which the end of a step's job is of no use to the caller. */
+function uselessFromWallMs ({ objectiveWallMs, waitingSinceWallMs }: StepDeadlines): number {
+  return waitingSinceWallMs + (objectiveWallMs - waitingSinceWallMs) * USEFUL_OBJECTIVE_FACTOR
 }
--- a/packages/batch/test/fair-shares.test.ts
+++ b/packages/batch/test/fair-shares.test.ts
@@ -1,75 +1,22 @@
 import test from 'ava'
 import fc from 'fast-check'
 import { NullEventLog, NullMetrics } from '@comfreygrade/core'
-import { plainPolicies, type BatchPolicies, type RunEnd, type StepSpec } from '../src/index.js'
+import { plainPolicies, type BatchPolicies, type StepSpec } from '../src/index.js'
 import { FairShares } from '../src/fair-shares.js'
 import { shareStep } from '../src/organisation-shares.js'
-import { HEARTBEAT_WAIT_MS, LeaderFixture, RecordingLog, runningTasks } from './leader-fixture.js'
-import { document, HOST, step } from './sample-data.js'
+import { HEARTBEAT_WAIT_MS, RecordingLog } from './leader-fixture.js'
+import { ReplayedFleet } from './replayed-fleet.js'
+import { document } from './sample-data.js'
 
 const WORKER_ACCELERATORS = 8
 const MAX_WORKERS = 8
 const accelerators = (acceleratorCount: number): Partial<StepSpec> =>
   ({ taskCount: 1, shape: { cpuMillicores: 1_000, memoryMb: 1_000, acceleratorCount } })
 const organisations = ['large', 'small', 'urgent'].map(name => ({ name, apiKeys: [name], guaranteedAccelerators: 0 }))
+const configuration = { ...document(), organisations }
 const createShares = (): FairShares => new FairShares({ metrics: new NullMetrics(), log: new NullEventLog() })
 const fairPolicies = (): BatchPolicies => ({ ...plainPolicies(), shares: createShares() })
 
-interface SimulatedWorker {
-  readonly workerId: string
-  running: ReturnType<typeof runningTasks>
-  ends: RunEnd[]
-  endCount: number
-}
-
-/** Workers that carry out their orders, and whose runs end after a fixed time. */
-class Fleet {
-  readonly fixture: LeaderFixture
-  readonly startedMs = new Map<string, number>()
-  readonly #runMs: number
-  readonly #workers: SimulatedWorker[]
-
-  constructor (workerCount: number, runMs: number, createPolicies: () => BatchPolicies, log = new RecordingLog()) {
-    this.fixture = new LeaderFixture({ ...document(), organisations }, undefined, log, createPolicies)
-    this.#runMs = runMs
-    this.#workers = Array.from({ length: workerCount }, (_, index) =>
-      ({ workerId: `w${index}`, running: [], ends: [], endCount: 0 }))
-    this.round()
-    this.fixture.advance(2_000)
-    this.round()
-  }
-
-  get nowMs (): number {
-    return this.fixture.clock.monotonicMs()
-  }
-
-  submit (jobId: string, organisation: string, fields: Partial<StepSpec>, queuePath = '/normal/'): void {
-    const request = { host: HOST, path: `${queuePath}${jobId}`, apiKey: organisation }
-    this.fixture.execute({ kind: 'submit', request, spec: { payload: '', steps: [step(fields)] } })
-  }
-
-  /** One heartbeat of each worker. */
-  round (): string[] {
-    return this.#workers.flatMap(worker => {
-      for (const { taskKey, run } of worker.running.filter(task => this.#hasEnded(task.taskKey))) {
-        worker.ends.push({ sequence: ++worker.endCount, taskKey, run, reason: 'done', checkpoint: '' })
-      }
-      worker.running = worker.running.filter(task => !this.#hasEnded(task.taskKey))
-        .map(task => ({ ...task, percent: task.percent + 0.1 }))
-      const orders = this.fixture.heartbeat(worker.workerId, { running: worker.running, ends: worker.ends })
-      if (orders === undefined) return []
-      worker.ends = worker.ends.filter(end => end.sequence > orders.recordedEndSequence)
-      for (const { taskKey } of orders.starts) this.startedMs.set(taskKey, this.nowMs)
-      worker.running = [...worker.running, ...runningTasks(orders.starts, 1)]
-      return orders.stops.map(({ taskKey }) => taskKey)
-    })
-  }
-
-  #hasEnded (taskKey: string): boolean {
-    return this.nowMs - (this.startedMs.get(taskKey) ?? Infinity) >= this.#runMs
-  }
-}
-
 /** Time from the end of a run until the next task runs in its place: two rounds of heartbeats of all workers. */
 const MAX_HANDOVER_MS = 2 * MAX_WORKERS * HEARTBEAT_WAIT_MS
 
@@ -83,7 +30,7 @@
 /** Wait of a job of the small organisation behind the jobs of the large one, which were all submitted before. */
 function waitOfSmallOrganisation (load: Load, createPolicies: () => BatchPolicies): number {
   const { workers, runMs, jobs, delayRounds } = load
-  const fleet = new Fleet(workers, runMs, createPolicies)
+  const fleet = new ReplayedFleet(workers, () => runMs, createPolicies, configuration)
   const whole = { ...accelerators(WORKER_ACCELERATORS), estimateMs: runMs }
   for (let index = 0; index < jobs; index++) fleet.submit(`large${index}`, 'large', whole)
   for (let round = 0; round < delayRounds; round++) fleet.round()
@@ -114,7 +61,7 @@
 // Guards against the loss of work of an organisation within its share while another one is over it.
 test('an urgent step preempts runs of an organisation over its share, also where that discards more work', t => {
   const stopsWith = (createPolicies: () => BatchPolicies): string[] => {
-    const fleet = new Fleet(2, 60_000, createPolicies)
+    const fleet = new ReplayedFleet(2, () => 60_000, createPolicies, configuration)
     fleet.submit('whole', 'large', { ...accelerators(8), estimateMs: 60_000 })
     fleet.submit('half', 'large', { ...accelerators(4), estimateMs: 60_000 })
     fleet.round()
