--- a/packages/batch/src/policies.ts
+++ b/packages/batch/src/policies.ts
@@ -1,9 +1,11 @@
 /** The decisions of the leader that have several implementations. */
 import type { Clock, EventLog, Metrics } from '@comfreygrade/core'
 import { AcceptAllJobs, type AdmissionPolicy } from './admission-policy.js'
+import { FairShares } from './fair-shares.js'
 import { UnlimitedShares, type OrganisationShares } from './organisation-shares.js'
 import { CallerEstimates, type RunTimePredictor } from './run-time-predictor.js'
 import type { BatchSettings } from './settings.js'
+import { ShapeAdmission } from './shape-admission.js'
 import { EqualWorkerSpeeds, type WorkerSpeeds } from './worker-speeds.js'
 
 /** One implementation of each decision. They hold state, so each leader gets its own. */
@@ -33,6 +35,6 @@
 }
 
 /** Policies that learn from the load and decide by it. */
-export function adaptivePolicies (_context: PolicyContext): BatchPolicies {
-  return plainPolicies()
+export function adaptivePolicies (context: PolicyContext): BatchPolicies {
+  return { ...plainPolicies(), shares: new FairShares(context), admission: new ShapeAdmission(context) }
 }
