List evacuations on the metrics address and on the command line

Cause: operators could not see which zones are evacuated, since when, at whose request and what still runs there.

Control characters of zone names are escaped.

--- a/packages/cli/src/api-types.ts
+++ b/packages/cli/src/api-types.ts
@@ -34,6 +34,19 @@
   }>
 }
 
+/** Response of `GET /evacuations` on the metrics address of the batch scheduler. */
+export interface EvacuationListResponse {
+  readonly evacuations: ReadonlyArray<{
+    readonly zone: string
+    readonly requestedWallMs: number
+    readonly requestedBy: string
+    /** Absent while the zone is evacuated. */
+    readonly endedWallMs?: number
+    readonly workers: number
+    readonly remainingRuns: ReadonlyArray<{ readonly taskKey: string, readonly run: number, readonly workerId: string }>
+  }>
+}
+
 /** A job as the API reports it. */
 export interface JobResponse {
   readonly spec: JobSpec
--- a/packages/cli/src/command-line.ts
+++ b/packages/cli/src/command-line.ts
@@ -4,6 +4,7 @@
 import { ClientError } from './client-error.js'
 import { Command, type CommandContext, type CommandOptions } from './command.js'
 import * as configuration from './configuration-commands.js'
+import { EvacuationsCommand } from './evacuation-commands.js'
 import { type ExitReason, exitReasonOf } from './exit.js'
 import * as fleet from './fleet-commands.js'
 import * as jobs from './job-commands.js'
@@ -38,7 +39,8 @@
   new requests.ClaimCommand(),
   new fleet.DrainCommand(),
   new fleet.UndrainCommand(),
-  new fleet.StatusCommand()
+  new fleet.StatusCommand(),
+  new EvacuationsCommand()
 ]
 
 /**
@@ -85,7 +87,8 @@
       requestClass: { type: 'string' },
       contentType: { type: 'string' },
       intervalMs: { type: 'number', default: 1_000 },
-      withNode: { type: 'boolean', default: false }
+      withNode: { type: 'boolean', default: false },
+      address: { type: 'string' }
     }
   })
 }
@@ -112,6 +115,7 @@
     --deadline-ms N, --request-class C, --content-type T  of "request"
     --with-node        of "config check": also checks the file on a node
     --interval-ms N    of "job watch" (1000)
+    --address HOST:PORT  of "evacuations"
 
   Exit codes
     0 done, 1 refused or failed, 2 usage or invalid file, 3 conflict, 4 no response from a node (the call may have been executed)
--- a/packages/cli/src/command.ts
+++ b/packages/cli/src/command.ts
@@ -17,6 +17,8 @@
   readonly contentType?: string
   readonly intervalMs: number
   readonly withNode: boolean
+  readonly address?: string
+  readonly timeoutMs: number
 }
 
 /** Everything that a command can use. */
--- a/packages/cli/src/node-client.ts
+++ b/packages/cli/src/node-client.ts
@@ -1,8 +1,8 @@
 /** Typed client of the node's HTTP API (docs/api.md). */
 import type { ConfigurationChange, JobExplanation, JobPhase, JobSpec, Repeatability } from '@comfreygrade/core'
 import type {
-  ChangeResponse, ClaimResponse, ConfigurationResponse, ConfigurationStatusResponse, Drain, FleetResponse,
-  GuaranteeSummary, JobResponse, JobListResponse, ShortRequestResponse, StatusResponse
+  ChangeResponse, ClaimResponse, ConfigurationResponse, ConfigurationStatusResponse, Drain, EvacuationListResponse,
+  FleetResponse, GuaranteeSummary, JobResponse, JobListResponse, ShortRequestResponse, StatusResponse
 } from './api-types.js'
 import { ClientError } from './client-error.js'
 import { findRefusal, type NodeCall, type NodeResponse, NodeTransport } from './node-transport.js'
@@ -118,6 +118,11 @@
     await this.#callJson({ method: 'DELETE', path: `/v1/drains/${kind}/${encodeURIComponent(id)}`, isIdempotent: true })
   }
 
+  /** Returns the evacuations; served on the metrics address of the batch scheduler. */
+  async evacuations (): Promise<EvacuationListResponse> {
+    return await this.#getJson('/evacuations')
+  }
+
   /** Returns the status of the node that responds. */
   async status (): Promise<StatusResponse> {
     return await this.#getJson('/v1/status')
--- a/packages/cli/test/command-line.test.ts
+++ b/packages/cli/test/command-line.test.ts
@@ -167,3 +167,27 @@
   t.deepEqual(JSON.parse((await runCommand([node.address], ['fleet', '--json'])).stdout).report, report)
   node.stop()
 })
+
+test('evacuations lists zones with their remaining runs from the metrics address', async t => {
+  const evacuations = [
+    { zone: 'z1\u001b[2J', requestedWallMs: 1_700_000_000_000, requestedBy: '10.0.0.7', workers: 41, remainingRuns: [{ taskKey: 'j.0.0.0', run: 1, workerId: 'w1' }] },
+    { zone: 'z2', requestedWallMs: 1_700_000_000_000, requestedBy: '10.0.0.8', endedWallMs: 1_700_000_060_000, workers: 40, remainingRuns: [] }
+  ]
+  const node = (await new FakeNode().start()).respondWith('GET /evacuations', { evacuations })
+  const address = node.address.slice('http://'.length)
+  const text = await runCommand(['http://127.0.0.1:1'], ['evacuations', '--address', address])
+  t.is(text.reason, 'done')
+  t.regex(text.stdout, /z1\\u001b\[2J.*2023-11-14T22:13:20\.000Z.*10\.0\.0\.7.*41.*1/)
+  t.regex(text.stdout, /z2.*10\.0\.0\.8.*2023-11-14T22:14:20\.000Z/)
+  t.deepEqual(JSON.parse((await runCommand([], ['evacuations', '--address', address, '--json'])).stdout), { evacuations })
+  node.stop()
+})
+
+test('evacuations without a valid address is a usage error, and calls no node', async t => {
+  const node = await new FakeNode().start()
+  for (const args of [[], ['--address', 'no-port'], ['--address', node.address]]) {
+    t.is((await runCommand([node.address], ['evacuations', ...args])).reason, 'usage')
+  }
+  t.deepEqual(node.calls, [])
+  node.stop()
+})
