Move checkpointing and lasting runs out of zones where they could not start

Cause: a run that goes on for long in an evacuated zone, or in a region that a later configuration does not permit, is lost with the zone or stays where it may not be, though it could continue elsewhere from its checkpoint.

Change: ZoneMoves stops checkpointing runs with more than the bound of an evacuation left, and lasting tasks within their disruption budgets, while other workers have free capacity for them. Everything else ends in place.

--- a/packages/batch/src/evictions.ts
+++ b/packages/batch/src/evictions.ts
@@ -3,11 +3,12 @@
 import type { Assignment } from './commands.js'
 import { listOccupyingRuns, type OccupyingRun } from './worker-capacity.js'
 import type { BatchSettings } from './settings.js'
+import type { StartObstacle } from './start-rules.js'
 import { FULL_PROGRESS_PERCENT } from './worker-messages.js'
 import type { WorkerView } from './worker-view.js'
 
 /** Why a run is evicted. */
-export type EvictionReason = 'worker_leaving' | 'stalled' | 'maintenance'
+export type EvictionReason = 'worker_leaving' | 'stalled' | 'maintenance' | StartObstacle
 
 /** A run to evict, with the figures behind the decision for the log. */
 export interface Eviction {
@@ -16,7 +17,7 @@
   /** For a stalled run: time without progress, and its latest progress. */
   readonly unchangedMs?: number
   readonly percent?: number
-  /** For a leaving worker: estimated remaining run time, and time until the worker is gone. */
+  /** Estimated remaining run time and, for a leaving worker, time until the worker is gone. */
   readonly remainingMs?: number
   readonly workerRemainingMs?: number
 }
--- a/packages/batch/src/leader.ts
+++ b/packages/batch/src/leader.ts
@@ -18,11 +18,12 @@
 import { ObjectiveSchedulingOrder } from './scheduling-order.js'
 import { StartRules } from './start-rules.js'
 import { ReportHandler } from './report-handler.js'
-import { BatchScheduler, type Reclaim } from './scheduler.js'
+import { BatchScheduler, type FleetView, type Reclaim } from './scheduler.js'
 import type { BatchSettings } from './settings.js'
 import type { WaitingStep } from './waiting-steps.js'
 import type { WorkerOrders, WorkerReport } from './worker-messages.js'
 import { WaitLog } from './wait-log.js'
+import { ZoneMoves } from './zone-moves.js'
 import { WorkerRegistry } from './worker-registry.js'
 
 /** Input of the leader. */
@@ -88,6 +89,7 @@
   readonly #operations: OperationHandler
   readonly #reports: ReportHandler
   readonly #waitLog: WaitLog
+  readonly #zoneMoves: ZoneMoves
   readonly #pendingProposals = new Map<string, (outcome: ProposalOutcome) => void>()
   #effects: LeaderEffect[] = []
   #proposalCount = 0
@@ -104,12 +106,13 @@
     this.#waitLog = new WaitLog(clock, log)
     this.#assembly = new GangAssembly(clock, settings.gangAssemblyMs)
     this.#brokenGangs = new BrokenGangs(state)
+    const startRules = new StartRules(state, settings)
     this.#orders = new OrderPlanner({
       state,
       settings,
       clock,
       tickets: this.#tickets,
-      startRules: new StartRules(state, settings),
+      startRules,
       assembly: this.#assembly,
       fencingToken: options.term,
       log,
@@ -151,6 +154,16 @@
       log,
       allowsStops: assignments => this.#disruptionBudget.allowsStops(assignments)
     })
+    this.#zoneMoves = new ZoneMoves({
+      ...options,
+      startRules,
+      views: () => this.#registry.views(),
+      schedulableWorkers: () => this.#scheduler.schedulableWorkers(state, this.#fleetView()),
+      isStopping: assignment => this.#orders.isStopping(assignment),
+      gangRuns: assignment => this.#orders.gangRuns(assignment),
+      allowsStops: assignments => this.#disruptionBudget.allowsStops(assignments),
+      evict: eviction => { this.#evict([eviction]) }
+    })
   }
 
   /**
@@ -211,14 +224,7 @@
     if (!this.#isPassDue || this.#isAssigning) return
     if (nowMs < this.#nextPassMs) return
     this.#isPassDue = false
-    const decision = this.#scheduler.runPass(this.#options.state, {
-      views: this.#registry.views(),
-      unschedulableReason: view =>
-        this.#maintenance.isCordoned(view) ? 'cordoned' : this.#registry.unschedulableReason(view),
-      isStopping: assignment => this.#orders.isStopping(assignment),
-      isReachable: workerId => this.#reports.isReachable(workerId),
-      permittedWorkers: key => this.#tickets.permittedWorkers(key)
-    })
+    const decision = this.#scheduler.runPass(this.#options.state, this.#fleetView())
     this.#waitLog.record(decision)
     for (const step of decision.stepsNeedingTickets) this.#requestAdvice(step)
     for (const reclaim of decision.reclaims) this.#reclaim(reclaim)
@@ -227,6 +233,17 @@
     this.#nextPassMs = nowMs + Math.max(this.#options.settings.passIntervalMs, durationMs * MIN_PASS_INTERVAL_FACTOR)
   }
 
+  #fleetView (): FleetView {
+    return {
+      views: this.#registry.views(),
+      unschedulableReason: view =>
+        this.#maintenance.isCordoned(view) ? 'cordoned' : this.#registry.unschedulableReason(view),
+      isStopping: assignment => this.#orders.isStopping(assignment),
+      isReachable: workerId => this.#reports.isReachable(workerId),
+      permittedWorkers: key => this.#tickets.permittedWorkers(key)
+    }
+  }
+
   #reclaim ({ assignment, forStepKey, lostCoreSeconds }: Reclaim): void {
     const { taskKey, workerId } = assignment
     this.#options.metrics.increment('run.reclaimed')
@@ -358,6 +375,7 @@
     this.#guard('gone_workers', () => { this.#reports.releaseGoneWorkers() })
     this.#guard('unsent_runs', () => { this.#moveUnsentRuns() })
     this.#guard('obstructed_runs', () => { this.#stopObstructedRuns() })
+    this.#guard('zone_moves', () => { this.#zoneMoves.runIfDue() })
     this.#guard('evictions', () => { this.#evictRuns() })
     this.#guard('maintenance', () => { this.#beginDueMaintenance() })
     this.#guard('clean_up', () => { this.#removeStale() })
--- a/packages/batch/src/order-planner.ts
+++ b/packages/batch/src/order-planner.ts
@@ -56,7 +56,7 @@
    * stopped.
    */
   stop (assignment: Assignment): Assignment[] {
-    const members = this.#gangRuns(assignment)
+    const members = this.gangRuns(assignment)
     for (const member of members) {
       this.#stopping.set(assignmentKey(member), member)
       this.#options.assembly.remove(member)
@@ -64,7 +64,8 @@
     return members
   }
 
-  #gangRuns (assignment: Assignment): Assignment[] {
+  /** Runs of the gang that a run belongs to; only the run itself where it belongs to none. */
+  gangRuns (assignment: Assignment): Assignment[] {
     const context = this.#options.state.findTask(assignment.taskKey)
     if (context === undefined || !context.stepSpec.isGang) return [assignment]
     const prefix = stepKeyOf(assignment.taskKey)
@@ -153,7 +154,7 @@
     if (!startRules.isAnyInForce) return false
     const job = state.findTask(assignment.taskKey)?.job
     if (job === undefined || !startRules.mayObstruct(job)) return false
-    return this.#gangRuns(assignment).some(member => {
+    return this.gangRuns(assignment).some(member => {
       const view = viewOf(member.workerId)
       if (view === undefined) return true
       const isStarted = view.reportedRuns.has(taskRunKey(member))
--- a/packages/batch/src/scheduler.ts
+++ b/packages/batch/src/scheduler.ts
@@ -10,7 +10,8 @@
   type TaskPlacement
 } from './worker-selection.js'
 import { workersByWarmth } from './cold-workers.js'
-import { couldHold, listOccupyingRuns, peakUtilisation, WorkerCapacity } from './worker-capacity.js'
+import { isSuitable } from './suitability.js'
+import { listOccupyingRuns, peakUtilisation, WorkerCapacity } from './worker-capacity.js'
 import { taskKey } from './jobs.js'
 import type { SchedulingOrder } from './scheduling-order.js'
 import { FailedPlacements } from './failed-placements.js'
@@ -308,12 +309,22 @@
     return budget === Infinity ? planReclaim(step, asSingleGroup(workers)) : undefined
   }
 
+  /** Returns the workers that may get new runs, for decisions outside a pass. */
+  schedulableWorkers (state: BatchState, fleet: FleetView): WorkerCapacity[] {
+    return this.#schedulableWorkers(state, fleet, new Map())
+  }
+
+  #capacityOf (view: WorkerView, state: BatchState, fleet: FleetView, nowMs: number): WorkerCapacity {
+    const runs = listOccupyingRuns(state, view, fleet.isStopping, nowMs)
+    const isReachable = fleet.isReachable(view.latest.workerId)
+    return new WorkerCapacity(view, runs, isReachable, this.#policies.workerSpeeds.slowdownOf(view.latest))
+  }
+
   /** Returns the workers that may get new runs, and counts the others by reason. */
   #schedulableWorkers (
     state: BatchState, fleet: FleetView, unschedulableWorkers: Map<UnschedulableReason, number>
   ): WorkerCapacity[] {
     const nowMs = this.#clock.monotonicMs()
-    const { workerSpeeds } = this.#policies
     const workers: WorkerCapacity[] = []
     for (const view of fleet.views) {
       const reason = fleet.unschedulableReason(view)
@@ -321,9 +332,7 @@
         unschedulableWorkers.set(reason, (unschedulableWorkers.get(reason) ?? 0) + 1)
         continue
       }
-      const runs = listOccupyingRuns(state, view, fleet.isStopping, nowMs)
-      const isReachable = fleet.isReachable(view.latest.workerId)
-      workers.push(new WorkerCapacity(view, runs, isReachable, workerSpeeds.slowdownOf(view.latest)))
+      workers.push(this.#capacityOf(view, state, fleet, nowMs))
     }
     return workers
   }
@@ -339,10 +348,8 @@
 function mayRun (
   worker: WorkerCapacity, step: WaitingStep, permitted: ReadonlyMap<string, number> | undefined
 ): boolean {
-  const { service, labels, capacity, workerId, incarnation } = worker.view.latest
-  const { spec, job } = step
-  return service === job.service && couldHold(capacity, spec) &&
-    (spec.requiredLabel === '' || labels.includes(spec.requiredLabel)) &&
+  const { workerId, incarnation } = worker.view.latest
+  return isSuitable(worker.view, step.job, step.spec) &&
     (permitted === undefined || permitted.get(workerId) === incarnation)
 }
 
--- a/packages/batch/src/start-rules.ts
+++ b/packages/batch/src/start-rules.ts
@@ -33,6 +33,11 @@
     return this.#state.evacuations.isAnyEvacuated || this.#state.hasRegionRules
   }
 
+  /** Whether there may be jobs that must not start in the zone. */
+  mayObstructIn (zone: string): boolean {
+    return this.#state.evacuations.isEvacuated(zone) || this.#state.hasRegionRules
+  }
+
   /** Why a run of the job must not start in the zone; undefined where it may. */
   obstacleIn (zone: string, job: JobRecord): StartObstacle | undefined {
     if (this.#state.evacuations.isEvacuated(zone)) return 'evacuation'
--- a/packages/batch/src/worker-registry.ts
+++ b/packages/batch/src/worker-registry.ts
@@ -3,12 +3,12 @@
 import type { BatchState } from './batch-state.js'
 import type { Assignment, RunEnd, WorkerIncarnation } from './commands.js'
 import { EvacuationReturn } from './evacuation-return.js'
-import { couldHold } from './worker-capacity.js'
 import { jobIdOf } from './jobs.js'
 import { taskRunKey } from './run-keys.js'
 import { PermittedRegions } from './permitted-regions.js'
 import type { BatchSettings } from './settings.js'
 import { originOf, type ReportOrigin } from './report-plausibility.js'
+import { isSuitable } from './suitability.js'
 import { WorkerHealth } from './worker-health.js'
 import type { WaitingStep } from './waiting-steps.js'
 import { FULL_PROGRESS_PERCENT, type WorkerReport } from './worker-messages.js'
@@ -295,9 +295,7 @@
   adviceCandidates ({ job, spec }: WaitingStep): WorkerIncarnation[] {
     const regions = this.#regions.ofJob(job)
     const candidates = [...this.#views.values()].filter(view => this.isResponsive(view) &&
-      view.latest.service === job.service && couldHold(view.latest.capacity, spec) &&
-      this.#regions.includesZone(regions, view.latest.availabilityZone) &&
-      (spec.requiredLabel === '' || view.latest.labels.includes(spec.requiredLabel)))
+      isSuitable(view, job, spec) && this.#regions.includesZone(regions, view.latest.availabilityZone))
     const schedulable: WorkerIncarnation[] = []
     const others: WorkerIncarnation[] = []
     for (const view of candidates) {
