--- a/packages/batch/src/order-planner.ts
+++ b/packages/batch/src/order-planner.ts
@@ -136,13 +136,13 @@
   }
 
   #runsToStart (view: WorkerView): Assignment[] {
-    return this.#absentRuns(view).filter(assignment => !this.#isObstructed(assignment))
+    return this.#runsOf(view).filter(assignment => this.#isAbsent(assignment, view) && !this.#isObstructed(assignment))
   }
 
-  /** Runs to start that the worker certainly does not have: their orders were not sent, or were lost. */
-  #absentRuns (view: WorkerView): Assignment[] {
-    return this.#runsOf(view).filter(assignment => !this.isStopping(assignment) && !isReported(view, assignment) &&
-      (this.isUnsent(assignment, view) || this.#checkMissing(view, assignment)))
+  /** Whether a run is to be started and the worker certainly does not have it: its order was not sent, or was lost. */
+  #isAbsent (assignment: Assignment, view: WorkerView): boolean {
+    return !this.isStopping(assignment) && !isReported(view, assignment) &&
+      (this.isUnsent(assignment, view) || this.#checkMissing(view, assignment))
   }
 
   /**
@@ -165,10 +165,12 @@
   /** Runs to start that the worker certainly does not have, and that must not start there. */
   obstructedRuns (view: WorkerView): Assignment[] {
     const { state, startRules } = this.#options
-    if (!startRules.isAnyInForce) return []
-    return this.#absentRuns(view).filter(({ taskKey }) => {
-      const job = state.findTask(taskKey)?.job
-      return job !== undefined && startRules.obstacleIn(view.latest.availabilityZone, job) !== undefined
+    const { availabilityZone } = view.latest
+    if (!startRules.mayObstructIn(availabilityZone)) return []
+    return this.#runsOf(view).filter(assignment => {
+      const job = state.findTask(assignment.taskKey)?.job
+      return job !== undefined && startRules.obstacleIn(availabilityZone, job) !== undefined &&
+        this.#isAbsent(assignment, view)
     })
   }
 
