--- a/packages/batch/src/order-planner.ts
+++ b/packages/batch/src/order-planner.ts
@@ -56,7 +56,7 @@
    * stopped.
    */
   stop (assignment: Assignment): Assignment[] {
-    const members = this.#gangRuns(assignment)
+    const members = this.gangRuns(assignment)
     for (const member of members) {
       this.#stopping.set(assignmentKey(member), member)
       this.#options.assembly.remove(member)
@@ -64,7 +64,8 @@
     return members
   }
 
-  #gangRuns (assignment: Assignment): Assignment[] {
+  /** Runs of the gang that a run belongs to; only the run itself where it belongs to none. */
+  gangRuns (assignment: Assignment): Assignment[] {
     const context = this.#options.state.findTask(assignment.taskKey)
     if (context === undefined || !context.stepSpec.isGang) return [assignment]
     const prefix = stepKeyOf(assignment.taskKey)
@@ -135,13 +136,13 @@
   }
 
   #runsToStart (view: WorkerView): Assignment[] {
-    return this.#absentRuns(view).filter(assignment => !this.#isObstructed(assignment))
+    return this.#runsOf(view).filter(assignment => this.#isAbsent(assignment, view) && !this.#isObstructed(assignment))
   }
 
-  /** Runs to start that the worker certainly does not have: their orders were not sent, or were lost. */
-  #absentRuns (view: WorkerView): Assignment[] {
-    return this.#runsOf(view).filter(assignment => !this.isStopping(assignment) && !isReported(view, assignment) &&
-      (this.isUnsent(assignment, view) || this.#checkMissing(view, assignment)))
+  /** Whether a run is to be started and the worker certainly does not have it: its order was not sent, or was lost. */
+  #isAbsent (assignment: Assignment, view: WorkerView): boolean {
+    return !this.isStopping(assignment) && !isReported(view, assignment) &&
+      (this.isUnsent(assignment, view) || this.#checkMissing(view, assignment))
   }
 
   /**
@@ -153,7 +154,7 @@
     if (!startRules.isAnyInForce) return false
     const job = state.findTask(assignment.taskKey)?.job
     if (job === undefined || !startRules.mayObstruct(job)) return false
-    return this.#gangRuns(assignment).some(member => {
+    return this.gangRuns(assignment).some(member => {
       const view = viewOf(member.workerId)
       if (view === undefined) return true
       const isStarted = view.reportedRuns.has(taskRunKey(member))
@@ -164,10 +165,12 @@
   /** Runs to start that the worker certainly does not have, and that must not start there. */
   obstructedRuns (view: WorkerView): Assignment[] {
     const { state, startRules } = this.#options
-    if (!startRules.isAnyInForce) return []
-    return this.#absentRuns(view).filter(({ taskKey }) => {
-      const job = state.findTask(taskKey)?.job
-      return job !== undefined && startRules.obstacleIn(view.latest.availabilityZone, job) !== undefined
+    const { availabilityZone } = view.latest
+    if (!startRules.mayObstructIn(availabilityZone)) return []
+    return this.#runsOf(view).filter(assignment => {
+      const job = state.findTask(assignment.taskKey)?.job
+      return job !== undefined && startRules.obstacleIn(availabilityZone, job) !== undefined &&
+        this.#isAbsent(assignment, view)
     })
   }
 
