Repeat refusals under load at the entries for 500 ms

Cause: a caller that retries a refused submission at once would cause the leader a projection per attempt. Change: the leader keeps a refusal for 600 ms, and entries repeat it for 500 ms after they sent the refused request, by job, since only then 'not run' is certain.

--- a/packages/batch-node/src/batch-node.ts
+++ b/packages/batch-node/src/batch-node.ts
@@ -8,6 +8,7 @@
 import { ControlMembership } from './control-membership.js'
 import { LeaderClient } from './leader-client.js'
 import { isValidMessage } from './message-validation.js'
+import { RefusalCache } from './refusal-cache.js'
 import type { LeaderRequest, LeaderResponse, BatchMessage, ControlNodeInfo } from './messages.js'
 
 /** Options of {@link BatchNode}. */
@@ -52,6 +53,7 @@
   readonly #service: BatchService | undefined
   readonly #leaderClient: LeaderClient
   readonly #startedWallMs: number
+  readonly #refusals: RefusalCache
   #leaderHint: string | null = null
   /** Highest term of which this node knows the leader. */
   #leaderTerm = 0
@@ -62,6 +64,7 @@
     this.#options = options
     const { clock, metrics, nodeId } = options
     this.#startedWallMs = Math.floor(clock.wallMs())
+    this.#refusals = new RefusalCache(clock)
     this.#membership = new ControlMembership({
       clock, targetVoterCount: options.targetVoterCount, replaceSilentAfterMs: VOTER_REPLACE_AFTER_MS
     })
@@ -86,7 +89,15 @@
 
   /** Executes an operation of a client or an operator on the leader. */
   async execute (operation: BatchOperation, timeoutMs: number): Promise<BatchResult> {
-    return await this.#leaderClient.execute(operation, timeoutMs)
+    const cached = this.#refusals.recall(operation)
+    if (cached !== undefined) {
+      this.#options.metrics.increment('admission.refusal_repeated')
+      return cached
+    }
+    const sentAtMs = this.#options.clock.monotonicMs()
+    const result = await this.#leaderClient.execute(operation, timeoutMs)
+    this.#refusals.record(operation, result, sentAtMs)
+    return result
   }
 
   /** Forwards a heartbeat to the leader; resolves to undefined if no leader answered it. */
@@ -185,6 +196,7 @@
     if (term <= this.#leaderTerm) return
     this.#leaderTerm = term
     this.#leaderHint = nodeId
+    this.#refusals.clear()
     this.#leaderClient.handleLeaderChange(nodeId)
     if (nodeId === this.#options.nodeId) this.#links.broadcastToAll(this.#membersMessage())
   }
--- a/packages/batch/src/backlog-admission.ts
+++ b/packages/batch/src/backlog-admission.ts
@@ -34,6 +34,11 @@
 const MAX_ESTIMATE_ERROR = Math.exp(0.9)
 /** A pass older than this says nothing about the load, since the leader may have been suspended. */
 const PASS_VALIDITY_MS = 1_000
+/**
+ * For this long a refused job stays refused, so that the entries can repeat the refusal for 500 ms. It is shorter than
+ * the time after which the caller is asked to retry.
+ */
+const REFUSAL_VALIDITY_MS = 600
 /** The shortest delay that a Retry-After header can state. */
 const MIN_RETRY_AFTER_MS = 1_000
 /** The first callers are told to come back after this time at the latest, since the load may have changed by then. */
@@ -51,7 +56,10 @@
  */
 export class BacklogAdmission extends ShapeAdmission {
   readonly #options: BacklogAdmissionOptions
+  /** Time of the latest refusal, by queue. */
   readonly #refusedAtMs = new Map<string, number>()
+  /** Refusals that still hold, by job, in the order of their time. */
+  readonly #refusals = new Map<string, { readonly refusal: Failure, readonly atMs: number }>()
   #pass: LoadedPass | undefined
 
   constructor (options: BacklogAdmissionOptions) {
@@ -67,7 +75,9 @@
   }
 
   override refusalOf (request: AdmissionRequest): Failure | undefined {
-    return super.refusalOf(request) ?? this.#backlogRefusalOf(request)
+    this.#removeExpiredRefusals(request.nowMs)
+    return super.refusalOf(request) ?? this.#refusals.get(request.spec.jobId)?.refusal ??
+      this.#backlogRefusalOf(request)
   }
 
   #backlogRefusalOf (request: AdmissionRequest): Failure | undefined {
@@ -113,8 +123,17 @@
       log.warn('queue refuses jobs because of its backlog', { queue: queue.name, backlogMs: Math.round(backlogMs) })
     }
     this.#refusedAtMs.set(queue.name, nowMs)
-    return failure('queue_full', `the work ahead of the job takes at least ${Math.round(backlogMs)} ms, ` +
+    const refusal = failure('queue_full', `the work ahead of the job takes at least ${Math.round(backlogMs)} ms, ` +
       `and the job has no value if it starts later than ${Math.round(latestStartMs)} ms from now`, retryAfterMs)
+    this.#refusals.set(spec.jobId, { refusal, atMs: nowMs })
+    return refusal
+  }
+
+  #removeExpiredRefusals (nowMs: number): void {
+    for (const [jobId, { atMs }] of this.#refusals) {
+      if (nowMs - atMs < REFUSAL_VALIDITY_MS) return
+      this.#refusals.delete(jobId)
+    }
   }
 
   #logEndsOfRefusals (nowMs: number): void {
--- a/packages/batch/test/backlog-admission.test.ts
+++ b/packages/batch/test/backlog-admission.test.ts
@@ -130,6 +130,17 @@
   t.is(errorOf(fleet.submit('small', KEY, small)), undefined)
 })
 
+// Guards against an untrue refusal from the cache of an entry after the job was accepted by way of another one.
+test('a refused job stays refused for longer than the entries repeat the refusal', t => {
+  const fleet = createOverloadedFleet()
+  t.is(errorOf(fleet.submit('late', KEY, whole(1_000))), 'queue_full')
+  for (let index = 0; index < 4; index++) fleet.fixture.cancel(`first${index}`, '/urgent/')
+  fleet.fixture.advance(500)
+  t.is(errorOf(fleet.submit('late', KEY, whole(1_000))), 'queue_full')
+  fleet.fixture.advance(500)
+  t.is(errorOf(fleet.submit('late', KEY, whole(1_000))), undefined)
+})
+
 test('the delay before a retry spreads the callers and does not depend on the number of attempts', t => {
   const fleet = createOverloadedFleet()
   const delayOf = (jobId: string): number => {
