Learn run times from ended runs

Cause: callers' estimates are wrong by a factor of up to e^0.9, and every decision about expected ends uses them. Change: LearnedRunTimes corrects the estimates of a queue, an organisation and a kind of task by a line of least squares over the estimate, and takes the median and the high quantile from a histogram of what the line leaves. Nothing uses it yet.

--- /dev/null
+++ b/packages/batch/src/learned-run-times.ts
@@ -0,0 +1,221 @@
+/** Run times learned from ended runs. */
+import type { Clock } from '@comfreygrade/core'
+import type { JobRecord } from './job-record.js'
+import type { StepSpec } from './jobs.js'
+import { RecentRatios, ShrunkenLine } from './run-time-model.js'
+import { RunTimePredictor, type RunSample, type RunTimePrediction } from './run-time-predictor.js'
+
+/** Time after which a sample counts half, and after which a distribution is discarded for a newer one. */
+const HALF_LIFE_MS = 120_000
+/** Most kinds of work that are remembered; those that were used longest ago are forgotten first. */
+const MAX_KINDS = 4_096
+/** Most callers (an organisation at a queue) that are remembered. A caller takes about 20 kB, a kind 300 bytes. */
+const MAX_CALLERS = 512
+const MAX_QUEUES = 128
+const HIGH_SHARE = 0.9
+const MIN_RUN_MS = 1
+/**
+ * Weights of the prior of each group, in steps: the fewer steps a group covers, the less its samples tell apart from
+ * those of the wider group.
+ */
+const QUEUE_PRIOR_WEIGHT = 3
+const CALLER_PRIOR_WEIGHT = 12
+const KIND_PRIOR_WEIGHT = 20
+const PRIOR_SPREAD = 1.5
+/** Weight from which a distribution counts more than that of the wider group. */
+const RATIOS_PRIOR_WEIGHT = 10
+/** Up to this many standard deviations, a long estimate is corrected towards the usual ones like a short one. */
+const USUAL_SPREAD_FACTOR = 1.5
+
+/** What is known about one group of work, relative to the wider group. */
+interface Group {
+  readonly line: ShrunkenLine
+  readonly ratios?: RecentRatios
+  learnedAtMs: number
+}
+
+/** The groups of a step, from the widest to the narrowest. */
+interface Groups {
+  readonly queue: QueueGroup
+  readonly caller: Required<Group>
+  readonly kind: Group
+}
+
+interface QueueGroup extends Required<Group> {
+  /** Centre and spread of the logarithms of the estimates; the ordinates are not used. */
+  readonly estimates: ShrunkenLine
+  /** Increases with each sample of the queue, so that predictions made before are computed again. */
+  version: number
+}
+
+interface KnownStep {
+  readonly groups: Groups
+  readonly version: number
+  readonly prediction: RunTimePrediction
+}
+
+/**
+ * Corrects the callers' estimates by what their runs have taken, in three stages: the queue, the organisation at the
+ * queue, and the kind of task (image and shape) of that organisation. Each stage corrects what the wider one leaves,
+ * and few samples count little. The correction depends on the estimate, since an unusual estimate is more often wrong:
+ * short ones are corrected towards the usual run times in proportion, so that a caller gains nothing by estimates that
+ * are too short. Estimates that are far longer than usual are believed, since some jobs are.
+ *
+ * Load pattern: callers' estimates that are wrong by a factor, systematically or not.
+ */
+export class LearnedRunTimes extends RunTimePredictor {
+  readonly #clock: Clock
+  readonly #queues = new Map<string, QueueGroup>()
+  readonly #callers = new Map<string, Required<Group>>()
+  readonly #kinds = new Map<string, Group>()
+  /** Passes read the prediction of every waiting step, so it is kept until the next sample of its queue. */
+  readonly #known = new WeakMap<StepSpec, KnownStep>()
+
+  constructor (clock: Clock) {
+    super()
+    this.#clock = clock
+  }
+
+  override predict (job: JobRecord, stepIndex: number): RunTimePrediction {
+    const spec = job.spec.steps[stepIndex]
+    if (spec === undefined) return callersEstimate(0)
+    const known = this.#known.get(spec)
+    if (known !== undefined && known.version === known.groups.queue.version) return known.prediction
+    const groups = known?.groups ?? this.#groupsOf(job, spec)
+    const prediction = predictIn(groups, spec)
+    this.#known.set(spec, { groups, version: groups.queue.version, prediction })
+    return prediction
+  }
+
+  override learn ({ job, stepIndex, runMs, kind }: RunSample): void {
+    const spec = job.spec.steps[stepIndex]
+    if (spec === undefined || spec.isLasting || spec.isFiller || !(runMs > 0)) return
+    const groups = this.#groupsOf(job, spec)
+    const logRunMs = Math.log(Math.max(MIN_RUN_MS, runMs))
+    if (kind === 'finished') return this.#learnIn(groups, spec, logRunMs)
+    const expectedLogRunMs = expectedBeyond(groups, spec, logRunMs)
+    if (expectedLogRunMs !== undefined) this.#learnIn(groups, spec, expectedLogRunMs)
+  }
+
+  /** The tasks of a step share its estimate and most of its error, so together they count as one sample. */
+  #learnIn (groups: Groups, spec: StepSpec, logRunMs: number): void {
+    const { queue, caller, kind } = groups
+    const nowMs = this.#clock.monotonicMs()
+    const weight = 1 / spec.taskCount
+    for (const group of [queue, caller, kind]) age(group, nowMs)
+    const logEstimate = logEstimateOf(spec)
+    const x = abscissaOf(queue, logEstimate)
+    const logRatio = logRunMs - logEstimate
+    const byQueue = queue.line.at(x)
+    const byCaller = byQueue + caller.line.at(x)
+    const predicted = byCaller + kind.line.at(x)
+    queue.estimates.learn(logEstimate, 0, weight)
+    queue.line.learn(x, logRatio, weight)
+    caller.line.learn(x, logRatio - byQueue, weight)
+    kind.line.learn(x, logRatio - byCaller, weight)
+    queue.ratios.learn(logRatio - predicted, weight, nowMs)
+    caller.ratios.learn(logRatio - predicted, weight, nowMs)
+    queue.version++
+  }
+
+  #groupsOf ({ queueAddress, organisation }: JobRecord, { image, shape }: StepSpec): Groups {
+    const nowMs = this.#clock.monotonicMs()
+    const { cpuMillicores, memoryMb, acceleratorCount } = shape
+    const callerKey = JSON.stringify([queueAddress, organisation])
+    const kindKey = JSON.stringify([queueAddress, organisation, image, cpuMillicores, memoryMb, acceleratorCount])
+    return {
+      queue: take(this.#queues, queueAddress, MAX_QUEUES, () => createQueueGroup(nowMs)),
+      caller: take(this.#callers, callerKey, MAX_CALLERS, () => createGroup(CALLER_PRIOR_WEIGHT, nowMs)),
+      kind: take(this.#kinds, kindKey, MAX_KINDS, () => ({ line: createLine(KIND_PRIOR_WEIGHT), learnedAtMs: nowMs }))
+    }
+  }
+}
+
+function callersEstimate (estimateMs: number): RunTimePrediction {
+  return { typicalMs: estimateMs, highMs: estimateMs, sampleCount: 0 }
+}
+
+function createLine (priorWeight: number): ShrunkenLine {
+  return new ShrunkenLine(priorWeight, PRIOR_SPREAD)
+}
+
+function createGroup (priorWeight: number, nowMs: number): Required<Group> {
+  return { line: createLine(priorWeight), ratios: new RecentRatios(2 * HALF_LIFE_MS, nowMs), learnedAtMs: nowMs }
+}
+
+function createQueueGroup (nowMs: number): QueueGroup {
+  return { ...createGroup(QUEUE_PRIOR_WEIGHT, nowMs), estimates: createLine(0), version: 0 }
+}
+
+/** The entry of a key, created where it is missing. The entry that was taken longest ago makes room for a new one. */
+function take<Value> (entries: Map<string, Value>, key: string, maxCount: number, create: () => Value): Value {
+  const value = entries.get(key) ?? create()
+  entries.delete(key)
+  entries.set(key, value)
+  for (const oldest of entries.keys()) {
+    if (entries.size <= maxCount) break
+    entries.delete(oldest)
+  }
+  return value
+}
+
+function age (group: Group & { readonly estimates?: ShrunkenLine }, nowMs: number): void {
+  const factor = 0.5 ** ((nowMs - group.learnedAtMs) / HALF_LIFE_MS)
+  group.learnedAtMs = nowMs
+  group.line.decay(factor)
+  group.estimates?.decay(factor)
+}
+
+function logEstimateOf ({ estimateMs }: StepSpec): number {
+  return Math.log(Math.max(MIN_RUN_MS, estimateMs))
+}
+
+/**
+ * How far an estimate is from the usual ones of its queue. A short estimate counts in full. A long one counts less and
+ * less beyond `USUAL_SPREAD_FACTOR`, since long jobs are rare but their estimates are right more often than not.
+ */
+function abscissaOf ({ estimates }: QueueGroup, logEstimate: number): number {
+  const distance = logEstimate - estimates.centre
+  const usual = estimates.spread * USUAL_SPREAD_FACTOR
+  return Math.min(distance, Math.max(0, 2 * usual - distance))
+}
+
+function predictIn (groups: Groups, spec: StepSpec): RunTimePrediction {
+  const { queue, caller } = groups
+  if (queue.line.weight <= 0) return callersEstimate(spec.estimateMs)
+  const centre = logCentre(groups, spec)
+  const typicalMs = Math.exp(centre + logQuantile(groups, 0.5))
+  const highMs = Math.max(typicalMs, Math.exp(centre + logQuantile(groups, HIGH_SHARE)))
+  return { typicalMs, highMs, sampleCount: Math.max(queue.line.weight, caller.line.weight) }
+}
+
+function logCentre ({ queue, caller, kind }: Groups, spec: StepSpec): number {
+  const logEstimate = logEstimateOf(spec)
+  const x = abscissaOf(queue, logEstimate)
+  return logEstimate + queue.line.at(x) + caller.line.at(x) + kind.line.at(x)
+}
+
+/** Quantile of what the lines leave, by organisation, shrunk towards that of the queue, and that towards no error. */
+function logQuantile ({ queue, caller }: Groups, share: number): number {
+  const byQueue = shrunkQuantile(queue.ratios, share, 0)
+  return shrunkQuantile(caller.ratios, share, byQueue)
+}
+
+function shrunkQuantile (ratios: RecentRatios, share: number, prior: number): number {
+  const trust = ratios.weight / (ratios.weight + RATIOS_PRIOR_WEIGHT)
+  return prior + trust * (ratios.quantile(share) - prior)
+}
+
+/**
+ * Expected run time of a run that was cut short: the median of those that take longer. Undefined where it had not run
+ * for the typical time, since it says little then.
+ */
+function expectedBeyond (groups: Groups, spec: StepSpec, logBound: number): number | undefined {
+  const centre = logCentre(groups, spec)
+  const shareBelow = REMAINING_SHARES.findLast(share => centre + logQuantile(groups, share) < logBound)
+  if (shareBelow === undefined) return undefined
+  return Math.max(logBound, centre + logQuantile(groups, (1 + shareBelow) / 2))
+}
+
+/** Shares of the run times at which a bound is compared with the distribution. */
+const REMAINING_SHARES = [0.5, 0.6, 0.7, 0.8, 0.9]
