Decide with predicted run times instead of callers' estimates

Cause: the order, the critical paths, backfilling, expected ends and the stall timeout all took the callers' estimates for the truth. Change: they take the predictions of the leader's policies; backfilling before a reservation and the stall timeout use the high quantile. Recorded ends are passed to the predictor, extrapolated from the progress and divided by the slowdown of their worker, without runs away from their data, same-rack gangs over several racks and cold workers. The leader of a process learns; with CallerEstimates all decisions stay as they were.

--- a/packages/batch/src/evictions.ts
+++ b/packages/batch/src/evictions.ts
@@ -2,6 +2,7 @@
 import type { BatchState } from './batch-state.js'
 import type { Assignment } from './commands.js'
 import { listOccupyingRuns, type OccupyingRun } from './worker-capacity.js'
+import type { RunTimePredictor } from './run-time-predictor.js'
 import type { BatchSettings } from './settings.js'
 import { FULL_PROGRESS_PERCENT } from './worker-messages.js'
 import type { WorkerView } from './worker-view.js'
@@ -27,15 +28,15 @@
  * would be lost gets `leavingGraceMs` more, since the worker may live longer than it reports.
  *
  * @example
- * for (const { assignment } of planEvictions(state, view, settings, nowMs)) orders.stop(assignment)
+ * for (const { assignment } of planEvictions(state, view, settings, nowMs, runTimes)) orders.stop(assignment)
  */
 export function planEvictions (
-  state: BatchState, view: WorkerView, settings: BatchSettings, nowMs: number
+  state: BatchState, view: WorkerView, settings: BatchSettings, nowMs: number, runTimes: RunTimePredictor
 ): Eviction[] {
   const isLeaving = view.latest.state === 'leaving'
   // Most workers have no run without progress, and looking at every run of a large fleet is costly.
   if (!isLeaving && view.runsUnchangedFor(settings.stalledAfterMs).length === 0) return []
-  const runs = listOccupyingRuns(state, view, () => false, nowMs)
+  const runs = listOccupyingRuns(state, view, () => false, nowMs, runTimes)
   if (isLeaving) {
     return runs
       .filter(run => cannotEndInTime(run, view.latest.remainingMs, settings))
@@ -49,8 +50,10 @@
  * evicts only as many as their disruption budget allows. Other runs stay, since they may still end in time; those that
  * do not are lost with the maintenance.
  */
-export function planDrain (state: BatchState, view: WorkerView, nowMs: number): Eviction[] {
-  return listOccupyingRuns(state, view, () => false, nowMs)
+export function planDrain (
+  state: BatchState, view: WorkerView, nowMs: number, runTimes: RunTimePredictor
+): Eviction[] {
+  return listOccupyingRuns(state, view, () => false, nowMs, runTimes)
     .filter(({ spec }) => spec.isLasting || spec.isCheckpointing)
     .map(({ assignment }) => ({ assignment, reason: 'maintenance' }))
 }
@@ -82,13 +85,13 @@
 }
 
 /** Gang members make no progress until all are present, and the percentage of a long run changes less often. */
-function stallTimeoutMs ({ spec }: OccupyingRun, settings: BatchSettings): number {
-  return settings.stalledAfterMs + (spec.isGang ? settings.gangWaitMs : 0) +
-    spec.estimateMs * STALL_TIMEOUT_ESTIMATE_SHARE
+function stallTimeoutMs ({ spec, highRunMs }: OccupyingRun, settings: BatchSettings): number {
+  return settings.stalledAfterMs + (spec.isGang ? settings.gangWaitMs : 0) + highRunMs * STALL_TIMEOUT_RUN_SHARE
 }
 
 /**
- * Share of the estimated run time, for the eviction of a stalled run; even a much slower worker makes one percent of
- * progress within it. A run becomes suspect, which only keeps new runs off its worker, after a smaller share.
+ * Share of the longest expected run time, for the eviction of a stalled run; even a much slower worker makes one
+ * percent of progress within it. A run becomes suspect, which only keeps new runs off its worker, after a smaller
+ * share.
  */
-const STALL_TIMEOUT_ESTIMATE_SHARE = 0.1
+const STALL_TIMEOUT_RUN_SHARE = 0.1
--- a/packages/batch/src/failed-placements.ts
+++ b/packages/batch/src/failed-placements.ts
@@ -9,7 +9,7 @@
   readonly memoryMb: number
   readonly acceleratorCount: number
   /** A task that is expected to end sooner may use capacity that is reserved for later. */
-  readonly estimateMs: number
+  readonly highRunMs: number
 }
 
 interface FailedPlacement {
@@ -62,11 +62,11 @@
   return JSON.stringify([job.service, label])
 }
 
-function requirementOf ({ spec: { shape, isFiller, estimateMs } }: WaitingStep): Requirement {
-  return { ...shape, cpuMillicores: isFiller ? 0 : shape.cpuMillicores, estimateMs }
+function requirementOf ({ spec: { shape, isFiller }, runTime }: WaitingStep): Requirement {
+  return { ...shape, cpuMillicores: isFiller ? 0 : shape.cpuMillicores, highRunMs: runTime.highMs }
 }
 
 function isAtLeast (left: Requirement, right: Requirement): boolean {
   return left.cpuMillicores >= right.cpuMillicores && left.memoryMb >= right.memoryMb &&
-    left.acceleratorCount >= right.acceleratorCount && left.estimateMs >= right.estimateMs
+    left.acceleratorCount >= right.acceleratorCount && left.highRunMs >= right.highRunMs
 }
--- a/packages/batch/src/leader.ts
+++ b/packages/batch/src/leader.ts
@@ -18,6 +18,7 @@
 import { ObjectiveSchedulingOrder } from './scheduling-order.js'
 import { ReportHandler } from './report-handler.js'
 import { BatchScheduler, type Reclaim } from './scheduler.js'
+import type { RunTimePredictor } from './run-time-predictor.js'
 import type { BatchSettings } from './settings.js'
 import type { WaitingStep } from './waiting-steps.js'
 import type { WorkerOrders, WorkerReport } from './worker-messages.js'
@@ -87,6 +88,7 @@
   readonly #operations: OperationHandler
   readonly #reports: ReportHandler
   readonly #waitLog: WaitLog
+  readonly #runTimes: RunTimePredictor
   readonly #pendingProposals = new Map<string, (outcome: ProposalOutcome) => void>()
   #effects: LeaderEffect[] = []
   #proposalCount = 0
@@ -101,6 +103,7 @@
     this.#registry = new WorkerRegistry(state, settings, clock, log)
     this.#tickets = new TicketCache({ clock, maxWorkersPerRequest: settings.maxAdviceWorkers })
     this.#waitLog = new WaitLog(clock, log)
+    this.#runTimes = policies.runTimes
     this.#assembly = new GangAssembly(clock, settings.gangAssemblyMs)
     this.#brokenGangs = new BrokenGangs(state)
     this.#orders = new OrderPlanner({
@@ -283,6 +286,7 @@
   #recordAssigned (assignments: readonly Assignment[]): void {
     const { state } = this.#options
     this.#assembly.add(assignments.filter(({ taskKey }) => state.findTask(taskKey)?.stepSpec.isGang === true))
+    this.#reports.recordAssigned(assignments)
     for (const assignment of assignments) this.#logAssigned(assignment)
   }
 
@@ -344,8 +348,11 @@
 
   #evictRuns (): void {
     const { state, settings, clock } = this.#options
-    for (const view of this.#registry.views()) this.#evict(planEvictions(state, view, settings, clock.monotonicMs()))
-    for (const view of this.#maintenance.cordonedViews()) this.#drain(planDrain(state, view, clock.monotonicMs()))
+    const nowMs = clock.monotonicMs()
+    for (const view of this.#registry.views()) {
+      this.#evict(planEvictions(state, view, settings, nowMs, this.#runTimes))
+    }
+    for (const view of this.#maintenance.cordonedViews()) this.#drain(planDrain(state, view, nowMs, this.#runTimes))
   }
 
   #drain (planned: readonly Eviction[]): void {
--- a/packages/batch/src/policies.ts
+++ b/packages/batch/src/policies.ts
@@ -2,6 +2,7 @@
 import type { Clock, EventLog, Metrics } from '@comfreygrade/core'
 import { AcceptAllJobs, type AdmissionPolicy } from './admission-policy.js'
 import { UnlimitedShares, type OrganisationShares } from './organisation-shares.js'
+import { LearnedRunTimes } from './learned-run-times.js'
 import { CallerEstimates, type RunTimePredictor } from './run-time-predictor.js'
 import type { BatchSettings } from './settings.js'
 import { EqualWorkerSpeeds, type WorkerSpeeds } from './worker-speeds.js'
@@ -33,6 +34,6 @@
 }
 
 /** Policies that learn from the load and decide by it. */
-export function adaptivePolicies (_context: PolicyContext): BatchPolicies {
-  return plainPolicies()
+export function adaptivePolicies ({ clock }: PolicyContext): BatchPolicies {
+  return { ...plainPolicies(), runTimes: new LearnedRunTimes(clock) }
 }
--- a/packages/batch/src/reclaim.ts
+++ b/packages/batch/src/reclaim.ts
@@ -99,10 +99,10 @@
     victims.push(...next.victims)
     // This trial checks free capacity only; the placement that follows observes the limit of tasks per worker. The key
     // is empty, so that the trial does not count towards that limit.
-    next.worker.place('', step.spec)
+    next.worker.place('', step.spec, step.runTime.highMs)
     placed.push(next.worker)
   }
-  for (const worker of placed) worker.unplace('', step.spec)
+  for (const worker of placed) worker.unplace('', step.spec, step.runTime.highMs)
   setPreempted(victims, false)
   return placed.length < step.taskIndexes.length ? undefined : victims
 }
--- a/packages/batch/src/report-handler.ts
+++ b/packages/batch/src/report-handler.ts
@@ -1,7 +1,7 @@
 /** Handles workers' reports: proposes the changes that follow from them, and answers them with orders. */
 import type { Clock, EventLog, Metrics } from '@comfreygrade/core'
 import type { BatchState } from './batch-state.js'
-import type { BatchCommand, RunEnd, WorkerIncarnation } from './commands.js'
+import type { Assignment, BatchCommand, RunEnd, WorkerIncarnation } from './commands.js'
 import type { GangAssembly } from './gang-assembly.js'
 import { jobIdOf } from './jobs.js'
 import type { ProposalOutcome } from './operation-handler.js'
@@ -10,6 +10,7 @@
 import { PendingReports, type PendingReport } from './pending-reports.js'
 import { ReportHold } from './report-hold.js'
 import { plausibleEnds } from './report-plausibility.js'
+import { RunSamples } from './run-samples.js'
 import type { BatchSettings } from './settings.js'
 import type { WorkerOrders, WorkerReport } from './worker-messages.js'
 import type { WorkerRegistry } from './worker-registry.js'
@@ -43,6 +44,7 @@
   readonly #options: ReportHandlerOptions
   readonly #pendingReports: PendingReports
   readonly #hold: ReportHold
+  readonly #runSamples: RunSamples
   /** Number of proposed commands that concern a worker and are not settled yet, by worker. */
   readonly #commandsInFlight = new Map<string, number>()
   /** Number of proposed commands that free all runs of a worker and are not settled yet, by worker. */
@@ -53,7 +55,12 @@
   constructor (options: ReportHandlerOptions) {
     this.#options = options
     const { state, settings, clock, isPassPending } = options
-    this.#hold = new ReportHold(state, settings)
+    this.#runSamples = new RunSamples({
+      ...options,
+      ...options.policies,
+      rackOf: workerId => options.registry.view(workerId)?.latest.rack
+    })
+    this.#hold = new ReportHold(state, settings, options.policies.runTimes)
     this.#pendingReports = new PendingReports({
       settings, clock, isPassPending, hasCommandsInFlight: workerId => this.hasCommandsInFlight(workerId)
     })
@@ -131,18 +138,21 @@
     const ends = plausibleEnds(report).filter(end => end.sequence > lastSequence)
     if (ends.length === 0) return
     for (const end of ends) this.#options.registry.updateHealth(report, end)
+    const receivedAtMs = this.#options.clock.monotonicMs()
     this.#proposeFor(workerId, { kind: 'record_ends', life, ends }, () => {
-      for (const end of ends) this.#handleRecordedEnd(end, life)
+      for (const end of ends) this.#handleRecordedEnd(end, life, receivedAtMs)
       this.#options.requestPass()
     })
   }
 
-  #handleRecordedEnd (end: RunEnd, worker: WorkerIncarnation): void {
+  #handleRecordedEnd (end: RunEnd, worker: WorkerIncarnation, receivedAtMs: number): void {
     const { taskKey, run, reason, sequence } = end
     const { log, metrics } = this.#options
     metrics.increment('run.ended', { reason })
-    log.info('run ended', { taskKey, run, reason, workerId: worker.workerId, sequence })
-    this.#options.registry.view(worker.workerId)?.removeRun({ ...worker, taskKey, run })
+    const view = this.#options.registry.view(worker.workerId)
+    const error = view === undefined ? undefined : this.#runSamples.learn(end, view, receivedAtMs)
+    log.info('run ended', { taskKey, run, reason, workerId: worker.workerId, sequence, ...error })
+    view?.removeRun({ ...worker, taskKey, run })
     this.#options.onRunEnded(end)
     this.#logJobEnd(taskKey)
   }
@@ -261,9 +271,15 @@
     this.#options.registry.removeStaleWorkers()
     const isKnown = (jobId: string): boolean => this.#options.state.job(jobId) !== undefined
     this.#options.registry.retainJobs(isKnown)
+    this.#runSamples.retainJobs(isKnown)
     for (const jobId of this.#loggedJobs) if (!isKnown(jobId)) this.#loggedJobs.delete(jobId)
   }
 
+  /** Called when a command that assigns runs is committed. */
+  recordAssigned (assignments: readonly Assignment[]): void {
+    this.#runSamples.recordAssigned(assignments)
+  }
+
   /**
    * Called when the command that assigns runs to the worker is settled, which `adjustCommandsInFlight` counted when it
    * was proposed. Its report is answered with the start orders, unless those wait for other members of a gang.
--- a/packages/batch/src/report-hold.ts
+++ b/packages/batch/src/report-hold.ts
@@ -1,6 +1,7 @@
 /** How long the answer to a heartbeat may wait for orders (long polling). */
 import type { BatchState } from './batch-state.js'
 import { estimateRemainingMs } from './run-estimates.js'
+import type { RunTimePredictor } from './run-time-predictor.js'
 import type { BatchSettings } from './settings.js'
 import type { WorkerView } from './worker-view.js'
 
@@ -19,9 +20,11 @@
 export class ReportHold {
   readonly #state: BatchState
   readonly #settings: BatchSettings
+  readonly #runTimes: RunTimePredictor
 
-  constructor (state: BatchState, settings: BatchSettings) {
+  constructor (state: BatchState, settings: BatchSettings, runTimes: RunTimePredictor) {
     this.#state = state
+    this.#runTimes = runTimes
     this.#settings = settings
   }
 
@@ -47,8 +50,10 @@
   #nextEndMs (view: WorkerView, nowMs: number): number {
     let nextEndMs = Infinity
     for (const assignment of this.#state.runsOf(view.latest.workerId)) {
-      const spec = this.#state.findTask(assignment.taskKey)?.stepSpec
-      if (spec !== undefined) nextEndMs = Math.min(nextEndMs, estimateRemainingMs(view, assignment, spec, nowMs))
+      const context = this.#state.findTask(assignment.taskKey)
+      if (context === undefined) continue
+      const { typicalMs } = this.#runTimes.predictTask(context)
+      nextEndMs = Math.min(nextEndMs, estimateRemainingMs(view, assignment, context.stepSpec, nowMs, typicalMs))
     }
     return nextEndMs
   }
--- a/packages/batch/src/run-time-predictor.ts
+++ b/packages/batch/src/run-time-predictor.ts
@@ -1,4 +1,5 @@
 /** Expected run times of tasks, from the callers' estimates and from runs that have ended. */
+import type { TaskContext } from './batch-state.js'
 import type { JobRecord } from './job-record.js'
 
 /** How long a task of a step is expected to run on a worker of typical speed. */
@@ -28,6 +29,11 @@
   /** Prediction for a task of a step. */
   abstract predict (job: JobRecord, stepIndex: number): RunTimePrediction
 
+  /** Prediction for a task that has been assigned. */
+  predictTask ({ job, stepSpec }: Pick<TaskContext, 'job' | 'stepSpec'>): RunTimePrediction {
+    return this.predict(job, job.spec.steps.indexOf(stepSpec))
+  }
+
   /** Learns from a run; runs that failed are not passed in. */
   abstract learn (sample: RunSample): void
 }
--- a/packages/batch/src/scheduler.ts
+++ b/packages/batch/src/scheduler.ts
@@ -254,9 +254,9 @@
    * is limited to `maxRackWaitMs`, so that no gang waits long beside idle workers.
    */
   #placeAcrossRacks (step: WaitingStep, { workers }: Candidates, reservation: LazyReservation, pass: Pass): boolean {
-    const { isGang, isSameRack, estimateMs } = step.spec
+    const { isGang, isSameRack } = step.spec
     if (!isGang || !isSameRack) return false
-    const maxWaitMs = Math.min((this.#settings.farFactor - 1) * estimateMs, pass.maxRackWaitMs)
+    const maxWaitMs = Math.min((this.#settings.farFactor - 1) * step.runTime.typicalMs, pass.maxRackWaitMs)
     if (step.waitedMs <= maxWaitMs) return false
     const { delayMs } = reservation.value
     if (delayMs <= maxWaitMs && this.#rackExpectations.isReliable(waitingStepKey(step), delayMs)) return false
@@ -291,7 +291,7 @@
     state: BatchState, fleet: FleetView, unschedulableWorkers: Map<UnschedulableReason, number>
   ): WorkerCapacity[] {
     const nowMs = this.#clock.monotonicMs()
-    const { workerSpeeds } = this.#policies
+    const { workerSpeeds, runTimes } = this.#policies
     const workers: WorkerCapacity[] = []
     for (const view of fleet.views) {
       const reason = fleet.unschedulableReason(view)
@@ -299,7 +299,7 @@
         unschedulableWorkers.set(reason, (unschedulableWorkers.get(reason) ?? 0) + 1)
         continue
       }
-      const runs = listOccupyingRuns(state, view, fleet.isStopping, nowMs)
+      const runs = listOccupyingRuns(state, view, fleet.isStopping, nowMs, runTimes)
       const isReachable = fleet.isReachable(view.latest.workerId)
       workers.push(new WorkerCapacity(view, runs, isReachable, workerSpeeds.slowdownOf(view.latest)))
     }
--- a/packages/batch/src/waiting-steps.ts
+++ b/packages/batch/src/waiting-steps.ts
@@ -4,7 +4,7 @@
 import type { BatchState } from './batch-state.js'
 import { isStepDone, createOccurrence, type JobRecord, type OccurrenceRecord } from './job-record.js'
 import { occurrenceDueMs, type StepSpec } from './jobs.js'
-import { criticalPathMs, remainingPathMs } from './critical-path.js'
+import { criticalPathMs, remainingPathMs, type StepRunMs } from './critical-path.js'
 import { GuaranteeCoverage } from './guarantee-coverage.js'
 import type { BatchPolicies } from './policies.js'
 import type { QueueConfiguration } from './queues.js'
@@ -93,6 +93,7 @@
 
 function collectSteps (open: OpenOccurrence, waiting: WaitingStep[]): void {
   const { nowWallMs, job, occurrence, record, queue, isGuaranteed, policies } = open
+  const stepRunMs: StepRunMs = index => policies.runTimes.predict(job, index).typicalMs
   job.spec.steps.forEach((spec, stepIndex) => {
     const step = record.steps[stepIndex]
     if (step === undefined || isStepDone(step)) return
@@ -100,7 +101,7 @@
     const taskIndexes = listWaitingTasks(record, stepIndex, spec)
     if (taskIndexes.length === 0) return
     const waitingSinceWallMs = Math.max(job.acceptedWallMs, occurrenceDueMs(job.spec, occurrence))
-    const jobCriticalPathMs = criticalPathMs(job.spec)
+    const jobCriticalPathMs = criticalPathMs(job.spec, stepRunMs)
     const estimateScaledObjectiveMs = jobCriticalPathMs * (queue?.slackFactor ?? DEFAULT_SLACK_FACTOR)
     const gangRun = Math.max(0, ...step.tasks.map(task => task.lastRun)) + 1
     waiting.push({
@@ -115,7 +116,7 @@
       waitingSinceWallMs,
       waitedMs: nowWallMs - waitingSinceWallMs,
       objectiveWallMs: waitingSinceWallMs + estimateScaledObjectiveMs + (queue?.targetLatencyMs ?? 0),
-      remainingCriticalPathMs: remainingPathMs(job.spec, stepIndex),
+      remainingCriticalPathMs: remainingPathMs(job.spec, stepIndex, stepRunMs),
       estimateScaledSlackMs: estimateScaledObjectiveMs - jobCriticalPathMs,
       hasAdvicePolicy: queue?.advice !== undefined,
       runTime: policies.runTimes.predict(job, stepIndex),
--- a/packages/batch/src/worker-capacity.ts
+++ b/packages/batch/src/worker-capacity.ts
@@ -3,6 +3,7 @@
 import type { Assignment } from './commands.js'
 import { stepKeyOf, type StepSpec, type TaskShape } from './jobs.js'
 import { estimateRemainingMs } from './run-estimates.js'
+import type { RunTimePredictor } from './run-time-predictor.js'
 import type { WorkerView } from './worker-view.js'
 
 /** A run on a worker, with the capacity that it occupies. */
@@ -15,6 +16,8 @@
   readonly elapsedMs: number
   /** Estimated time until its end. */
   readonly remainingMs: number
+  /** Time that the whole run is unlikely to exceed on a worker of typical speed. */
+  readonly highRunMs: number
 }
 
 interface MutableShape {
@@ -67,11 +70,13 @@
     return canHold(this.#free, spec)
   }
 
-  /** Whether one more task fits now and delays no reservation. */
-  admits (spec: StepSpec): boolean {
+  /**
+   * Whether one more task fits now and delays no reservation, which a task that runs for at most `highRunMs` does not
+   * where it ends before the reservation starts.
+   */
+  admits (spec: StepSpec, highRunMs: number): boolean {
     if (!canHold(this.#free, spec)) return false
-    return this.#unreserved === undefined || spec.estimateMs <= this.#reservedAfterMs ||
-      canHold(this.#unreserved, spec)
+    return this.#unreserved === undefined || highRunMs <= this.#reservedAfterMs || canHold(this.#unreserved, spec)
   }
 
   /** Number of tasks of a step on this worker. */
@@ -80,16 +85,16 @@
   }
 
   /** Deducts the capacity of one task of a step. */
-  place (key: string, spec: StepSpec): void {
+  place (key: string, spec: StepSpec, highRunMs: number): void {
     addTask(this.#free, spec, -1)
-    if (this.#unreserved !== undefined && spec.estimateMs > this.#reservedAfterMs) addTask(this.#unreserved, spec, -1)
+    if (this.#unreserved !== undefined && highRunMs > this.#reservedAfterMs) addTask(this.#unreserved, spec, -1)
     this.#count(key, 1)
   }
 
   /** Releases the capacity of one task of a step. */
-  unplace (key: string, spec: StepSpec): void {
+  unplace (key: string, spec: StepSpec, highRunMs: number): void {
     addTask(this.#free, spec, 1)
-    if (this.#unreserved !== undefined && spec.estimateMs > this.#reservedAfterMs) addTask(this.#unreserved, spec, 1)
+    if (this.#unreserved !== undefined && highRunMs > this.#reservedAfterMs) addTask(this.#unreserved, spec, 1)
     this.#count(key, -1)
   }
 
@@ -187,7 +192,8 @@
 
 /** Lists the runs that occupy a worker, with their estimated ends. */
 export function listOccupyingRuns (
-  state: BatchState, view: WorkerView, isStopping: (assignment: Assignment) => boolean, nowMs: number
+  state: BatchState, view: WorkerView, isStopping: (assignment: Assignment) => boolean, nowMs: number,
+  runTimes: RunTimePredictor
 ): OccupyingRun[] {
   const runs: OccupyingRun[] = []
   for (const assignment of state.runsOf(view.latest.workerId)) {
@@ -197,8 +203,11 @@
     const priority = state.queueOf(job)?.priority ?? Infinity
     const elapsedMs = view.elapsedMs(assignment.taskKey, assignment.run, nowMs) ?? 0
     const isBeingStopped = isStopping(assignment)
-    const remainingMs = isBeingStopped ? EXPECTED_STOP_MS : estimateRemainingMs(view, assignment, spec, nowMs)
-    runs.push({ assignment, spec, priority, isStopping: isBeingStopped, elapsedMs, remainingMs })
+    const { typicalMs, highMs } = runTimes.predictTask(context)
+    const remainingMs = isBeingStopped
+      ? EXPECTED_STOP_MS
+      : estimateRemainingMs(view, assignment, spec, nowMs, typicalMs)
+    runs.push({ assignment, spec, priority, isStopping: isBeingStopped, elapsedMs, remainingMs, highRunMs: highMs })
   }
   return runs
 }
--- a/packages/batch/src/worker-selection.ts
+++ b/packages/batch/src/worker-selection.ts
@@ -86,7 +86,7 @@
 
 /** Releases the capacity of placements that are not used. */
 export function undoPlacements (step: WaitingStep, placements: readonly TaskPlacement[]): void {
-  for (const { worker } of placements) worker.unplace(waitingStepKey(step), step.spec)
+  for (const { worker } of placements) worker.unplace(waitingStepKey(step), step.spec, step.runTime.highMs)
 }
 
 /** Takes the group with the fewest free accelerators, so that other groups keep capacity for wide gangs. */
@@ -101,7 +101,7 @@
     best = placements
     bestFree = free
   }
-  for (const { worker } of best) worker.place(waitingStepKey(step), step.spec)
+  for (const { worker } of best) worker.place(waitingStepKey(step), step.spec, step.runTime.highMs)
   return best
 }
 
@@ -112,8 +112,8 @@
 function preferDataRack (
   step: WaitingStep, eligible: readonly WorkerCapacity[], maxRackWaitMs: number
 ): readonly WorkerCapacity[] {
-  const { dataRack, estimateMs } = step.spec
-  if (dataRack === '' || step.waitedMs > Math.min(estimateMs, maxRackWaitMs)) return eligible
+  const { dataRack } = step.spec
+  if (dataRack === '' || step.waitedMs > Math.min(step.runTime.typicalMs, maxRackWaitMs)) return eligible
   const near = eligible.filter(worker => worker.view.latest.rack === dataRack)
   return near.length > 0 ? near : eligible
 }
@@ -123,7 +123,7 @@
   for (const index of step.taskIndexes) {
     const worker = findBestFit(step, eligible, step.failedOn(index))
     if (worker === undefined) break
-    worker.place(waitingStepKey(step), step.spec)
+    worker.place(waitingStepKey(step), step.spec, step.runTime.highMs)
     placements.push({ taskIndex: index, worker })
   }
   return placements
@@ -138,7 +138,7 @@
   let best: WorkerCapacity | undefined
   let lowestScore = Infinity
   for (const worker of eligible) {
-    if (!worker.admits(step.spec) || (limit > 0 && worker.taskCountOf(key) >= limit)) continue
+    if (!worker.admits(step.spec, step.runTime.highMs) || (limit > 0 && worker.taskCountOf(key) >= limit)) continue
     const score = bestFitScore(worker, step) + (failedOn.includes(worker.workerId) ? EARLIER_FAILURE_PENALTY : 0)
     if (score >= lowestScore) continue
     best = worker
--- a/packages/batch/src/worker-view.ts
+++ b/packages/batch/src/worker-view.ts
@@ -2,7 +2,7 @@
 import type { Clock } from '@comfreygrade/core'
 import { assignmentKey, taskRunKey } from './run-keys.js'
 import type { Assignment } from './commands.js'
-import type { WorkerReport, RunningTask } from './worker-messages.js'
+import { FULL_PROGRESS_PERCENT, type WorkerReport, type RunningTask } from './worker-messages.js'
 import type { BatchSettings } from './settings.js'
 
 /** Whether the worker's lease has held without a gap, so that the ends that it reports count. */
@@ -23,6 +23,19 @@
   readonly firstPercent: number
   percent: number
   lastChangeMs: number
+  /**
+   * First report with progress, for the speed of the work: until then, a gang waits for its members. Undefined where
+   * the run is reported without progress.
+   */
+  workFirstSeen?: ProgressPoint
+  /** Latest change to a percentage below full progress, at which a fast member of a gang waits for the others. */
+  workLastSeen?: ProgressPoint
+}
+
+/** A percentage and the time at which it was first reported. */
+export interface ProgressPoint {
+  readonly atMs: number
+  readonly percent: number
 }
 
 /**
@@ -206,7 +219,7 @@
       this.reportedRuns.add(key)
       const known = this.progress.get(key)
       if (known === undefined) this.progress.set(key, firstProgress(taskKey, percent, nowMs))
-      else if (known.percent !== percent) Object.assign(known, { percent, lastChangeMs: nowMs })
+      else if (known.percent !== percent) updateProgress(known, percent, nowMs)
     }
     this.#keepEndedProgress(report)
     for (const key of this.progress.keys()) if (!reportedKeys.has(key)) this.progress.delete(key)
@@ -221,5 +234,19 @@
 }
 
 function firstProgress (taskKey: string, percent: number, nowMs: number): RunProgress {
-  return { taskKey, firstSeenMs: nowMs, firstPercent: percent, percent, lastChangeMs: nowMs }
+  const progress: RunProgress = { taskKey, firstSeenMs: nowMs, firstPercent: percent, percent, lastChangeMs: nowMs }
+  recordWork(progress, percent, nowMs)
+  return progress
+}
+
+function updateProgress (progress: RunProgress, percent: number, nowMs: number): void {
+  progress.percent = percent
+  progress.lastChangeMs = nowMs
+  recordWork(progress, percent, nowMs)
+}
+
+function recordWork (progress: RunProgress, percent: number, atMs: number): void {
+  if (percent <= 0 || percent >= FULL_PROGRESS_PERCENT) return
+  progress.workLastSeen = { atMs, percent }
+  progress.workFirstSeen ??= progress.workLastSeen
 }
--- a/packages/batch/test/leader-fixture.ts
+++ b/packages/batch/test/leader-fixture.ts
@@ -1,7 +1,8 @@
 /** A leader whose proposals commit at once unless a test delays them. */
 import { EventLog, ManualClock, NullMetrics, StrictEventLog } from '@comfreygrade/core'
 import {
-  BatchLeader, BatchState, defaultBatchSettings, type BatchOperation, type BatchResult, type BatchSettings,
+  BatchLeader, BatchState, defaultBatchSettings, plainPolicies, type BatchOperation, type BatchPolicies,
+  type BatchResult, type BatchSettings,
   type LeaderEffect, type LeaderEvent, type MaintenanceCall, type WorkerOrders, type WorkerReport
 } from '../src/index.js'
 import { document, HOST, KEY, report } from './sample-data.js'
@@ -45,6 +46,7 @@
   readonly #orders = new Map<string, WorkerOrders | undefined>()
   readonly #settings: BatchSettings
   readonly #log: EventLog
+  readonly #createPolicies: () => BatchPolicies
   #term = 1
   #requestCount = 0
 
@@ -55,8 +57,10 @@
   constructor (
     initialDocument = document(),
     settings: Partial<BatchSettings> = PROMPT_ANSWERS,
-    log: EventLog = new StrictEventLog()
+    log: EventLog = new StrictEventLog(),
+    createPolicies: () => BatchPolicies = plainPolicies
   ) {
+    this.#createPolicies = createPolicies
     this.#log = log
     this.#settings = { ...defaultBatchSettings, ...settings }
     this.state.apply({ kind: 'put_configuration', document: initialDocument }, 0)
@@ -125,7 +129,8 @@
       settings: this.#settings,
       clock,
       metrics: new NullMetrics(),
-      log: this.#log
+      log: this.#log,
+      policies: this.#createPolicies()
     })
   }
 
