--- a/packages/batch/src/wait-log.ts
+++ b/packages/batch/src/wait-log.ts
@@ -1,6 +1,7 @@
 /** Log lines that say why steps wait. */
 import type { Clock, EventLog } from '@comfreygrade/core'
 import type { PassDecision, StepWait, WaitReason } from './scheduler.js'
+import type { WaitingStep } from './waiting-steps.js'
 import { waitingStepKey } from './worker-selection.js'
 
 /** A step that has waited for a shorter time is not logged. */
@@ -43,8 +44,19 @@
     const nowMs = this.#clock.monotonicMs()
     if (last !== undefined && last.reason === reason && nowMs - last.loggedAtMs < REPEAT_MS) return last
     this.#log.info('step waits', {
-      stepKey, reason, tasks: taskCount, waitedMs: Math.round(step.waitedMs), expectedStartMs, unschedulableWorkers
+      stepKey,
+      reason,
+      tasks: taskCount,
+      waitedMs: Math.round(step.waitedMs),
+      expectedStartMs,
+      predictedMs: learnedRunMs(step),
+      unschedulableWorkers
     })
     return { reason, loggedAtMs: nowMs }
   }
 }
+
+/** The predicted run time; undefined where it is the caller's estimate, which the line of the submission has. */
+function learnedRunMs ({ runTime: { typicalMs, sampleCount } }: WaitingStep): number | undefined {
+  return sampleCount > 0 ? Math.round(typicalMs) : undefined
+}
