Merge learned run times

Moves out of a zone take the expected run times as well, and share the grouping by rack with the placement. 247 tests of packages/batch pass.

--- a/packages/batch/src/leader.ts
+++ b/packages/batch/src/leader.ts
@@ -19,6 +19,7 @@
 import { StartRules } from './start-rules.js'
 import { ReportHandler } from './report-handler.js'
 import { BatchScheduler, type FleetView, type Reclaim } from './scheduler.js'
+import type { RunTimePredictor } from './run-time-predictor.js'
 import type { BatchSettings } from './settings.js'
 import type { WaitingStep } from './waiting-steps.js'
 import type { WorkerOrders, WorkerReport } from './worker-messages.js'
@@ -89,6 +90,7 @@
   readonly #operations: OperationHandler
   readonly #reports: ReportHandler
   readonly #waitLog: WaitLog
+  readonly #runTimes: RunTimePredictor
   readonly #zoneMoves: ZoneMoves
   readonly #pendingProposals = new Map<string, (outcome: ProposalOutcome) => void>()
   #effects: LeaderEffect[] = []
@@ -104,6 +106,7 @@
     this.#registry = new WorkerRegistry(state, settings, clock, log)
     this.#tickets = new TicketCache({ clock, maxWorkersPerRequest: settings.maxAdviceWorkers })
     this.#waitLog = new WaitLog(clock, log)
+    this.#runTimes = policies.runTimes
     this.#assembly = new GangAssembly(clock, settings.gangAssemblyMs)
     this.#brokenGangs = new BrokenGangs(state)
     const startRules = new StartRules(state, settings)
@@ -157,6 +160,7 @@
     this.#zoneMoves = new ZoneMoves({
       ...options,
       startRules,
+      runTimes: this.#runTimes,
       views: () => this.#registry.views(),
       schedulableWorkers: () => this.#scheduler.schedulableWorkers(state, this.#fleetView()),
       isStopping: assignment => this.#orders.isStopping(assignment),
@@ -329,6 +333,7 @@
   #recordAssigned (assignments: readonly Assignment[]): void {
     const { state } = this.#options
     this.#assembly.add(assignments.filter(({ taskKey }) => state.findTask(taskKey)?.stepSpec.isGang === true))
+    this.#reports.recordAssigned(assignments)
     for (const assignment of assignments) this.#logAssigned(assignment)
   }
 
@@ -392,8 +397,11 @@
 
   #evictRuns (): void {
     const { state, settings, clock } = this.#options
-    for (const view of this.#registry.views()) this.#evict(planEvictions(state, view, settings, clock.monotonicMs()))
-    for (const view of this.#maintenance.cordonedViews()) this.#drain(planDrain(state, view, clock.monotonicMs()))
+    const nowMs = clock.monotonicMs()
+    for (const view of this.#registry.views()) {
+      this.#evict(planEvictions(state, view, settings, nowMs, this.#runTimes))
+    }
+    for (const view of this.#maintenance.cordonedViews()) this.#drain(planDrain(state, view, nowMs, this.#runTimes))
   }
 
   #drain (planned: readonly Eviction[]): void {
--- a/packages/batch/src/policies.ts
+++ b/packages/batch/src/policies.ts
@@ -3,6 +3,7 @@
 import { AcceptAllJobs, type AdmissionPolicy } from './admission-policy.js'
 import { FairShares } from './fair-shares.js'
 import { UnlimitedShares, type OrganisationShares } from './organisation-shares.js'
+import { LearnedRunTimes } from './learned-run-times.js'
 import { CallerEstimates, type RunTimePredictor } from './run-time-predictor.js'
 import type { BatchSettings } from './settings.js'
 import { ShapeAdmission } from './shape-admission.js'
@@ -36,5 +37,10 @@
 
 /** Policies that learn from the load and decide by it. */
 export function adaptivePolicies (context: PolicyContext): BatchPolicies {
-  return { ...plainPolicies(), shares: new FairShares(context), admission: new ShapeAdmission(context) }
+  return {
+    ...plainPolicies(),
+    runTimes: new LearnedRunTimes(context.clock),
+    shares: new FairShares(context),
+    admission: new ShapeAdmission(context)
+  }
 }
--- a/packages/batch/src/scheduler.ts
+++ b/packages/batch/src/scheduler.ts
@@ -289,9 +289,9 @@
    * is limited to `maxRackWaitMs`, so that no gang waits long beside idle workers.
    */
   #placeAcrossRacks (step: WaitingStep, { workers }: Candidates, reservation: LazyReservation, pass: Pass): boolean {
-    const { isGang, isSameRack, estimateMs } = step.spec
+    const { isGang, isSameRack } = step.spec
     if (!isGang || !isSameRack) return false
-    const maxWaitMs = Math.min((this.#settings.farFactor - 1) * estimateMs, pass.maxRackWaitMs)
+    const maxWaitMs = Math.min((this.#settings.farFactor - 1) * step.runTime.typicalMs, pass.maxRackWaitMs)
     if (step.waitedMs <= maxWaitMs) return false
     const { delayMs } = reservation.value
     if (delayMs <= maxWaitMs && this.#rackExpectations.isReliable(waitingStepKey(step), delayMs)) return false
@@ -328,9 +328,10 @@
   }
 
   #capacityOf (view: WorkerView, state: BatchState, fleet: FleetView, nowMs: number): WorkerCapacity {
-    const runs = listOccupyingRuns(state, view, fleet.isStopping, nowMs)
+    const { runTimes, workerSpeeds } = this.#policies
+    const runs = listOccupyingRuns(state, view, fleet.isStopping, nowMs, runTimes)
     const isReachable = fleet.isReachable(view.latest.workerId)
-    return new WorkerCapacity(view, runs, isReachable, this.#policies.workerSpeeds.slowdownOf(view.latest))
+    return new WorkerCapacity(view, runs, isReachable, workerSpeeds.slowdownOf(view.latest))
   }
 
   /** Returns the workers that may get new runs, and counts the others by reason. */
--- a/packages/batch/src/zone-moves.ts
+++ b/packages/batch/src/zone-moves.ts
@@ -8,11 +8,13 @@
 import type { BatchState, TaskContext } from './batch-state.js'
 import type { Assignment } from './commands.js'
 import type { Eviction } from './evictions.js'
-import { stepKeyOf, type StepSpec } from './jobs.js'
+import { stepKeyOf } from './jobs.js'
 import type { BatchSettings } from './settings.js'
+import type { RunTimePredictor } from './run-time-predictor.js'
 import type { StartObstacle, StartRules } from './start-rules.js'
 import { isSuitable } from './suitability.js'
 import { listOccupyingRuns, type OccupyingRun, type WorkerCapacity } from './worker-capacity.js'
+import { groupByRack } from './worker-selection.js'
 import type { WorkerView } from './worker-view.js'
 
 /** Options of {@link ZoneMoves}. */
@@ -27,6 +29,7 @@
   readonly schedulableWorkers: () => WorkerCapacity[]
   readonly isStopping: (assignment: Assignment) => boolean
   /** Runs of the gang that a run belongs to; only the run itself where it belongs to none. */
+  readonly runTimes: RunTimePredictor
   readonly gangRuns: (assignment: Assignment) => Assignment[]
   /** Whether the disruption budgets of their steps allow to stop the runs together. */
   readonly allowsStops: (assignments: readonly Assignment[]) => boolean
@@ -47,12 +50,6 @@
   readonly expiresAtMs: number
 }
 
-interface Place {
-  readonly worker: WorkerCapacity
-  readonly stepKey: string
-  readonly spec: StepSpec
-}
-
 /** Interval between two rounds: about the time from a stop until the task can start elsewhere. */
 const ROUND_INTERVAL_MS = 500
 /** Longest time from a stop until the task has been assigned elsewhere, where the capacity for it is still free. */
@@ -86,11 +83,11 @@
 
   /** The runs that would go on for longest come first. */
   #listMoves (nowMs: number): Move[] {
-    const { views, startRules, state } = this.#options
+    const { views, startRules, state, runTimes } = this.#options
     const moves: Move[] = []
     for (const view of views()) {
       if (!startRules.mayObstructIn(view.latest.availabilityZone)) continue
-      for (const run of listOccupyingRuns(state, view, () => false, nowMs)) {
+      for (const run of listOccupyingRuns(state, view, () => false, nowMs, runTimes)) {
         const context = state.findTask(run.assignment.taskKey)
         if (context === undefined || !this.#mayMove(run)) continue
         const obstacle = startRules.obstacleIn(view.latest.availabilityZone, context.job)
@@ -137,7 +134,8 @@
       .map(occupying => ({ worker, occupying })))
     for (const { worker, occupying } of freed) worker.setPreempted(occupying, true)
     const suitable = this.#suitableWorkers(context, workers)
-    const groups = context.stepSpec.isGang && context.stepSpec.isSameRack ? groupByRack(suitable) : [suitable]
+    const { isGang, isSameRack } = context.stepSpec
+    const groups = isGang && isSameRack ? [...groupByRack(suitable).values()] : [suitable]
     const isHeld = groups.some(group => this.#placeTasks(context, key, members.length, group))
     if (!isHeld) for (const { worker, occupying } of freed) worker.setPreempted(occupying, false)
     return isHeld
@@ -151,31 +149,24 @@
 
   /** Takes the capacity for all the tasks, or for none. */
   #placeTasks (
-    { stepSpec: spec }: TaskContext, stepKey: string, count: number, workers: readonly WorkerCapacity[]
+    context: TaskContext, stepKey: string, count: number, workers: readonly WorkerCapacity[]
   ): boolean {
-    const places: Place[] = []
+    const { stepSpec: spec } = context
+    const { highMs } = this.#options.runTimes.predictTask(context)
+    const places: WorkerCapacity[] = []
     const limit = spec.maxTasksPerWorker > 0 ? spec.maxTasksPerWorker : Infinity
     while (places.length < count) {
       const worker = workers.find(candidate => candidate.fits(spec) && candidate.taskCountOf(stepKey) < limit)
       if (worker === undefined) break
-      worker.place(stepKey, spec)
-      places.push({ worker, stepKey, spec })
+      worker.place(stepKey, spec, highMs)
+      places.push(worker)
     }
     if (places.length === count) return true
-    for (const place of places) place.worker.unplace(place.stepKey, place.spec)
+    for (const worker of places) worker.unplace(stepKey, spec, highMs)
     return false
   }
 }
 
-function groupByRack (workers: readonly WorkerCapacity[]): WorkerCapacity[][] {
-  const racks = new Map<string, WorkerCapacity[]>()
-  for (const worker of workers) {
-    const { rack } = worker.view.latest
-    racks.set(rack, [...racks.get(rack) ?? [], worker])
-  }
-  return [...racks.values()]
-}
-
 /** Also for infinite values, whose difference is no number. */
 function compareNumbers (left: number, right: number): number {
   return left < right ? -1 : Number(left > right)
