Learn the speeds of workers and place gangs on workers of like speed

A gang ends with its slowest member, so in deployment B, where a quarter of the workers has half of the speed, most gangs take twice as long.

LearnedWorkerSpeeds compares the rate of progress of a run with those of its siblings on other workers. A gang is placed on the workers that are not slow where they can hold it, else on the slow ones alone, else on all. Expected ends and the check against reservations scale with the slowdown. Without known speeds every decision is as before.

--- a/packages/batch/src/policies.ts
+++ b/packages/batch/src/policies.ts
@@ -1,5 +1,6 @@
 /** The decisions of the leader that have several implementations. */
 import type { Clock, EventLog, Metrics } from '@comfreygrade/core'
+import { LearnedWorkerSpeeds } from './learned-worker-speeds.js'
 import { AcceptAllJobs, type AdmissionPolicy } from './admission-policy.js'
 import { UnlimitedShares, type OrganisationShares } from './organisation-shares.js'
 import { CallerEstimates, type RunTimePredictor } from './run-time-predictor.js'
@@ -33,6 +34,6 @@
 }
 
 /** Policies that learn from the load and decide by it. */
-export function adaptivePolicies (_context: PolicyContext): BatchPolicies {
-  return plainPolicies()
+export function adaptivePolicies (context: PolicyContext): BatchPolicies {
+  return { ...plainPolicies(), workerSpeeds: new LearnedWorkerSpeeds(context) }
 }
--- a/packages/batch/src/report-handler.ts
+++ b/packages/batch/src/report-handler.ts
@@ -3,7 +3,7 @@
 import type { BatchState } from './batch-state.js'
 import type { BatchCommand, RunEnd, WorkerIncarnation } from './commands.js'
 import type { GangAssembly } from './gang-assembly.js'
-import { jobIdOf } from './jobs.js'
+import { jobIdOf, type StepSpec } from './jobs.js'
 import type { ProposalOutcome } from './operation-handler.js'
 import type { OrderPlanner } from './order-planner.js'
 import type { BatchPolicies } from './policies.js'
@@ -77,7 +77,7 @@
     const { view } = outcome
     if (!wasResponsive) this.#options.requestPass()
     this.#countMalformedEntries(report)
-    this.#options.policies.workerSpeeds.observe(view, nowMs)
+    this.#options.policies.workerSpeeds.observe(view, nowMs, this.#specOf)
     this.#checkLease(view)
     if (view.leaseStatus !== 'uncertain' && view.hasSecondReport) this.#proposeEnds(report)
     this.#releaseAbsentRuns(view)
@@ -87,6 +87,8 @@
     this.#releaseCompleteGangs(report.workerId)
   }
 
+  readonly #specOf = (taskKey: string): StepSpec | undefined => this.#options.state.findTask(taskKey)?.stepSpec
+
   #countMalformedEntries ({ workerId, sequence, malformedEntryCount }: WorkerReport): void {
     if (malformedEntryCount === undefined) return
     this.#options.metrics.increment('worker.entry_ignored', {}, malformedEntryCount)
--- a/packages/batch/src/scheduler.ts
+++ b/packages/batch/src/scheduler.ts
@@ -299,9 +299,10 @@
         unschedulableWorkers.set(reason, (unschedulableWorkers.get(reason) ?? 0) + 1)
         continue
       }
-      const runs = listOccupyingRuns(state, view, fleet.isStopping, nowMs)
+      const slowdown = workerSpeeds.slowdownOf(view.latest)
+      const runs = listOccupyingRuns(state, view, fleet.isStopping, nowMs, slowdown)
       const isReachable = fleet.isReachable(view.latest.workerId)
-      workers.push(new WorkerCapacity(view, runs, isReachable, workerSpeeds.slowdownOf(view.latest)))
+      workers.push(new WorkerCapacity(view, runs, isReachable, slowdown))
     }
     return workers
   }
--- a/packages/batch/src/worker-capacity.ts
+++ b/packages/batch/src/worker-capacity.ts
@@ -70,7 +70,7 @@
   /** Whether one more task fits now and delays no reservation. */
   admits (spec: StepSpec): boolean {
     if (!canHold(this.#free, spec)) return false
-    return this.#unreserved === undefined || spec.estimateMs <= this.#reservedAfterMs ||
+    return this.#unreserved === undefined || this.#endsBeforeReservation(spec) ||
       canHold(this.#unreserved, spec)
   }
 
@@ -82,14 +82,14 @@
   /** Deducts the capacity of one task of a step. */
   place (key: string, spec: StepSpec): void {
     addTask(this.#free, spec, -1)
-    if (this.#unreserved !== undefined && spec.estimateMs > this.#reservedAfterMs) addTask(this.#unreserved, spec, -1)
+    if (this.#unreserved !== undefined && !this.#endsBeforeReservation(spec)) addTask(this.#unreserved, spec, -1)
     this.#count(key, 1)
   }
 
   /** Releases the capacity of one task of a step. */
   unplace (key: string, spec: StepSpec): void {
     addTask(this.#free, spec, 1)
-    if (this.#unreserved !== undefined && spec.estimateMs > this.#reservedAfterMs) addTask(this.#unreserved, spec, 1)
+    if (this.#unreserved !== undefined && !this.#endsBeforeReservation(spec)) addTask(this.#unreserved, spec, 1)
     this.#count(key, -1)
   }
 
@@ -129,6 +129,10 @@
     return times
   }
 
+  #endsBeforeReservation ({ estimateMs }: StepSpec): boolean {
+    return estimateMs * this.slowdown <= this.#reservedAfterMs
+  }
+
   #expectedFreeAfter (delayMs: number): MutableShape {
     const available = { ...this.#free }
     for (const run of this.runs) if (run.remainingMs <= delayMs) addTask(available, run.spec, 1)
@@ -187,7 +191,8 @@
 
 /** Lists the runs that occupy a worker, with their estimated ends. */
 export function listOccupyingRuns (
-  state: BatchState, view: WorkerView, isStopping: (assignment: Assignment) => boolean, nowMs: number
+  state: BatchState, view: WorkerView, isStopping: (assignment: Assignment) => boolean, nowMs: number,
+  slowdown = 1
 ): OccupyingRun[] {
   const runs: OccupyingRun[] = []
   for (const assignment of state.runsOf(view.latest.workerId)) {
@@ -197,7 +202,7 @@
     const priority = state.queueOf(job)?.priority ?? Infinity
     const elapsedMs = view.elapsedMs(assignment.taskKey, assignment.run, nowMs) ?? 0
     const isBeingStopped = isStopping(assignment)
-    const remainingMs = isBeingStopped ? EXPECTED_STOP_MS : estimateRemainingMs(view, assignment, spec, nowMs)
+    const remainingMs = isBeingStopped ? EXPECTED_STOP_MS : estimateRemainingMs(view, assignment, spec, nowMs, slowdown)
     runs.push({ assignment, spec, priority, isStopping: isBeingStopped, elapsedMs, remainingMs })
   }
   return runs
--- a/packages/batch/src/worker-selection.ts
+++ b/packages/batch/src/worker-selection.ts
@@ -1,5 +1,6 @@
 /** Selection of workers for the tasks of a step: gang placement, data locality, best fit. */
 import { stepKey } from './jobs.js'
+import { SPEED_TIERS, speedTiers } from './speed-tiers.js'
 import { tasksThatFit, type WorkerCapacity } from './worker-capacity.js'
 import type { WaitingStep } from './waiting-steps.js'
 
@@ -89,11 +90,24 @@
   for (const { worker } of placements) worker.unplace(waitingStepKey(step), step.spec)
 }
 
-/** Takes the group with the fewest free accelerators, so that other groups keep capacity for wide gangs. */
+/**
+ * Takes workers of similar speed where some can hold the gang, the fastest first. Of groups with the same choice, it
+ * takes the one with the fewest free accelerators, so that other groups keep capacity for wide gangs.
+ */
 function placeGang (step: WaitingStep, groups: ReadonlyArray<readonly WorkerCapacity[]>): TaskPlacement[] {
+  const tiersByGroup = groups.map(speedTiers)
+  for (let tier = 0; tier < SPEED_TIERS; tier++) {
+    const placements = placeInOneOf(step, tiersByGroup.map(tiers => tiers[tier] ?? []))
+    if (placements.length > 0) return placements
+  }
+  return []
+}
+
+function placeInOneOf (step: WaitingStep, groups: ReadonlyArray<readonly WorkerCapacity[]>): TaskPlacement[] {
   let best: TaskPlacement[] = []
   let bestFree = Infinity
   for (const workers of groups) {
+    if (!hasRoomForAll(step, workers)) continue
     const placements = placeEach(step, workers)
     const free = workers.reduce((sum, worker) => sum + worker.free.acceleratorCount, 0)
     undoPlacements(step, placements)
@@ -105,6 +119,16 @@
   return best
 }
 
+/** Rules out most groups that are too full, at less cost than placing the tasks one by one. */
+function hasRoomForAll ({ spec, taskIndexes }: WaitingStep, workers: readonly WorkerCapacity[]): boolean {
+  let room = 0
+  for (const worker of workers) {
+    room += tasksThatFit(worker.free, spec)
+    if (room >= taskIndexes.length) return true
+  }
+  return false
+}
+
 /**
  * A run away from its data takes several times as long, so its task waits for the data's rack, but no longer than the
  * estimated run time or `maxRackWaitMs`, whichever is shorter.
@@ -170,5 +194,14 @@
   const cpu = free.cpuMillicores / Math.max(1, capacity.cpuMillicores)
   const isRemoteFromData = step.spec.dataRack !== '' && rack !== step.spec.dataRack
   return accelerators * ACCELERATOR_WEIGHT + memory + cpu + (isRemoteFromData ? REMOTE_DATA_PENALTY : 0) +
-    (worker.isReachable ? 0 : UNREACHABLE_PENALTY)
+    (worker.isReachable ? 0 : UNREACHABLE_PENALTY) + speedScore(worker, step)
+}
+
+/** Weight of the logarithm of the slowdown: a worker that takes twice as long weighs as much as half of its memory. */
+const SPEED_WEIGHT = 0.7
+
+/** Independent tasks of no urgency go to slow workers first, so that fast ones stay free for urgent steps and gangs. */
+function speedScore ({ slowdown }: WorkerCapacity, { spec, priority }: WaitingStep): number {
+  const weight = Math.log(slowdown) * SPEED_WEIGHT
+  return spec.isGang || priority === 0 ? weight : -weight
 }
