Merge learned worker speeds

What a run is expected to take on its worker comes from both policies now: the predicted run time times the slowdown of the worker, also before a reservation. 257 tests of packages/batch and of the batch benchmark pass.

--- a/packages/batch/src/evictions.ts
+++ b/packages/batch/src/evictions.ts
@@ -2,7 +2,7 @@
 import type { BatchState } from './batch-state.js'
 import type { Assignment } from './commands.js'
 import { listOccupyingRuns, type OccupyingRun } from './worker-capacity.js'
-import type { RunTimePredictor } from './run-time-predictor.js'
+import type { RunPolicies } from './policies.js'
 import type { BatchSettings } from './settings.js'
 import type { StartObstacle } from './start-rules.js'
 import { FULL_PROGRESS_PERCENT } from './worker-messages.js'
@@ -29,15 +29,15 @@
  * would be lost gets `leavingGraceMs` more, since the worker may live longer than it reports.
  *
  * @example
- * for (const { assignment } of planEvictions(state, view, settings, nowMs, runTimes)) orders.stop(assignment)
+ * for (const { assignment } of planEvictions(state, view, settings, nowMs, policies)) orders.stop(assignment)
  */
 export function planEvictions (
-  state: BatchState, view: WorkerView, settings: BatchSettings, nowMs: number, runTimes: RunTimePredictor
+  state: BatchState, view: WorkerView, settings: BatchSettings, nowMs: number, policies: RunPolicies
 ): Eviction[] {
   const isLeaving = view.latest.state === 'leaving'
   // Most workers have no run without progress, and looking at every run of a large fleet is costly.
   if (!isLeaving && view.runsUnchangedFor(settings.stalledAfterMs).length === 0) return []
-  const runs = listOccupyingRuns(state, view, () => false, nowMs, runTimes)
+  const runs = listOccupyingRuns(state, view, () => false, nowMs, policies)
   if (isLeaving) {
     return runs
       .filter(run => cannotEndInTime(run, view.latest.remainingMs, settings))
@@ -52,9 +52,9 @@
  * do not are lost with the maintenance.
  */
 export function planDrain (
-  state: BatchState, view: WorkerView, nowMs: number, runTimes: RunTimePredictor
+  state: BatchState, view: WorkerView, nowMs: number, policies: RunPolicies
 ): Eviction[] {
-  return listOccupyingRuns(state, view, () => false, nowMs, runTimes)
+  return listOccupyingRuns(state, view, () => false, nowMs, policies)
     .filter(({ spec }) => spec.isLasting || spec.isCheckpointing)
     .map(({ assignment }) => ({ assignment, reason: 'maintenance' }))
 }
--- a/packages/batch/src/leader.ts
+++ b/packages/batch/src/leader.ts
@@ -19,7 +19,6 @@
 import { StartRules } from './start-rules.js'
 import { ReportHandler } from './report-handler.js'
 import { BatchScheduler, type FleetView, type Reclaim } from './scheduler.js'
-import type { RunTimePredictor } from './run-time-predictor.js'
 import type { BatchSettings } from './settings.js'
 import type { WaitingStep } from './waiting-steps.js'
 import type { WorkerOrders, WorkerReport } from './worker-messages.js'
@@ -90,7 +89,7 @@
   readonly #operations: OperationHandler
   readonly #reports: ReportHandler
   readonly #waitLog: WaitLog
-  readonly #runTimes: RunTimePredictor
+  readonly #policies: BatchPolicies
   readonly #zoneMoves: ZoneMoves
   readonly #pendingProposals = new Map<string, (outcome: ProposalOutcome) => void>()
   #effects: LeaderEffect[] = []
@@ -106,7 +105,7 @@
     this.#registry = new WorkerRegistry(state, settings, clock, log)
     this.#tickets = new TicketCache({ clock, maxWorkersPerRequest: settings.maxAdviceWorkers })
     this.#waitLog = new WaitLog(clock, log)
-    this.#runTimes = policies.runTimes
+    this.#policies = policies
     this.#assembly = new GangAssembly(clock, settings.gangAssemblyMs)
     this.#brokenGangs = new BrokenGangs(state)
     const startRules = new StartRules(state, settings)
@@ -160,7 +159,7 @@
     this.#zoneMoves = new ZoneMoves({
       ...options,
       startRules,
-      runTimes: this.#runTimes,
+      policies,
       views: () => this.#registry.views(),
       schedulableWorkers: () => this.#scheduler.schedulableWorkers(state, this.#fleetView()),
       isStopping: assignment => this.#orders.isStopping(assignment),
@@ -399,9 +398,9 @@
     const { state, settings, clock } = this.#options
     const nowMs = clock.monotonicMs()
     for (const view of this.#registry.views()) {
-      this.#evict(planEvictions(state, view, settings, nowMs, this.#runTimes))
+      this.#evict(planEvictions(state, view, settings, nowMs, this.#policies))
     }
-    for (const view of this.#maintenance.cordonedViews()) this.#drain(planDrain(state, view, nowMs, this.#runTimes))
+    for (const view of this.#maintenance.cordonedViews()) this.#drain(planDrain(state, view, nowMs, this.#policies))
   }
 
   #drain (planned: readonly Eviction[]): void {
--- a/packages/batch/src/policies.ts
+++ b/packages/batch/src/policies.ts
@@ -1,5 +1,6 @@
 /** The decisions of the leader that have several implementations. */
 import type { Clock, EventLog, Metrics } from '@comfreygrade/core'
+import { LearnedWorkerSpeeds } from './learned-worker-speeds.js'
 import { AcceptAllJobs, type AdmissionPolicy } from './admission-policy.js'
 import { FairShares } from './fair-shares.js'
 import { UnlimitedShares, type OrganisationShares } from './organisation-shares.js'
@@ -17,6 +18,9 @@
   readonly admission: AdmissionPolicy
 }
 
+/** What decides how long a run is expected to take on its worker. */
+export type RunPolicies = Pick<BatchPolicies, 'runTimes' | 'workerSpeeds'>
+
 /** Policies that learn nothing and refuse nothing, with which others are compared. */
 export function plainPolicies (): BatchPolicies {
   return {
@@ -40,6 +44,7 @@
   return {
     ...plainPolicies(),
     runTimes: new LearnedRunTimes(context.clock),
+    workerSpeeds: new LearnedWorkerSpeeds(context),
     shares: new FairShares(context),
     admission: new ShapeAdmission(context)
   }
--- a/packages/batch/src/scheduler.ts
+++ b/packages/batch/src/scheduler.ts
@@ -328,10 +328,9 @@
   }
 
   #capacityOf (view: WorkerView, state: BatchState, fleet: FleetView, nowMs: number): WorkerCapacity {
-    const { runTimes, workerSpeeds } = this.#policies
-    const runs = listOccupyingRuns(state, view, fleet.isStopping, nowMs, runTimes)
+    const runs = listOccupyingRuns(state, view, fleet.isStopping, nowMs, this.#policies)
     const isReachable = fleet.isReachable(view.latest.workerId)
-    return new WorkerCapacity(view, runs, isReachable, workerSpeeds.slowdownOf(view.latest))
+    return new WorkerCapacity(view, runs, isReachable, this.#policies.workerSpeeds.slowdownOf(view.latest))
   }
 
   /** Returns the workers that may get new runs, and counts the others by reason. */
--- a/packages/batch/src/worker-capacity.ts
+++ b/packages/batch/src/worker-capacity.ts
@@ -3,7 +3,7 @@
 import type { Assignment } from './commands.js'
 import { stepKeyOf, type StepSpec, type TaskShape } from './jobs.js'
 import { estimateRemainingMs } from './run-estimates.js'
-import type { RunTimePredictor } from './run-time-predictor.js'
+import type { RunPolicies } from './policies.js'
 import type { WorkerView } from './worker-view.js'
 
 /** A run on a worker, with the capacity that it occupies. */
@@ -77,7 +77,8 @@
    */
   admits (spec: StepSpec, highRunMs: number): boolean {
     if (!canHold(this.#free, spec)) return false
-    return this.#unreserved === undefined || highRunMs <= this.#reservedAfterMs || canHold(this.#unreserved, spec)
+    return this.#unreserved === undefined || this.#endsBeforeReservation(highRunMs) ||
+      canHold(this.#unreserved, spec)
   }
 
   /** Number of tasks of a step on this worker. */
@@ -88,14 +89,14 @@
   /** Deducts the capacity of one task of a step. */
   place (key: string, spec: StepSpec, highRunMs: number): void {
     addTask(this.#free, spec, -1)
-    if (this.#unreserved !== undefined && highRunMs > this.#reservedAfterMs) addTask(this.#unreserved, spec, -1)
+    if (this.#unreserved !== undefined && !this.#endsBeforeReservation(highRunMs)) addTask(this.#unreserved, spec, -1)
     this.#count(key, 1)
   }
 
   /** Releases the capacity of one task of a step. */
   unplace (key: string, spec: StepSpec, highRunMs: number): void {
     addTask(this.#free, spec, 1)
-    if (this.#unreserved !== undefined && highRunMs > this.#reservedAfterMs) addTask(this.#unreserved, spec, 1)
+    if (this.#unreserved !== undefined && !this.#endsBeforeReservation(highRunMs)) addTask(this.#unreserved, spec, 1)
     this.#count(key, -1)
   }
 
@@ -135,6 +136,10 @@
     return times
   }
 
+  #endsBeforeReservation (highRunMs: number): boolean {
+    return highRunMs * this.slowdown <= this.#reservedAfterMs
+  }
+
   #expectedFreeAfter (delayMs: number): MutableShape {
     const available = { ...this.#free }
     for (const run of this.runs) if (run.remainingMs <= delayMs) addTask(available, run.spec, 1)
@@ -194,9 +199,10 @@
 /** Lists the runs that occupy a worker, with their estimated ends. */
 export function listOccupyingRuns (
   state: BatchState, view: WorkerView, isStopping: (assignment: Assignment) => boolean, nowMs: number,
-  runTimes: RunTimePredictor
+  policies: RunPolicies
 ): OccupyingRun[] {
   const runs: OccupyingRun[] = []
+  const slowdown = policies.workerSpeeds.slowdownOf(view.latest)
   for (const assignment of state.runsOf(view.latest.workerId)) {
     const context = state.findTask(assignment.taskKey)
     if (context === undefined) continue
@@ -204,10 +210,10 @@
     const priority = state.queueOf(job)?.priority ?? Infinity
     const elapsedMs = view.elapsedMs(assignment.taskKey, assignment.run, nowMs) ?? 0
     const isBeingStopped = isStopping(assignment)
-    const { typicalMs, highMs } = runTimes.predictTask(context)
+    const { typicalMs, highMs } = policies.runTimes.predictTask(context)
     const remainingMs = isBeingStopped
       ? EXPECTED_STOP_MS
-      : estimateRemainingMs(view, assignment, spec, nowMs, typicalMs)
+      : estimateRemainingMs(view, assignment, spec, nowMs, typicalMs * slowdown)
     runs.push({
       assignment,
       spec,
--- a/packages/batch/src/zone-moves.ts
+++ b/packages/batch/src/zone-moves.ts
@@ -10,7 +10,7 @@
 import type { Eviction } from './evictions.js'
 import { stepKeyOf } from './jobs.js'
 import type { BatchSettings } from './settings.js'
-import type { RunTimePredictor } from './run-time-predictor.js'
+import type { RunPolicies } from './policies.js'
 import type { StartObstacle, StartRules } from './start-rules.js'
 import { isSuitable } from './suitability.js'
 import { listOccupyingRuns, type OccupyingRun, type WorkerCapacity } from './worker-capacity.js'
@@ -29,7 +29,7 @@
   readonly schedulableWorkers: () => WorkerCapacity[]
   readonly isStopping: (assignment: Assignment) => boolean
   /** Runs of the gang that a run belongs to; only the run itself where it belongs to none. */
-  readonly runTimes: RunTimePredictor
+  readonly policies: RunPolicies
   readonly gangRuns: (assignment: Assignment) => Assignment[]
   /** Whether the disruption budgets of their steps allow to stop the runs together. */
   readonly allowsStops: (assignments: readonly Assignment[]) => boolean
@@ -83,11 +83,11 @@
 
   /** The runs that would go on for longest come first. */
   #listMoves (nowMs: number): Move[] {
-    const { views, startRules, state, runTimes } = this.#options
+    const { views, startRules, state, policies } = this.#options
     const moves: Move[] = []
     for (const view of views()) {
       if (!startRules.mayObstructIn(view.latest.availabilityZone)) continue
-      for (const run of listOccupyingRuns(state, view, () => false, nowMs, runTimes)) {
+      for (const run of listOccupyingRuns(state, view, () => false, nowMs, policies)) {
         const context = state.findTask(run.assignment.taskKey)
         if (context === undefined || !this.#mayMove(run)) continue
         const obstacle = startRules.obstacleIn(view.latest.availabilityZone, context.job)
@@ -152,7 +152,7 @@
     context: TaskContext, stepKey: string, count: number, workers: readonly WorkerCapacity[]
   ): boolean {
     const { stepSpec: spec } = context
-    const { highMs } = this.#options.runTimes.predictTask(context)
+    const { highMs } = this.#options.policies.runTimes.predictTask(context)
     const places: WorkerCapacity[] = []
     const limit = spec.maxTasksPerWorker > 0 ? spec.maxTasksPerWorker : Infinity
     while (places.length < count) {
