Count an organisation as over its share only far beyond it

Change: the limit is the geometric mean of an equal share and the whole fleet, and there is one step. Passes without waiting steps are passed on too, so that a time in which nobody waited adds no debt.

--- a/packages/batch/src/backlog-admission.ts
+++ b/packages/batch/src/backlog-admission.ts
@@ -9,7 +9,6 @@
 } from './backlog.js'
 import { criticalPathMs } from './critical-path.js'
 import type { JobSpec, StepSpec, TaskShape } from './jobs.js'
-import { isOverShare } from './organisation-shares.js'
 import type { QueueConfiguration } from './queues.js'
 import type { PassDecision } from './scheduler.js'
 import { USEFUL_OBJECTIVE_FACTOR } from './scheduling-order.js'
@@ -105,8 +104,8 @@
   ): Backlog {
     const runs = workers.filter(worker => worker.view.latest.service === service).flatMap(worker => worker.runs)
     const unpreemptable = priority === 0 ? runs.filter(run => run.priority === 0) : runs
-    const ahead = steps.filter(({ job, isGuaranteed, organisationAttained }) => job.service === service &&
-      (job.organisation === organisation || isGuaranteed || !isOverShare(organisationAttained)))
+    const ahead = steps.filter(({ job, isGuaranteed, isOverShare }) => job.service === service &&
+      (job.organisation === organisation || isGuaranteed || !isOverShare))
     return {
       atWallMs,
       steps: ahead.map(toBacklogStep).sort(compareBacklogSteps),
--- a/packages/batch/src/fair-shares.ts
+++ b/packages/batch/src/fair-shares.ts
@@ -3,7 +3,7 @@
  * where its jobs have the earlier objectives.
  */
 import type { EventLog, Metrics } from '@comfreygrade/core'
-import { isOverShare, OrganisationShares, type OrganisationUsage } from './organisation-shares.js'
+import { OrganisationShares, type OrganisationUsage } from './organisation-shares.js'
 
 /** Ports of {@link FairShares}. */
 export interface FairSharesOptions {
@@ -19,23 +19,24 @@
 }
 
 /**
- * Time constant of the debt. It is close to the objective of an ordinary urgent job, so that an organisation has paid
+ * Time constant of the means. It is close to the objective of an ordinary urgent job, so that an organisation has paid
  * for a wave of its demand before the jobs that it submits afterwards are due.
  */
-const DEBT_DECAY_MS = 5_000
+const MEAN_DECAY_MS = 5_000
 /** Means below this share of the fleet are forgotten, so that organisations without work take up no memory. */
 const MIN_MEAN_SHARE = 1e-4
 
 /**
  * Attained service is the dominant share that an organisation occupies plus its debt, relative to an equal share among
  * the organisations that have work. The debt is what the organisation occupied on average, while others waited, beyond
- * what it occupies now, so that the end of a run does not make an organisation count as within its share at once. The
- * state is lost with the leader; debts are then missing for some {@link DEBT_DECAY_MS}, the occupied shares are not.
+ * what it occupies now. An organisation is over its share where its attained service is nearer to the whole fleet than
+ * to an equal share, as ratios: small differences, and single gangs, do not reorder jobs. The state is lost with the
+ * leader; debts are then missing for some {@link MEAN_DECAY_MS}, the occupied shares are not.
  *
  * @example
  * const shares = new FairShares({ metrics, log })
- * shares.update(new Map([['org-a', { dominantShare: 0.9 }]]), new Set(['org-b']), nowMs)
- * shares.attainedOf('org-a') // 1.8, of two organisations with work
+ * shares.update(usage, waiting, nowMs)
+ * shares.attainedOf('org-a') // 1.8 where it occupies 90 %, and one other organisation has work
  */
 export class FairShares extends OrganisationShares {
   readonly #options: FairSharesOptions
@@ -50,19 +51,15 @@
   override update (
     usage: ReadonlyMap<string, OrganisationUsage>, waiting: ReadonlySet<string>, nowMs: number
   ): void {
-    const elapsedMs = nowMs - (this.#updatedAtMs ?? nowMs)
+    const decay = Math.exp(-(nowMs - (this.#updatedAtMs ?? nowMs)) / MEAN_DECAY_MS)
     this.#updatedAtMs = nowMs
-    const decay = Math.exp(-elapsedMs / DEBT_DECAY_MS)
     const withWork = new Set([...usage.keys(), ...waiting])
-    const fairShare = 1 / Math.max(1, withWork.size)
     for (const organisation of new Set([...withWork, ...this.#accounts.keys()])) {
       const share = usage.get(organisation)?.dominantShare ?? 0
       const account = this.#accounts.get(organisation) ?? { meanShare: 0, attained: 0, isOver: false }
       const chargedShare = isWaitedFor(organisation, waiting) ? share : 0
       account.meanShare = account.meanShare * decay + chargedShare * (1 - decay)
-      const debt = Math.max(0, account.meanShare - share)
-      account.attained = (share + debt) / fairShare
-      this.#recordTransition(organisation, account, withWork.size)
+      if (waiting.size > 0) this.#updateAttained(organisation, account, share, withWork.size)
       if (withWork.has(organisation) || account.meanShare >= MIN_MEAN_SHARE) this.#accounts.set(organisation, account)
       else this.#accounts.delete(organisation)
     }
@@ -72,8 +69,15 @@
     return this.#accounts.get(organisation)?.attained ?? 0
   }
 
-  #recordTransition (organisation: string, account: Account, organisations: number): void {
-    const isOver = isOverShare(account.attained)
+  override isOverShare (organisation: string): boolean {
+    return this.#accounts.get(organisation)?.isOver ?? false
+  }
+
+  /** Nothing depends on attained service while no step waits, so it is not reported as having changed then. */
+  #updateAttained (organisation: string, account: Account, share: number, organisations: number): void {
+    const debt = Math.max(0, account.meanShare - share)
+    account.attained = (share + debt) * organisations
+    const isOver = account.attained > Math.sqrt(organisations)
     if (isOver === account.isOver) return
     account.isOver = isOver
     const { metrics, log } = this.#options
--- a/packages/batch/src/reclaim.ts
+++ b/packages/batch/src/reclaim.ts
@@ -6,7 +6,7 @@
 import type { OccupyingRun, WorkerCapacity } from './worker-capacity.js'
 import { placeTasks, asSingleGroup, undoPlacements, type Candidates, type TaskPlacement } from './worker-selection.js'
 import { coresOf } from './jobs.js'
-import { isOverShare, type OrganisationShares } from './organisation-shares.js'
+import type { OrganisationShares } from './organisation-shares.js'
 import type { WaitingStep } from './waiting-steps.js'
 
 interface Victim {
@@ -134,7 +134,7 @@
 function findVictimsOn (
   worker: WorkerCapacity, step: WaitingStep, taken: readonly Victim[], shares: OrganisationShares
 ): Victim[] | undefined {
-  const isOver = (run: OccupyingRun): boolean => isOverShare(shares.attainedOf(run.organisation))
+  const isOver = (run: OccupyingRun): boolean => shares.isOverShare(run.organisation)
   const candidates = worker.runs
     .filter(run => !run.isStopping && run.priority > step.priority && !run.spec.isLasting &&
       !taken.some(victim => victim.run === run))
--- a/packages/batch/src/scheduler.ts
+++ b/packages/batch/src/scheduler.ts
@@ -140,7 +140,7 @@
     const listed = listWaitingSteps(state, this.#clock, this.#settings, this.#policies)
     const unschedulableWorkers = new Map<UnschedulableReason, number>()
     const workers = listed.length === 0 ? [] : this.#schedulableWorkers(state, fleet, unschedulableWorkers)
-    const steps = this.#withAttainedService(listed, workers)
+    const steps = this.#withShares(listed, workers)
     const isFleetKnown = this.#clock.monotonicMs() - this.#termStartedAtMs >= this.#settings.fleetDiscoveryMs
     const pass: Pass = {
       workers,
@@ -166,13 +166,12 @@
     return pass
   }
 
-  /** Updates the attained service of all organisations; without waiting steps nothing depends on it. */
-  #withAttainedService (steps: readonly WaitingStep[], workers: readonly WorkerCapacity[]): WaitingStep[] {
-    if (steps.length === 0) return []
+  /** Updates the attained service of all organisations. Usage does not count while no step waits. */
+  #withShares (steps: readonly WaitingStep[], workers: readonly WorkerCapacity[]): WaitingStep[] {
     const { shares } = this.#policies
     const waiting = new Set(steps.map(step => step.job.organisation))
     shares.update(usageByOrganisation(workers), waiting, this.#clock.monotonicMs())
-    return steps.map(step => ({ ...step, organisationAttained: shares.attainedOf(step.job.organisation) }))
+    return steps.map(step => ({ ...step, isOverShare: shares.isOverShare(step.job.organisation) }))
   }
 
   /** Tries steps until the given number of them did not fit in the pass; returns those that were not tried. */
--- a/packages/batch/src/scheduling-order.ts
+++ b/packages/batch/src/scheduling-order.ts
@@ -1,5 +1,4 @@
 /** The order in which a scheduling pass considers waiting steps. */
-import { shareStep } from './organisation-shares.js'
 import type { WaitingStep } from './waiting-steps.js'
 
 /** Scheduling order; each policy is a subclass. */
@@ -21,13 +20,13 @@
   override compare (left: WaitingStep, right: WaitingStep, nowWallMs: number): number {
     return latenessClass(left, nowWallMs) - latenessClass(right, nowWallMs) ||
       left.priority - right.priority ||
-      shareStepOf(left) - shareStepOf(right) ||
+      Number(yieldsToOthers(left)) - Number(yieldsToOthers(right)) ||
       left.objectiveWallMs - right.objectiveWallMs
   }
 }
 
-function shareStepOf ({ isGuaranteed, organisationAttained }: WaitingStep): number {
-  return isGuaranteed ? 0 : shareStep(organisationAttained)
+function yieldsToOthers ({ isGuaranteed, isOverShare }: WaitingStep): boolean {
+  return isOverShare && !isGuaranteed
 }
 
 /** What the lateness class of a step depends on. */
--- a/packages/batch/src/waiting-steps.ts
+++ b/packages/batch/src/waiting-steps.ts
@@ -40,8 +40,8 @@
   readonly hasAdvicePolicy: boolean
   /** How long a task of the step is expected to run on a worker of typical speed. */
   readonly runTime: RunTimePrediction
-  /** Attained service of the job's organisation, see {@link OrganisationShares.attainedOf}. */
-  readonly organisationAttained: number
+  /** Whether the job's organisation is over its share, see {@link OrganisationShares.isOverShare}. */
+  readonly isOverShare: boolean
   /** Whether the step is urgent and its organisation's guarantee covers it. */
   readonly isGuaranteed: boolean
 }
@@ -119,7 +119,7 @@
       estimateScaledSlackMs: estimateScaledObjectiveMs - jobCriticalPathMs,
       hasAdvicePolicy: queue?.advice !== undefined,
       runTime: policies.runTimes.predict(job, stepIndex),
-      organisationAttained: policies.shares.attainedOf(job.organisation),
+      isOverShare: policies.shares.isOverShare(job.organisation),
       isGuaranteed
     })
   })
