Refuse no job as too large while workers with runs have not reported

Cause: after a change of leader during the loss of a zone, a job that only the workers there can hold would have been refused for good. Change: such a refusal also needs a report in this term of each worker that had runs and has not left.

--- a/packages/batch/src/admission-policy.ts
+++ b/packages/batch/src/admission-policy.ts
@@ -15,6 +15,8 @@
   readonly nowMs: number
   /** The workers that have reported to this leader. */
   readonly views: Iterable<WorkerView>
+  /** Workers that had runs and may still exist, also those that have not reported to this leader. */
+  readonly presentWorkerIds: () => readonly string[]
   /** Whether a configuration is proposed that is not committed yet. */
   readonly isConfigurationPending: boolean
   /** Whether the job is urgent and fits into its organisation's guarantee beside the urgent jobs that are open. */
--- a/packages/batch/src/batch-state.ts
+++ b/packages/batch/src/batch-state.ts
@@ -156,6 +156,11 @@
     return this.#workers.departureOf(worker)
   }
 
+  /** Workers that had runs and are not known to have left, whether or not they have reported to this leader. */
+  presentWorkerIds (): string[] {
+    return this.#workers.presentWorkerIds()
+  }
+
   /** Maintenance waves in order of their start. */
   waves (): Iterable<WaveRecord> {
     return this.#waves.values()
--- a/packages/batch/src/known-fleet.ts
+++ b/packages/batch/src/known-fleet.ts
@@ -15,11 +15,13 @@
 /** The largest shapes and the largest capacity of each service. Workers that have gone count, as they may come back. */
 export class KnownFleet {
   readonly #pools = new Map<string, KnownPool>()
+  readonly #workerIds = new Set<string>()
 
   /** Takes all workers that report. */
   record (views: Iterable<WorkerView>): void {
     const totals = new Map<string, TaskShape>()
-    for (const { latest: { service, capacity } } of views) {
+    for (const { latest: { workerId, service, capacity } } of views) {
+      this.#workerIds.add(workerId)
       totals.set(service, combine(totals.get(service) ?? NOTHING, capacity, (left, right) => left + right))
       this.#addShape(this.#poolOf(service), capacity)
     }
@@ -29,6 +31,10 @@
     }
   }
 
+  hasSeen (workerIds: readonly string[]): boolean {
+    return workerIds.every(workerId => this.#workerIds.has(workerId))
+  }
+
   capacityOf (service: string): TaskShape {
     return this.#pools.get(service)?.capacity ?? NOTHING
   }
--- a/packages/batch/src/operation-handler.ts
+++ b/packages/batch/src/operation-handler.ts
@@ -108,6 +108,7 @@
       organisation,
       nowMs: clock.monotonicMs(),
       views: registry.views(),
+      presentWorkerIds: () => state.presentWorkerIds(),
       isConfigurationPending: this.#proposedDirectories.size > 0,
       isWithinGuarantee: () => new GuaranteeCoverage(state).wouldCover(spec, queue, organisation)
     })
--- a/packages/batch/src/shape-admission.ts
+++ b/packages/batch/src/shape-admission.ts
@@ -16,8 +16,8 @@
 
 /**
  * Refuses a job with a task that no worker of its service could hold, once all workers have reported and while no
- * configuration is pending. Workers that restart while the leader changes have reported by the end of the maintenance
- * that stops them.
+ * configuration is pending. Workers that had no runs are known only by their reports; those that restart while the
+ * leader changes have reported by the end of the maintenance that stops them.
  */
 export class ShapeAdmission extends AdmissionPolicy {
   readonly #options: ShapeAdmissionOptions
@@ -32,12 +32,13 @@
 
   override recordPass (_steps: readonly WaitingStep[], _decision: PassDecision, _nowMs: number): void {}
 
-  override refusalOf ({ spec, queue, nowMs, views, isConfigurationPending }: AdmissionRequest): Failure | undefined {
+  override refusalOf (request: AdmissionRequest): Failure | undefined {
+    const { spec, queue, nowMs, views, isConfigurationPending } = request
     this.fleet.record(views)
     const { fleetDiscoveryMs, maintenanceDownMs } = this.#options.settings
     if (isConfigurationPending || nowMs - this.#startedAtMs < fleetDiscoveryMs + maintenanceDownMs) return undefined
     const index = spec.steps.findIndex(step => this.fleet.noneHolds(queue.service, step))
-    if (index < 0) return undefined
+    if (index < 0 || !this.fleet.hasSeen(request.presentWorkerIds())) return undefined
     this.#options.metrics.increment('admission.refused', { reason: 'shape' })
     const { cpuMillicores, memoryMb, acceleratorCount } = (spec.steps[index] as StepSpec).shape
     return failure('impossible_shape', `no worker of service ${queue.service} has ${cpuMillicores} millicores, ` +
--- a/packages/batch/src/worker-records.ts
+++ b/packages/batch/src/worker-records.ts
@@ -32,6 +32,11 @@
     return [...this.#records]
   }
 
+  /** Workers whose latest incarnation is not known to have left. */
+  presentWorkerIds (): string[] {
+    return [...this.#records].filter(([, { departure }]) => departure !== 'left').map(([workerId]) => workerId)
+  }
+
   /** Sequence number of the last recorded run end of this incarnation; 0 for none. */
   lastEndSequence ({ workerId, incarnation }: WorkerIncarnation): number {
     const record = this.#records.get(workerId)
--- a/packages/batch/test/backlog-admission.test.ts
+++ b/packages/batch/test/backlog-admission.test.ts
@@ -176,6 +176,23 @@
   t.is(errorOf(fleet.submit('gone', KEY, OVERSIZED)), undefined)
 })
 
+// Guards against a refusal for good while the larger workers, as those of a lost zone, are not known to a new leader.
+test('after a change of leader such a job is accepted until all workers with runs have reported', t => {
+  const fleet = new ReplayedFleet(1, () => DAY_MS, withAdmission, configuration)
+  const capacity = { cpuMillicores: 64_000, memoryMb: 262_144, acceleratorCount: 16 }
+  fleet.fixture.heartbeat('large', { capacity })
+  fleet.submit('running', KEY, OVERSIZED)
+  fleet.fixture.heartbeat('large', { capacity })
+  fleet.fixture.changeLeader()
+  fleet.round()
+  fleet.fixture.advance(defaultBatchSettings.fleetDiscoveryMs + defaultBatchSettings.maintenanceDownMs)
+  fleet.round()
+  const huge = { ...OVERSIZED, shape: { ...WHOLE_WORKER, acceleratorCount: 17 } }
+  t.is(errorOf(fleet.submit('early', KEY, huge)), undefined)
+  fleet.fixture.heartbeat('large', { capacity })
+  t.is(errorOf(fleet.submit('later', KEY, huge)), 'impossible_shape')
+})
+
 test('the counter and the log tell operators when a queue refuses jobs', t => {
   const counted: string[] = []
   class Counters extends NullMetrics {
