--- a/packages/batch/src/policies.ts
+++ b/packages/batch/src/policies.ts
@@ -1,8 +1,9 @@
 /** The decisions of the leader that have several implementations. */
 import type { Clock, EventLog, Metrics } from '@comfreygrade/core'
 import { LearnedWorkerSpeeds } from './learned-worker-speeds.js'
-import { AcceptAllJobs, type AdmissionPolicy } from './admission-policy.js'
+import { BacklogAdmission } from './backlog-admission.js'
 import { FairShares } from './fair-shares.js'
+import { AcceptAllJobs, type AdmissionPolicy } from './admission-policy.js'
 import { UnlimitedShares, type OrganisationShares } from './organisation-shares.js'
 import { LearnedRunTimes } from './learned-run-times.js'
 import { CallerEstimates, type RunTimePredictor } from './run-time-predictor.js'
@@ -39,13 +40,13 @@
   readonly log: EventLog
 }
 
-/** Policies that learn from the load and decide by it. */
+/** Policies that learn from the load and decide by it, as far as the settings ask for them. */
 export function adaptivePolicies (context: PolicyContext): BatchPolicies {
+  const { settings, clock } = context
   return {
-    ...plainPolicies(),
-    runTimes: new LearnedRunTimes(context.clock),
+    runTimes: new LearnedRunTimes(clock),
     workerSpeeds: new LearnedWorkerSpeeds(context),
-    shares: new FairShares(context),
-    admission: new ShapeAdmission(context)
+    shares: settings.sharing === 'fair' ? new FairShares(context) : new UnlimitedShares(),
+    admission: settings.admission === 'backlog' ? new BacklogAdmission(context) : new ShapeAdmission(context)
   }
 }
--- a/packages/batch/src/settings.ts
+++ b/packages/batch/src/settings.ts
@@ -1,5 +1,11 @@
 /** Settings of the batch scheduler. */
 
+/** Whether organisations that occupy more than their share of a busy fleet come later, within lateness and priority. */
+export type SharingRule = 'none' | 'fair'
+
+/** Which jobs are refused: those that no worker could hold, or also those that the backlog makes useless. */
+export type AdmissionRule = 'shape' | 'backlog'
+
 /** Settings of the leader and its scheduler. A heartbeat is the message that carries a worker's report. */
 export interface BatchSettings {
   /**
@@ -66,6 +72,8 @@
   readonly minReclaimBudgetCoreSeconds: number
   /** Region of each availability zone of the deployment; empty where the settings name none. */
   readonly regionByAvailabilityZone: Readonly<Record<string, string>>
+  readonly sharing: SharingRule
+  readonly admission: AdmissionRule
   /** Slowdown of a same-rack gang that is spread over several racks. */
   readonly farFactor: number
   /** Utilisation of the fleet from which steps may wait longer for a better rack. */
@@ -138,6 +146,8 @@
   reclaimWorkFactor: 3,
   minReclaimBudgetCoreSeconds: 1_000,
   regionByAvailabilityZone: {},
+  sharing: 'none',
+  admission: 'shape',
   farFactor: 3,
   busyFleetUtilisation: 0.6,
   maxReservations: 4,
--- a/packages/batch/test/backlog-admission.test.ts
+++ b/packages/batch/test/backlog-admission.test.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check'
 import { NullEventLog, NullMetrics, Random } from '@comfreygrade/core'
 import {
-  defaultBatchSettings, plainPolicies, type BatchPolicies, type BatchResult, type PolicyContext
+  adaptivePolicies, defaultBatchSettings, plainPolicies, type BatchPolicies, type BatchResult, type PolicyContext
 } from '../src/index.js'
 import { BacklogAdmission } from '../src/backlog-admission.js'
 import { ReplayedFleet } from './replayed-fleet.js'
@@ -162,6 +162,17 @@
   t.is(errorOf(fleet.submit('later', KEY, OVERSIZED)), 'impossible_shape')
 })
 
+// Guards against a leader of a process that lets such a job wait without end.
+test('the adaptive policies refuse such a job, the plain ones accept it', t => {
+  const answerWith = (createPolicies: (context: PolicyContext) => BatchPolicies): string | undefined => {
+    const fleet = new ReplayedFleet(1, () => DAY_MS, createPolicies, configuration)
+    fleet.fixture.advance(defaultBatchSettings.maintenanceDownMs)
+    return errorOf(fleet.submit('oversized', KEY, OVERSIZED))
+  }
+  t.is(answerWith(adaptivePolicies), 'impossible_shape')
+  t.is(answerWith(plainPolicies), undefined)
+})
+
 test('while a configuration is pending, or after a larger worker has gone, such a job is accepted', t => {
   const fleet = new ReplayedFleet(1, () => DAY_MS, withAdmission, configuration)
   fleet.fixture.advance(defaultBatchSettings.maintenanceDownMs)
@@ -176,6 +187,23 @@
   t.is(errorOf(fleet.submit('gone', KEY, OVERSIZED)), undefined)
 })
 
+// Guards against a refusal for good while the larger workers, as those of a lost zone, are not known to a new leader.
+test('after a change of leader such a job is accepted until all workers with runs have reported', t => {
+  const fleet = new ReplayedFleet(1, () => DAY_MS, withAdmission, configuration)
+  const capacity = { cpuMillicores: 64_000, memoryMb: 262_144, acceleratorCount: 16 }
+  fleet.fixture.heartbeat('large', { capacity })
+  fleet.submit('running', KEY, OVERSIZED)
+  fleet.fixture.heartbeat('large', { capacity })
+  fleet.fixture.changeLeader()
+  fleet.round()
+  fleet.fixture.advance(defaultBatchSettings.fleetDiscoveryMs + defaultBatchSettings.maintenanceDownMs)
+  fleet.round()
+  const huge = { ...OVERSIZED, shape: { ...WHOLE_WORKER, acceleratorCount: 17 } }
+  t.is(errorOf(fleet.submit('early', KEY, huge)), undefined)
+  fleet.fixture.heartbeat('large', { capacity })
+  t.is(errorOf(fleet.submit('later', KEY, huge)), 'impossible_shape')
+})
+
 test('the counter and the log tell operators when a queue refuses jobs', t => {
   const counted: string[] = []
   class Counters extends NullMetrics {
