Correct estimates only as far as the samples show it

Cause: the corrections of single organisations and kinds of tasks followed the chance of few samples, and the median of an organisation counted twice. Change: a mean is shrunk by how far its samples scatter; the median of what is left is that of the queue.

--- a/packages/batch/src/learned-run-times.ts
+++ b/packages/batch/src/learned-run-times.ts
@@ -195,15 +195,22 @@
   return logEstimate + queue.line.at(x) + caller.line.at(x) + kind.line.at(x)
 }
 
-/** Quantile of what the lines leave, by organisation, shrunk towards that of the queue, and that towards no error. */
+/**
+ * Quantile of what the lines leave. The median is that of the queue, since the line of the caller already has the
+ * caller's offset; the distance from it is by caller, shrunk towards that of the queue, and that towards none.
+ */
 function logQuantile ({ queue, caller }: Groups, share: number): number {
-  const byQueue = shrunkQuantile(queue.ratios, share, 0)
-  return shrunkQuantile(caller.ratios, share, byQueue)
+  const median = shrunk(queue.ratios, queue.ratios.quantile(0.5), 0)
+  const byQueue = shrunk(queue.ratios, distanceFromMedian(queue.ratios, share), 0)
+  return median + shrunk(caller.ratios, distanceFromMedian(caller.ratios, share), byQueue)
+}
+
+function distanceFromMedian (ratios: RecentRatios, share: number): number {
+  return ratios.quantile(share) - ratios.quantile(0.5)
 }
 
-function shrunkQuantile (ratios: RecentRatios, share: number, prior: number): number {
-  const trust = ratios.weight / (ratios.weight + RATIOS_PRIOR_WEIGHT)
-  return prior + trust * (ratios.quantile(share) - prior)
+function shrunk (ratios: RecentRatios, value: number, prior: number): number {
+  return prior + (value - prior) * ratios.weight / (ratios.weight + RATIOS_PRIOR_WEIGHT)
 }
 
 /**
--- a/packages/batch/src/run-time-model.ts
+++ b/packages/batch/src/run-time-model.ts
@@ -23,6 +23,7 @@
   #sumY = 0
   #sumXX = 0
   #sumXY = 0
+  #sumYY = 0
 
   /**
    * @param priorWeight - weight of the samples that half of their mean is believed of
@@ -44,6 +45,7 @@
     this.#sumY *= factor
     this.#sumXX *= factor
     this.#sumXY *= factor
+    this.#sumYY *= factor
   }
 
   learn (x: number, y: number, weight: number): void {
@@ -53,6 +55,7 @@
     this.#sumY += weight * y
     this.#sumXX += weight * x * x
     this.#sumXY += weight * x * y
+    this.#sumYY += weight * y * y
   }
 
   /** Mean abscissa of the samples; 0 without any. */
@@ -65,11 +68,19 @@
     return this.#weight > 0 ? Math.sqrt(Math.max(0, this.#sumXX / this.#weight - this.centre ** 2)) : 0
   }
 
+  /** Share of the mean that is not likely to be chance, which the deviations of the samples from the mean show. */
+  #significance (mean: number): number {
+    const variance = Math.max(0, this.#sumYY / this.#weight - mean ** 2)
+    return mean === 0 ? 0 : mean ** 2 / (mean ** 2 + variance / this.#weight)
+  }
+
+  /** Correction for this abscissa; 0 without samples. */
   at (x: number): number {
     if (this.#weight <= 0) return 0
     const mean = this.#sumY / this.#weight
     const slope = (this.#sumXY - this.#sumX * mean) / (this.#sumXX - this.#sumX * this.centre + this.#priorSpread)
-    return (mean + slope * (x - this.centre)) * this.#weight / (this.#weight + this.#priorWeight)
+    const trust = this.#weight / (this.#weight + this.#priorWeight)
+    return (mean * this.#significance(mean) + slope * (x - this.centre)) * trust
   }
 }
 
