Order steps by estimates without their systematic error

Cause: ordering by the predicted run time gave less value than ordering by the callers' estimates. The predictions are closer to the run times, but differ less from one another than the run times do. Change: RunTimePrediction.unbiasedMs, the estimate corrected by the usual error of its caller, for objectives, lateness and critical paths; estimates that are far below the usual ones count as the bound of the usual ones.

--- a/packages/batch/src/learned-run-times.ts
+++ b/packages/batch/src/learned-run-times.ts
@@ -132,7 +132,7 @@
 }
 
 function callersEstimate (estimateMs: number): RunTimePrediction {
-  return { typicalMs: estimateMs, highMs: estimateMs, sampleCount: 0 }
+  return { typicalMs: estimateMs, unbiasedMs: estimateMs, highMs: estimateMs, sampleCount: 0 }
 }
 
 function createLine (priorWeight: number): ShrunkenLine {
@@ -186,7 +186,8 @@
   const centre = logCentre(groups, spec)
   const typicalMs = Math.exp(centre + logQuantile(groups, 0.5))
   const highMs = Math.max(typicalMs, Math.exp(centre + logQuantile(groups, HIGH_SHARE)))
-  return { typicalMs, highMs, sampleCount: Math.max(queue.line.weight, caller.line.weight) }
+  const unbiasedMs = Math.exp(logUnbiased(groups, spec) + logQuantile(groups, 0.5))
+  return { typicalMs, unbiasedMs, highMs, sampleCount: Math.max(queue.line.weight, caller.line.weight) }
 }
 
 function logCentre ({ queue, caller, kind }: Groups, spec: StepSpec): number {
@@ -195,6 +196,18 @@
   return logEstimate + queue.line.at(x) + caller.line.at(x) + kind.line.at(x)
 }
 
+/**
+ * The estimate without the error of the usual estimates of its caller. One that is shorter than nearly all of the queue
+ * counts as one at the bound of the usual ones, so that a caller gains little by a few that are far too short.
+ */
+function logUnbiased ({ queue, caller, kind }: Groups, spec: StepSpec): number {
+  const { centre, spread } = queue.estimates
+  const logEstimate = Math.max(logEstimateOf(spec), centre - spread * USUAL_SPREAD_FACTOR)
+  const { weight } = caller.line
+  const usualOfCaller = caller.line.centre * weight / (weight + CALLER_PRIOR_WEIGHT)
+  return logEstimate + queue.line.at(usualOfCaller) + caller.line.at(usualOfCaller) + kind.line.at(usualOfCaller)
+}
+
 /**
  * Quantile of what the lines leave. The median is that of the queue, since the line of the caller already has the
  * caller's offset; the distance from it is by caller, shrunk towards that of the queue, and that towards none.
