--- a/packages/batch/src/learned-run-times.ts
+++ b/packages/batch/src/learned-run-times.ts
@@ -9,7 +9,7 @@
 const HALF_LIFE_MS = 120_000
 /** Most kinds of work that are remembered; those that were used longest ago are forgotten first. */
 const MAX_KINDS = 4_096
-/** Most callers (an organisation at a queue) that are remembered. A caller takes about 20 kB, a kind 300 bytes. */
+/** Most callers (an organisation at a queue) that are remembered. A caller takes about 17 kB, a kind 300 bytes. */
 const MAX_CALLERS = 512
 const MAX_QUEUES = 128
 const HIGH_SHARE = 0.9
@@ -132,7 +132,7 @@
 }
 
 function callersEstimate (estimateMs: number): RunTimePrediction {
-  return { typicalMs: estimateMs, highMs: estimateMs, sampleCount: 0 }
+  return { typicalMs: estimateMs, objectiveMs: estimateMs, highMs: estimateMs, sampleCount: 0 }
 }
 
 function createLine (priorWeight: number): ShrunkenLine {
@@ -186,7 +186,8 @@
   const centre = logCentre(groups, spec)
   const typicalMs = Math.exp(centre + logQuantile(groups, 0.5))
   const highMs = Math.max(typicalMs, Math.exp(centre + logQuantile(groups, HIGH_SHARE)))
-  return { typicalMs, highMs, sampleCount: Math.max(queue.line.weight, caller.line.weight) }
+  const objectiveMs = Math.max(spec.estimateMs, Math.exp(logUnbiased(groups, spec) + logQuantile(groups, 0.5)))
+  return { typicalMs, objectiveMs, highMs, sampleCount: Math.max(queue.line.weight, caller.line.weight) }
 }
 
 function logCentre ({ queue, caller, kind }: Groups, spec: StepSpec): number {
@@ -195,15 +196,34 @@
   return logEstimate + queue.line.at(x) + caller.line.at(x) + kind.line.at(x)
 }
 
-/** Quantile of what the lines leave, by organisation, shrunk towards that of the queue, and that towards no error. */
+/**
+ * Logarithm of the estimate without the error of the usual estimates of its caller. One that is shorter than nearly all
+ * of the queue counts as one at the bound of the usual ones, so that a caller gains little by a few such estimates.
+ */
+function logUnbiased ({ queue, caller, kind }: Groups, spec: StepSpec): number {
+  const { centre, spread } = queue.estimates
+  const logEstimate = Math.max(logEstimateOf(spec), centre - spread * USUAL_SPREAD_FACTOR)
+  const { weight } = caller.line
+  const usualOfCaller = caller.line.centre * weight / (weight + CALLER_PRIOR_WEIGHT)
+  return logEstimate + queue.line.at(usualOfCaller) + caller.line.at(usualOfCaller) + kind.line.at(usualOfCaller)
+}
+
+/**
+ * Quantile of what the lines leave. The median is that of the queue, since the line of the caller already has the
+ * caller's offset; the distance from it is by caller, shrunk towards that of the queue, and that towards none.
+ */
 function logQuantile ({ queue, caller }: Groups, share: number): number {
-  const byQueue = shrunkQuantile(queue.ratios, share, 0)
-  return shrunkQuantile(caller.ratios, share, byQueue)
+  const median = shrunk(queue.ratios, queue.ratios.quantile(0.5), 0)
+  const byQueue = shrunk(queue.ratios, distanceFromMedian(queue.ratios, share), 0)
+  return median + shrunk(caller.ratios, distanceFromMedian(caller.ratios, share), byQueue)
+}
+
+function distanceFromMedian (ratios: RecentRatios, share: number): number {
+  return ratios.quantile(share) - ratios.quantile(0.5)
 }
 
-function shrunkQuantile (ratios: RecentRatios, share: number, prior: number): number {
-  const trust = ratios.weight / (ratios.weight + RATIOS_PRIOR_WEIGHT)
-  return prior + trust * (ratios.quantile(share) - prior)
+function shrunk (ratios: RecentRatios, value: number, prior: number): number {
+  return prior + (value - prior) * ratios.weight / (ratios.weight + RATIOS_PRIOR_WEIGHT)
 }
 
 /**
--- a/packages/cli/src/command.ts
+++ b/packages/cli/src/command.ts
@@ -19,6 +19,7 @@
   readonly withNode: boolean
   readonly address?: string
   readonly timeoutMs: number
+  readonly against?: string
 }
 
 /** Everything that a command can use. */
