Limit what untrusted clients occupy of an HTTP server

Cause: bodies were kept chunk by chunk up to 16 MiB each, without a limit for all of them, requests sent ahead were parsed and run without bound, and connections, headers and bodies had no timeouts below those of Node.js.

The new error kind `overloaded` (503, not run) is the answer to a body that is dropped.

--- a/packages/core/src/errors.ts
+++ b/packages/core/src/errors.ts
@@ -84,6 +84,8 @@
   | 'not_leader'
   /** This node is shutting down or drained, and takes no new requests. */
   | 'shutting_down'
+  /** This node has no memory for the request at present; it has not been executed. */
+  | 'overloaded'
   /** The caller disconnected before the work was executed. */
   | 'cancelled'
   /**
@@ -166,6 +168,7 @@
   control_unavailable: response(503, 'not_run', 'later', 2_000),
   not_leader: response(503, 'not_run', 'now'),
   shutting_down: response(503, 'not_run', 'now'),
+  overloaded: response(503, 'not_run', 'later', 1_000),
   cancelled: response(409, 'not_run', 'never'),
   stale_term: response(409, 'not_run', 'never'),
   internal_error: response(500, 'unknown', 'ask_outcome')
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,3 +1,4 @@
+export * from './client-admission.js'
 export * from './clock.js'
 export * from './configuration-schema.js'
 export * from './configuration.js'
--- /dev/null
+++ b/packages/core/test/client-admission.test.ts
@@ -0,0 +1,118 @@
+import test from 'ava'
+import { ClientAdmission, type ClientAdmissionLimits } from '../src/index.js'
+
+interface Thing { readonly name: string }
+
+function thing (name: string): Thing {
+  return { name }
+}
+
+const limits: ClientAdmissionLimits = {
+  budgetBytes: 1_000,
+  maxAddressPercent: 50,
+  maxConnections: { client: 4, control: 4, readiness: 2, metrics: 2 },
+  maxPipelinedRequests: 2,
+  maxFragmentedBodies: 1
+}
+
+function create (changes: Partial<ClientAdmissionLimits> = {}): ClientAdmission<Thing, Thing> {
+  return new ClientAdmission({ ...limits, ...changes })
+}
+
+function connect (admission: ClientAdmission<Thing, Thing>, name: string, address: string, nowMs = 0): Thing {
+  const connection = thing(name)
+  admission.openConnection(connection, { address, pool: 'client', nowMs })
+  return connection
+}
+
+// Guards against idle connections that keep new clients out, and against the loss of an ordinary client's connection.
+test('a full pool replaces the oldest connection without an answer, never one that was answered', t => {
+  const admission = create({ maxAddressPercent: 100 })
+  const ordinary = connect(admission, 'ordinary', 'a')
+  admission.beginRequest(ordinary)
+  admission.endRequest(ordinary, 0)
+  const idle = connect(admission, 'idle', 'b')
+  for (const name of ['c', 'd']) admission.beginRequest(connect(admission, name, name))
+  t.deepEqual(admission.openConnection(thing('new'), { address: 'e', pool: 'client', nowMs: 1 }), {
+    dropped: [idle], droppedFor: 'connections'
+  })
+  t.is(admission.openConnection(thing('readiness'), { address: 'e', pool: 'readiness', nowMs: 1 }).refused, undefined)
+})
+
+// Guards against a single address that takes all connections.
+test('an address holds only its share of a pool', t => {
+  const admission = create()
+  for (const name of ['a', 'b']) admission.beginRequest(connect(admission, name, 'x'))
+  t.is(admission.openConnection(thing('c'), { address: 'x', pool: 'client', nowMs: 1 }).refused, 'address_connections')
+  t.is(admission.openConnection(thing('d'), { address: 'y', pool: 'client', nowMs: 1 }).refused, undefined)
+})
+
+// Guards against stalled bodies that hold the connections of an address until their timeout.
+test('a connection with a stalled body makes room for a new one', t => {
+  const admission = create()
+  const connections = ['a', 'b'].map(name => connect(admission, name, 'x'))
+  for (const connection of connections) {
+    admission.beginRequest(connection)
+    admission.beginBody(connection, connection, { maxBodyBytes: 100 }, 0)
+  }
+  t.deepEqual(admission.openConnection(thing('c'), { address: 'x', pool: 'client', nowMs: 2_000 }).dropped, [connections[0]])
+})
+
+test('a body over its limit is refused by its announced length, or once it exceeds the limit', t => {
+  const admission = create()
+  const connection = connect(admission, 'a', 'x')
+  t.is(admission.beginBody(thing('a'), connection, { maxBodyBytes: 100, announcedBytes: 101 }, 0).refused, 'body_bytes')
+  const body = thing('b')
+  admission.beginBody(body, connection, { maxBodyBytes: 100 }, 0)
+  t.is(admission.receiveChunk(body, 100, 100, 0).refused, undefined)
+  t.is(admission.receiveChunk(body, 1, 200, 0).refused, 'body_bytes')
+  t.is(admission.heldBytes, 0)
+})
+
+// Guards against large unfinished bodies that keep ordinary ones out.
+test('the slowest and largest unfinished body is dropped to keep the budget, never a complete one', t => {
+  const admission = create({ maxAddressPercent: 100 })
+  const [complete, slow, ordinary] = [thing('complete'), thing('slow'), thing('ordinary')]
+  for (const [body, address] of [[complete, 'x'], [slow, 'y'], [ordinary, 'z']] as const) {
+    admission.beginBody(body, connect(admission, body.name, address), { maxBodyBytes: 1_000 }, 0)
+  }
+  admission.receiveChunk(complete, 500, 500, 0)
+  admission.completeBody(complete)
+  admission.receiveChunk(slow, 450, 450, 0)
+  t.deepEqual(admission.receiveChunk(ordinary, 100, 100, 50), { dropped: [slow], droppedFor: 'body_budget' })
+  t.is(admission.heldBytes, 600)
+})
+
+// Guards against a single address that uses up the budget of all others.
+test('an address keeps to its share of the budget, but a single body may use all of it', t => {
+  const admission = create()
+  const connection = connect(admission, 'a', 'x')
+  const [first, second] = [thing('1'), thing('2')]
+  admission.beginBody(first, connection, { maxBodyBytes: 1_000 }, 0)
+  t.is(admission.receiveChunk(first, 900, 900, 0).refused, undefined)
+  admission.beginBody(second, connection, { maxBodyBytes: 1_000 }, 0)
+  t.deepEqual(admission.receiveChunk(second, 50, 50, 10).dropped, [first])
+})
+
+// Guards against chunks of one byte, which cost processor time rather than memory.
+test('fragmented bodies beyond the limit are refused, a single one is served', t => {
+  const admission = create({ budgetBytes: 1_000_000 })
+  const refusals = ['a', 'b'].map(name => {
+    const body = thing(name)
+    admission.beginBody(body, connect(admission, name, name), { maxBodyBytes: 10_000 }, 0)
+    return Array.from({ length: 5_000 }, () => admission.receiveChunk(body, 1, 100, 0).refused).find(Boolean)
+  })
+  t.deepEqual(refusals, [undefined, 'chunk_size'])
+})
+
+// Guards against requests sent ahead, and against answers that nobody reads.
+test('requests sent ahead are limited, and the connection with most unread answers is dropped first', t => {
+  const admission = create()
+  const [reader, other] = [connect(admission, 'reader', 'x'), connect(admission, 'other', 'y')]
+  t.deepEqual([1, 2, 3].map(() => admission.beginRequest(other).refused), [undefined, undefined, 'pipelined_requests'])
+  admission.beginAnswer(other, 600)
+  admission.beginRequest(reader)
+  t.deepEqual(admission.beginAnswer(reader, 500).dropped, [other])
+  admission.endRequest(reader, 500)
+  t.is(admission.heldBytes, 0)
+})
