Apply the configured limits of clients at entry nodes, at less cost a request

Change: QueueDocument carries the limits (clientLimits); control nodes name them with their version in `members`, and an entry node applies those of the newest version. Malformed limits have no effect. The admission keeps its counts on the connection and on the address, and does not count bodies and answers below 4 KiB that arrive at once.

--- a/packages/batch-node/src/batch-node.ts
+++ b/packages/batch-node/src/batch-node.ts
@@ -8,7 +8,7 @@
 import { ControlMembership } from './control-membership.js'
 import { LeaderClient } from './leader-client.js'
 import { isValidMessage } from './message-validation.js'
-import type { LeaderRequest, LeaderResponse, BatchMessage, ControlNodeInfo } from './messages.js'
+import type { LeaderRequest, LeaderResponse, BatchMessage, ControlNodeInfo, VersionedClientLimits } from './messages.js'
 
 /** Options of {@link BatchNode}. */
 export interface BatchNodeOptions
@@ -20,6 +20,8 @@
   readonly seeds: readonly PeerAddress[]
   /** Absent on a process without a disk, which never becomes a control node. */
   readonly disk?: ControlDisk
+  /** Called with the limits of each newer configuration that a control node names. */
+  readonly onClientLimits?: (limits: VersionedClientLimits) => void
   /** Number of voters if there are enough control nodes. */
   readonly targetVoterCount: number
 }
@@ -55,6 +57,7 @@
   #leaderHint: string | null = null
   /** Highest term of which this node knows the leader. */
   #leaderTerm = 0
+  #clientLimitsVersion = -Infinity
   #helloTimer: NodeJS.Timeout | undefined
   #intervalCount = 0
 
@@ -191,7 +194,10 @@
 
   #membersMessage (): BatchMessage {
     const { leaderNodeId = null, term = 0 } = this.#service ?? {}
-    return { kind: 'members', nodes: this.#knownNodes(), leaderNodeId, term }
+    const { clientLimits } = this.#service ?? {}
+    return {
+      kind: 'members', nodes: this.#knownNodes(), leaderNodeId, term, ...(clientLimits === undefined ? {} : { clientLimits })
+    }
   }
 
   #receive (from: string, message: BatchMessage): void {
@@ -224,7 +230,9 @@
   }
 
   /** A node of an older version names no term; its leader is only tried first. */
-  #receiveMembers ({ nodes, leaderNodeId, term }: Extract<BatchMessage, { kind: 'members' }>): void {
+  #receiveMembers (message: Extract<BatchMessage, { kind: 'members' }>): void {
+    const { nodes, leaderNodeId, term, clientLimits } = message
+    if (clientLimits !== undefined) this.#receiveClientLimits(clientLimits)
     if (leaderNodeId !== null && term !== undefined) this.#handleLeader({ nodeId: leaderNodeId, term })
     else this.#leaderHint = leaderNodeId ?? this.#leaderHint
     for (const node of nodes) {
@@ -234,6 +242,13 @@
     }
   }
 
+  /** A control node that lags behind names an earlier configuration, which is ignored. */
+  #receiveClientLimits (limits: VersionedClientLimits): void {
+    if (limits.version <= this.#clientLimitsVersion) return
+    this.#clientLimitsVersion = limits.version
+    this.#options.onClientLimits?.(limits)
+  }
+
   #knownNodes (): ControlNodeInfo[] {
     const own = this.#ownControlInfo()
     const known = this.#membership.forgetSilentNodes(this.voters)
--- a/packages/batch-node/src/batch-service.ts
+++ b/packages/batch-node/src/batch-service.ts
@@ -10,7 +10,7 @@
 import type { LogStorage, RecoveredLog, Replica, ReplicaSettings, VoterId } from '@comfreygrade/consensus'
 import { fail, type Clock, type EventLog, type Metrics, type Random } from '@comfreygrade/core'
 import { ReplicatedStateMachine, StateMachine } from '@comfreygrade/node/adapters'
-import type { LeaderRequest, LeaderResponse, BatchMessage } from './messages.js'
+import type { LeaderRequest, LeaderResponse, BatchMessage, VersionedClientLimits } from './messages.js'
 import { PortCalls } from './port-calls.js'
 import type { AdvicePort, VmPort } from './ports.js'
 
@@ -97,6 +97,12 @@
     return this.replica?.term ?? 0
   }
 
+  /** Limits of clients' requests in the latest configuration that this node knows. */
+  get clientLimits (): VersionedClientLimits | undefined {
+    const document = this.#state.directory?.document
+    return document === undefined ? undefined : { ...document.clientLimits, version: document.version }
+  }
+
   get isActiveLeader (): boolean {
     return this.#replicatedStateMachine.isActiveLeader
   }
--- a/packages/batch-node/src/message-validation.ts
+++ b/packages/batch-node/src/message-validation.ts
@@ -80,10 +80,18 @@
   not_leader: hasFields({ leaderNodeId: either(isNull, isString) })
 })
 
+const isLimit = either(isAbsent, isCount)
+const isClientLimits = hasFields({
+  version: isNumber, maxHeaderBytes: isLimit, maxBodyBytes: isLimit, headerTimeoutMs: isLimit, idleTimeoutMs: isLimit
+})
+
 const isBatchMessage = byKind({
   hello: hasFields({ nodeId: isString, control: either(isNull, isControlNode) }),
   members: hasFields({
-    nodes: listOf(isControlNode), leaderNodeId: either(isNull, isString), term: either(isAbsent, isCount)
+    nodes: listOf(isControlNode),
+    leaderNodeId: either(isNull, isString),
+    term: either(isAbsent, isCount),
+    clientLimits: either(isAbsent, isClientLimits)
   }),
   raft: hasFields({ from: isVoter, to: isVoter, message: isConsensusMessage }),
   ask: hasFields({ requestId: isString, ask: isLeaderRequest }),
--- a/packages/batch-node/src/messages.ts
+++ b/packages/batch-node/src/messages.ts
@@ -1,5 +1,7 @@
 /** Messages between the processes of the batch scheduler. Names of fields and kinds are part of the wire format. */
-import type { BatchCommand, BatchOperation, BatchResult, WorkerOrders, WorkerReport } from '@comfreygrade/batch'
+import type {
+  BatchCommand, BatchOperation, BatchResult, ClientRequestLimits, WorkerOrders, WorkerReport
+} from '@comfreygrade/batch'
 import type { ConsensusMessage, VoterId } from '@comfreygrade/consensus'
 import type { PeerAddress } from '@comfreygrade/node/adapters'
 
@@ -11,6 +13,11 @@
   readonly startedWallMs: number
 }
 
+/** Limits of the configuration with this version. */
+export interface VersionedClientLimits extends ClientRequestLimits {
+  readonly version: number
+}
+
 /** A request to the leader. */
 export type LeaderRequest =
   | { readonly kind: 'operation', readonly operation: BatchOperation }
@@ -52,6 +59,8 @@
     readonly leaderNodeId: string | null
     /** Term of the sender, by which a former leader is told from its successor; absent in older versions. */
     readonly term?: number
+    /** Absent if the sender knows no configuration, and in older versions. */
+    readonly clientLimits?: VersionedClientLimits
   }
   | {
     readonly kind: 'raft'
--- a/packages/batch-node/test/batch-node.test.ts
+++ b/packages/batch-node/test/batch-node.test.ts
@@ -1,5 +1,7 @@
+import { setTimeout as pause } from 'node:timers/promises'
 import test from 'ava'
 import type { BatchOperation, QueueDocument } from '@comfreygrade/batch'
+import type { VersionedClientLimits } from '../src/index.js'
 import { Cluster } from './cluster.js'
 
 const HOST = 'print.example'
@@ -68,6 +70,19 @@
   t.like(await frontend.execute(getConfiguration, 1_000), { value: { source: queueDocument.source } })
 })
 
+// Guards against a frontend that keeps to other limits of clients' requests than the configuration in force states.
+test.serial('a frontend is told the limits of the configuration in force, and those of a newer one', async t => {
+  const { cluster, frontend } = await startCluster(t)
+  const received: VersionedClientLimits[] = []
+  await cluster.startFrontend('entry-2', limits => { received.push(limits) })
+  const document = { ...queueDocument, version: 4, clientLimits: { maxBodyBytes: 262_144 } }
+  await cluster.executeUntil(frontend, { kind: 'put_configuration', document })
+  const deadlineMs = performance.now() + 15_000
+  while (received.at(-1)?.version !== 4 && performance.now() < deadlineMs) await pause(50)
+  t.like(received.at(-1), { version: 4, maxBodyBytes: 262_144 })
+  t.deepEqual(received.map(({ version }) => version), [...received.map(({ version }) => version)].sort())
+})
+
 test.serial('an accepted job survives a restart of all control nodes', async t => {
   const { cluster, frontend } = await startCluster(t)
   await cluster.executeUntil(frontend, submitJob('j1'))
--- a/packages/batch-node/test/cluster.ts
+++ b/packages/batch-node/test/cluster.ts
@@ -8,7 +8,7 @@
 import { NullMetrics, Random, StrictEventLog } from '@comfreygrade/core'
 import { SystemClock, type PeerAddress } from '@comfreygrade/node/adapters'
 import { findFreePorts } from '@comfreygrade/standins'
-import { BatchNode, NullAdvicePort, NullVmPort, openControlDisk, type ControlDisk } from '../src/index.js'
+import { BatchNode, type BatchNodeOptions, NullAdvicePort, NullVmPort, openControlDisk, type ControlDisk } from '../src/index.js'
 
 const HOST = '127.0.0.1'
 
@@ -39,8 +39,8 @@
   }
 
   /** Starts a node without a disk. */
-  async startFrontend (nodeId: string): Promise<BatchNode> {
-    return await this.#start({ nodeId, host: HOST, port: await freePort() }, undefined)
+  async startFrontend (nodeId: string, onClientLimits?: BatchNodeOptions['onClientLimits']): Promise<BatchNode> {
+    return await this.#start({ nodeId, host: HOST, port: await freePort() }, undefined, { onClientLimits })
   }
 
   /** Address of the peer links of a seed. */
@@ -92,9 +92,12 @@
     await rm(this.#folder, { recursive: true, force: true })
   }
 
-  async #start (address: PeerAddress, disk: ControlDisk | undefined): Promise<BatchNode> {
+  async #start (
+    address: PeerAddress, disk: ControlDisk | undefined, options: Pick<BatchNodeOptions, 'onClientLimits'> = {}
+  ): Promise<BatchNode> {
     const clock = new SystemClock()
     const node = new BatchNode({
+      ...options,
       ...address,
       seeds: this.#seeds,
       disk,
--- a/packages/batch/src/queues.ts
+++ b/packages/batch/src/queues.ts
@@ -54,12 +54,21 @@
   readonly permittedRegions?: readonly string[]
 }
 
+/** Limits of the requests of clients at entry nodes; those that are absent have the defaults of the process. */
+export interface ClientRequestLimits {
+  readonly maxHeaderBytes?: number
+  readonly maxBodyBytes?: number
+  readonly headerTimeoutMs?: number
+  readonly idleTimeoutMs?: number
+}
+
 /** A complete configuration. */
 export interface QueueDocument {
   readonly version: number
   readonly queues: readonly QueueConfiguration[]
   readonly services: readonly ServiceConfiguration[]
   readonly organisations: readonly OrganisationConfiguration[]
+  readonly clientLimits?: ClientRequestLimits
   /** The document as the operator sent it, for reading it back. */
   readonly source: string
 }
--- a/packages/core/src/client-admission.ts
+++ b/packages/core/src/client-admission.ts
@@ -42,24 +42,33 @@
   readonly announcedBytes?: number
 }
 
+/** What one address holds. */
+interface AddressState {
+  readonly connectionCounts: Record<ConnectionPool, number>
+  heldBytes: number
+}
+
 interface ConnectionState {
-  readonly address: string
+  readonly addressName: string
+  readonly address: AddressState
   readonly pool: ConnectionPool
-  readonly openedAtMs: number
   openRequests: number
   hasServed: boolean
   unreadBytes: number
+  unfinishedBodies: number
+  lastBodyAtMs: number
 }
 
-interface BodyState<Connection> {
-  readonly connection: Connection
-  readonly address: string
+/** A body that is admitted, until its request ends. */
+export interface AdmittedBody<Body> {
+  readonly body: Body
+  readonly connection: ConnectionState
   readonly bounds: BodyBounds
   readonly startedAtMs: number
   receivedBytes: number
   heldBytes: number
   chunkCount: number
-  isComplete: boolean
+  isFinished: boolean
 }
 
 /** A body of more chunks than this counts as fragmented if its chunks are small on average. */
@@ -80,9 +89,10 @@
   readonly #limits: ClientAdmissionLimits
   /** In the order in which they were opened. */
   readonly #connections = new Map<Connection, ConnectionState>()
-  readonly #connectionCounts = new Map<string, number>()
-  readonly #bodies = new Map<Body, BodyState<Connection>>()
-  readonly #heldByAddress = new Map<string, number>()
+  readonly #addresses = new Map<string, AddressState>()
+  readonly #connectionCounts = emptyCounts()
+  /** Bodies that hold memory. */
+  readonly #bodies = new Set<AdmittedBody<Body>>()
   #heldBytes = 0
 
   constructor (limits: ClientAdmissionLimits) {
@@ -105,9 +115,7 @@
     const victim = limit === undefined ? undefined : this.#findReplaceable(pool, limit, address, nowMs)
     if (limit !== undefined && victim === undefined) return { refused: limit, dropped: [] }
     if (victim !== undefined) this.closeConnection(victim)
-    const state = { address, pool, openedAtMs: nowMs, openRequests: 0, hasServed: false, unreadBytes: 0 }
-    this.#connections.set(connection, state)
-    this.#count(state, 1)
+    this.#addConnection(connection, address, pool)
     return victim === undefined ? NOTHING_DROPPED : { dropped: [victim], droppedFor: limit }
   }
 
@@ -115,8 +123,11 @@
     const state = this.#connections.get(connection)
     if (state === undefined) return
     this.#connections.delete(connection)
-    this.#count(state, -1)
+    this.#connectionCounts[state.pool]--
     this.#hold(state.address, -state.unreadBytes)
+    const counts = state.address.connectionCounts
+    counts[state.pool]--
+    if (Object.values(counts).every(count => count === 0)) this.#addresses.delete(state.addressName)
   }
 
   hasOpenRequest (connection: Connection): boolean {
@@ -156,95 +167,108 @@
     return dropped.length === 0 ? NOTHING_DROPPED : { dropped, droppedFor: 'unread_answers' }
   }
 
-  /** Admits a body by its announced length, before any of it is read. */
-  beginBody (body: Body, connection: Connection, bounds: BodyBounds, nowMs: number): Admission<Body> {
-    if ((bounds.announcedBytes ?? 0) > bounds.maxBodyBytes) return { refused: 'body_bytes', dropped: [] }
-    const address = this.#connections.get(connection)?.address ?? ''
-    this.#bodies.set(body, {
-      connection, address, bounds, startedAtMs: nowMs, receivedBytes: 0, heldBytes: 0, chunkCount: 0, isComplete: false
-    })
-    return NOTHING_DROPPED
+  /** Admits a body by its announced length, before any of it is read; returns the limit that refuses it. */
+  beginBody (
+    body: Body, connection: Connection, bounds: BodyBounds, nowMs: number
+  ): AdmittedBody<Body> | ClientLimit {
+    if ((bounds.announcedBytes ?? 0) > bounds.maxBodyBytes) return 'body_bytes'
+    const state = this.#connections.get(connection) ?? createConnectionState('', createAddressState(), 'client')
+    state.unfinishedBodies++
+    state.lastBodyAtMs = nowMs
+    return {
+      body,
+      connection: state,
+      bounds,
+      startedAtMs: nowMs,
+      receivedBytes: 0,
+      heldBytes: 0,
+      chunkCount: 0,
+      isFinished: false
+    }
   }
 
   /** Counts a chunk; `heldBytes` is the memory of the whole body so far. */
-  receiveChunk (body: Body, chunkBytes: number, heldBytes: number, nowMs: number): Admission<Body> {
-    const state = this.#bodies.get(body)
-    if (state === undefined) return NOTHING_DROPPED
-    state.receivedBytes += chunkBytes
-    state.chunkCount++
-    if (state.receivedBytes > state.bounds.maxBodyBytes) return this.#refuse(body, 'body_bytes')
-    if (state.chunkCount === MIN_FRAGMENTS) {
-      const fragmented = this.#refuseFragmented(body)
-      if (fragmented !== undefined) return fragmented
+  receiveChunk (admitted: AdmittedBody<Body>, chunkBytes: number, heldBytes: number, nowMs: number): Admission<Body> {
+    admitted.receivedBytes += chunkBytes
+    admitted.chunkCount++
+    if (admitted.receivedBytes > admitted.bounds.maxBodyBytes) return this.#refuse(admitted, 'body_bytes')
+    if (admitted.chunkCount === MIN_FRAGMENTS && this.#hasTooManyFragmented()) {
+      return this.#refuse(admitted, 'chunk_size')
     }
-    if (heldBytes === state.heldBytes) return NOTHING_DROPPED
-    this.#hold(state.address, heldBytes - state.heldBytes)
-    state.heldBytes = heldBytes
-    return this.#keepBudget(body, state.address, nowMs)
+    if (heldBytes === admitted.heldBytes) return NOTHING_DROPPED
+    this.#bodies.add(admitted)
+    this.#hold(admitted.connection.address, heldBytes - admitted.heldBytes)
+    admitted.heldBytes = heldBytes
+    return this.#keepBudget(admitted, nowMs)
   }
 
   /** From here on the body belongs to a request that runs, and is not dropped. */
-  completeBody (body: Body): void {
-    const state = this.#bodies.get(body)
-    if (state !== undefined) state.isComplete = true
+  completeBody (admitted: AdmittedBody<Body>): void {
+    if (admitted.isFinished) return
+    admitted.isFinished = true
+    admitted.connection.unfinishedBodies--
   }
 
-  /** Called once the request has ended or was refused. */
-  endBody (body: Body): void {
-    const state = this.#bodies.get(body)
-    if (state === undefined) return
-    this.#bodies.delete(body)
-    this.#hold(state.address, -state.heldBytes)
+  /** Called once the request has ended or was refused; further calls change nothing. */
+  endBody (admitted: AdmittedBody<Body>): void {
+    this.completeBody(admitted)
+    this.#bodies.delete(admitted)
+    this.#hold(admitted.connection.address, -admitted.heldBytes)
+    admitted.heldBytes = 0
   }
 
-  #refuse (body: Body, refused: ClientLimit): Admission<Body> {
-    this.endBody(body)
+  #addConnection (connection: Connection, addressName: string, pool: ConnectionPool): void {
+    const address = this.#addresses.get(addressName) ?? createAddressState()
+    this.#addresses.set(addressName, address)
+    address.connectionCounts[pool]++
+    this.#connectionCounts[pool]++
+    this.#connections.set(connection, createConnectionState(addressName, address, pool))
+  }
+
+  #refuse (admitted: AdmittedBody<Body>, refused: ClientLimit): Admission<Body> {
+    this.endBody(admitted)
     return { refused, dropped: [] }
   }
 
   /** Drops unfinished bodies until the budget and the share of the address are kept, the slowest and largest first. */
-  #keepBudget (body: Body, address: string, nowMs: number): Admission<Body> {
+  #keepBudget (admitted: AdmittedBody<Body>, nowMs: number): Admission<Body> {
+    const { address } = admitted.connection
     const dropped: Body[] = []
+    let droppedFor: ClientLimit | undefined
     for (let limit = this.#exceededBudget(address); limit !== undefined; limit = this.#exceededBudget(address)) {
-      const victim = this.#findSlowest(limit === 'address_bodies' ? address : undefined, nowMs)
-      if (victim === undefined || victim === body) {
-        this.endBody(body)
-        return { refused: limit, dropped, droppedFor: limit }
-      }
+      const victim = this.#findSlowest(limit === 'address_bodies' ? address : undefined, nowMs) ?? admitted
       this.endBody(victim)
-      dropped.push(victim)
+      if (victim === admitted) return { refused: limit, dropped, droppedFor }
+      dropped.push(victim.body)
+      droppedFor = limit
     }
-    return dropped.length === 0 ? NOTHING_DROPPED : { dropped, droppedFor: 'body_budget' }
+    return dropped.length === 0 ? NOTHING_DROPPED : { dropped, droppedFor }
   }
 
-  #exceededBudget (address: string): ClientLimit | undefined {
+  #exceededBudget (address: AddressState): ClientLimit | undefined {
     const { budgetBytes, maxAddressPercent } = this.#limits
     if (this.#heldBytes > budgetBytes) return 'body_budget'
-    const isShareExceeded = (this.#heldByAddress.get(address) ?? 0) > budgetBytes * maxAddressPercent / 100
+    const isShareExceeded = address.heldBytes > budgetBytes * maxAddressPercent / 100
     // A single body within the limits is served where nothing else is in progress.
     return isShareExceeded && this.#bodies.size > 1 ? 'address_bodies' : undefined
   }
 
   /** The unfinished body with the largest product of memory and age; the product is small for ordinary requests. */
-  #findSlowest (address: string | undefined, nowMs: number): Body | undefined {
-    let slowest: Body | undefined
+  #findSlowest (address: AddressState | undefined, nowMs: number): AdmittedBody<Body> | undefined {
+    let slowest: AdmittedBody<Body> | undefined
     let highest = 0
-    for (const [body, state] of this.#bodies) {
-      if (state.isComplete || (address !== undefined && state.address !== address)) continue
-      const cost = state.heldBytes * (nowMs - state.startedAtMs + 1)
-      if (cost > highest) {
-        highest = cost
-        slowest = body
-      }
+    for (const admitted of this.#bodies) {
+      if (admitted.isFinished || (address !== undefined && admitted.connection.address !== address)) continue
+      const cost = admitted.heldBytes * (nowMs - admitted.startedAtMs + 1)
+      if (cost <= highest) continue
+      highest = cost
+      slowest = admitted
     }
     return slowest
   }
 
-  /** Refuses a fragmented body where too many are in progress. */
-  #refuseFragmented (body: Body): Admission<Body> | undefined {
-    const fragmented = [...this.#bodies].filter(([, state]) => isFragmented(state))
-    if (fragmented.length <= this.#limits.maxFragmentedBodies) return undefined
-    return this.#refuse(body, 'chunk_size')
+  #hasTooManyFragmented (): boolean {
+    return [...this.#bodies].filter(isFragmented).length > this.#limits.maxFragmentedBodies
   }
 
   #findLeastRead (newest: Connection): Connection | undefined {
@@ -265,22 +289,17 @@
     this.#hold(state.address, bytes)
   }
 
-  #hold (address: string, bytes: number): void {
-    if (bytes === 0) return
+  #hold (address: AddressState, bytes: number): void {
     this.#heldBytes += bytes
-    addCount(this.#heldByAddress, address, bytes)
-  }
-
-  #count ({ address, pool }: ConnectionState, change: number): void {
-    addCount(this.#connectionCounts, pool, change)
-    addCount(this.#connectionCounts, `${pool} ${address}`, change)
+    address.heldBytes += bytes
   }
 
   #fullLimit (address: string, pool: ConnectionPool): ClientLimit | undefined {
     const max = this.#limits.maxConnections[pool]
-    if ((this.#connectionCounts.get(pool) ?? 0) >= max) return 'connections'
+    if (this.#connectionCounts[pool] >= max) return 'connections'
     const maxOfAddress = Math.max(1, Math.floor(max * this.#limits.maxAddressPercent / 100))
-    return (this.#connectionCounts.get(`${pool} ${address}`) ?? 0) >= maxOfAddress ? 'address_connections' : undefined
+    const count = this.#addresses.get(address)?.connectionCounts[pool] ?? 0
+    return count >= maxOfAddress ? 'address_connections' : undefined
   }
 
   #findReplaceable (
@@ -288,26 +307,34 @@
   ): Connection | undefined {
     let stalled: Connection | undefined
     for (const [connection, state] of this.#connections) {
-      if (state.pool !== pool || (limit === 'address_connections' && state.address !== address)) continue
-      if (state.hasServed) continue
+      if (state.pool !== pool || state.hasServed) continue
+      if (limit === 'address_connections' && state.addressName !== address) continue
       if (state.openRequests === 0) return connection
-      if (stalled === undefined && this.#isStalled(connection, nowMs)) stalled = connection
+      if (stalled === undefined && isStalled(state, nowMs)) stalled = connection
     }
     return stalled
   }
+}
 
-  #isStalled (connection: Connection, nowMs: number): boolean {
-    const bodies = [...this.#bodies.values()].filter(body => body.connection === connection)
-    return bodies.length > 0 && bodies.every(body => !body.isComplete && nowMs - body.startedAtMs >= MIN_DROP_AGE_MS)
-  }
+/** Whether a connection has requests, none of which has been received completely for some time. */
+function isStalled ({ openRequests, unfinishedBodies, lastBodyAtMs }: ConnectionState, nowMs: number): boolean {
+  return openRequests > 0 && unfinishedBodies >= openRequests && nowMs - lastBodyAtMs >= MIN_DROP_AGE_MS
 }
 
-function isFragmented<Connection> ({ isComplete, chunkCount, receivedBytes }: BodyState<Connection>): boolean {
-  return !isComplete && chunkCount >= MIN_FRAGMENTS && receivedBytes < chunkCount * FRAGMENT_BYTES
+function isFragmented<Body> ({ isFinished, chunkCount, receivedBytes }: AdmittedBody<Body>): boolean {
+  return !isFinished && chunkCount >= MIN_FRAGMENTS && receivedBytes < chunkCount * FRAGMENT_BYTES
 }
 
-function addCount (counts: Map<string, number>, key: string, change: number): void {
-  const count = (counts.get(key) ?? 0) + change
-  if (count === 0) counts.delete(key)
-  else counts.set(key, count)
+function emptyCounts (): Record<ConnectionPool, number> {
+  return { client: 0, control: 0, readiness: 0, metrics: 0 }
+}
+
+function createAddressState (): AddressState {
+  return { connectionCounts: emptyCounts(), heldBytes: 0 }
+}
+
+function createConnectionState (addressName: string, address: AddressState, pool: ConnectionPool): ConnectionState {
+  return {
+    addressName, address, pool, openRequests: 0, hasServed: false, unreadBytes: 0, unfinishedBodies: 0, lastBodyAtMs: 0
+  }
 }
--- a/packages/core/test/client-admission.test.ts
+++ b/packages/core/test/client-admission.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { ClientAdmission, type ClientAdmissionLimits } from '../src/index.js'
+import { ClientAdmission, type AdmittedBody, type ClientAdmissionLimits } from '../src/index.js'
 
 interface Thing { readonly name: string }
 
@@ -25,6 +25,14 @@
   return connection
 }
 
+function beginBody (
+  admission: ClientAdmission<Thing, Thing>, body: Thing, connection: Thing, maxBodyBytes: number
+): AdmittedBody<Thing> {
+  const admitted = admission.beginBody(body, connection, { maxBodyBytes }, 0)
+  if (typeof admitted === 'string') throw new Error(admitted)
+  return admitted
+}
+
 // Guards against idle connections that keep new clients out, and against the loss of an ordinary client's connection.
 test('a full pool replaces the oldest connection without an answer, never one that was answered', t => {
   const admission = create({ maxAddressPercent: 100 })
@@ -53,7 +61,7 @@
   const connections = ['a', 'b'].map(name => connect(admission, name, 'x'))
   for (const connection of connections) {
     admission.beginRequest(connection)
-    admission.beginBody(connection, connection, { maxBodyBytes: 100 }, 0)
+    beginBody(admission, connection, connection, 100)
   }
   t.deepEqual(admission.openConnection(thing('c'), { address: 'x', pool: 'client', nowMs: 2_000 }).dropped, [connections[0]])
 })
@@ -61,9 +69,8 @@
 test('a body over its limit is refused by its announced length, or once it exceeds the limit', t => {
   const admission = create()
   const connection = connect(admission, 'a', 'x')
-  t.is(admission.beginBody(thing('a'), connection, { maxBodyBytes: 100, announcedBytes: 101 }, 0).refused, 'body_bytes')
-  const body = thing('b')
-  admission.beginBody(body, connection, { maxBodyBytes: 100 }, 0)
+  t.is(admission.beginBody(thing('a'), connection, { maxBodyBytes: 100, announcedBytes: 101 }, 0), 'body_bytes')
+  const body = beginBody(admission, thing('b'), connection, 100)
   t.is(admission.receiveChunk(body, 100, 100, 0).refused, undefined)
   t.is(admission.receiveChunk(body, 1, 200, 0).refused, 'body_bytes')
   t.is(admission.heldBytes, 0)
@@ -72,14 +79,13 @@
 // Guards against large unfinished bodies that keep ordinary ones out.
 test('the slowest and largest unfinished body is dropped to keep the budget, never a complete one', t => {
   const admission = create({ maxAddressPercent: 100 })
-  const [complete, slow, ordinary] = [thing('complete'), thing('slow'), thing('ordinary')]
-  for (const [body, address] of [[complete, 'x'], [slow, 'y'], [ordinary, 'z']] as const) {
-    admission.beginBody(body, connect(admission, body.name, address), { maxBodyBytes: 1_000 }, 0)
-  }
+  const [complete, slow, ordinary] = ['x', 'y', 'z'].map(name => (
+    beginBody(admission, thing(name), connect(admission, name, name), 1_000)
+  )) as [AdmittedBody<Thing>, AdmittedBody<Thing>, AdmittedBody<Thing>]
   admission.receiveChunk(complete, 500, 500, 0)
   admission.completeBody(complete)
   admission.receiveChunk(slow, 450, 450, 0)
-  t.deepEqual(admission.receiveChunk(ordinary, 100, 100, 50), { dropped: [slow], droppedFor: 'body_budget' })
+  t.deepEqual(admission.receiveChunk(ordinary, 100, 100, 50), { dropped: [slow.body], droppedFor: 'body_budget' })
   t.is(admission.heldBytes, 600)
 })
 
@@ -87,19 +93,17 @@
 test('an address keeps to its share of the budget, but a single body may use all of it', t => {
   const admission = create()
   const connection = connect(admission, 'a', 'x')
-  const [first, second] = [thing('1'), thing('2')]
-  admission.beginBody(first, connection, { maxBodyBytes: 1_000 }, 0)
+  const first = beginBody(admission, thing('1'), connection, 1_000)
   t.is(admission.receiveChunk(first, 900, 900, 0).refused, undefined)
-  admission.beginBody(second, connection, { maxBodyBytes: 1_000 }, 0)
-  t.deepEqual(admission.receiveChunk(second, 50, 50, 10).dropped, [first])
+  const second = beginBody(admission, thing('2'), connection, 1_000)
+  t.deepEqual(admission.receiveChunk(second, 50, 50, 10).dropped, [first.body])
 })
 
 // Guards against chunks of one byte, which cost processor time rather than memory.
 test('fragmented bodies beyond the limit are refused, a single one is served', t => {
   const admission = create({ budgetBytes: 1_000_000 })
   const refusals = ['a', 'b'].map(name => {
-    const body = thing(name)
-    admission.beginBody(body, connect(admission, name, name), { maxBodyBytes: 10_000 }, 0)
+    const body = beginBody(admission, thing(name), connect(admission, name, name), 10_000)
     return Array.from({ length: 5_000 }, () => admission.receiveChunk(body, 1, 100, 0).refused).find(Boolean)
   })
   t.deepEqual(refusals, [undefined, 'chunk_size'])
--- a/packages/node/src/adapters.ts
+++ b/packages/node/src/adapters.ts
@@ -1,5 +1,5 @@
 /** Adapters shared with other processes of the system: links, storage, replica and clock. */
-export { ClientGuard, type RequestLimits } from './client-guard.js'
+export { ClientGuard, type GuardedRequest, type RequestLimits } from './client-guard.js'
 export { readOrCreateDiskId } from './disk-id.js'
 export { FullDiskRetry } from './full-disk-retry.js'
 export { FileLog } from './file-log.js'
--- a/packages/node/src/client-guard.ts
+++ b/packages/node/src/client-guard.ts
@@ -5,7 +5,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import {
-  ClientAdmission, failure, type Admission, type ClientAdmissionLimits, type ClientLimit, type Clock,
+  ClientAdmission, failure, type Admission, type AdmittedBody, type ClientAdmissionLimits, type ClientLimit, type Clock,
   type ConnectionPool, type EventLog, type Failure, type Metrics
 } from '@comfreygrade/core'
 import { SegmentedBody } from './segmented-body.js'
@@ -37,16 +37,14 @@
   readonly onRefused: (cause: Failure) => void
 }
 
-interface OpenBody {
-  readonly refuse: (limit: ClientLimit) => void
-}
-
 /** Time without a refusal after which a limit has ceased to bind. */
 const LIMIT_CLEAR_MS = 5_000
 /** Interval at which timeouts of incomplete requests are checked. */
 const TIMEOUT_CHECK_INTERVAL_MS = 500
 /** Time for which a refused client may go on sending, so that it can read the refusal before it is disconnected. */
 const LINGER_MS = 300
+/** Bodies and answers below this are not counted: they take less memory than their connection. */
+const MIN_COUNTED_BYTES = 4 * 1024
 /** Bytes of a refused body that are discarded before the client is disconnected. */
 const MAX_LINGER_BYTES = 256 * 1024
 
@@ -56,19 +54,26 @@
   ERR_HTTP_REQUEST_TIMEOUT: 'receive_time'
 }
 
+function doNothing (): void {}
+
 /** One instance per process, shared by all its HTTP servers. */
 export class ClientGuard {
   readonly #options: ClientGuardOptions
-  readonly #admission: ClientAdmission<Socket, IncomingMessage>
-  readonly #openBodies = new Map<IncomingMessage, OpenBody>()
-  readonly #answerBytes = new WeakMap<ServerResponse, number>()
+  readonly #admission: ClientAdmission<Socket, GuardedRequest>
   /** Limits that bind at present, with the time and number of their refusals. */
   readonly #binding = new Map<ClientLimit, { lastMs: number, count: number }>()
   #clearTimer: NodeJS.Timeout | undefined
+  readonly #limiter: Limiter
 
   constructor (options: ClientGuardOptions) {
     this.#options = options
     this.#admission = new ClientAdmission(options.limits)
+    this.#limiter = {
+      admission: this.#admission,
+      clock: options.clock,
+      record: limit => { this.#record(limit) },
+      disconnect: (socket, limit) => { this.#disconnect(socket, limit) }
+    }
   }
 
   /** Options that `createServer` needs for the timeouts to be exact. */
@@ -93,26 +98,16 @@
 
   /**
    * Admits a request, or disconnects a client that sends too many ahead. A request of a disconnected client is not
-   * admitted, so that it does not run although its client cannot be answered.
+   * admitted, so that it does not run although its client cannot be answered. `onEnd` is called when the answer has
+   * been passed on or the client has disconnected.
    */
-  admitRequest (request: IncomingMessage, response: ServerResponse): boolean {
+  admitRequest (request: IncomingMessage, response: ServerResponse, onEnd = doNothing): GuardedRequest | undefined {
     const { socket } = request
-    if (socket.destroyed) return false
+    if (socket.destroyed) return undefined
     const { refused } = this.#admission.beginRequest(socket)
-    if (refused !== undefined) {
-      this.#disconnect(socket, refused)
-      return false
-    }
-    response.once('close', () => { this.#endRequest(request, response, socket) })
-    return true
-  }
-
-  /** Counts the bytes of an answer that is about to be written. */
-  beginAnswer (response: ServerResponse, answerBytes: number): void {
-    const { socket } = response.req
-    this.#answerBytes.set(response, answerBytes)
-    const { dropped, droppedFor } = this.#admission.beginAnswer(socket, answerBytes)
-    for (const victim of dropped) this.#disconnect(victim, droppedFor ?? 'unread_answers')
+    if (refused === undefined) return new GuardedRequest(request, response, this.#limiter, onEnd)
+    this.#disconnect(socket, refused)
+    return undefined
   }
 
   /** Counts what an HTTP parser refused. */
@@ -121,51 +116,6 @@
     if (limit !== undefined) this.#record(limit)
   }
 
-  /** Reads the body of an admitted request. Neither handler is called if the client disconnects. */
-  readBody (request: IncomingMessage, maxBodyBytes: number, { onBody, onRefused }: BodyHandlers): void {
-    const announced = request.headers['content-length']
-    const announcedBytes = announced === undefined ? undefined : Number(announced)
-    if (announcedBytes === undefined && request.headers['transfer-encoding'] === undefined) {
-      request.on('end', () => { onBody(NO_BODY) })
-      request.resume()
-      return
-    }
-    const nowMs = this.#options.clock.monotonicMs()
-    const bounds = { maxBodyBytes, ...(announcedBytes === undefined ? {} : { announcedBytes }) }
-    const { refused } = this.#admission.beginBody(request, request.socket, bounds, nowMs)
-    if (refused !== undefined) {
-      this.#record(refused)
-      onRefused(failureOf(refused, maxBodyBytes))
-      return
-    }
-    this.#collect(request, maxBodyBytes, announcedBytes, { onBody, onRefused })
-  }
-
-  /**
-   * Ends a refusal whose bytes have all been written, and disconnects the client. The client gets some time to read the
-   * refusal: data that arrives after the connection is closed would make its system discard it.
-   */
-  endRefusal (request: IncomingMessage, response: ServerResponse): void {
-    if (request.complete) {
-      response.end()
-      return
-    }
-    let discardedBytes = 0
-    const end = (): void => {
-      clearTimeout(timer)
-      response.end()
-      request.socket.destroySoon()
-    }
-    const timer = setTimeout(end, LINGER_MS)
-    request.on('data', (chunk: Buffer) => {
-      discardedBytes += chunk.length
-      if (discardedBytes > MAX_LINGER_BYTES) request.socket.destroy()
-    })
-    request.once('end', end)
-    request.once('close', end)
-    request.resume()
-  }
-
   #openConnection (socket: Socket, pool: ConnectionPool): void {
     const address = socket.remoteAddress ?? ''
     const nowMs = this.#options.clock.monotonicMs()
@@ -181,46 +131,6 @@
     else socket.destroy()
   }
 
-  #endRequest (request: IncomingMessage, response: ServerResponse, socket: Socket): void {
-    this.#openBodies.delete(request)
-    this.#admission.endBody(request)
-    this.#admission.endRequest(socket, this.#answerBytes.get(response) ?? 0)
-  }
-
-  #collect (
-    request: IncomingMessage, maxBodyBytes: number, announcedBytes: number | undefined, handlers: BodyHandlers
-  ): void {
-    const body = new SegmentedBody()
-    const append = (chunk: Buffer): void => {
-      body.append(chunk, announcedBytes)
-      this.#apply(request, this.#admission.receiveChunk(
-        request, chunk.length, body.heldBytes, this.#options.clock.monotonicMs()
-      ))
-    }
-    const end = (): void => {
-      this.#openBodies.delete(request)
-      this.#admission.completeBody(request)
-      handlers.onBody(body.toBuffer())
-    }
-    const refuse = (limit: ClientLimit): void => {
-      request.off('data', append)
-      request.off('end', end)
-      this.#openBodies.delete(request)
-      this.#record(limit)
-      // An answer would take as long to reach this client as its body costs in processor time.
-      if (limit === 'chunk_size') request.socket.destroy()
-      else handlers.onRefused(failureOf(limit, maxBodyBytes))
-    }
-    this.#openBodies.set(request, { refuse })
-    request.on('data', append)
-    request.on('end', end)
-  }
-
-  #apply (request: IncomingMessage, { refused, dropped, droppedFor }: Admission<IncomingMessage>): void {
-    for (const victim of dropped) this.#openBodies.get(victim)?.refuse(droppedFor ?? 'body_budget')
-    if (refused !== undefined) this.#openBodies.get(request)?.refuse(refused)
-  }
-
   #disconnect (socket: Socket, limit: ClientLimit): void {
     this.#record(limit)
     socket.destroy()
@@ -254,6 +164,134 @@
   }
 }
 
+/** What the requests of a guard share. */
+interface Limiter {
+  readonly admission: ClientAdmission<Socket, GuardedRequest>
+  readonly clock: Clock
+  readonly record: (limit: ClientLimit) => void
+  readonly disconnect: (socket: Socket, limit: ClientLimit) => void
+}
+
+/** One admitted request, from its header to the end of its answer. */
+export class GuardedRequest {
+  readonly #request: IncomingMessage
+  readonly #response: ServerResponse
+  readonly #limiter: Limiter
+  #admitted: AdmittedBody<GuardedRequest> | undefined
+  #answerBytes = 0
+  #refuse: (limit: ClientLimit) => void = doNothing
+
+  constructor (request: IncomingMessage, response: ServerResponse, limiter: Limiter, onEnd: () => void) {
+    this.#request = request
+    this.#response = response
+    this.#limiter = limiter
+    const { socket } = request
+    response.once('close', () => {
+      if (this.#admitted !== undefined) limiter.admission.endBody(this.#admitted)
+      limiter.admission.endRequest(socket, this.#answerBytes)
+      onEnd()
+    })
+  }
+
+  /** Reads the body. Neither handler is called if the client disconnects. */
+  readBody (maxBodyBytes: number, handlers: BodyHandlers): void {
+    const request = this.#request
+    const length = request.headers['content-length']
+    if (length === undefined && request.headers['transfer-encoding'] === undefined) {
+      request.on('end', () => { handlers.onBody(NO_BODY) })
+      request.resume()
+      return
+    }
+    const bounds = { maxBodyBytes, announcedBytes: length === undefined ? undefined : Number(length) }
+    const { admission, clock, record } = this.#limiter
+    const admitted = admission.beginBody(this, request.socket, bounds, clock.monotonicMs())
+    if (typeof admitted === 'object') return this.#collect(admitted, handlers)
+    record(admitted)
+    handlers.onRefused(failureOf(admitted, maxBodyBytes))
+  }
+
+  /** Counts the bytes of an answer that is about to be written. */
+  beginAnswer (answerBytes: number): void {
+    if (answerBytes < MIN_COUNTED_BYTES) return
+    this.#answerBytes = answerBytes
+    const { admission, disconnect } = this.#limiter
+    const { dropped, droppedFor = 'unread_answers' } = admission.beginAnswer(this.#request.socket, answerBytes)
+    for (const victim of dropped) disconnect(victim, droppedFor)
+  }
+
+  /**
+   * Ends a refusal whose bytes have all been written, and disconnects the client. The client gets some time to read the
+   * refusal: data that arrives after the connection is closed would make its system discard it.
+   */
+  endRefusal (): void {
+    const request = this.#request
+    const { socket } = request
+    if (request.complete) {
+      this.#response.end()
+      return
+    }
+    let discardedBytes = 0
+    const end = (): void => {
+      clearTimeout(timer)
+      this.#response.end()
+      socket.destroySoon()
+    }
+    const timer = setTimeout(end, LINGER_MS)
+    request.on('data', (chunk: Buffer) => {
+      discardedBytes += chunk.length
+      if (discardedBytes > MAX_LINGER_BYTES) socket.destroy()
+    })
+    request.once('end', end)
+    request.once('close', end)
+    request.resume()
+  }
+
+  /** Refuses the request, whose body is not complete, in favour of others. */
+  drop (limit: ClientLimit): void {
+    this.#refuse(limit)
+  }
+
+  #collect (admitted: AdmittedBody<GuardedRequest>, { onBody, onRefused }: BodyHandlers): void {
+    const request = this.#request
+    const { admission, clock, record } = this.#limiter
+    const { maxBodyBytes, announcedBytes } = admitted.bounds
+    let whole: Buffer | undefined
+    let body: SegmentedBody | undefined
+    const append = (chunk: Buffer): void => {
+      // The usual case: a small body that arrives at once.
+      if (chunk.length === announcedBytes && chunk.length < MIN_COUNTED_BYTES) {
+        whole = chunk
+        return
+      }
+      body ??= new SegmentedBody()
+      body.append(chunk, announcedBytes)
+      this.#apply(admission.receiveChunk(admitted, chunk.length, body.heldBytes, clock.monotonicMs()))
+    }
+    const end = (): void => {
+      admission.completeBody(admitted)
+      this.#refuse = doNothing
+      onBody(whole ?? body?.toBuffer() ?? NO_BODY)
+    }
+    this.#admitted = admitted
+    this.#refuse = limit => {
+      request.off('data', append)
+      request.off('end', end)
+      this.#refuse = doNothing
+      record(limit)
+      // Reading on while the client reads an answer would cost the processor time that the limit saves.
+      if (limit === 'chunk_size') request.socket.destroy()
+      else onRefused(failureOf(limit, maxBodyBytes))
+    }
+    request.on('data', append)
+    request.on('end', end)
+  }
+
+  #apply ({ refused, dropped, droppedFor = 'body_budget' }: Admission<GuardedRequest>): void {
+    for (const victim of dropped) victim.drop(droppedFor)
+    if (refused !== undefined) this.drop(refused)
+  }
+}
+
 const NO_BODY = Buffer.alloc(0)
 
 function failureOf (limit: ClientLimit, maxBodyBytes: number): Failure {
