Limit bodies, answers and frames of the other servers and links

Cause: packages/node kept each chunk of a body and of a backend server's answer as an object, without a limit for all of them; the gateway did the same for JSON bodies. Answers of the platform's calls in chunks of one byte took many times their size. A link accepted frames of 32 MiB from anyone, on any number of links.

Change: HttpApi and BackendClient use the ClientGuard of the process; the gateway gets its body whole. Answers of the platform's calls are copied into segments. Unfinished frames of accepted links keep to a budget, decided by ClientAdmission; a link that has not identified itself may not announce more than 64 KiB, must send its hello within the silence timeout, and makes room for another where the limit of links is reached.

Tests of packages/node and the platform client pass.

--- a/packages/batch-node/src/batch-node.ts
+++ b/packages/batch-node/src/batch-node.ts
@@ -20,6 +20,9 @@
   readonly seeds: readonly PeerAddress[]
   /** Absent on a process without a disk, which never becomes a control node. */
   readonly disk?: ControlDisk
+  /** Limits of the links that other processes dial; see `PeerLinksOptions`. */
+  readonly maxReceiveBytes?: number
+  readonly maxIncomingLinks?: number
   /** Called with the limits of each newer configuration that a control node names. */
   readonly onClientLimits?: (limits: VersionedClientLimits) => void
   /** Number of voters if there are enough control nodes. */
@@ -146,7 +149,7 @@
   }
 
   #createLinks (): PeerLinks<BatchMessage> {
-    const { nodeId, host, port, seeds, clock, metrics, log } = this.#options
+    const { nodeId, host, port, seeds, clock, metrics, log, maxReceiveBytes, maxIncomingLinks } = this.#options
     return new PeerLinks<BatchMessage>({
       nodeId,
       host,
@@ -156,6 +159,8 @@
       pingIntervalMs: LINK_PING_INTERVAL_MS,
       silenceTimeoutMs: LINK_SILENCE_MS,
       redialDelayMs: LINK_REDIAL_MS,
+      maxReceiveBytes,
+      maxIncomingLinks,
       clock,
       metrics,
       log,
--- a/packages/core/src/client-admission.ts
+++ b/packages/core/src/client-admission.ts
@@ -134,6 +134,10 @@
     return (this.#connections.get(connection)?.openRequests ?? 0) > 0
   }
 
+  isReceivingBody (connection: Connection): boolean {
+    return (this.#connections.get(connection)?.unfinishedBodies ?? 0) > 0
+  }
+
   /** Admits a request; the caller disconnects a client that sends too many ahead of its answers. */
   beginRequest (connection: Connection): Admission<never> {
     const state = this.#connections.get(connection)
--- a/packages/node/src/adapters.ts
+++ b/packages/node/src/adapters.ts
@@ -9,5 +9,6 @@
 export { PeerLinks, type PeerAddress } from './peer-links.js'
 export type { LinkMessage } from './peer-messages.js'
 export { ReplicaRunner } from './replica-runner.js'
+export { SegmentedBody } from './segmented-body.js'
 export { SystemClock } from './system-clock.js'
 export { ReplicatedStateMachine, StateMachine } from './replica-host.js'
--- a/packages/node/src/backend-client.ts
+++ b/packages/node/src/backend-client.ts
@@ -2,6 +2,7 @@
 import { Agent, type Dispatcher } from 'undici'
 import type { BackendServerRecord, SendProgress } from '@comfreygrade/core'
 import type { AttemptFailureReason } from '@comfreygrade/routing'
+import type { AnswerCollector, ClientGuard } from './client-guard.js'
 
 /** Complete answer of a backend server. */
 export interface BackendAnswer {
@@ -34,6 +35,8 @@
 /** Options of {@link BackendClient}. */
 export interface BackendClientOptions {
   readonly maxAnswerBytes: number
+  /** Keeps the answers in progress within the budget of the process, together with the bodies of clients. */
+  readonly guard: ClientGuard
   readonly connectTimeoutMs: number
 }
 
@@ -61,7 +64,7 @@
 
   /** Starts an attempt. */
   send (attempt: Attempt): PendingAttempt {
-    const handler = new AttemptHandler(this.#options.maxAnswerBytes)
+    const handler = new AttemptHandler(this.#options)
     const timer = setTimeout(() => { handler.abort('attempt_timeout') }, attempt.timeoutMs)
     this.#agent.dispatch({
       origin: attempt.backendServer.address,
@@ -83,19 +86,20 @@
 /** Collects one answer and tracks whether the request was passed to a connection. */
 class AttemptHandler implements Dispatcher.DispatchHandler {
   readonly result: Promise<AttemptResult>
-  readonly #maxAnswerBytes: number
-  readonly #chunks: Buffer[] = []
+  readonly #answer: AnswerCollector
   #resolve: (result: AttemptResult) => void = () => {}
   #controller: Dispatcher.DispatchController | undefined
   #progress: SendProgress = 'not_sent'
   #abortReason: AttemptFailureReason | undefined
-  #receivedBytes = 0
   #status = 0
   #contentType = ''
   #isRejected = false
 
-  constructor (maxAnswerBytes: number) {
-    this.#maxAnswerBytes = maxAnswerBytes
+  constructor ({ guard, maxAnswerBytes }: BackendClientOptions) {
+    // The attempt then fails with `connection_lost`.
+    this.#answer = guard.collectAnswer(maxAnswerBytes, () => {
+      this.#controller?.abort(new Error('the answer exceeds the size limit'))
+    })
     this.result = new Promise(resolve => { this.#resolve = resolve })
   }
 
@@ -126,23 +130,18 @@
     this.#isRejected = status === 503 && headers[NOT_RUN_HEADER] === 'true'
   }
 
-  onResponseData (controller: Dispatcher.DispatchController, chunk: Buffer): void {
-    this.#receivedBytes += chunk.length
-    if (this.#receivedBytes > this.#maxAnswerBytes) {
-      // The attempt then fails with `connection_lost`.
-      controller.abort(new Error('the answer exceeds the size limit'))
-      return
-    }
-    this.#chunks.push(chunk)
+  onResponseData (_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.#answer.append(chunk)
   }
 
   onResponseEnd (): void {
     if (this.#isRejected) {
+      this.#answer.end()
       // The request was sent but did not run; the router sees this from the reason.
       this.#resolve({ kind: 'failed', progress: 'maybe_sent', reason: 'rejected' })
       return
     }
-    const body = this.#chunks.length === 1 ? this.#chunks[0] as Buffer : Buffer.concat(this.#chunks)
+    const body = this.#answer.take()
     this.#resolve({ kind: 'answered', answer: { status: this.#status, contentType: this.#contentType, body } })
   }
 
@@ -151,6 +150,7 @@
   }
 
   #fail (): void {
+    this.#answer.end()
     const reason = this.#abortReason ?? (this.#progress === 'not_sent' ? 'connect_failed' : 'connection_lost')
     this.#resolve({ kind: 'failed', progress: this.#progress, reason })
   }
--- a/packages/node/src/client-guard.ts
+++ b/packages/node/src/client-guard.ts
@@ -59,7 +59,7 @@
 /** One instance per process, shared by all its HTTP servers. */
 export class ClientGuard {
   readonly #options: ClientGuardOptions
-  readonly #admission: ClientAdmission<Socket, GuardedRequest>
+  readonly #admission: ClientAdmission<Socket, BodyOwner>
   /** Limits that bind at present, with the time and number of their refusals. */
   readonly #binding = new Map<ClientLimit, { lastMs: number, count: number }>()
   #clearTimer: NodeJS.Timeout | undefined
@@ -110,6 +110,11 @@
     return undefined
   }
 
+  /** Collects an answer of another process within the same budget; `onRefused` is called once if it is refused. */
+  collectAnswer (maxBytes: number, onRefused: () => void): AnswerCollector {
+    return new AnswerCollector(this.#limiter, maxBytes, onRefused)
+  }
+
   /** Counts what an HTTP parser refused. */
   recordClientError ({ code }: NodeJS.ErrnoException): void {
     const limit = CLIENT_ERROR_LIMITS[code ?? '']
@@ -125,10 +130,13 @@
     socket.once('close', () => { this.#admission.closeConnection(socket) })
   }
 
-  /** The end of a kept-alive connection without a request is no refusal. */
+  /**
+   * A connection that waits for the answer of a running request is not idle. The end of a kept-alive connection without
+   * a request is no refusal.
+   */
   #closeIdle (socket: Socket): void {
-    if (this.#admission.hasOpenRequest(socket)) this.#disconnect(socket, 'idle_time')
-    else socket.destroy()
+    if (!this.#admission.hasOpenRequest(socket)) socket.destroy()
+    else if (this.#admission.isReceivingBody(socket) || socket.writableLength > 0) this.#disconnect(socket, 'idle_time')
   }
 
   #disconnect (socket: Socket, limit: ClientLimit): void {
@@ -166,22 +174,79 @@
 
 /** What the requests of a guard share. */
 interface Limiter {
-  readonly admission: ClientAdmission<Socket, GuardedRequest>
+  readonly admission: ClientAdmission<Socket, BodyOwner>
   readonly clock: Clock
   readonly record: (limit: ClientLimit) => void
   readonly disconnect: (socket: Socket, limit: ClientLimit) => void
 }
 
+/** Something whose bytes a guard counts. */
+abstract class BodyOwner {
+  /** Refuses a body that is not complete, in favour of others. */
+  abstract drop (limit: ClientLimit): void
+}
+
+/** One answer of another process, of which chunks arrive until it is complete or too large. */
+export class AnswerCollector extends BodyOwner {
+  readonly #limiter: Limiter
+  readonly #onRefused: () => void
+  readonly #body = new SegmentedBody()
+  readonly #admitted: AdmittedBody<BodyOwner> | undefined
+
+  constructor (limiter: Limiter, maxBytes: number, onRefused: () => void) {
+    super()
+    this.#limiter = limiter
+    this.#onRefused = onRefused
+    const admitted = limiter.admission.beginBody(
+      this, UNKNOWN_CONNECTION, { maxBodyBytes: maxBytes }, limiter.clock.monotonicMs()
+    )
+    this.#admitted = typeof admitted === 'object' ? admitted : undefined
+  }
+
+  append (chunk: Buffer): void {
+    if (this.#admitted === undefined || this.#admitted.isFinished) return
+    this.#body.append(chunk)
+    const { admission, clock } = this.#limiter
+    applyTo(this, admission.receiveChunk(this.#admitted, chunk.length, this.#body.heldBytes, clock.monotonicMs()))
+  }
+
+  /** The whole answer. Its memory is no longer counted. */
+  take (): Buffer {
+    this.end()
+    return this.#body.toBuffer()
+  }
+
+  /** Gives up the answer. */
+  end (): void {
+    if (this.#admitted !== undefined) this.#limiter.admission.endBody(this.#admitted)
+  }
+
+  override drop (limit: ClientLimit): void {
+    this.end()
+    this.#limiter.record(limit)
+    this.#onRefused()
+  }
+}
+
+/** Answers come on connections that the process has opened itself, which the admission does not know. */
+const UNKNOWN_CONNECTION = {} as Socket
+
+function applyTo (owner: BodyOwner, { refused, dropped, droppedFor = 'body_budget' }: Admission<BodyOwner>): void {
+  for (const victim of dropped) victim.drop(droppedFor)
+  if (refused !== undefined) owner.drop(refused)
+}
+
 /** One admitted request, from its header to the end of its answer. */
-export class GuardedRequest {
+export class GuardedRequest extends BodyOwner {
   readonly #request: IncomingMessage
   readonly #response: ServerResponse
   readonly #limiter: Limiter
-  #admitted: AdmittedBody<GuardedRequest> | undefined
+  #admitted: AdmittedBody<BodyOwner> | undefined
   #answerBytes = 0
   #refuse: (limit: ClientLimit) => void = doNothing
 
   constructor (request: IncomingMessage, response: ServerResponse, limiter: Limiter, onEnd: () => void) {
+    super()
     this.#request = request
     this.#response = response
     this.#limiter = limiter
@@ -246,12 +311,11 @@
     request.resume()
   }
 
-  /** Refuses the request, whose body is not complete, in favour of others. */
-  drop (limit: ClientLimit): void {
+  override drop (limit: ClientLimit): void {
     this.#refuse(limit)
   }
 
-  #collect (admitted: AdmittedBody<GuardedRequest>, { onBody, onRefused }: BodyHandlers): void {
+  #collect (admitted: AdmittedBody<BodyOwner>, { onBody, onRefused }: BodyHandlers): void {
     const request = this.#request
     const { admission, clock, record } = this.#limiter
     const { maxBodyBytes, announcedBytes } = admitted.bounds
@@ -265,7 +329,7 @@
       }
       body ??= new SegmentedBody()
       body.append(chunk, announcedBytes)
-      this.#apply(admission.receiveChunk(admitted, chunk.length, body.heldBytes, clock.monotonicMs()))
+      applyTo(this, admission.receiveChunk(admitted, chunk.length, body.heldBytes, clock.monotonicMs()))
     }
     const end = (): void => {
       admission.completeBody(admitted)
@@ -285,11 +349,6 @@
     request.on('data', append)
     request.on('end', end)
   }
-
-  #apply ({ refused, dropped, droppedFor = 'body_budget' }: Admission<GuardedRequest>): void {
-    for (const victim of dropped) victim.drop(droppedFor)
-    if (refused !== undefined) this.drop(refused)
-  }
 }
 
 const NO_BODY = Buffer.alloc(0)
--- a/packages/node/src/http-api.ts
+++ b/packages/node/src/http-api.ts
@@ -1,11 +1,12 @@
 /** HTTP front end: a local moleculer broker with `moleculer-web` as its gateway. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
+import { gunzipSync, inflateSync } from 'node:zlib'
 import { ServiceBroker, type Context } from 'moleculer'
 import ApiGateway, { type GatewayResponse, type IncomingRequest } from 'moleculer-web'
-import getRawBody from 'raw-body'
-import { errorBody, errorTable, failure, succeed, type Failure, type Metrics, type Result } from '@comfreygrade/core'
+import { errorBody, errorTable, fail, failure, succeed, type Failure, type Metrics, type Result } from '@comfreygrade/core'
 import type { Application } from './application.js'
+import type { ClientGuard, GuardedRequest } from './client-guard.js'
 import { EndpointMethods } from './endpoint-methods.js'
 import { backendServerSchema, checkInput, emptyQuerySchema, identifierSchema } from './http-schemas.js'
 import { readShortRequest } from './short-request-headers.js'
@@ -14,6 +15,7 @@
 /** Options of {@link HttpApi}. */
 export interface HttpApiOptions {
   readonly application: Application
+  readonly guard: ClientGuard
   readonly metrics: Metrics
   readonly nodeId: string
   readonly host: string
@@ -116,7 +118,7 @@
   }
 
   #createServer (handler: (req: IncomingMessage, res: ServerResponse) => void): Server {
-    const { maxHeaderBytes, requestReceiveTimeoutMs } = this.#options
+    const { guard, maxHeaderBytes, maxBodyBytes, requestReceiveTimeoutMs } = this.#options
     const server = createServer({
       maxHeaderSize: maxHeaderBytes,
       requestTimeout: requestReceiveTimeoutMs,
@@ -124,6 +126,9 @@
       connectionsCheckingInterval: Math.min(1_000, requestReceiveTimeoutMs),
       keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS
     }, (req, res) => {
+      const guarded = guard.admitRequest(req, res)
+      if (guarded === undefined) return
+      req.on('error', () => {})
       if (req.rawHeaders.length / 2 > MAX_HEADERS) {
         const detail = `found ${req.rawHeaders.length / 2} headers, at most ${MAX_HEADERS} are allowed`
         this.#sendFailure(res, failure('headers_too_large', detail))
@@ -131,12 +136,19 @@
       }
       const [, service, query = ''] = SHORT_REQUEST_PATH.exec(req.url ?? '') ?? []
       // Short requests bypass the gateway, whose overhead per request exceeds all their other handling.
-      if (service !== undefined && req.method === 'POST') this.#executeShortRequest(service, query, req, res)
-      else handler(req, res)
+      if (service !== undefined && req.method === 'POST') this.#executeShortRequest(service, query, req, res, guarded)
+      else this.#passToGateway(handler, req, res, guarded)
     })
     // With a count limit Node.js would silently drop the remaining headers; their size is limited by `maxHeaderSize`.
     server.maxHeadersCount = 0
     server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => { this.#sendClientError(error, socket) })
+    guard.protect(server, 'client', {
+      maxHeaderBytes,
+      maxBodyBytes,
+      headerTimeoutMs: requestReceiveTimeoutMs,
+      bodyTimeoutMs: requestReceiveTimeoutMs,
+      idleTimeoutMs: KEEP_ALIVE_TIMEOUT_MS
+    })
     this.#server = server
     return server
   }
@@ -200,7 +212,7 @@
   }
 
   async #executeShortRequest (
-    service: string, query: string, req: IncomingMessage, res: ServerResponse
+    service: string, query: string, req: IncomingMessage, res: ServerResponse, guarded: GuardedRequest
   ): Promise<void> {
     const { application } = this.#options
     if (query !== '') {
@@ -209,8 +221,8 @@
     }
     const rules = application.checkAdmission()
     if (!rules.ok) { this.#sendFailure(res, rules.failure); return }
-    const body = await this.#readBody(req)
-    if (!Buffer.isBuffer(body)) { this.#sendFailure(res, body); return }
+    const body = await this.#readBody(guarded, res, this.#options.maxBodyBytes)
+    if (body === undefined) return
     if (body.length > rules.value.maxRequestBodyBytes) {
       const detail = `the body has ${body.length} bytes, at most ${rules.value.maxRequestBodyBytes} are allowed`
       this.#sendFailure(res, failure('body_too_large', detail))
@@ -231,12 +243,41 @@
       'comfreygrade-attempts': attempts,
       'comfreygrade-claim': claim
     })
+    guarded.beginAnswer(answer.body.length)
     res.end(answer.body)
   }
 
-  async #readBody (req: IncomingMessage): Promise<Buffer | Failure> {
-    const length = req.headers['content-length']
-    return await getRawBody(req, { limit: this.#options.maxBodyBytes, length }).catch(toRequestFailure)
+  /** The gateway would keep each chunk of a body; it gets the body whole, in the property that its parser fills. */
+  async #passToGateway (
+    handler: (req: IncomingMessage, res: ServerResponse) => void, req: IncomingMessage, res: ServerResponse,
+    guarded: GuardedRequest
+  ): Promise<void> {
+    const body = await this.#readBody(guarded, res, MAX_JSON_BYTES)
+    if (body === undefined) return
+    const json = parseJsonBody(body, req.headers['content-encoding'])
+    if (!json.ok) { this.#sendFailure(res, json.failure); return }
+    handler(Object.assign(req, { _body: true, body: json.value }), res)
+  }
+
+  /** Resolves to undefined if the body was refused and the refusal has been sent; never if the client disconnects. */
+  async #readBody (guarded: GuardedRequest, res: ServerResponse, maxBytes: number): Promise<Buffer | undefined> {
+    return await new Promise(resolve => {
+      guarded.readBody(maxBytes, {
+        onBody: resolve,
+        onRefused: cause => {
+          this.#sendRefusal(res, guarded, cause)
+          resolve(undefined)
+        }
+      })
+    })
+  }
+
+  /** Answers a request whose body was not read to its end, and closes its connection. */
+  #sendRefusal (res: ServerResponse, guarded: GuardedRequest, cause: Failure): void {
+    this.#countRefusal(cause)
+    if (res.headersSent || res.destroyed) return
+    res.write(this.#writeFailureHead(res, cause, { connection: 'close' }))
+    guarded.endRefusal()
   }
 
   #fail (ctx: Context<ActionParams, ActionMeta>, cause: Failure): unknown {
@@ -254,6 +295,11 @@
 
   #writeFailure (res: ServerResponse, cause: Failure, headers: Record<string, string> = {}): void {
     if (res.headersSent || res.destroyed) return
+    res.end(this.#writeFailureHead(res, cause, headers))
+  }
+
+  /** Returns the body. */
+  #writeFailureHead (res: ServerResponse, cause: Failure, headers: Record<string, string>): string {
     const body = errorBody(cause)
     const text = JSON.stringify(body)
     res.writeHead(errorTable[cause.kind].httpStatus, {
@@ -262,7 +308,7 @@
       ...retryHeaders(body.retryAfterMs),
       ...headers
     })
-    res.end(text)
+    return text
   }
 
   /** Answers 405 where the path exists but not for this method, as the gateway reports 404 for both cases. */
@@ -280,6 +326,7 @@
 
   /** Answers a connection whose request could not be parsed: oversized or malformed headers, or a slow sender. */
   #sendClientError (error: NodeJS.ErrnoException, socket: Socket): void {
+    this.#options.guard.recordClientError(error)
     if (!socket.writable) { socket.destroy(); return }
     const cause = toParseFailure(error)
     this.#countRefusal(cause)
@@ -294,6 +341,27 @@
   }
 }
 
+/** A request without a body has an empty object; the JSON must be an object or a list. */
+function parseJsonBody (body: Buffer, encoding = 'identity'): Result<unknown> {
+  if (body.length === 0) return succeed({})
+  try {
+    const json: unknown = JSON.parse(decompress(body, encoding.toLowerCase()).toString('utf8'))
+    if (typeof json === 'object' && json !== null) return succeed(json)
+  } catch (error) {
+    const isTooLarge = (error as NodeJS.ErrnoException).code === 'ERR_BUFFER_TOO_LARGE'
+    if (isTooLarge) return fail('body_too_large', 'the body exceeds the size limit')
+  }
+  return fail('invalid_request', 'the body is not valid JSON')
+}
+
+function decompress (body: Buffer, encoding: string): Buffer {
+  switch (encoding) {
+    case 'gzip': return gunzipSync(body, { maxOutputLength: MAX_JSON_BYTES })
+    case 'deflate': return inflateSync(body, { maxOutputLength: MAX_JSON_BYTES })
+    default: return body
+  }
+}
+
 function toRouteInput (params: ActionParams): RouteInput {
   return { params: params.params ?? {}, query: params.query ?? {}, body: params.body }
 }
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -14,6 +14,7 @@
 import type { ControlService } from './control-service.js'
 import { HttpApi } from './http-api.js'
 import { BackendStateBroadcast } from './backend-state-broadcast.js'
+import { ClientGuard } from './client-guard.js'
 import { PeerLinks } from './peer-links.js'
 import type { PeerMessage } from './peer-messages.js'
 import { RequestService, type RequestResult } from './request-service.js'
@@ -94,7 +95,8 @@
       send: (nodeId, message) => this.#links.send(nodeId, message),
       executeLocally: async operation => await this.#executeLocally(operation)
     })
-    this.#backendClient = new BackendClient({ maxAnswerBytes: limits.maxAnswerBytes, connectTimeoutMs: 1_000 })
+    const guard = createGuard(options)
+    this.#backendClient = new BackendClient({ maxAnswerBytes: limits.maxAnswerBytes, guard, connectTimeoutMs: 1_000 })
     this.#requests = new RequestService({
       router: this.#router,
       backendClient: this.#backendClient,
@@ -105,6 +107,7 @@
     this.#backendBroadcast = this.#createBackendStateBroadcast()
     this.#http = new HttpApi({
       application: this,
+      guard,
       metrics,
       nodeId: node.nodeId,
       host: settings.http.host,
@@ -244,7 +247,7 @@
 
   #createLinks (): PeerLinks {
     const { settings, clock, metrics, log } = this.#options
-    const { node, peers, timing } = settings
+    const { node, peers, timing, limits } = settings
     return new PeerLinks({
       nodeId: node.nodeId,
       host: peers.host,
@@ -253,6 +256,8 @@
       pingIntervalMs: timing.peerPingIntervalMs,
       silenceTimeoutMs: timing.peerSilenceMs,
       redialDelayMs: timing.peerRedialMs,
+      maxReceiveBytes: limits.maxLinkReceiveBytes,
+      maxIncomingLinks: limits.maxIncomingLinks,
       clock,
       metrics,
       log,
@@ -391,3 +396,19 @@
     await this.#backendClient.close()
   }
 }
+
+function createGuard ({ settings, clock, metrics, log }: NodeOptions): ClientGuard {
+  const { limits } = settings
+  return new ClientGuard({
+    limits: {
+      budgetBytes: limits.bodyBudgetBytes,
+      maxAddressPercent: limits.maxAddressPercent,
+      maxConnections: { client: limits.maxConnections, control: 0, readiness: 0, metrics: 0 },
+      maxPipelinedRequests: limits.maxPipelinedRequests,
+      maxFragmentedBodies: limits.maxFragmentedBodies
+    },
+    clock,
+    metrics,
+    log
+  })
+}
--- a/packages/node/src/peer-links.ts
+++ b/packages/node/src/peer-links.ts
@@ -1,10 +1,14 @@
 /** TCP links between nodes: each node dials every peer, and accepts the links that peers dial. */
 import { createConnection, createServer, type Server, type Socket } from 'node:net'
-import type { Clock, EventLog, Metrics } from '@comfreygrade/core'
+import { ClientAdmission, type AdmittedBody, type Clock, type EventLog, type Metrics } from '@comfreygrade/core'
 import {
-  encodeFrame, FrameDecoder, type FrameFormat, type HelloMessage, type LinkMessage, type PeerMessage
+  encodeFrame, FrameDecoder, MAX_FRAME_BYTES, type FrameFormat, type HelloMessage, type LinkMessage, type PeerMessage
 } from './peer-messages.js'
 
+/** Unfinished frames of all links together, if the options state no other limit; holds two of the largest. */
+const DEFAULT_MAX_RECEIVE_BYTES = 2 * MAX_FRAME_BYTES
+/** A node that is not known yet sends only its `hello`. */
+const MAX_UNIDENTIFIED_FRAME_BYTES = 64 * 1024
 /** Messages are dropped while a link has more unsent bytes than this, as the peer is not reading. */
 const MAX_SEND_BUFFER_BYTES = 16 * 1024 * 1024
 
@@ -26,6 +30,10 @@
   readonly pingIntervalMs: number
   readonly silenceTimeoutMs: number
   readonly redialDelayMs: number
+  /** Memory of the unfinished frames of all accepted links. */
+  readonly maxReceiveBytes?: number
+  /** Accepted links; further ones replace those that have not identified themselves, or are refused. */
+  readonly maxIncomingLinks?: number
   readonly clock: Clock
   readonly metrics: Metrics
   readonly log: EventLog
@@ -45,11 +53,20 @@
   readonly #outgoing = new Map<string, OutgoingLink<Message>>()
   readonly #incoming = new Set<IncomingLink<Message>>()
   readonly #server: Server
+  /** Keeps unfinished frames within their budget; an untrusted client on the port could announce many large ones. */
+  readonly #frames: FrameAdmission
   #livenessTimer: NodeJS.Timeout | undefined
 
   constructor (options: PeerLinksOptions<Message>) {
     this.#options = { ...options, onMessage: (nodeId, message) => { this.#deliver(nodeId, message) } }
     this.#receiver = options.onMessage
+    this.#frames = new ClientAdmission({
+      budgetBytes: options.maxReceiveBytes ?? DEFAULT_MAX_RECEIVE_BYTES,
+      maxAddressPercent: 100,
+      maxConnections: { client: Infinity, control: Infinity, readiness: Infinity, metrics: Infinity },
+      maxPipelinedRequests: Infinity,
+      maxFragmentedBodies: Infinity
+    })
     this.#server = createServer(socket => { this.#accept(socket) })
     for (const peer of options.peers) {
       if (peer.nodeId !== options.nodeId) this.#outgoing.set(peer.nodeId, new OutgoingLink(peer, this.#options))
@@ -147,13 +164,29 @@
   }
 
   #accept (socket: Socket): void {
+    if (!this.#makeRoom()) {
+      socket.destroy()
+      return
+    }
     const link = new IncomingLink(socket, this.#options, {
+      frames: this.#frames,
       onHello: hello => { this.#setFrameFormat(hello) },
       onClose: () => { this.#incoming.delete(link) }
     })
     this.#incoming.add(link)
   }
 
+  /** Closes the oldest link that has not identified itself where the limit of links is reached. */
+  #makeRoom (): boolean {
+    if (this.#incoming.size < (this.#options.maxIncomingLinks ?? Infinity)) return true
+    this.#options.metrics.increment('peer.links_limited')
+    const unidentified = [...this.#incoming].find(link => link.peerId === undefined)
+    if (unidentified === undefined) return false
+    this.#incoming.delete(unidentified)
+    unidentified.close()
+    return true
+  }
+
   /** Uses the format that the peer announced in its `hello`, so that two versions interoperate during an upgrade. */
   #setFrameFormat (hello: HelloMessage): void {
     const link = this.#outgoing.get(hello.nodeId)
@@ -271,7 +304,11 @@
   }
 }
 
+/** Frames that are not complete, each with the action that closes its link. */
+type FrameAdmission = ClientAdmission<object, () => void>
+
 interface IncomingLinkHandlers {
+  readonly frames: FrameAdmission
   readonly onHello: (hello: HelloMessage) => void
   readonly onClose: () => void
 }
@@ -281,6 +318,10 @@
   readonly #socket: Socket
   readonly #options: PeerLinksOptions<Message>
   readonly #onHello: (hello: HelloMessage) => void
+  readonly #frames: FrameAdmission
+  readonly #decoder = new FrameDecoder<Message>()
+  readonly #openedAtMs: number
+  #frame: AdmittedBody<() => void> | undefined
   #peerId: string | undefined
   #format: FrameFormat = 'named'
   #lastReceivedAtMs: number
@@ -289,20 +330,57 @@
     this.#socket = socket
     this.#onHello = handlers.onHello
     this.#options = options
-    this.#lastReceivedAtMs = options.clock.monotonicMs()
-    const decoder = new FrameDecoder<Message>()
+    this.#frames = handlers.frames
+    this.#openedAtMs = options.clock.monotonicMs()
+    this.#lastReceivedAtMs = this.#openedAtMs
     socket.setNoDelay(true)
     socket.on('data', chunk => {
       this.#lastReceivedAtMs = options.clock.monotonicMs()
       options.metrics.increment('peer.received_bytes', {}, chunk.length)
-      for (const message of decodeOrClose(decoder, chunk, socket, options.metrics)) this.#receive(message)
+      const messages = decodeOrClose(this.#decoder, chunk, socket, options.metrics)
+      if (messages.length > 0) this.#endFrame()
+      for (const message of messages) this.#receive(message)
+      if (!socket.destroyed) this.#countUnfinishedFrame()
     })
     socket.on('error', () => {})
-    socket.on('close', handlers.onClose)
+    socket.on('close', () => {
+      this.#endFrame()
+      handlers.onClose()
+    })
   }
 
+  /** A link that stays unidentified is closed even if bytes keep arriving. */
   checkLiveness (): void {
-    if (this.#options.clock.monotonicMs() - this.#lastReceivedAtMs >= this.#options.silenceTimeoutMs) this.close()
+    const sinceMs = this.#peerId === undefined ? this.#openedAtMs : this.#lastReceivedAtMs
+    if (this.#options.clock.monotonicMs() - sinceMs >= this.#options.silenceTimeoutMs) this.close()
+  }
+
+  /** Closes this link or another one if the unfinished frames of all links take too much memory. */
+  #countUnfinishedFrame (): void {
+    const { heldBytes, frameBytes } = this.#decoder
+    if (heldBytes === 0) return this.#endFrame()
+    if (this.#peerId === undefined && frameBytes > MAX_UNIDENTIFIED_FRAME_BYTES) return this.#drop()
+    const nowMs = this.#options.clock.monotonicMs()
+    this.#frame ??= this.#beginFrame(nowMs)
+    if (this.#frame === undefined) return
+    const { refused, dropped } = this.#frames.receiveChunk(this.#frame, 0, heldBytes, nowMs)
+    for (const drop of refused === undefined ? dropped : [...dropped, this.#drop]) drop()
+  }
+
+  #beginFrame (nowMs: number): AdmittedBody<() => void> | undefined {
+    const admitted = this.#frames.beginBody(this.#drop, this, { maxBodyBytes: MAX_FRAME_BYTES }, nowMs)
+    return typeof admitted === 'string' ? undefined : admitted
+  }
+
+  #endFrame (): void {
+    if (this.#frame !== undefined) this.#frames.endBody(this.#frame)
+    this.#frame = undefined
+  }
+
+  readonly #drop = (): void => {
+    this.#options.metrics.increment('peer.frame_dropped')
+    this.#options.log.warn('peer link closed: its unfinished frame takes too much memory', { peerId: this.#peerId })
+    this.close()
   }
 
   close (): void {
--- a/packages/node/src/peer-messages.ts
+++ b/packages/node/src/peer-messages.ts
@@ -1,5 +1,6 @@
 /** Messages between nodes and their framing: a 4-byte big-endian length, followed by one CBOR value. */
 import { Encoder } from 'cbor-x'
+import { SegmentedBody } from './segmented-body.js'
 import type { ConfigurationChange, ConfigurationDocument } from '@comfreygrade/core'
 import type { ConsensusMessage, VoterId } from '@comfreygrade/consensus'
 import type { ControlCommand, ControlOperation, ControlResult, Drain } from '@comfreygrade/control'
@@ -126,8 +127,21 @@
 
 /** Splits a byte stream into messages. */
 export class FrameDecoder<Message extends LinkMessage = PeerMessage> {
-  #chunks: Buffer[] = []
-  #bufferedBytes = 0
+  readonly #header = Buffer.alloc(FRAME_HEADER_BYTES)
+  #headerBytes = 0
+  #body: SegmentedBody | undefined
+  #frameBytes = 0
+  #missingBytes = 0
+
+  /** Announced length of the frame that is not complete yet; 0 if there is none. */
+  get frameBytes (): number {
+    return this.#body === undefined ? 0 : this.#frameBytes
+  }
+
+  /** Memory of the frame that is not complete yet. */
+  get heldBytes (): number {
+    return this.#body?.heldBytes ?? 0
+  }
 
   /**
    * Appends received bytes and returns the messages that are now complete.
@@ -136,38 +150,43 @@
    * value that is not a message
    */
   push (chunk: Buffer): Message[] {
-    this.#chunks.push(chunk)
-    this.#bufferedBytes += chunk.length
     const messages: Message[] = []
-    for (let body = this.#nextBody(); body !== undefined; body = this.#nextBody()) {
-      messages.push(toMessage<Message>(numberedCodec.decode(body)))
+    let rest = chunk
+    while (rest.length > 0) {
+      if (this.#body === undefined) rest = this.#readHeader(rest)
+      if (this.#body === undefined) break
+      const part = rest.subarray(0, this.#missingBytes)
+      rest = rest.subarray(part.length)
+      const body = this.#readBody(this.#body, part)
+      if (body !== undefined) messages.push(toMessage<Message>(numberedCodec.decode(body)))
     }
     return messages
   }
 
-  #nextBody (): Buffer | undefined {
-    if (this.#bufferedBytes < FRAME_HEADER_BYTES) return undefined
-    const lengthBytes = this.#peekBodyLength()
+  /** Returns the bytes after the length, or none if the length is not complete. */
+  #readHeader (bytes: Buffer): Buffer {
+    const copiedBytes = bytes.copy(this.#header, this.#headerBytes)
+    this.#headerBytes += copiedBytes
+    if (this.#headerBytes === FRAME_HEADER_BYTES) this.#beginBody(this.#header.readUInt32BE(0))
+    return bytes.subarray(copiedBytes)
+  }
+
+  #beginBody (lengthBytes: number): void {
     if (lengthBytes > MAX_FRAME_BYTES) {
       throw new RangeError(`a frame of ${lengthBytes} bytes exceeds the limit of ${MAX_FRAME_BYTES}`)
     }
-    const frameBytes = FRAME_HEADER_BYTES + lengthBytes
-    if (this.#bufferedBytes < frameBytes) return undefined
-    const joined = this.#joinChunks()
-    this.#chunks = joined.length > frameBytes ? [joined.subarray(frameBytes)] : []
-    this.#bufferedBytes = joined.length - frameBytes
-    return joined.subarray(FRAME_HEADER_BYTES, frameBytes)
-  }
-
-  #peekBodyLength (): number {
-    const first = this.#chunks[0]
-    if (first !== undefined && first.length >= FRAME_HEADER_BYTES) return first.readUInt32BE(0)
-    return this.#joinChunks().readUInt32BE(0)
+    this.#headerBytes = 0
+    this.#frameBytes = lengthBytes
+    this.#missingBytes = lengthBytes
+    this.#body = new SegmentedBody()
   }
 
-  #joinChunks (): Buffer {
-    const joined = this.#chunks.length === 1 ? this.#chunks[0] as Buffer : Buffer.concat(this.#chunks)
-    this.#chunks = [joined]
-    return joined
+  /** Returns the body once it is complete. */
+  #readBody (body: SegmentedBody, part: Buffer): Buffer | undefined {
+    body.append(part, this.#missingBytes)
+    this.#missingBytes -= part.length
+    if (this.#missingBytes > 0) return undefined
+    this.#body = undefined
+    return body.toBuffer()
   }
 }
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -42,6 +42,18 @@
   requestReceiveTimeoutMs: z.int().min(100).max(600_000).default(15_000),
   /** Largest answer of a backend server. */
   maxAnswerBytes: z.int().min(1024).max(256 * 1024 * 1024).default(16 * 1024 * 1024),
+  /** Bytes of all request bodies, unread answers to callers and answers of backend servers together. */
+  bodyBudgetBytes: z.int().min(1024).default(64 * 1024 * 1024),
+  maxConnections: z.int().min(1).default(10_000),
+  /** Largest share of the budget and of the connections that one address may hold. */
+  maxAddressPercent: z.int().min(1).max(100).default(75),
+  /** Requests of one connection without a complete answer. */
+  maxPipelinedRequests: z.int().min(1).default(8),
+  /** Bodies in progress whose chunks are very small. */
+  maxFragmentedBodies: z.int().min(1).default(2),
+  /** Memory of unfinished frames on links between nodes. */
+  maxLinkReceiveBytes: z.int().min(1024).default(64 * 1024 * 1024),
+  maxIncomingLinks: z.int().min(1).default(1_000),
   /**
    * Time that a graceful shutdown waits for open requests before it closes the servers and links. Closing the HTTP
    * server waits for requests that still run, so that a shutdown may take longer.
--- a/packages/node/test/backend-client.test.ts
+++ b/packages/node/test/backend-client.test.ts
@@ -1,8 +1,9 @@
 import test from 'ava'
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import type { BackendServerRecord } from '@comfreygrade/core'
+import { InMemoryMetrics, NullMetrics, type BackendServerRecord } from '@comfreygrade/core'
 import { BackendClient, type AttemptResult } from '../src/backend-client.js'
-import { findFreePort, listen } from './fixture.js'
+import { SystemClock } from '../src/system-clock.js'
+import { createGuard, findFreePort, listen } from './fixture.js'
 
 function createRecord (port: number): BackendServerRecord {
   return {
@@ -19,8 +20,10 @@
   }
 }
 
-async function sendAttempt (port: number, timeoutMs = 2_000): Promise<AttemptResult> {
-  const client = new BackendClient({ maxAnswerBytes: 1000, connectTimeoutMs: 500 })
+async function sendAttempt (
+  port: number, timeoutMs = 2_000, guard = createGuard(new SystemClock(), new NullMetrics())
+): Promise<AttemptResult> {
+  const client = new BackendClient({ maxAnswerBytes: 1000, guard, connectTimeoutMs: 500 })
   const backendServer = createRecord(port)
   const pending = client.send({ backendServer, service: 'billing', headers: {}, body: Buffer.from('x'), timeoutMs })
   const result = await pending.result
@@ -73,3 +76,23 @@
   const result = await sendAttemptToServer((_req, res) => { res.end(Buffer.alloc(5000)) })
   t.like(result, { kind: 'failed', progress: 'maybe_sent' })
 })
+
+// Guards against answers without end, each within its own limit, that together take more memory than the process has.
+test('answers in progress keep to the budget of the process', async t => {
+  const metrics = new InMemoryMetrics()
+  const guard = createGuard(new SystemClock(), metrics, { budgetBytes: 300 * 1024 })
+  const server = await listen((_req, res) => {
+    res.writeHead(200)
+    const timer = setInterval(() => { res.write('x'.repeat(20_000)) }, 1)
+    res.on('close', () => { clearInterval(timer) })
+  })
+  const client = new BackendClient({ maxAnswerBytes: 200 * 1024, guard, connectTimeoutMs: 500 })
+  const results = await Promise.all(Array.from({ length: 8 }, async () => await client.send({
+    backendServer: createRecord(server.port), service: 'billing', headers: {}, body: Buffer.from('x'), timeoutMs: 10_000
+  }).result))
+  t.true(results.every(result => result.kind === 'failed' && result.reason === 'connection_lost'))
+  t.true((metrics.snapshot()['client.limited{limit=body_budget}'] ?? 0) > 0, JSON.stringify(metrics.snapshot()))
+  await client.close()
+  server.closeAllConnections()
+  server.close()
+})
--- a/packages/node/test/fixture.ts
+++ b/packages/node/test/fixture.ts
@@ -2,23 +2,40 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import {
-  InMemoryMetrics, defaultRules, fail, failure, Random, succeed, type BackendServerRecord, type Failure,
-  type RequestSpec, type Result, type Rules
+  InMemoryMetrics, defaultRules, fail, failure, NullEventLog, Random, succeed, type BackendServerRecord,
+  type ClientAdmissionLimits, type Clock, type Failure, type Metrics, type RequestSpec, type Result, type Rules
 } from '@comfreygrade/core'
 import { BackendRegistry, defaultRoutingSettings, LocalityPolicy, RequestRouter } from '@comfreygrade/routing'
 import type { ControlOperation, ControlResult } from '@comfreygrade/control'
 import { Application, type BackendServerAnnouncement, type NodeStatus } from '../src/application.js'
 import { BackendClient } from '../src/backend-client.js'
+import { ClientGuard } from '../src/client-guard.js'
 import { HttpApi } from '../src/http-api.js'
 import { RequestService, type RequestResult } from '../src/request-service.js'
 import { SystemClock } from '../src/system-clock.js'
 
+/** Limits that only the tests of limits reach; those change some of them. */
+export function createGuard (
+  clock: Clock, metrics: Metrics, changes: Partial<ClientAdmissionLimits> = {}
+): ClientGuard {
+  const limits = {
+    budgetBytes: 16 * 1024 * 1024,
+    maxAddressPercent: 100,
+    maxConnections: { client: 1_000, control: 0, readiness: 0, metrics: 0 },
+    maxPipelinedRequests: 8,
+    maxFragmentedBodies: 2,
+    ...changes
+  }
+  return new ClientGuard({ limits, clock, metrics, log: new NullEventLog() })
+}
+
 /** Application with a real request service, which records the control operations that it is asked to execute. */
 export class EntryApplication extends Application {
   readonly clock = new SystemClock()
   readonly metrics = new InMemoryMetrics()
   readonly registry = new BackendRegistry(10_000)
-  readonly backendClient = new BackendClient({ maxAnswerBytes: 1024 * 1024, connectTimeoutMs: 500 })
+  readonly guard = createGuard(this.clock, this.metrics)
+  readonly backendClient = new BackendClient({ maxAnswerBytes: 1024 * 1024, guard: this.guard, connectTimeoutMs: 500 })
   readonly operations: ControlOperation[] = []
   isConfigurationStale = false
   isDrained = false
@@ -129,6 +146,7 @@
   const port = await findFreePort()
   const api = new HttpApi({
     application,
+    guard: application.guard,
     metrics: application.metrics,
     nodeId: 'n1',
     host: '127.0.0.1',
--- a/packages/node/test/http-api.test.ts
+++ b/packages/node/test/http-api.test.ts
@@ -256,3 +256,35 @@
     'refusal{kind=no_backend_server}': 1, 'refusal{kind=control_unavailable}': 1
   })
 })
+
+/** Sends raw bytes and resolves to all that is received until the connection is closed. */
+async function exchange (url: string, bytes: string): Promise<string> {
+  const socket = createConnection(Number(new URL(url).port), '127.0.0.1')
+  let received = ''
+  socket.on('data', chunk => { received += String(chunk) })
+  socket.on('error', () => {})
+  socket.write(bytes)
+  await once(socket, 'close')
+  return received
+}
+
+// Guards against bodies that are kept chunk by chunk or read to their end, for short requests and for the gateway.
+for (const path of ['/v1/services/billing/requests', '/v1/backend-servers/b1']) {
+  test(`a body of ${path} over the limit is refused as not run, and one in chunks of one byte is read whole`, async t => {
+    const entry = await startEntryNode(t)
+    const head = `${path.endsWith('b1') ? 'PUT' : 'POST'} ${path} HTTP/1.1\r\nHost: a\r\nComfreygrade-Organisation: o1\r\n`
+    const refused = await exchange(entry.url, `${head}Content-Length: 9000000000\r\n\r\nabc`)
+    t.regex(refused, /^HTTP\/1.1 413 .*"outcome":"not_run"/s)
+    const chunks = [...'{"unknown":1}'].map(byte => `1\r\n${byte}\r\n`).join('')
+    const read = await exchange(entry.url, `${head}Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n${chunks}0\r\n\r\n`)
+    t.regex(read, path.endsWith('b1') ? /^HTTP\/1.1 400 .*unknown/s : /^HTTP\/1.1 503 .*no_backend_server|unknown_service/s)
+  })
+}
+
+// Guards against requests sent ahead that are all executed although their answers are not read.
+test('a connection with too many requests sent ahead is closed', async t => {
+  const entry = await startEntryNode(t)
+  const received = await exchange(entry.url, 'GET /v1/queue HTTP/1.1\r\nHost: a\r\n\r\n'.repeat(1_000))
+  t.true(entry.application.operations.length <= 8)
+  t.is(received.split('HTTP/1.1').length <= 9, true)
+})
--- a/packages/node/test/peer-links.test.ts
+++ b/packages/node/test/peer-links.test.ts
@@ -1,5 +1,5 @@
 import { createServer, connect, type AddressInfo, type Socket } from 'node:net'
-import test from 'ava'
+import test, { type ExecutionContext } from 'ava'
 import { InMemoryMetrics, NullEventLog, NullMetrics } from '@comfreygrade/core'
 import { PeerLinks } from '../src/peer-links.js'
 import { encodeFrame, type PeerMessage } from '../src/peer-messages.js'
@@ -173,3 +173,70 @@
   socket.destroy()
   await links.stop()
 })
+
+/** Links that accept any node and keep to small limits. */
+async function startLimitedLinks (t: ExecutionContext) {
+  const port = await findFreePort()
+  const metrics = new InMemoryMetrics()
+  const received: string[] = []
+  const links = new PeerLinks<PeerMessage>({
+    nodeId: 'n1',
+    host: HOST,
+    port,
+    peers: [],
+    acceptsUnknownNodes: true,
+    pingIntervalMs: 50,
+    silenceTimeoutMs: 400,
+    redialDelayMs: 60_000,
+    maxReceiveBytes: 1_000_000,
+    maxIncomingLinks: 4,
+    clock: new SystemClock(),
+    metrics,
+    log: new NullEventLog(),
+    hello: () => ({ kind: 'hello', nodeId: 'n1', control: null }),
+    onMessage: nodeId => { received.push(nodeId) },
+    onConnect: () => {},
+    onDisconnect: () => {}
+  })
+  await links.start()
+  t.teardown(async () => { await links.stop() })
+  const dial = (nodeId?: string): Socket => {
+    const socket = connect(port, HOST)
+    socket.on('error', () => {})
+    socket.resume()
+    if (nodeId !== undefined) socket.write(encodeFrame({ kind: 'hello', nodeId, control: null }))
+    return socket
+  }
+  return { metrics, received, dial }
+}
+
+function unfinishedFrame (announcedBytes: number, sentBytes: number): Buffer {
+  const frame = Buffer.alloc(4 + sentBytes)
+  frame.writeUInt32BE(announcedBytes, 0)
+  return frame
+}
+
+// Guards against unfinished frames on several links that together exhaust the memory.
+test('unfinished frames keep to their budget, and other links go on', async t => {
+  const { metrics, received, dial } = await startLimitedLinks(t)
+  const senders = ['x', 'y', 'z'].map(nodeId => dial(nodeId))
+  for (const sender of senders) sender.write(unfinishedFrame(2_000_000, 600_000))
+  await waitUntil(() => (metrics.snapshot()['peer.frame_dropped'] ?? 0) >= 2)
+  t.is(senders.filter(sender => !sender.destroyed).length >= 1, true)
+  dial('ordinary').write(encodeFrame(request))
+  await waitUntil(() => received.filter(nodeId => nodeId === 'ordinary').length === 2)
+})
+
+// Guards against clients that are no nodes and occupy links, or announce large frames before they identify themselves.
+test('a link that has not identified itself may send no large frame, and is closed after a time or for another link', async t => {
+  const { metrics, received, dial } = await startLimitedLinks(t)
+  const large = dial()
+  large.write(unfinishedFrame(1_000_000, 10))
+  await waitUntil(() => large.destroyed)
+  t.is(metrics.snapshot()['peer.frame_dropped'], 1)
+  const idle = Array.from({ length: 6 }, () => dial())
+  dial('ordinary').write(encodeFrame(request))
+  await waitUntil(() => received.filter(nodeId => nodeId === 'ordinary').length === 2)
+  t.true((metrics.snapshot()['peer.links_limited'] ?? 0) >= 2)
+  await waitUntil(() => idle.every(socket => socket.destroyed))
+})
