--- a/packages/batch-node/src/batch-node.ts
+++ b/packages/batch-node/src/batch-node.ts
@@ -9,7 +9,7 @@
 import { LeaderClient } from './leader-client.js'
 import { isValidMessage } from './message-validation.js'
 import { RefusalCache } from './refusal-cache.js'
-import type { LeaderRequest, LeaderResponse, BatchMessage, ControlNodeInfo } from './messages.js'
+import type { LeaderRequest, LeaderResponse, BatchMessage, ControlNodeInfo, VersionedClientLimits } from './messages.js'
 
 /** Options of {@link BatchNode}. */
 export interface BatchNodeOptions
@@ -21,6 +21,11 @@
   readonly seeds: readonly PeerAddress[]
   /** Absent on a process without a disk, which never becomes a control node. */
   readonly disk?: ControlDisk
+  /** Limits of the links that other processes dial; see `PeerLinksOptions`. */
+  readonly maxReceiveBytes?: number
+  readonly maxIncomingLinks?: number
+  /** Called with the limits of each newer configuration that a control node names. */
+  readonly onClientLimits?: (limits: VersionedClientLimits) => void
   /** Number of voters if there are enough control nodes. */
   readonly targetVoterCount: number
 }
@@ -57,6 +62,7 @@
   #leaderHint: string | null = null
   /** Highest term of which this node knows the leader. */
   #leaderTerm = 0
+  #clientLimitsVersion = -Infinity
   #helloTimer: NodeJS.Timeout | undefined
   #intervalCount = 0
 
@@ -154,7 +160,7 @@
   }
 
   #createLinks (): PeerLinks<BatchMessage> {
-    const { nodeId, host, port, seeds, clock, metrics, log } = this.#options
+    const { nodeId, host, port, seeds, clock, metrics, log, maxReceiveBytes, maxIncomingLinks } = this.#options
     return new PeerLinks<BatchMessage>({
       nodeId,
       host,
@@ -164,6 +170,8 @@
       pingIntervalMs: LINK_PING_INTERVAL_MS,
       silenceTimeoutMs: LINK_SILENCE_MS,
       redialDelayMs: LINK_REDIAL_MS,
+      maxReceiveBytes,
+      maxIncomingLinks,
       clock,
       metrics,
       log,
@@ -203,7 +211,10 @@
 
   #membersMessage (): BatchMessage {
     const { leaderNodeId = null, term = 0 } = this.#service ?? {}
-    return { kind: 'members', nodes: this.#knownNodes(), leaderNodeId, term }
+    const { clientLimits } = this.#service ?? {}
+    return {
+      kind: 'members', nodes: this.#knownNodes(), leaderNodeId, term, ...(clientLimits === undefined ? {} : { clientLimits })
+    }
   }
 
   #receive (from: string, message: BatchMessage): void {
@@ -236,7 +247,9 @@
   }
 
   /** A node of an older version names no term; its leader is only tried first. */
-  #receiveMembers ({ nodes, leaderNodeId, term }: Extract<BatchMessage, { kind: 'members' }>): void {
+  #receiveMembers (message: Extract<BatchMessage, { kind: 'members' }>): void {
+    const { nodes, leaderNodeId, term, clientLimits } = message
+    if (clientLimits !== undefined) this.#receiveClientLimits(clientLimits)
     if (leaderNodeId !== null && term !== undefined) this.#handleLeader({ nodeId: leaderNodeId, term })
     else this.#leaderHint = leaderNodeId ?? this.#leaderHint
     for (const node of nodes) {
@@ -246,6 +259,13 @@
     }
   }
 
+  /** A control node that lags behind names an earlier configuration, which is ignored. */
+  #receiveClientLimits (limits: VersionedClientLimits): void {
+    if (limits.version <= this.#clientLimitsVersion) return
+    this.#clientLimitsVersion = limits.version
+    this.#options.onClientLimits?.(limits)
+  }
+
   #knownNodes (): ControlNodeInfo[] {
     const own = this.#ownControlInfo()
     const known = this.#membership.forgetSilentNodes(this.voters)
--- a/packages/documents/src/yaml-file.ts
+++ b/packages/documents/src/yaml-file.ts
@@ -69,18 +69,18 @@
 /** Nesting that is too deep and aliases that multiply are problems of the file too. */
 function readDocument (file: string, text: string): DocumentReading {
   const lineCounter = new LineCounter()
+  const start = { file, line: 1, column: 1, field: '' }
   try {
     const levels = countNestingLevels(text)
     if (levels > MAX_NESTING_LEVELS) {
       const allowed = `at most ${MAX_NESTING_LEVELS} levels`
-      return { kind: 'invalid', problems: [{ file, line: 1, field: '', found: `${levels} levels of nesting`, allowed }] }
+      return { kind: 'invalid', problems: [{ ...start, found: `${levels} levels of nesting`, allowed }] }
     }
     const document = parseDocument(text, { lineCounter })
     if (document.errors.length > 0) return { kind: 'invalid', problems: toSyntaxProblems(file, text, document) }
     return { kind: 'read', document, lineCounter, data: document.toJS() }
   } catch (error) {
-    const problem = { file, line: 1, column: 1, field: '', found: String(error), allowed: 'a document that can be read' }
-    return { kind: 'invalid', problems: [problem] }
+    return { kind: 'invalid', problems: [{ ...start, found: String(error), allowed: 'a document that can be read' }] }
   }
 }
 
--- a/packages/node/src/adapters.ts
+++ b/packages/node/src/adapters.ts
@@ -1,4 +1,5 @@
 /** Adapters shared with other processes of the system: links, storage, replica and clock. */
+export { ClientGuard, type GuardedRequest, type RequestLimits } from './client-guard.js'
 export { readOrCreateDiskId } from './disk-id.js'
 export { FullDiskRetry } from './full-disk-retry.js'
 export { FileLog } from './file-log.js'
@@ -8,5 +9,6 @@
 export { PeerLinks, type PeerAddress } from './peer-links.js'
 export type { LinkMessage } from './peer-messages.js'
 export { ReplicaRunner } from './replica-runner.js'
+export { SegmentedBody } from './segmented-body.js'
 export { SystemClock } from './system-clock.js'
 export { ReplicatedStateMachine, StateMachine } from './replica-host.js'
