--- a/packages/node/src/client-guard.ts
+++ b/packages/node/src/client-guard.ts
@@ -63,6 +63,11 @@
   /** Limits that bind at present, with the time and number of their refusals. */
   readonly #binding = new Map<ClientLimit, { lastMs: number, count: number }>()
   #clearTimer: NodeJS.Timeout | undefined
+  /**
+   * Requests that have not ended. The response to a request that was sent ahead emits no event if the connection closes
+   * before its turn.
+   */
+  readonly #openRequests = new WeakMap<Socket, Set<GuardedRequest>>()
   readonly #limiter: Limiter
 
   constructor (options: ClientGuardOptions) {
@@ -105,9 +110,17 @@
     const { socket } = request
     if (socket.destroyed) return undefined
     const { refused } = this.#admission.beginRequest(socket)
-    if (refused === undefined) return new GuardedRequest(request, response, this.#limiter, onEnd)
-    this.#disconnect(socket, refused)
-    return undefined
+    if (refused !== undefined) {
+      this.#disconnect(socket, refused)
+      return undefined
+    }
+    const requests = this.#openRequests.get(socket)
+    const guarded = new GuardedRequest(request, response, this.#limiter, () => {
+      requests?.delete(guarded)
+      onEnd()
+    })
+    requests?.add(guarded)
+    return guarded
   }
 
   /** Collects an answer of another process within the same budget; `onRefused` is called once if it is refused. */
@@ -127,7 +140,12 @@
     const { refused, dropped, droppedFor } = this.#admission.openConnection(socket, { address, pool, nowMs })
     if (refused !== undefined) return this.#disconnect(socket, refused)
     for (const victim of dropped) this.#disconnect(victim, droppedFor ?? 'connections')
-    socket.once('close', () => { this.#admission.closeConnection(socket) })
+    const requests = new Set<GuardedRequest>()
+    this.#openRequests.set(socket, requests)
+    socket.once('close', () => {
+      for (const guarded of requests) guarded.end()
+      this.#admission.closeConnection(socket)
+    })
   }
 
   /**
@@ -241,6 +259,8 @@
   readonly #request: IncomingMessage
   readonly #response: ServerResponse
   readonly #limiter: Limiter
+  readonly #onEnd: () => void
+  #hasEnded = false
   #admitted: AdmittedBody<BodyOwner> | undefined
   #answerBytes = 0
   #refuse: (limit: ClientLimit) => void = doNothing
@@ -250,12 +270,18 @@
     this.#request = request
     this.#response = response
     this.#limiter = limiter
-    const { socket } = request
-    response.once('close', () => {
-      if (this.#admitted !== undefined) limiter.admission.endBody(this.#admitted)
-      limiter.admission.endRequest(socket, this.#answerBytes)
-      onEnd()
-    })
+    this.#onEnd = onEnd
+    response.once('close', () => { this.end() })
+  }
+
+  /** Releases what the request holds: its answer has been passed on, or the client has disconnected. */
+  end (): void {
+    if (this.#hasEnded) return
+    this.#hasEnded = true
+    const { admission } = this.#limiter
+    if (this.#admitted !== undefined) admission.endBody(this.#admitted)
+    admission.endRequest(this.#request.socket, this.#answerBytes)
+    this.#onEnd()
   }
 
   /** Reads the body. Neither handler is called if the client disconnects. */
