--- a/packages/batch/src/worker-selection.ts
+++ b/packages/batch/src/worker-selection.ts
@@ -1,6 +1,6 @@
 /** Selection of workers for the tasks of a step: gang placement, data locality, best fit. */
 import { stepKey } from './jobs.js'
-import { SPEED_TIERS, speedTiers } from './speed-tiers.js'
+import { SLOW_FROM, SPEED_TIERS, speedTiers } from './speed-tiers.js'
 import { tasksThatFit, type WorkerCapacity } from './worker-capacity.js'
 import type { WaitingStep } from './waiting-steps.js'
 
@@ -201,8 +201,12 @@
 /** Weight of the logarithm of the slowdown: a worker that takes twice as long weighs as much as half of its memory. */
 const SPEED_WEIGHT = 0.7
 
-/** Independent tasks of no urgency go to slow workers first, so that fast ones stay free for urgent steps and gangs. */
+/**
+ * Independent tasks of no urgency go to slow workers first, so that the others stay free for urgent steps and gangs.
+ * Smaller differences in speed do not change the choice.
+ */
 function speedScore ({ slowdown }: WorkerCapacity, { spec, priority }: WaitingStep): number {
+  if (slowdown < SLOW_FROM) return 0
   const weight = Math.log(slowdown) * SPEED_WEIGHT
   return spec.isGang || priority === 0 ? weight : -weight
 }
