Read bodies in the HTTP front end without a promise; dispatch at once

Cause: HttpApi awaited a promise for each body, and a request without a body waited for an event although nothing of it is missing. The records of requests sent ahead were kept for all requests.

Change: bodies are passed on by a callback, a request without one is dispatched at once, and only requests sent ahead are recorded.

--- a/packages/node/src/client-guard.ts
+++ b/packages/node/src/client-guard.ts
@@ -64,10 +64,10 @@
   readonly #binding = new Map<ClientLimit, { lastMs: number, count: number }>()
   #clearTimer: NodeJS.Timeout | undefined
   /**
-   * Requests that have not ended. The response to a request that was sent ahead emits no event if the connection closes
-   * before its turn.
+   * Requests that were sent ahead and have not ended. Their responses emit no event if the connection closes before
+   * their turn.
    */
-  readonly #openRequests = new WeakMap<Socket, Set<GuardedRequest>>()
+  readonly #requestsAhead = new WeakMap<Socket, readonly GuardedRequest[]>()
   readonly #limiter: Limiter
 
   constructor (options: ClientGuardOptions) {
@@ -114,12 +114,9 @@
       this.#disconnect(socket, refused)
       return undefined
     }
-    const requests = this.#openRequests.get(socket)
-    const guarded = new GuardedRequest(request, response, this.#limiter, () => {
-      requests?.delete(guarded)
-      onEnd()
-    })
-    requests?.add(guarded)
+    const guarded = new GuardedRequest(request, response, this.#limiter, onEnd)
+    // A response gets the socket when its turn comes.
+    if (response.socket === null) this.#recordAhead(socket, guarded)
     return guarded
   }
 
@@ -140,14 +137,17 @@
     const { refused, dropped, droppedFor } = this.#admission.openConnection(socket, { address, pool, nowMs })
     if (refused !== undefined) return this.#disconnect(socket, refused)
     for (const victim of dropped) this.#disconnect(victim, droppedFor ?? 'connections')
-    const requests = new Set<GuardedRequest>()
-    this.#openRequests.set(socket, requests)
     socket.once('close', () => {
-      for (const guarded of requests) guarded.end()
+      for (const guarded of this.#requestsAhead.get(socket) ?? []) guarded.end()
       this.#admission.closeConnection(socket)
     })
   }
 
+  #recordAhead (socket: Socket, guarded: GuardedRequest): void {
+    const requests = [...this.#requestsAhead.get(socket) ?? [], guarded]
+    this.#requestsAhead.set(socket, requests.filter(request => !request.hasEnded))
+  }
+
   /**
    * A connection that waits for the answer of a running request is not idle. The end of a kept-alive connection without
    * a request is no refusal.
@@ -274,6 +274,10 @@
     response.once('close', () => { this.end() })
   }
 
+  get hasEnded (): boolean {
+    return this.#hasEnded
+  }
+
   /** Releases what the request holds: its answer has been passed on, or the client has disconnected. */
   end (): void {
     if (this.#hasEnded) return
@@ -289,8 +293,8 @@
     const request = this.#request
     const length = request.headers['content-length']
     if (length === undefined && request.headers['transfer-encoding'] === undefined) {
-      request.on('end', () => { handlers.onBody(NO_BODY) })
       request.resume()
+      handlers.onBody(NO_BODY)
       return
     }
     const bounds = { maxBodyBytes, announcedBytes: length === undefined ? undefined : Number(length) }
--- a/packages/node/src/http-api.ts
+++ b/packages/node/src/http-api.ts
@@ -4,7 +4,9 @@
 import { gunzipSync, inflateSync } from 'node:zlib'
 import { ServiceBroker, type Context } from 'moleculer'
 import ApiGateway, { type GatewayResponse, type IncomingRequest } from 'moleculer-web'
-import { errorBody, errorTable, fail, failure, succeed, type Failure, type Metrics, type Result } from '@comfreygrade/core'
+import {
+  errorBody, errorTable, fail, failure, succeed, type Failure, type Metrics, type Result, type Rules
+} from '@comfreygrade/core'
 import type { Application } from './application.js'
 import type { ClientGuard, GuardedRequest } from './client-guard.js'
 import { EndpointMethods } from './endpoint-methods.js'
@@ -211,24 +213,31 @@
     }
   }
 
-  async #executeShortRequest (
+  #executeShortRequest (
     service: string, query: string, req: IncomingMessage, res: ServerResponse, guarded: GuardedRequest
-  ): Promise<void> {
-    const { application } = this.#options
+  ): void {
+    const { application, maxBodyBytes } = this.#options
     if (query !== '') {
       this.#sendFailure(res, failure('unknown_field', `found query ${query}, short requests take no query parameters`))
       return
     }
     const rules = application.checkAdmission()
     if (!rules.ok) { this.#sendFailure(res, rules.failure); return }
-    const body = await this.#readBody(guarded, res, this.#options.maxBodyBytes)
-    if (body === undefined) return
-    if (body.length > rules.value.maxRequestBodyBytes) {
-      const detail = `the body has ${body.length} bytes, at most ${rules.value.maxRequestBodyBytes} are allowed`
+    this.#readBody(guarded, res, maxBodyBytes, body => {
+      this.#executeWithBody(service, body, rules.value, req, res, guarded)
+    })
+  }
+
+  async #executeWithBody (
+    service: string, body: Buffer, rules: Rules, req: IncomingMessage, res: ServerResponse, guarded: GuardedRequest
+  ): Promise<void> {
+    const { application } = this.#options
+    if (body.length > rules.maxRequestBodyBytes) {
+      const detail = `the body has ${body.length} bytes, at most ${rules.maxRequestBodyBytes} are allowed`
       this.#sendFailure(res, failure('body_too_large', detail))
       return
     }
-    const spec = readShortRequest(service, req.headers, rules.value, application.nowMs())
+    const spec = readShortRequest(service, req.headers, rules, application.nowMs())
     if (!spec.ok) { this.#sendFailure(res, spec.failure); return }
     const result = await application.executeRequest(spec.value, body, cancel => {
       res.on('close', () => { if (!res.writableFinished) cancel() })
@@ -248,28 +257,21 @@
   }
 
   /** The gateway would keep each chunk of a body; it gets the body whole, in the property that its parser fills. */
-  async #passToGateway (
+  #passToGateway (
     handler: (req: IncomingMessage, res: ServerResponse) => void, req: IncomingMessage, res: ServerResponse,
     guarded: GuardedRequest
-  ): Promise<void> {
-    const body = await this.#readBody(guarded, res, MAX_JSON_BYTES)
-    if (body === undefined) return
-    const json = parseJsonBody(body, req.headers['content-encoding'])
-    if (!json.ok) { this.#sendFailure(res, json.failure); return }
-    handler(Object.assign(req, { _body: true, body: json.value }), res)
+  ): void {
+    this.#readBody(guarded, res, MAX_JSON_BYTES, body => {
+      const json = parseJsonBody(body, req.headers['content-encoding'])
+      if (!json.ok) return this.#sendFailure(res, json.failure)
+      handler(Object.assign(req, { _body: true, body: json.value }), res)
+    })
   }
 
-  /** Resolves to undefined if the body was refused and the refusal has been sent; never if the client disconnects. */
-  async #readBody (guarded: GuardedRequest, res: ServerResponse, maxBytes: number): Promise<Buffer | undefined> {
-    return await new Promise(resolve => {
-      guarded.readBody(maxBytes, {
-        onBody: resolve,
-        onRefused: cause => {
-          this.#sendRefusal(res, guarded, cause)
-          resolve(undefined)
-        }
-      })
-    })
+  #readBody (
+    guarded: GuardedRequest, res: ServerResponse, maxBytes: number, onBody: (body: Buffer) => void
+  ): void {
+    guarded.readBody(maxBytes, { onBody, onRefused: cause => { this.#sendRefusal(res, guarded, cause) } })
   }
 
   /** Answers a request whose body was not read to its end, and closes its connection. */
