Observe learned run times without deciding by them

Change: adaptivePolicies learns and reports the errors, and decides by the callers' estimates; LearnedRunTimes can be put in its place by one line.

--- a/packages/batch/src/policies.ts
+++ b/packages/batch/src/policies.ts
@@ -3,6 +3,7 @@
 import { AcceptAllJobs, type AdmissionPolicy } from './admission-policy.js'
 import { UnlimitedShares, type OrganisationShares } from './organisation-shares.js'
 import { LearnedRunTimes } from './learned-run-times.js'
+import { ObservedRunTimes } from './observed-run-times.js'
 import { CallerEstimates, type RunTimePredictor } from './run-time-predictor.js'
 import type { BatchSettings } from './settings.js'
 import { EqualWorkerSpeeds, type WorkerSpeeds } from './worker-speeds.js'
@@ -35,5 +36,5 @@
 
 /** Policies that learn from the load and decide by it. */
 export function adaptivePolicies ({ clock }: PolicyContext): BatchPolicies {
-  return { ...plainPolicies(), runTimes: new LearnedRunTimes(clock) }
+  return { ...plainPolicies(), runTimes: new ObservedRunTimes(new LearnedRunTimes(clock)) }
 }
--- a/packages/batch/src/run-samples.ts
+++ b/packages/batch/src/run-samples.ts
@@ -88,7 +88,7 @@
 
   #recordError ({ job, stepIndex, runMs }: RunSample, estimateMs: number): RunTimeError {
     const { state, runTimes, metrics } = this.#options
-    const predictedMs = runTimes.predict(job, stepIndex).typicalMs
+    const predictedMs = runTimes.forecast(job, stepIndex).typicalMs
     const queue = state.queueOf(job)?.name ?? ''
     metrics.timing('run_time_error_ms', Math.abs(predictedMs - runMs), { queue, of: 'prediction' })
     metrics.timing('run_time_error_ms', Math.abs(estimateMs - runMs), { queue, of: 'estimate' })
--- a/packages/batch/src/run-time-predictor.ts
+++ b/packages/batch/src/run-time-predictor.ts
@@ -34,6 +34,11 @@
   /** Prediction for a task of a step. */
   abstract predict (job: JobRecord, stepIndex: number): RunTimePrediction
 
+  /** Best knowledge of the run time, for reports of its error; decisions use `predict`. */
+  forecast (job: JobRecord, stepIndex: number): RunTimePrediction {
+    return this.predict(job, stepIndex)
+  }
+
   /** Prediction for a task that has been assigned. */
   predictTask ({ job, stepSpec }: Pick<TaskContext, 'job' | 'stepSpec'>): RunTimePrediction {
     return this.predict(job, job.spec.steps.indexOf(stepSpec))
@@ -50,5 +55,5 @@
     return { typicalMs, objectiveMs: typicalMs, highMs: typicalMs, sampleCount: 0 }
   }
 
-  override learn (): void {}
+  override learn (_sample: RunSample): void {}
 }
--- a/packages/batch/test/learned-run-times.test.ts
+++ b/packages/batch/test/learned-run-times.test.ts
@@ -2,6 +2,7 @@
 import { ManualClock, Random } from '@comfreygrade/core'
 import { createJobRecord, type JobRecord } from '../src/job-record.js'
 import { LearnedRunTimes } from '../src/learned-run-times.js'
+import { ObservedRunTimes } from '../src/observed-run-times.js'
 import { job, step } from './sample-data.js'
 
 const MEAN_RUN_MS = 4_000
@@ -227,3 +228,14 @@
   t.true(Math.abs(Math.log(objectiveMsOf(MEAN_RUN_MS * 0.75) / usualMs) - Math.log(1.5)) < 0.01)
   t.true(objectiveMsOf(MEAN_RUN_MS / 100) > usualMs / 4, `${objectiveMsOf(MEAN_RUN_MS / 100)}`)
 })
+
+test('run times that are only observed are learned and reported, and decisions go by the estimates', t => {
+  const stream = new Stream()
+  const observed = new ObservedRunTimes(stream.runTimes)
+  const { record } = stream.job(MEAN_RUN_MS, MEAN_RUN_MS)
+  for (let count = 0; count < 50; count++) {
+    observed.learn({ job: record, stepIndex: 0, runMs: MEAN_RUN_MS * 3, kind: 'finished' })
+  }
+  t.is(observed.predict(record, 0).highMs, MEAN_RUN_MS)
+  t.true(observed.forecast(record, 0).typicalMs > MEAN_RUN_MS * 2)
+})
--- a/packages/batch/test/run-samples.test.ts
+++ b/packages/batch/test/run-samples.test.ts
@@ -15,8 +15,8 @@
 class RecordingPredictor extends CallerEstimates {
   readonly samples: RunSample[] = []
 
-  override learn (sample?: RunSample): void {
-    if (sample !== undefined) this.samples.push(sample)
+  override learn (sample: RunSample): void {
+    this.samples.push(sample)
   }
 }
 
