--- a/packages/batch/src/learned-worker-speeds.ts
+++ b/packages/batch/src/learned-worker-speeds.ts
@@ -6,6 +6,7 @@
  */
 import type { Metrics, EventLog } from '@comfreygrade/core'
 import { stepKeyOf, type StepSpec } from './jobs.js'
+import { SLOW_FROM } from './speed-tiers.js'
 import { FULL_PROGRESS_PERCENT, type WorkerReport } from './worker-messages.js'
 import { WorkerSpeeds, type SpecLookup } from './worker-speeds.js'
 import type { RunProgress, WorkerView } from './worker-view.js'
@@ -33,11 +34,17 @@
 const CHANGE_LOG_SLOWDOWN = 0.7
 /** Bounds of the slowdown, so that no wrong progress makes a worker look useless. */
 const MAX_LOG_SLOWDOWN = Math.log(6)
+/**
+ * Share of slow workers from which speeds count, and below which they no longer do. On a fleet of like workers, where a
+ * few look slow by chance, decisions are the same as without learned speeds.
+ */
+const UNEVEN_FROM_SLOW_SHARE = 0.08
+const EVEN_BELOW_SLOW_SHARE = 0.04
 const SWEEP_INTERVAL_MS = 1_000
 const MAX_STEPS = 4_096
 /** Slowdown from which a worker is logged as slow, and below which it is logged as no longer slow. */
-const SLOW_FROM = 1.5
-const SLOW_UNTIL = 1.25
+const LOGGED_AS_SLOW_FROM = 1.5
+const LOGGED_AS_SLOW_UNTIL = 1.25
 
 /** Part of a run from which its next rate is computed. */
 interface RateWindow {
@@ -88,6 +95,8 @@
   /** Median over the fleet, which counts as a slowdown of 1. */
   #typicalLogSlowdown = 0
   #sweptAtMs = -Infinity
+  /** Whether enough workers are slow for their speeds to count. */
+  #isFleetUneven = false
 
   constructor (options: Options) {
     super()
@@ -96,7 +105,7 @@
 
   override slowdownOf (worker: Pick<WorkerReport, 'workerId' | 'vmId' | 'incarnation'>): number {
     const record = this.#workers.get(workerKeyOf(worker))
-    return record === undefined ? 1 : Math.exp(record.logSlowdown - this.#typicalLogSlowdown)
+    return record === undefined || !this.#isFleetUneven ? 1 : Math.exp(record.logSlowdown - this.#typicalLogSlowdown)
   }
 
   override observe (view: WorkerView, nowMs: number, specOf: SpecLookup): void {
@@ -173,7 +182,7 @@
   #logChange (workerKey: string, { workerId }: WorkerReport): void {
     const record = this.#workers.get(workerKey) as WorkerRecord
     const slowdown = Math.exp(record.logSlowdown - this.#typicalLogSlowdown)
-    const isSlow = slowdown >= (record.isLoggedAsSlow ? SLOW_UNTIL : SLOW_FROM)
+    const isSlow = slowdown >= (record.isLoggedAsSlow ? LOGGED_AS_SLOW_UNTIL : LOGGED_AS_SLOW_FROM)
     if (isSlow === record.isLoggedAsSlow) return
     record.isLoggedAsSlow = isSlow
     const slowdownPercent = Math.round(slowdown * 100)
@@ -194,7 +203,11 @@
       if (record.samples.size === 0) this.#workers.delete(workerKey)
     }
     if (this.#workers.size === 0) return
-    this.#typicalLogSlowdown = median([...this.#workers.values()].map(({ logSlowdown }) => logSlowdown))
+    const logSlowdowns = [...this.#workers.values()].map(({ logSlowdown }) => logSlowdown)
+    this.#typicalLogSlowdown = median(logSlowdowns)
+    const minLogSlowdown = this.#typicalLogSlowdown + Math.log(SLOW_FROM)
+    const slowShare = logSlowdowns.filter(logSlowdown => logSlowdown >= minLogSlowdown).length / logSlowdowns.length
+    this.#isFleetUneven = slowShare >= (this.#isFleetUneven ? EVEN_BELOW_SLOW_SHARE : UNEVEN_FROM_SLOW_SHARE)
   }
 }
 
--- a/packages/batch/src/policies.ts
+++ b/packages/batch/src/policies.ts
@@ -6,6 +6,7 @@
 import { AcceptAllJobs, type AdmissionPolicy } from './admission-policy.js'
 import { UnlimitedShares, type OrganisationShares } from './organisation-shares.js'
 import { LearnedRunTimes } from './learned-run-times.js'
+import { ObservedRunTimes } from './observed-run-times.js'
 import { CallerEstimates, type RunTimePredictor } from './run-time-predictor.js'
 import type { BatchSettings } from './settings.js'
 import { ShapeAdmission } from './shape-admission.js'
@@ -43,8 +44,9 @@
 /** Policies that learn from the load and decide by it, as far as the settings ask for them. */
 export function adaptivePolicies (context: PolicyContext): BatchPolicies {
   const { settings, clock } = context
+  const learned = new LearnedRunTimes(clock)
   return {
-    runTimes: new LearnedRunTimes(clock),
+    runTimes: settings.runTimes === 'learned' ? learned : new ObservedRunTimes(learned),
     workerSpeeds: new LearnedWorkerSpeeds(context),
     shares: settings.sharing === 'fair' ? new FairShares(context) : new UnlimitedShares(),
     admission: settings.admission === 'backlog' ? new BacklogAdmission(context) : new ShapeAdmission(context)
--- a/packages/batch/src/settings.ts
+++ b/packages/batch/src/settings.ts
@@ -6,6 +6,9 @@
 /** Which jobs are refused: those that no worker could hold, or also those that the backlog makes useless. */
 export type AdmissionRule = 'shape' | 'backlog'
 
+/** Whether run times that were learned only show in metrics and the log, or also decide. */
+export type RunTimeRule = 'observed' | 'learned'
+
 /** Settings of the leader and its scheduler. A heartbeat is the message that carries a worker's report. */
 export interface BatchSettings {
   /**
@@ -72,6 +75,7 @@
   readonly minReclaimBudgetCoreSeconds: number
   /** Region of each availability zone of the deployment; empty where the settings name none. */
   readonly regionByAvailabilityZone: Readonly<Record<string, string>>
+  readonly runTimes: RunTimeRule
   readonly sharing: SharingRule
   readonly admission: AdmissionRule
   /** Slowdown of a same-rack gang that is spread over several racks. */
@@ -146,6 +150,7 @@
   reclaimWorkFactor: 3,
   minReclaimBudgetCoreSeconds: 1_000,
   regionByAvailabilityZone: {},
+  runTimes: 'observed',
   sharing: 'none',
   admission: 'shape',
   farFactor: 3,
