Check the size of chunks repeatedly, and refuse only fragmented bodies

While more bodies than permitted were fragmented, any other body was disconnected without an answer at its 2,000th chunk: a configuration of 3 MB that arrives in packets of 1,460 bytes, for example. A sender of one large chunk was never refused, however many chunks of one byte followed.

The check was made only at the 2,000th chunk, and did not ask whether the body itself was fragmented. It is now made at each multiple of that number.

--- a/packages/core/src/client-admission.ts
+++ b/packages/core/src/client-admission.ts
@@ -71,7 +71,7 @@
   isFinished: boolean
 }
 
-/** A body of more chunks than this counts as fragmented if its chunks are small on average. */
+/** Each time a body has received this many more chunks, it counts as fragmented if they are small on average. */
 const MIN_FRAGMENTS = 2_000
 /** Ordinary clients send a body in few chunks; chunks of this size cost as much time in parsing as in copying. */
 const FRAGMENT_BYTES = 64
@@ -196,7 +196,7 @@
     admitted.receivedBytes += chunkBytes
     admitted.chunkCount++
     if (admitted.receivedBytes > admitted.bounds.maxBodyBytes) return this.#refuse(admitted, 'body_bytes')
-    if (admitted.chunkCount === MIN_FRAGMENTS && this.#hasTooManyFragmented()) {
+    if (admitted.chunkCount % MIN_FRAGMENTS === 0 && isFragmented(admitted) && this.#hasTooManyFragmented()) {
       return this.#refuse(admitted, 'chunk_size')
     }
     if (heldBytes === admitted.heldBytes) return NOTHING_DROPPED
--- a/packages/core/test/client-admission.test.ts
+++ b/packages/core/test/client-admission.test.ts
@@ -120,3 +120,34 @@
   admission.endRequest(reader, 500)
   t.is(admission.heldBytes, 0)
 })
+
+/** Sends a body in many chunks of one size; returns the limit that refused it. */
+function sendChunks (
+  admission: ClientAdmission<Thing, Thing>, body: AdmittedBody<Thing>, chunkBytes: number
+): string | undefined {
+  return Array.from({ length: 2_500 }, () => admission.receiveChunk(body, chunkBytes, 100, 0).refused).find(Boolean)
+}
+
+// Guards against a large configuration in many packets that is refused because of the small chunks of other clients.
+test('a body of many ordinary chunks is served while others are fragmented', t => {
+  const admission = create({ budgetBytes: 1_000_000 })
+  const [first, late, large] = ['a', 'b', 'c'].map(name => (
+    beginBody(admission, thing(name), connect(admission, name, name), 16_000_000)
+  )) as [AdmittedBody<Thing>, AdmittedBody<Thing>, AdmittedBody<Thing>]
+  t.is(sendChunks(admission, first, 1), undefined)
+  admission.receiveChunk(late, 150_000, 100, 0)
+  sendChunks(admission, late, 1)
+  t.is(sendChunks(admission, large, 1_460), undefined)
+})
+
+// Guards against a sender of one large chunk that evades the limit for all its small ones.
+test('a body that becomes fragmented after a large chunk is refused too', t => {
+  const admission = create({ budgetBytes: 1_000_000 })
+  const [first, late] = ['a', 'b'].map(name => (
+    beginBody(admission, thing(name), connect(admission, name, name), 16_000_000)
+  )) as [AdmittedBody<Thing>, AdmittedBody<Thing>]
+  t.is(sendChunks(admission, first, 1), undefined)
+  admission.receiveChunk(late, 150_000, 100, 0)
+  t.is(sendChunks(admission, late, 1), undefined)
+  t.is(sendChunks(admission, late, 1), 'chunk_size')
+})
