Acknowledge a repeated submission while its job is being committed

A caller that repeated a submission, at the same or another entry, while both the first one and a configuration that removes its queue or permits its regions nowhere were being committed got status 503 with the outcome not_run. The first submission came earlier in the log, so the job was accepted.

The checks for pending configurations did not ask for pending submissions of the job, as the admission does. The test failed before the change.

--- a/packages/batch/src/operation-handler.ts
+++ b/packages/batch/src/operation-handler.ts
@@ -86,11 +86,13 @@
     const { queue, jobId, organisation } = resolved
     if (!isValidJobId(jobId)) return this.#refuse(requestId, invalidJobId(jobId))
     if (this.#options.state.job(jobId) !== undefined) return this.#accept(requestId)
-    const regionRefusal = this.#regionRefusalOf(queue, organisation)
+    // An earlier submission that is about to be committed was admitted, and its job will run.
+    const isProposed = this.#proposedJobs.has(jobId)
+    const regionRefusal = isProposed ? undefined : this.#regionRefusalOf(queue, organisation)
     if (regionRefusal !== undefined) return this.#refuse(requestId, regionRefusal)
     const valid = validateJob(fields)
     if (!valid.ok) return this.#refuse(requestId, valid.failure)
-    if (this.#isBeingRemoved(queue)) return this.#refuse(requestId, queueIsBeingRemoved(queue))
+    if (!isProposed && this.#isBeingRemoved(queue)) return this.#refuse(requestId, queueIsBeingRemoved(queue))
     const spec = { ...fields, jobId }
     const refusal = this.#refusalOf(spec, resolved)
     if (refusal !== undefined) return this.#refuse(requestId, refusal)
--- a/packages/batch/test/permitted-regions.test.ts
+++ b/packages/batch/test/permitted-regions.test.ts
@@ -108,3 +108,17 @@
   fixture.advance(200)
   t.deepEqual(fixture.adviceRequests.map(({ workerIds }) => workerIds), [['w2']])
 })
+
+// Guards against a refusal that says "not run" for a job whose earlier submission commits and runs.
+test('a submission is not refused because of a pending configuration while an earlier one of its job is pending', t => {
+  const withoutQueue = document(2, [queue({ name: 'free', pathPrefix: '/free/' })])
+  for (const pending of [regionDocument(2, ['west']), withoutQueue]) {
+    const fixture = createFixture(['south'])
+    fixture.isCommitting = false
+    t.is(fixture.submit('j1', [step()]), undefined)
+    fixture.execute({ kind: 'put_configuration', document: pending })
+    t.is(fixture.submit('j1', [step()]), undefined)
+    fixture.commitNext()
+    t.not(fixture.state.job('j1'), undefined)
+  }
+})
