Use the most favourable run time for the latest useful start of a job

With the admission 'backlog', a job of a queue whose slackFactor is below a third was refused with status 429 although it would have ended in time, had its estimate been too long: in the test, an estimate of 10 s with a constant objective of 20 s.

The longest possible path was taken as the favourable case. That holds only where the objective grows faster than the path. The test failed before the change.

--- a/packages/batch/src/backlog-admission.ts
+++ b/packages/batch/src/backlog-admission.ts
@@ -88,7 +88,7 @@
     const nowWallMs = this.#options.clock.wallMs()
     const pathMs = criticalPathMs(spec)
     const step = newStep(request, pathMs, nowWallMs)
-    const latestStartWallMs = nowWallMs + latestUsefulStartMs(request, pathMs * MAX_ESTIMATE_ERROR)
+    const latestStartWallMs = nowWallMs + latestUsefulStartMs(request, pathMs)
     const backlog = this.#backlogAheadOf(queue, organisation, pass)
     const isTooLate = RESOURCES.some(resource => spec.steps.every(({ shape }) => shape[resource] > 0) &&
       !mayStartBefore(latestStartWallMs, step, backlog, resource))
@@ -149,9 +149,14 @@
     workers.some(worker => worker.view.latest.service === service && worker.fits(step)))
 }
 
-/** Latest time from now at which the job may start and be of use, with a critical path of this length. */
+/**
+ * Latest time from now at which the job may start and be of use, with the most favourable length of its critical path:
+ * the longest one where the objective grows faster than the path, otherwise the shortest one.
+ */
 function latestUsefulStartMs ({ queue }: AdmissionRequest, pathMs: number): number {
-  return (queue.slackFactor * pathMs + queue.targetLatencyMs) * USEFUL_OBJECTIVE_FACTOR - pathMs
+  const pathsMs = [pathMs / MAX_ESTIMATE_ERROR, pathMs * MAX_ESTIMATE_ERROR]
+  return Math.max(...pathsMs.map(lengthMs =>
+    (queue.slackFactor * lengthMs + queue.targetLatencyMs) * USEFUL_OBJECTIVE_FACTOR - lengthMs))
 }
 
 function newStep ({ queue }: AdmissionRequest, pathMs: number, nowWallMs: number): BacklogStep {
--- a/packages/batch/test/backlog-admission.test.ts
+++ b/packages/batch/test/backlog-admission.test.ts
@@ -222,3 +222,16 @@
   t.deepEqual(counted, ['admission.refused', 'admission.refused'])
   t.deepEqual(lines, ['queue refuses jobs because of its backlog', 'queue no longer refuses jobs'])
 })
+
+// Guards against a refusal that takes a long run time for the favourable case, where the objective is constant.
+test('a job with a constant objective is accepted if it has a value when its estimate is too long', t => {
+  const constant = queue({ name: 'normal', priority: 1, slackFactor: 0, targetLatencyMs: 20_000 })
+  const urgent = queue({ name: 'urgent', pathPrefix: '/urgent/', priority: 0, slackFactor: 100, targetLatencyMs: 100 })
+  const fleet = new ReplayedFleet(1, () => 4_100, withAdmission, document(1, [constant, urgent]))
+  for (let index = 0; index < 12; index++) fleet.submit(`first${index}`, KEY, whole(10_000), '/urgent/')
+  fleet.round()
+  const submittedMs = fleet.nowMs
+  t.is(errorOf(fleet.submit('constant', KEY, whole(10_000))), undefined)
+  for (let round = 0; round < 1_000 && !fleet.endedMs.has('constant.0.0.0'); round++) fleet.round()
+  t.true((fleet.endedMs.get('constant.0.0.0') ?? Infinity) - submittedMs < 20_000 * USEFUL_FACTOR)
+})
