Do not move runs to capacity that is reserved for other steps

During an evacuation, a checkpointing run was stopped although the only free capacity was reserved for a step that comes before it. Its task then waited until that step had ended, while it could have gone on in the zone.

The decision on moves used the free capacity of the workers without the reservations of the scheduling pass. It now applies those of the latest pass, and observes them as the pass does.

--- a/packages/batch/src/reservation.ts
+++ b/packages/batch/src/reservation.ts
@@ -56,6 +56,13 @@
   for (const start of starts) start.worker.reserve(spec, spec.isGang ? delayMs : start.delayMs)
 }
 
+/** Deducts a reservation that was made with an earlier view of the workers. */
+export function reserveAgain (step: WaitingStep, reservation: Reservation, workers: readonly WorkerCapacity[]): void {
+  const starts = reservation.starts.flatMap(({ worker: { view }, delayMs }) =>
+    workers.filter(worker => worker.view === view).map(worker => ({ worker, delayMs })))
+  reserve(step, { ...reservation, starts })
+}
+
 function earliestStarts (step: WaitingStep, taskCount: number, workers: readonly WorkerCapacity[]): ExpectedStart[] {
   const limit = step.spec.maxTasksPerWorker
   const perWorker = limit > 0 ? Math.min(limit, taskCount) : taskCount
--- a/packages/batch/src/scheduler.ts
+++ b/packages/batch/src/scheduler.ts
@@ -21,7 +21,7 @@
 import { plainPolicies, type BatchPolicies } from './policies.js'
 import { ObjectiveReclaimPolicy, type ReclaimPolicy } from './reclaim-policy.js'
 import { RackExpectations } from './rack-expectations.js'
-import { LazyReservation, reserve } from './reservation.js'
+import { LazyReservation, reserve, reserveAgain, type Reservation } from './reservation.js'
 import type { BatchSettings } from './settings.js'
 import { listWaitingSteps, type WaitingStep } from './waiting-steps.js'
 import type { UnschedulableReason } from './worker-registry.js'
@@ -123,6 +123,8 @@
   /** Steps for which runs were stopped, with the time at which their claim on the freed capacity expires. */
   readonly #claims = new Map<string, number>()
   readonly #rackExpectations: RackExpectations
+  /** Reservations of the latest pass. */
+  #reservations: Array<{ readonly step: WaitingStep, readonly reservation: Reservation }> = []
   /** Key of the step at which the next pass goes on behind the steps that it tries in their order. */
   #resumeAtStep: string | undefined
 
@@ -141,6 +143,7 @@
   /** Runs a pass. Its assignments take effect only once they are committed. */
   runPass (state: BatchState, fleet: FleetView): PassDecision {
     const nowWallMs = this.#clock.wallMs()
+    this.#reservations = []
     this.#removeExpiredClaims()
     const listed = listWaitingSteps(state, this.#clock, this.#settings, this.#policies)
     const unschedulableWorkers = new Map<UnschedulableReason, number>()
@@ -277,6 +280,7 @@
     if (!mayReserve) return { reason: lackOf(step, candidates) }
     pass.reservationCount++
     reserve(step, reservation.value)
+    this.#reservations.push({ step, reservation: reservation.value })
     return reservation.value.delayMs === Infinity
       ? { reason: lackOf(step, candidates) }
       : { reason: 'reservation', expectedStartMs: Math.round(reservation.value.delayMs) }
@@ -321,9 +325,11 @@
     return budget === Infinity ? planReclaim(step, asSingleGroup(workers), this.#policies.shares) : undefined
   }
 
-  /** Returns the workers that may get new runs, for decisions outside a pass. */
+  /** Returns the workers that may get new runs, with the reservations of the latest pass, for decisions outside one. */
   schedulableWorkers (state: BatchState, fleet: FleetView): WorkerCapacity[] {
-    return this.#schedulableWorkers(state, fleet, new Map())
+    const workers = this.#schedulableWorkers(state, fleet, new Map())
+    for (const { step, reservation } of this.#reservations) reserveAgain(step, reservation, workers)
+    return workers
   }
 
   #capacityOf (view: WorkerView, state: BatchState, fleet: FleetView, nowMs: number): WorkerCapacity {
--- a/packages/batch/src/zone-moves.ts
+++ b/packages/batch/src/zone-moves.ts
@@ -156,7 +156,8 @@
     const places: WorkerCapacity[] = []
     const limit = spec.maxTasksPerWorker > 0 ? spec.maxTasksPerWorker : Infinity
     while (places.length < count) {
-      const worker = workers.find(candidate => candidate.fits(spec) && candidate.taskCountOf(stepKey) < limit)
+      const worker = workers.find(candidate => candidate.admits(spec, highMs) &&
+        candidate.taskCountOf(stepKey) < limit)
       if (worker === undefined) break
       worker.place(stepKey, spec, highMs)
       places.push(worker)
--- a/packages/batch/test/zone-moves.test.ts
+++ b/packages/batch/test/zone-moves.test.ts
@@ -135,3 +135,18 @@
   fleet.fixture.execute({ kind: 'put_configuration', document: restricted })
   t.deepEqual(fleet.stoppedWithin(6), { a1: ['j0.0.0.0'] })
 })
+
+// Guards against work that is stopped for capacity which the scheduler keeps for a step that comes before it.
+test('a run does not move to capacity that is reserved for another step', t => {
+  const half = { cpuMillicores: 1_000, memoryMb: 1_000, acceleratorCount: 4 }
+  const fleet = new Fleet(workersIn(inZ1, 'a', 1))
+  fleet.fixture.submit('bulk', [step({ taskCount: 1, shape: half, isCheckpointing: true, ...LONG })])
+  fleet.report()
+  fleet.report()
+  fleet.evacuate()
+  fleet.addWorkers(workersIn(inZ2, 'b', 1))
+  fleet.fixture.submit('urgent0', [step({ taskCount: 1, shape: half, ...LONG })], '/urgent/')
+  fleet.fixture.submit('urgent1', [wholeWorkerStep()], '/urgent/')
+  fleet.report()
+  t.deepEqual(fleet.stoppedWithin(30), {})
+})
