Do not count runs that would be stopped towards the limit of tasks per worker

A checkpointing gang with a limit of tasks per worker stayed in an evacuated zone if the only workers for it had members of the gang already: the members would have stopped with the gang, but still counted towards the limit.

The trial that frees the capacity of runs left the count of tasks as it was. The test failed before the change.

--- a/packages/batch/src/worker-capacity.ts
+++ b/packages/batch/src/worker-capacity.ts
@@ -100,9 +100,10 @@
     this.#count(key, -1)
   }
 
-  /** Counts the capacity of a run as free, as if it were stopped, or as occupied again. */
+  /** Counts a run as stopped, so that its capacity is free, or as running again. */
   setPreempted (run: OccupyingRun, isPreempted: boolean): void {
     addTask(this.#free, run.spec, isPreempted ? 1 : -1)
+    this.#count(stepKeyOf(run.assignment.taskKey), isPreempted ? -1 : 1)
   }
 
   /** Reserves capacity for a task that is expected to start after `delayMs`. */
--- a/packages/batch/test/zone-moves.test.ts
+++ b/packages/batch/test/zone-moves.test.ts
@@ -150,3 +150,15 @@
   fleet.report()
   t.deepEqual(fleet.stoppedWithin(30), {})
 })
+
+// Guards against a gang that stays in the zone because its own runs, which stop with it, count towards its limit.
+test('a gang with a limit of tasks per worker moves to workers that have members of it', t => {
+  const gang = wholeWorkerStep({ isCheckpointing: true, isGang: true, taskCount: 2, maxTasksPerWorker: 1 })
+  const fleet = new Fleet({ ...workersIn(inZ1, 'a', 1), ...workersIn(inZ2, 'b', 1) })
+  fleet.fixture.submit('j0', [gang])
+  fleet.report()
+  fleet.report()
+  fleet.addWorkers({ b2: inZ2 })
+  fleet.evacuate()
+  t.deepEqual(Object.keys(fleet.stoppedWithin(6)).sort(), ['a1', 'b1'])
+})
