--- a/packages/batch/test/evacuation.test.ts
+++ b/packages/batch/test/evacuation.test.ts
@@ -231,3 +231,23 @@
   const restarted = { ...inZ1, incarnation: 2_000, address: 'w1:80' }
   for (let count = 0; count < 5; count++) t.deepEqual(startsOf(fixture, 'w9', restarted), [])
 })
+
+// Guards against a gang of which a part has started and waits in vain for the member whose start order was lost.
+test('a gang of which one member has started and another must not start any more starts elsewhere as a whole', t => {
+  const fixture = createFixture()
+  fixture.heartbeat('w1', inZ1)
+  fixture.heartbeat('w2', inZ2)
+  fixture.submit('j1', [wholeWorkerStep({ isGang: true })])
+  fixture.advance(50)
+  const running = runningTasks(fixture.heartbeat('w2', inZ2)?.starts ?? [], 0)
+  t.deepEqual([running.length, startsOf(fixture, 'w1', inZ1).length], [1, 1])
+  fixture.execute(start)
+  t.deepEqual(startsOf(fixture, 'w1', inZ1), [])
+  const stops = fixture.heartbeat('w2', { ...inZ2, running })?.stops ?? []
+  t.is(stops.length, 1)
+  const ends = stops.map(stop => ({ ...stop, sequence: 1, reason: 'stopped' as const, checkpoint: '' }))
+  fixture.heartbeat('w2', { ...inZ2, ends })
+  fixture.heartbeat('w3', inZ2)
+  t.is(startsOf(fixture, 'w2', inZ2).length + startsOf(fixture, 'w3', inZ2).length, 2)
+  t.deepEqual(startsOf(fixture, 'w1', inZ1), [])
+})
