Drop larger unfinished bodies rather than answers to keep the budget

While unfinished bodies held nearly the whole budget, each answer of 4 KiB or more disconnected another client that was reading an answer, such as the configuration, although this freed little: a single client that sends bodies without their ends made other clients lose answers.

Only connections with unread answers had to make room for an answer. Now the slowest and largest unfinished body does where it holds more. Without the change, the first reader of the test was disconnected.

--- a/packages/core/src/client-admission.ts
+++ b/packages/core/src/client-admission.ts
@@ -35,6 +35,11 @@
   readonly droppedFor?: ClientLimit
 }
 
+/** What has to make room for an answer. */
+export interface AnswerAdmission<Connection, Body> extends Admission<Connection> {
+  readonly droppedBodies: readonly Body[]
+}
+
 /** Limits of one body, from its server and its request. */
 export interface BodyBounds {
   readonly maxBodyBytes: number
@@ -156,19 +161,29 @@
     this.#holdAnswer(state, -answerBytes)
   }
 
-  /** Counts an answer until `endRequest`; connections with the most unread bytes are dropped to keep the budget. */
-  beginAnswer (connection: Connection, answerBytes: number): Admission<Connection> {
+  /**
+   * Counts an answer until `endRequest`. To keep the budget, it drops the slowest and largest unfinished body or the
+   * connection with the most unread bytes, whichever holds more.
+   */
+  beginAnswer (connection: Connection, answerBytes: number, nowMs = 0): AnswerAdmission<Connection, Body> {
     const state = this.#connections.get(connection)
-    if (state === undefined) return NOTHING_DROPPED
+    if (state === undefined) return { dropped: [], droppedBodies: [] }
     this.#holdAnswer(state, answerBytes)
     const dropped: Connection[] = []
+    const droppedBodies: Body[] = []
     while (this.#heldBytes > this.#limits.budgetBytes) {
+      const body = this.#findSlowest(undefined, nowMs)
       const victim = this.#findLeastRead(connection)
-      if (victim === undefined) break
-      this.closeConnection(victim)
-      dropped.push(victim)
+      const unreadBytes = victim === undefined ? 0 : this.#connections.get(victim)?.unreadBytes ?? 0
+      if (body !== undefined && body.heldBytes > unreadBytes) {
+        this.endBody(body)
+        droppedBodies.push(body.body)
+      } else if (victim !== undefined) {
+        this.closeConnection(victim)
+        dropped.push(victim)
+      } else break
     }
-    return dropped.length === 0 ? NOTHING_DROPPED : { dropped, droppedFor: 'unread_answers' }
+    return dropped.length === 0 ? { dropped, droppedBodies } : { dropped, droppedBodies, droppedFor: 'unread_answers' }
   }
 
   /** Admits a body by its announced length, before any of it is read; returns the limit that refuses it. */
--- a/packages/core/test/client-admission.test.ts
+++ b/packages/core/test/client-admission.test.ts
@@ -151,3 +151,16 @@
   t.is(sendChunks(admission, late, 1), undefined)
   t.is(sendChunks(admission, late, 1), 'chunk_size')
 })
+
+// Guards against the loss of an ordinary reader's answer to make room beside the unfinished bodies of other clients.
+test('an answer makes room by dropping a larger unfinished body rather than an answer that is being read', t => {
+  const admission = create({ maxAddressPercent: 100 })
+  const [sender, first, second] = ['x', 'y', 'z'].map(name => connect(admission, name, name)) as [Thing, Thing, Thing]
+  const unfinished = beginBody(admission, thing('unfinished'), sender, 1_000)
+  admission.receiveChunk(unfinished, 950, 950, 0)
+  for (const reader of [first, second]) admission.beginRequest(reader)
+  t.deepEqual(admission.beginAnswer(first, 40).dropped, [])
+  const { dropped, droppedBodies } = admission.beginAnswer(second, 40, 100)
+  t.deepEqual([dropped, droppedBodies], [[], [unfinished.body]])
+  t.is(admission.heldBytes, 80)
+})
--- a/packages/node/src/client-guard.ts
+++ b/packages/node/src/client-guard.ts
@@ -309,8 +309,11 @@
   beginAnswer (answerBytes: number): void {
     if (answerBytes < MIN_COUNTED_BYTES) return
     this.#answerBytes = answerBytes
-    const { admission, disconnect } = this.#limiter
-    const { dropped, droppedFor = 'unread_answers' } = admission.beginAnswer(this.#request.socket, answerBytes)
+    const { admission, clock, disconnect } = this.#limiter
+    const { dropped, droppedBodies, droppedFor = 'unread_answers' } = admission.beginAnswer(
+      this.#request.socket, answerBytes, clock.monotonicMs()
+    )
+    for (const body of droppedBodies) body.drop('body_budget')
     for (const victim of dropped) disconnect(victim, droppedFor)
   }
 
