--- a/packages/batch/src/backlog-admission.ts
+++ b/packages/batch/src/backlog-admission.ts
@@ -34,15 +34,15 @@
 /** A pass older than this says nothing about the load, since the leader may have been suspended. */
 const PASS_VALIDITY_MS = 1_000
 /**
- * For this long a refused job stays refused, so that the entries can repeat the refusal for 500 ms. It is shorter than
- * the time after which the caller is asked to retry.
+ * Time for which a refused job stays refused. Entry nodes repeat a refusal for 500 ms, during which no job may be
+ * accepted by way of another node; callers are asked to retry later than this.
  */
 const REFUSAL_VALIDITY_MS = 600
 /** The shortest delay that a Retry-After header can state. */
 const MIN_RETRY_AFTER_MS = 1_000
-/** The first callers are told to come back after this time at the latest, since the load may have changed by then. */
+/** The earliest retry is at most this far ahead, since the load may have changed by then. */
 const MAX_FIRST_RETRY_MS = 60_000
-/** A queue for which no job was refused for this long counts as no longer refusing jobs, for the log. */
+/** Time without a refusal after which a queue is logged as no longer refusing jobs. */
 const REFUSALS_END_MS = 5_000
 
 const NOTHING: TaskShape = { cpuMillicores: 0, memoryMb: 0, acceleratorCount: 0 }
@@ -173,7 +173,7 @@
   return { ...run, priority, objectiveWallMs, waitingSinceWallMs, remainingCriticalPathMs, isGuaranteed, spec }
 }
 
-/** Tasks whose estimate is as wrong as it may be. */
+/** Tasks with their shortest possible run time, for an estimate that is too long by the largest error. */
 function toBacklogRun ({ shape, isFiller }: StepSpec, taskCount: number, estimateMs: number): BacklogRun {
   const occupied = {
     cpuMillicores: isFiller ? 0 : shape.cpuMillicores * taskCount,
@@ -197,9 +197,8 @@
 }
 
 /**
- * Callers come back spread over the time in which the backlog is worked off, from the time on at which it is short
- * enough for them. The delay depends on the job, not on the number of its attempts, so that retrying more often gains
- * nothing.
+ * Spreads the retries over the time in which the backlog is processed, beginning when it is short enough for the job.
+ * The delay depends on the job, not on the number of its attempts, so that retrying more often gains nothing.
  */
 function retryDelayMs (jobId: string, backlogMs: number, latestStartMs: number): number {
   const earliestMs = Math.min(MAX_FIRST_RETRY_MS, Math.max(MIN_RETRY_AFTER_MS, backlogMs - latestStartMs))
--- a/packages/batch/src/evacuation-return.ts
+++ b/packages/batch/src/evacuation-return.ts
@@ -24,7 +24,7 @@
 /** Which workers of a zone may get work again after a withdrawal: an equal share of each service with each step. */
 export class EvacuationReturn {
   readonly #options: EvacuationReturnOptions
-  /** Workers that get no work yet, since a pass asks for each of them. */
+  /** Held workers by zone, computed once for each time, since a pass asks for every worker. */
   #held = { atMs: -Infinity, byZone: new Map<string, ReadonlySet<string>>() }
 
   constructor (options: EvacuationReturnOptions) {
--- a/packages/batch/src/learned-run-times.ts
+++ b/packages/batch/src/learned-run-times.ts
@@ -12,20 +12,24 @@
 /** Most callers (an organisation at a queue) that are remembered. A caller takes about 17 kB, a kind 300 bytes. */
 const MAX_CALLERS = 512
 const MAX_QUEUES = 128
+/** Share of the run times that `highMs` of a prediction covers. */
 const HIGH_SHARE = 0.9
 const MIN_RUN_MS = 1
 /**
- * Weights of the prior of each group, in steps: the fewer steps a group covers, the less its samples tell apart from
- * those of the wider group.
+ * Weights, in steps, at which half of the correction of a group is applied. They are higher for narrower groups, whose
+ * few samples may differ from those of the wider group by chance.
  */
 const QUEUE_PRIOR_WEIGHT = 3
 const CALLER_PRIOR_WEIGHT = 12
 const KIND_PRIOR_WEIGHT = 20
+/** See {@link ShrunkenLine}; in squares of logarithms of estimates. */
 const PRIOR_SPREAD = 1.5
 /** Weight from which a distribution counts more than that of the wider group. */
 const RATIOS_PRIOR_WEIGHT = 10
 /** Up to this many standard deviations, a long estimate is corrected towards the usual ones like a short one. */
 const USUAL_SPREAD_FACTOR = 1.5
+/** Shares of the run times at which the time of a run that was cut short is compared with the distribution. */
+const CUT_SHORT_SHARES = [0.5, 0.6, 0.7, 0.8, 0.9]
 
 /** What is known about one group of work, relative to the wider group. */
 interface Group {
@@ -124,9 +128,10 @@
     const callerKey = JSON.stringify([queueAddress, organisation])
     const kindKey = JSON.stringify([queueAddress, organisation, image, cpuMillicores, memoryMb, acceleratorCount])
     return {
-      queue: take(this.#queues, queueAddress, MAX_QUEUES, () => createQueueGroup(nowMs)),
-      caller: take(this.#callers, callerKey, MAX_CALLERS, () => createGroup(CALLER_PRIOR_WEIGHT, nowMs)),
-      kind: take(this.#kinds, kindKey, MAX_KINDS, () => ({ line: createLine(KIND_PRIOR_WEIGHT), learnedAtMs: nowMs }))
+      queue: getOrCreate(this.#queues, queueAddress, MAX_QUEUES, () => createQueueGroup(nowMs)),
+      caller: getOrCreate(this.#callers, callerKey, MAX_CALLERS, () => createGroup(CALLER_PRIOR_WEIGHT, nowMs)),
+      kind: getOrCreate(this.#kinds, kindKey, MAX_KINDS, () =>
+        ({ line: createLine(KIND_PRIOR_WEIGHT), learnedAtMs: nowMs }))
     }
   }
 }
@@ -147,8 +152,8 @@
   return { ...createGroup(QUEUE_PRIOR_WEIGHT, nowMs), estimates: createLine(0), version: 0 }
 }
 
-/** The entry of a key, created where it is missing. The entry that was taken longest ago makes room for a new one. */
-function take<Value> (entries: Map<string, Value>, key: string, maxCount: number, create: () => Value): Value {
+/** Returns the entry of a key, created where it is missing; evicts the least recently used ones beyond `maxCount`. */
+function getOrCreate<Value> (entries: Map<string, Value>, key: string, maxCount: number, create: () => Value): Value {
   const value = entries.get(key) ?? create()
   entries.delete(key)
   entries.set(key, value)
@@ -232,10 +237,7 @@
  */
 function expectedBeyond (groups: Groups, spec: StepSpec, logBound: number): number | undefined {
   const centre = logCentre(groups, spec)
-  const shareBelow = REMAINING_SHARES.findLast(share => centre + logQuantile(groups, share) < logBound)
+  const shareBelow = CUT_SHORT_SHARES.findLast(share => centre + logQuantile(groups, share) < logBound)
   if (shareBelow === undefined) return undefined
   return Math.max(logBound, centre + logQuantile(groups, (1 + shareBelow) / 2))
 }
-
-/** Shares of the run times at which a bound is compared with the distribution. */
-const REMAINING_SHARES = [0.5, 0.6, 0.7, 0.8, 0.9]
--- a/packages/batch/src/observed-run-times.ts
+++ b/packages/batch/src/observed-run-times.ts
@@ -4,7 +4,7 @@
 
 /**
  * Decides by the callers' estimates, while another predictor learns and its errors are reported beside those of the
- * estimates. In the benchmark, decisions by the learned run times serve no more value than those by the estimates.
+ * estimates, so that operators can compare both before they let the learned run times decide.
  */
 export class ObservedRunTimes extends CallerEstimates {
   readonly #observed: RunTimePredictor
--- a/packages/batch/src/run-estimates.ts
+++ b/packages/batch/src/run-estimates.ts
@@ -52,7 +52,7 @@
   return (end.atMs - first.atMs) * FULL_PROGRESS_PERCENT / observedPercent
 }
 
-/** Time for which a run has worked, without the part that the checkpoint saved which it resumed from. */
+/** Time for which a run has worked, without the work that it resumed from a checkpoint. */
 export function workedMs ({ workFirstSeen, lastChangeMs }: RunProgress): number {
   return workFirstSeen === undefined ? 0 : lastChangeMs - workFirstSeen.atMs
 }
--- a/packages/batch/src/run-time-model.ts
+++ b/packages/batch/src/run-time-model.ts
@@ -26,8 +26,8 @@
   #sumYY = 0
 
   /**
-   * @param priorWeight - weight of the samples that half of their mean is believed of
-   * @param priorSpread - the same for the slope, in squares of the abscissa
+   * @param priorWeight - weight of the samples at which the line is halfway between zero and their fit
+   * @param priorSpread - weighted sum of squared deviations of the abscissas at which the slope is halved
    */
   constructor (priorWeight: number, priorSpread: number) {
     this.#priorWeight = priorWeight
@@ -68,7 +68,7 @@
     return this.#weight > 0 ? Math.sqrt(Math.max(0, this.#sumXX / this.#weight - this.centre ** 2)) : 0
   }
 
-  /** Share of the mean that is not likely to be chance, which the deviations of the samples from the mean show. */
+  /** Factor from 0 to 1 by which the mean is reduced where the samples scatter widely around it. */
   #significance (mean: number): number {
     const variance = Math.max(0, this.#sumYY / this.#weight - mean ** 2)
     return mean === 0 ? 0 : mean ** 2 / (mean ** 2 + variance / this.#weight)
--- a/packages/batch/src/scheduler.ts
+++ b/packages/batch/src/scheduler.ts
@@ -48,10 +48,9 @@
 }
 
 /**
- * Why tasks of a step were not placed: the step needs tickets, no worker could ever hold a task, none is in a region
- * that the step may run in, all racks that could
- * hold the gang or that have the data are in use, runs are being stopped for it, capacity is reserved for it, or it has
- * to wait for any capacity.
+ * Why tasks of a step were not placed: the step needs tickets, no worker could ever hold a task, no such worker is in a
+ * region that the step may run in, all racks that could hold the gang or that have the data are in use, runs are being
+ * stopped for it, capacity is reserved for it, or it has to wait for any capacity.
  */
 export type WaitReason = 'ticket' | 'no_worker' | 'region' | 'rack' | 'data_rack' | 'reclaim' | 'reservation' | 'capacity'
 
--- a/packages/batch/src/zone-moves.ts
+++ b/packages/batch/src/zone-moves.ts
@@ -28,8 +28,8 @@
   /** Workers that may get new runs, with their runs. */
   readonly schedulableWorkers: () => WorkerCapacity[]
   readonly isStopping: (assignment: Assignment) => boolean
-  /** Runs of the gang that a run belongs to; only the run itself where it belongs to none. */
   readonly policies: RunPolicies
+  /** Runs of the gang that a run belongs to; only the run itself where it belongs to none. */
   readonly gangRuns: (assignment: Assignment) => Assignment[]
   /** Whether the disruption budgets of their steps allow to stop the runs together. */
   readonly allowsStops: (assignments: readonly Assignment[]) => boolean
@@ -167,7 +167,7 @@
   }
 }
 
-/** Also for infinite values, whose difference is no number. */
+/** Unlike a subtraction, this also orders two infinite values. */
 function compareNumbers (left: number, right: number): number {
   return left < right ? -1 : Number(left > right)
 }
--- a/packages/node/src/client-guard.ts
+++ b/packages/node/src/client-guard.ts
@@ -37,7 +37,7 @@
   readonly onRefused: (cause: Failure) => void
 }
 
-/** Time without a refusal after which a limit has ceased to bind. */
+/** Time without a refusal after which a limit is logged as no longer reached. */
 const LIMIT_CLEAR_MS = 5_000
 /** Interval at which timeouts of incomplete requests are checked. */
 const TIMEOUT_CHECK_INTERVAL_MS = 500
@@ -60,7 +60,7 @@
 export class ClientGuard {
   readonly #options: ClientGuardOptions
   readonly #admission: ClientAdmission<Socket, BodyOwner>
-  /** Limits that bind at present, with the time and number of their refusals. */
+  /** Limits that refuse clients at present, with the time of the latest refusal and the number of refusals. */
   readonly #binding = new Map<ClientLimit, { lastMs: number, count: number }>()
   #clearTimer: NodeJS.Timeout | undefined
   /**
