--- a/packages/batch/src/backlog-admission.ts
+++ b/packages/batch/src/backlog-admission.ts
@@ -8,7 +8,7 @@
   compareBacklogSteps, mayStartBefore, type Backlog, type BacklogRun, type BacklogStep, type Resource
 } from './backlog.js'
 import { criticalPathMs } from './critical-path.js'
-import type { JobSpec, StepSpec, TaskShape } from './jobs.js'
+import { NO_RESOURCES, occupiedShape, type JobSpec, type StepSpec } from './jobs.js'
 import type { QueueConfiguration } from './queues.js'
 import type { PassDecision } from './scheduler.js'
 import { USEFUL_OBJECTIVE_FACTOR } from './scheduling-order.js'
@@ -45,7 +45,6 @@
 /** Time without a refusal after which a queue is logged as no longer refusing jobs. */
 const REFUSALS_END_MS = 5_000
 
-const NOTHING: TaskShape = { cpuMillicores: 0, memoryMb: 0, acceleratorCount: 0 }
 const RESOURCES: readonly Resource[] = ['acceleratorCount', 'cpuMillicores', 'memoryMb']
 
 /**
@@ -157,7 +156,7 @@
 function newStep ({ queue }: AdmissionRequest, pathMs: number, nowWallMs: number): BacklogStep {
   return {
     priority: queue.priority,
-    shape: NOTHING,
+    shape: NO_RESOURCES,
     minRunMs: 0,
     objectiveWallMs: nowWallMs + queue.slackFactor * pathMs + queue.targetLatencyMs,
     waitingSinceWallMs: nowWallMs,
@@ -174,13 +173,14 @@
 }
 
 /** Tasks with their shortest possible run time, for an estimate that is too long by the largest error. */
-function toBacklogRun ({ shape, isFiller }: StepSpec, taskCount: number, estimateMs: number): BacklogRun {
-  const occupied = {
-    cpuMillicores: isFiller ? 0 : shape.cpuMillicores * taskCount,
-    memoryMb: shape.memoryMb * taskCount,
-    acceleratorCount: shape.acceleratorCount * taskCount
+function toBacklogRun (spec: StepSpec, taskCount: number, estimateMs: number): BacklogRun {
+  const { cpuMillicores, memoryMb, acceleratorCount } = occupiedShape(spec)
+  const shape = {
+    cpuMillicores: cpuMillicores * taskCount,
+    memoryMb: memoryMb * taskCount,
+    acceleratorCount: acceleratorCount * taskCount
   }
-  return { shape: occupied, minRunMs: estimateMs / MAX_ESTIMATE_ERROR }
+  return { shape, minRunMs: estimateMs / MAX_ESTIMATE_ERROR }
 }
 
 /** Lasting runs count as ending now: when an operator ends them is not known. */
--- a/packages/batch/src/evacuation-return.ts
+++ b/packages/batch/src/evacuation-return.ts
@@ -3,6 +3,7 @@
  * that starts on all of them at once would be slow at once.
  */
 import type { Clock } from '@comfreygrade/core'
+import { compareValues } from './compare-values.js'
 import type { EvacuationRecord } from './evacuations.js'
 import type { WorkerView } from './worker-view.js'
 
@@ -68,9 +69,5 @@
 }
 
 function compareLocations ({ latest: left }: WorkerView, { latest: right }: WorkerView): number {
-  return compareText(left.rack, right.rack) || compareText(left.workerId, right.workerId)
-}
-
-function compareText (left: string, right: string): number {
-  return left < right ? -1 : Number(left > right)
+  return compareValues(left.rack, right.rack) || compareValues(left.workerId, right.workerId)
 }
--- a/packages/batch/src/failed-placements.ts
+++ b/packages/batch/src/failed-placements.ts
@@ -1,4 +1,5 @@
 /** Placements that failed in a scheduling pass, so that steps which need at least as much are not tried again. */
+import { occupiedShape } from './jobs.js'
 import type { WaitReason } from './scheduler.js'
 import type { WaitingStep } from './waiting-steps.js'
 import type { Candidates } from './worker-selection.js'
@@ -62,8 +63,8 @@
   return JSON.stringify([job.service, label])
 }
 
-function requirementOf ({ spec: { shape, isFiller }, runTime }: WaitingStep): Requirement {
-  return { ...shape, cpuMillicores: isFiller ? 0 : shape.cpuMillicores, highRunMs: runTime.highMs }
+function requirementOf ({ spec, runTime }: WaitingStep): Requirement {
+  return { ...occupiedShape(spec), highRunMs: runTime.highMs }
 }
 
 function isAtLeast (left: Requirement, right: Requirement): boolean {
--- a/packages/batch/src/jobs.ts
+++ b/packages/batch/src/jobs.ts
@@ -8,6 +8,8 @@
   readonly acceleratorCount: number
 }
 
+export const NO_RESOURCES: TaskShape = { cpuMillicores: 0, memoryMb: 0, acceleratorCount: 0 }
+
 /** One accelerator counts as this many processor cores where amounts of work are compared. */
 const CORES_PER_ACCELERATOR = 8
 
@@ -59,6 +61,17 @@
   readonly maxUnavailable?: number
 }
 
+/**
+ * Resources that one task occupies on its worker. A filler uses only spare processor time, so its cores do not
+ * count.
+ *
+ * @example
+ * addShape(used, occupiedShape(spec))
+ */
+export function occupiedShape ({ shape, isFiller }: Pick<StepSpec, 'shape' | 'isFiller'>): TaskShape {
+  return isFiller ? { ...shape, cpuMillicores: 0 } : shape
+}
+
 /** Times at which a job recurs. */
 export interface JobSchedule {
   /** Unix time of the first occurrence. */
--- a/packages/batch/src/known-fleet.ts
+++ b/packages/batch/src/known-fleet.ts
@@ -1,5 +1,5 @@
 /** Workers of each service that were seen, to tell jobs that can never be served from those that have to wait. */
-import type { StepSpec, TaskShape } from './jobs.js'
+import { NO_RESOURCES, type StepSpec, type TaskShape } from './jobs.js'
 import { couldHold } from './worker-capacity.js'
 import type { WorkerView } from './worker-view.js'
 
@@ -10,8 +10,6 @@
   capacity: TaskShape
 }
 
-const NOTHING: TaskShape = { cpuMillicores: 0, memoryMb: 0, acceleratorCount: 0 }
-
 /** The largest shapes and the largest capacity of each service. Workers that have gone count, as they may come back. */
 export class KnownFleet {
   readonly #pools = new Map<string, KnownPool>()
@@ -22,7 +20,7 @@
     const totals = new Map<string, TaskShape>()
     for (const { latest: { workerId, service, capacity } } of views) {
       this.#workerIds.add(workerId)
-      totals.set(service, combine(totals.get(service) ?? NOTHING, capacity, (left, right) => left + right))
+      totals.set(service, combine(totals.get(service) ?? NO_RESOURCES, capacity, (left, right) => left + right))
       this.#addShape(this.#poolOf(service), capacity)
     }
     for (const [service, total] of totals) {
@@ -36,7 +34,7 @@
   }
 
   capacityOf (service: string): TaskShape {
-    return this.#pools.get(service)?.capacity ?? NOTHING
+    return this.#pools.get(service)?.capacity ?? NO_RESOURCES
   }
 
   /** Whether no worker that was seen could hold a task, even without other runs; false before any was seen. */
@@ -46,7 +44,7 @@
   }
 
   #poolOf (service: string): KnownPool {
-    const pool = this.#pools.get(service) ?? { shapes: [], capacity: NOTHING }
+    const pool = this.#pools.get(service) ?? { shapes: [], capacity: NO_RESOURCES }
     this.#pools.set(service, pool)
     return pool
   }
--- a/packages/batch/src/organisation-usage.ts
+++ b/packages/batch/src/organisation-usage.ts
@@ -1,12 +1,10 @@
 /** Resources that the runs of each organisation occupy. */
-import type { StepSpec, TaskShape } from './jobs.js'
+import { NO_RESOURCES, occupiedShape, type TaskShape } from './jobs.js'
 import type { OrganisationUsage } from './organisation-shares.js'
 import type { WorkerCapacity } from './worker-capacity.js'
 
 type Amounts = { -readonly [Resource in keyof TaskShape]: number }
 
-const NOTHING: TaskShape = { cpuMillicores: 0, memoryMb: 0, acceleratorCount: 0 }
-
 /**
  * Usage of the organisations that have runs, as shares of the given workers.
  *
@@ -14,25 +12,20 @@
  * usageByOrganisation(workers).get('org-a')?.dominantShare // 0.25
  */
 export function usageByOrganisation (workers: readonly WorkerCapacity[]): ReadonlyMap<string, OrganisationUsage> {
-  const total: Amounts = { ...NOTHING }
+  const total: Amounts = { ...NO_RESOURCES }
   const used = new Map<string, Amounts>()
   for (const { view, runs } of workers) {
     add(total, view.latest.capacity)
     for (const { organisation, spec } of runs) {
-      const amounts = used.get(organisation) ?? { ...NOTHING }
+      const amounts = used.get(organisation) ?? { ...NO_RESOURCES }
       used.set(organisation, amounts)
-      add(amounts, occupiedBy(spec))
+      add(amounts, occupiedShape(spec))
     }
   }
   return new Map([...used].map(([organisation, amounts]) =>
     [organisation, { dominantShare: dominantShare(amounts, total) }]))
 }
 
-/** Fillers use only spare processor time. */
-function occupiedBy ({ shape, isFiller }: StepSpec): TaskShape {
-  return isFiller ? { ...shape, cpuMillicores: 0 } : shape
-}
-
 function add (sum: Amounts, shape: TaskShape): void {
   sum.cpuMillicores += shape.cpuMillicores
   sum.memoryMb += shape.memoryMb
--- a/packages/batch/src/worker-capacity.ts
+++ b/packages/batch/src/worker-capacity.ts
@@ -1,7 +1,7 @@
 /** Capacity of workers and the runs that occupy it, during one scheduling pass. */
 import type { BatchState } from './batch-state.js'
 import type { Assignment } from './commands.js'
-import { stepKeyOf, type StepSpec, type TaskShape } from './jobs.js'
+import { NO_RESOURCES, occupiedShape, stepKeyOf, type StepSpec, type TaskShape } from './jobs.js'
 import { estimateRemainingMs } from './run-estimates.js'
 import type { RunPolicies } from './policies.js'
 import type { WorkerView } from './worker-view.js'
@@ -153,7 +153,7 @@
 
 /** Utilisation of all workers together, for the resource that is used most. */
 export function peakUtilisation (workers: readonly WorkerCapacity[]): number {
-  const used: MutableShape = { cpuMillicores: 0, memoryMb: 0, acceleratorCount: 0 }
+  const used: MutableShape = { ...NO_RESOURCES }
   const total: MutableShape = { ...used }
   for (const { view: { latest: { capacity } }, free } of workers) {
     addShape(total, capacity, 1)
@@ -192,8 +192,8 @@
     (isFiller || available.cpuMillicores >= shape.cpuMillicores)
 }
 
-function addTask (available: MutableShape, { shape, isFiller }: StepSpec, sign: 1 | -1): void {
-  addShape(available, isFiller ? { ...shape, cpuMillicores: 0 } : shape, sign)
+function addTask (available: MutableShape, spec: StepSpec, sign: 1 | -1): void {
+  addShape(available, occupiedShape(spec), sign)
 }
 
 /** Lists the runs that occupy a worker, with their estimated ends. */
--- a/packages/batch/src/zone-moves.ts
+++ b/packages/batch/src/zone-moves.ts
@@ -7,6 +7,7 @@
 import type { Clock, Metrics } from '@comfreygrade/core'
 import type { BatchState, TaskContext } from './batch-state.js'
 import type { Assignment } from './commands.js'
+import { compareValues } from './compare-values.js'
 import type { Eviction } from './evictions.js'
 import { stepKeyOf } from './jobs.js'
 import type { BatchSettings } from './settings.js'
@@ -95,7 +96,7 @@
         moves.push({ run, context, obstacle, members: this.#options.gangRuns(run.assignment) })
       }
     }
-    return moves.sort((left, right) => compareNumbers(right.run.remainingMs, left.run.remainingMs))
+    return moves.sort((left, right) => compareValues(right.run.remainingMs, left.run.remainingMs))
   }
 
   /** A checkpointing run that ends before the bound of an evacuation is over does not continue for long. */
@@ -166,8 +167,3 @@
     return false
   }
 }
-
-/** Unlike a subtraction, this also orders two infinite values. */
-function compareNumbers (left: number, right: number): number {
-  return left < right ? -1 : Number(left > right)
-}
