Split the long functions of the learned speeds and the report handler

Public methods of the scheduler and the order planner stood among private ones, and a public and a private method of the scheduler differed only in '#'. The condition under which a failed placement is not remembered now has its reason.

--- a/packages/batch/src/learned-worker-speeds.ts
+++ b/packages/batch/src/learned-worker-speeds.ts
@@ -72,7 +72,7 @@
   readonly samples: Map<RunProgress, SpeedSample>
   logSlowdown: number
   /** Whether the latest rate was much lower (1) or higher (-1) than expected, otherwise 0. */
-  surprise: number
+  latestDeviation: number
   isLoggedAsSlow: boolean
 }
 
@@ -137,19 +137,24 @@
   #learn (report: WorkerReport, progress: RunProgress, logRate: number, nowMs: number, specOf: SpecLookup): void {
     const spec = specOf(progress.taskKey)
     if (spec === undefined || !isComparable(spec, report)) return
-    const workerKey = workerKeyOf(report)
-    const rates = this.#ratesOf(stepKeyOf(progress.taskKey))
-    rates.delete(progress.taskKey)
-    rates.set(progress.taskKey, { workerKey, rack: report.rack, logRate, atMs: nowMs })
-    if (rates.size > MAX_SIBLINGS) rates.delete(rates.keys().next().value as string)
-    const siblings = [...rates.values()].filter(rate =>
-      rate.workerKey !== workerKey && nowMs - rate.atMs <= RATE_MAX_AGE_MS)
+    const rate = { workerKey: workerKeyOf(report), rack: report.rack, logRate, atMs: nowMs }
+    const siblings = this.#recordRate(progress.taskKey, rate)
     if (siblings.length < MIN_SIBLINGS) return
     // A same-rack gang that is spread over several racks runs at the speed of its links.
     if (spec.isGang && spec.isSameRack && siblings.some(({ rack }) => rack !== report.rack)) return
-    const typicalLogRate = median(siblings.map(rate => rate.logRate + this.#logSlowdown(rate.workerKey)))
-    this.#addSample(workerKey, progress, typicalLogRate - logRate, nowMs)
-    this.#logChange(workerKey, report)
+    const typicalLogRate = median(siblings.map(sibling => sibling.logRate + this.#logSlowdown(sibling.workerKey)))
+    this.#addSample(rate.workerKey, progress, typicalLogRate - logRate, nowMs)
+    this.#logChange(rate.workerKey, report)
+  }
+
+  /** Records the rate of a task; returns the recent rates of the other runs of its step, on other workers. */
+  #recordRate (taskKey: string, rate: Rate): Rate[] {
+    const rates = this.#ratesOf(stepKeyOf(taskKey))
+    rates.delete(taskKey)
+    rates.set(taskKey, rate)
+    if (rates.size > MAX_SIBLINGS) rates.delete(rates.keys().next().value as string)
+    return [...rates.values()].filter(({ workerKey, atMs }) =>
+      workerKey !== rate.workerKey && rate.atMs - atMs <= RATE_MAX_AGE_MS)
   }
 
   #ratesOf (stepKey: string): Map<string, Rate> {
@@ -167,12 +172,12 @@
 
   #addSample (workerKey: string, progress: RunProgress, logSlowdown: number, nowMs: number): void {
     const record = this.#workers.get(workerKey) ??
-      { samples: new Map(), logSlowdown: this.#typicalLogSlowdown, surprise: 0, isLoggedAsSlow: false }
+      { samples: new Map(), logSlowdown: this.#typicalLogSlowdown, latestDeviation: 0, isLoggedAsSlow: false }
     this.#workers.set(workerKey, record)
     const difference = logSlowdown - record.logSlowdown
-    const surprise = Math.abs(difference) < CHANGE_LOG_SLOWDOWN ? 0 : Math.sign(difference)
-    if (surprise !== 0 && surprise === record.surprise) record.samples.clear()
-    record.surprise = surprise
+    const deviation = Math.abs(difference) < CHANGE_LOG_SLOWDOWN ? 0 : Math.sign(difference)
+    if (deviation !== 0 && deviation === record.latestDeviation) record.samples.clear()
+    record.latestDeviation = deviation
     record.samples.delete(progress)
     record.samples.set(progress, { logSlowdown, atMs: nowMs })
     if (record.samples.size > MAX_SAMPLES) record.samples.delete(record.samples.keys().next().value as RunProgress)
@@ -190,9 +195,13 @@
     this.#options.log.info(isSlow ? 'worker is slow' : 'worker is no longer slow', { workerId, slowdownPercent })
   }
 
-  /** Removes what is too old to count, and updates the median over the fleet. */
   #sweep (nowMs: number): void {
     this.#sweptAtMs = nowMs
+    this.#removeExpired(nowMs)
+    if (this.#workers.size > 0) this.#updateTypicalSlowdown()
+  }
+
+  #removeExpired (nowMs: number): void {
     for (const [stepKey, rates] of this.#ratesByStep) {
       if ([...rates.values()].every(({ atMs }) => nowMs - atMs > RATE_MAX_AGE_MS)) this.#ratesByStep.delete(stepKey)
     }
@@ -202,7 +211,10 @@
       }
       if (record.samples.size === 0) this.#workers.delete(workerKey)
     }
-    if (this.#workers.size === 0) return
+  }
+
+  /** Updates the median over the fleet, and whether enough workers are slow for their speeds to count. */
+  #updateTypicalSlowdown (): void {
     const logSlowdowns = [...this.#workers.values()].map(({ logSlowdown }) => logSlowdown)
     this.#typicalLogSlowdown = median(logSlowdowns)
     const minLogSlowdown = this.#typicalLogSlowdown + Math.log(SLOW_FROM)
--- a/packages/batch/src/order-planner.ts
+++ b/packages/batch/src/order-planner.ts
@@ -74,6 +74,18 @@
       .map(active => ({ ...active, taskKey: `${prefix}.${index}` })))
   }
 
+  /** Runs to start that the worker certainly does not have, and that must not start there. */
+  obstructedRuns (view: WorkerView): Assignment[] {
+    const { state, startRules } = this.#options
+    const { availabilityZone } = view.latest
+    if (!startRules.mayObstructIn(availabilityZone)) return []
+    return this.#runsOf(view).filter(assignment => {
+      const job = state.findTask(assignment.taskKey)?.job
+      return job !== undefined && startRules.obstacleIn(availabilityZone, job) !== undefined &&
+        this.#isAbsent(assignment, view)
+    })
+  }
+
   /** Whether a run is being stopped. */
   isStopping (assignment: Assignment): boolean {
     if (this.#stopping.has(assignmentKey(assignment))) return true
@@ -162,18 +174,6 @@
     })
   }
 
-  /** Runs to start that the worker certainly does not have, and that must not start there. */
-  obstructedRuns (view: WorkerView): Assignment[] {
-    const { state, startRules } = this.#options
-    const { availabilityZone } = view.latest
-    if (!startRules.mayObstructIn(availabilityZone)) return []
-    return this.#runsOf(view).filter(assignment => {
-      const job = state.findTask(assignment.taskKey)?.job
-      return job !== undefined && startRules.obstacleIn(availabilityZone, job) !== undefined &&
-        this.#isAbsent(assignment, view)
-    })
-  }
-
   #startOrders (view: WorkerView, { mayStartIncompleteGangs }: StartPermission): StartOrder[] {
     const { assembly } = this.#options
     const starts: StartOrder[] = []
--- a/packages/batch/src/report-handler.ts
+++ b/packages/batch/src/report-handler.ts
@@ -3,7 +3,7 @@
 import type { BatchState } from './batch-state.js'
 import type { Assignment, BatchCommand, RunEnd, WorkerIncarnation } from './commands.js'
 import type { GangAssembly } from './gang-assembly.js'
-import { jobIdOf, type StepSpec } from './jobs.js'
+import { jobIdOf } from './jobs.js'
 import type { ProposalOutcome } from './operation-handler.js'
 import type { OrderPlanner } from './order-planner.js'
 import type { BatchPolicies } from './policies.js'
@@ -13,7 +13,7 @@
 import { RunSamples } from './run-samples.js'
 import type { BatchSettings } from './settings.js'
 import type { WorkerOrders, WorkerReport } from './worker-messages.js'
-import type { WorkerRegistry } from './worker-registry.js'
+import type { IgnoredReason, WorkerRegistry } from './worker-registry.js'
 import type { WorkerView } from './worker-view.js'
 
 /** Options of {@link ReportHandler}. */
@@ -68,23 +68,17 @@
 
   /** Handles a report. */
   receive (requestId: string, report: WorkerReport): void {
-    const { registry, clock } = this.#options
+    const { state, registry, clock, policies } = this.#options
     const nowMs = clock.monotonicMs()
     const known = registry.view(report.workerId)
     const wasResponsive = known !== undefined && registry.isResponsive(known)
     const outcome = registry.receive(report)
     for (const replaced of outcome.replaced) this.#handleWorkerGone(replaced.latest, 'replaced by a later incarnation', replaced)
-    if (outcome.kind === 'ignored') {
-      const { workerId, sequence } = report
-      this.#options.metrics.increment('worker.report_ignored', { reason: outcome.reason })
-      this.#options.log.info('heartbeat ignored', { workerId, sequence, reason: outcome.reason })
-      this.#options.reply(requestId, undefined)
-      return
-    }
+    if (outcome.kind === 'ignored') return this.#ignore(requestId, report, outcome.reason)
     const { view } = outcome
     if (!wasResponsive) this.#options.requestPass()
     this.#countMalformedEntries(report)
-    this.#options.policies.workerSpeeds.observe(view, nowMs, this.#specOf)
+    policies.workerSpeeds.observe(view, nowMs, taskKey => state.findTask(taskKey)?.stepSpec)
     this.#checkLease(view)
     if (view.leaseStatus !== 'uncertain' && view.hasSecondReport) this.#proposeEnds(report)
     this.#releaseAbsentRuns(view)
@@ -94,7 +88,11 @@
     this.#releaseCompleteGangs(report.workerId)
   }
 
-  readonly #specOf = (taskKey: string): StepSpec | undefined => this.#options.state.findTask(taskKey)?.stepSpec
+  #ignore (requestId: string, { workerId, sequence }: WorkerReport, reason: IgnoredReason): void {
+    this.#options.metrics.increment('worker.report_ignored', { reason })
+    this.#options.log.info('heartbeat ignored', { workerId, sequence, reason })
+    this.#options.reply(requestId, undefined)
+  }
 
   #countMalformedEntries ({ workerId, sequence, malformedEntryCount }: WorkerReport): void {
     if (malformedEntryCount === undefined) return
--- a/packages/batch/src/scheduler.ts
+++ b/packages/batch/src/scheduler.ts
@@ -143,7 +143,7 @@
     this.#removeExpiredClaims()
     const listed = listWaitingSteps(state, this.#clock, this.#settings, this.#policies)
     const unschedulableWorkers = new Map<UnschedulableReason, number>()
-    const workers = listed.length === 0 ? [] : this.#schedulableWorkers(state, fleet, unschedulableWorkers)
+    const workers = listed.length === 0 ? [] : this.#listSchedulable(state, fleet, unschedulableWorkers)
     const steps = this.#withShares(listed, workers)
     const isFleetKnown = this.#clock.monotonicMs() - this.#termStartedAtMs >= this.#settings.fleetDiscoveryMs
     const pass: Pass = {
@@ -171,6 +171,11 @@
     return pass
   }
 
+  /** Returns the workers that may get new runs, for decisions outside a pass. */
+  schedulableWorkers (state: BatchState, fleet: FleetView): WorkerCapacity[] {
+    return this.#listSchedulable(state, fleet, new Map())
+  }
+
   /** Updates the attained service of all organisations. Usage does not count while no step waits. */
   #withShares (steps: readonly WaitingStep[], workers: readonly WorkerCapacity[]): WaitingStep[] {
     const { shares } = this.#policies
@@ -225,6 +230,7 @@
     if (unplaced.taskIndexes.length === 0) return
     const reason = this.#reclaimOrReserve(unplaced, candidates, pass)
     if (reason === undefined) return
+    // A placement that was tried on only some of the workers says nothing about other steps.
     if (regions === undefined && pools.includes(eligible)) pass.failed.add(step, candidates, lackOf(step, candidates))
     this.#recordWait(unplaced, reason, pass)
   }
@@ -320,11 +326,6 @@
     return budget === Infinity ? planReclaim(step, asSingleGroup(workers), this.#policies.shares) : undefined
   }
 
-  /** Returns the workers that may get new runs, for decisions outside a pass. */
-  schedulableWorkers (state: BatchState, fleet: FleetView): WorkerCapacity[] {
-    return this.#schedulableWorkers(state, fleet, new Map())
-  }
-
   #capacityOf (view: WorkerView, state: BatchState, fleet: FleetView, nowMs: number): WorkerCapacity {
     const runs = listOccupyingRuns(state, view, fleet.isStopping, nowMs, this.#policies)
     const isReachable = fleet.isReachable(view.latest.workerId)
@@ -332,7 +333,7 @@
   }
 
   /** Returns the workers that may get new runs, and counts the others by reason. */
-  #schedulableWorkers (
+  #listSchedulable (
     state: BatchState, fleet: FleetView, unschedulableWorkers: Map<UnschedulableReason, number>
   ): WorkerCapacity[] {
     const nowMs = this.#clock.monotonicMs()
