--- a/packages/batch/test/evacuation.test.ts
+++ b/packages/batch/test/evacuation.test.ts
@@ -112,13 +112,19 @@
   t.deepEqual(startsOf(fixture, 'w1', inZ1), [])
 })
 
-// Guards against a part of a gang that starts and waits in vain for the member in the evacuated zone.
-test('a gang with an unstarted member in the zone is stopped as a whole, and starts elsewhere', t => {
+/** Fixture with a gang that is assigned to a worker in each zone, and whose start orders are not sent. */
+function createFixtureWithUnstartedGang (): LeaderFixture {
   const fixture = createFixture()
   fixture.heartbeat('w1', inZ1)
   fixture.heartbeat('w2', inZ2)
   fixture.submit('j1', [wholeWorkerStep({ isGang: true })])
   fixture.advance(50)
+  return fixture
+}
+
+// Guards against a part of a gang that starts and waits in vain for the member in the evacuated zone.
+test('a gang with an unstarted member in the zone is stopped as a whole, and starts elsewhere', t => {
+  const fixture = createFixtureWithUnstartedGang()
   fixture.execute(start)
   t.deepEqual(startsOf(fixture, 'w2', inZ2), [])
   fixture.heartbeat('w3', inZ2)
@@ -126,13 +132,9 @@
   t.deepEqual(startsOf(fixture, 'w1', inZ1), [])
 })
 
-// The new leader does not know the zone of the silent worker, which is the evacuated one.
+// Guards against a new leader that starts a gang although a silent worker, whose zone it does not know, holds a member.
 test('a new leader starts no member of a gang while another member may wait in the evacuated zone', t => {
-  const fixture = createFixture()
-  fixture.heartbeat('w1', inZ1)
-  fixture.heartbeat('w2', inZ2)
-  fixture.submit('j1', [wholeWorkerStep({ isGang: true })])
-  fixture.advance(50)
+  const fixture = createFixtureWithUnstartedGang()
   fixture.execute(start)
   fixture.changeLeader()
   for (let count = 0; count < 40; count++) t.deepEqual(startsOf(fixture, 'w2', inZ2), [])
