Pass an admitted request as one value, and separate the collection of its body

HttpApi passed the request, the response and the guard side by side through methods of up to six parameters and handled requests within createServer; GuardedRequest.#collect mixed the storage of the body with its admission. The options of EvacuationRequests repeated those of OperationHandler.

--- a/packages/batch/src/evacuation-requests.ts
+++ b/packages/batch/src/evacuation-requests.ts
@@ -1,24 +1,16 @@
 /** Requests of operators to evacuate an availability zone, and their withdrawals. */
-import type { Clock, EventLog, Failure, Metrics } from '@comfreygrade/core'
-import type { BatchState } from './batch-state.js'
-import type { Assignment, BatchCommand } from './commands.js'
-import type { ProposalOutcome } from './operation-handler.js'
+import type { Failure } from '@comfreygrade/core'
+import type { Assignment } from './commands.js'
+import type { OperationHandlerOptions, ProposalOutcome } from './operation-handler.js'
 import type { BatchAnswer, BatchOperation } from './operations.js'
-import type { BatchSettings } from './settings.js'
-import type { WorkerRegistry } from './worker-registry.js'
 
 /** A request or a withdrawal. */
 export type EvacuationOperation = Extract<BatchOperation, { kind: 'start_evacuation' | 'end_evacuation' }>
 
 /** Options of {@link EvacuationRequests}. */
-export interface EvacuationRequestsOptions {
-  readonly state: BatchState
-  readonly registry: WorkerRegistry
-  readonly settings: BatchSettings
-  readonly clock: Clock
-  readonly metrics: Metrics
-  readonly log: EventLog
-  readonly propose: (command: BatchCommand, onSettled: (outcome: ProposalOutcome) => void) => void
+export interface EvacuationRequestsOptions extends Pick<
+  OperationHandlerOptions, 'state' | 'registry' | 'settings' | 'clock' | 'metrics' | 'log' | 'propose'
+> {
   readonly refuse: (requestId: string, failure: Failure) => void
   readonly answerProposal: (requestId: string, outcome: ProposalOutcome) => void
 }
--- a/packages/node/src/client-guard.ts
+++ b/packages/node/src/client-guard.ts
@@ -48,6 +48,10 @@
 /** Bytes of a refused body that are discarded before the client is disconnected. */
 const MAX_LINGER_BYTES = 256 * 1024
 
+const NO_BODY = Buffer.alloc(0)
+/** Answers come on connections that the process has opened itself, which the admission does not know. */
+const UNKNOWN_CONNECTION = {} as Socket
+
 const CLIENT_ERROR_LIMITS: Readonly<Record<string, ClientLimit>> = {
   HPE_HEADER_OVERFLOW: 'header_bytes',
   HPE_CHUNK_EXTENSIONS_OVERFLOW: 'header_bytes',
@@ -246,9 +250,6 @@
   }
 }
 
-/** Answers come on connections that the process has opened itself, which the admission does not know. */
-const UNKNOWN_CONNECTION = {} as Socket
-
 function applyTo (owner: BodyOwner, { refused, dropped, droppedFor = 'body_budget' }: Admission<BodyOwner>): void {
   for (const victim of dropped) victim.drop(droppedFor)
   if (refused !== undefined) owner.drop(refused)
@@ -349,22 +350,16 @@
     const request = this.#request
     const { admission, clock, record } = this.#limiter
     const { maxBodyBytes, announcedBytes } = admitted.bounds
-    let whole: Buffer | undefined
-    let body: SegmentedBody | undefined
+    const body = new CollectedBody()
     const append = (chunk: Buffer): void => {
-      // The usual case: a small body that arrives at once.
-      if (chunk.length === announcedBytes && chunk.length < MIN_COUNTED_BYTES) {
-        whole = chunk
-        return
-      }
-      body ??= new SegmentedBody()
-      body.append(chunk, announcedBytes)
-      applyTo(this, admission.receiveChunk(admitted, chunk.length, body.heldBytes, clock.monotonicMs()))
+      const heldBytes = body.append(chunk, announcedBytes)
+      if (heldBytes === undefined) return
+      applyTo(this, admission.receiveChunk(admitted, chunk.length, heldBytes, clock.monotonicMs()))
     }
     const end = (): void => {
       admission.completeBody(admitted)
       this.#refuse = doNothing
-      onBody(whole ?? body?.toBuffer() ?? NO_BODY)
+      onBody(body.toBuffer())
     }
     this.#admitted = admitted
     this.#refuse = limit => {
@@ -381,7 +376,26 @@
   }
 }
 
-const NO_BODY = Buffer.alloc(0)
+/** The bytes of a request body. */
+class CollectedBody {
+  #whole: Buffer | undefined
+  #segments: SegmentedBody | undefined
+
+  /** Returns the memory to count; undefined for a small body that arrives at once, which is the usual case. */
+  append (chunk: Buffer, announcedBytes: number | undefined): number | undefined {
+    if (chunk.length === announcedBytes && chunk.length < MIN_COUNTED_BYTES) {
+      this.#whole = chunk
+      return undefined
+    }
+    this.#segments ??= new SegmentedBody()
+    this.#segments.append(chunk, announcedBytes)
+    return this.#segments.heldBytes
+  }
+
+  toBuffer (): Buffer {
+    return this.#whole ?? this.#segments?.toBuffer() ?? NO_BODY
+  }
+}
 
 function failureOf (limit: ClientLimit, maxBodyBytes: number): Failure {
   if (limit === 'body_bytes') return failure('body_too_large', `the body exceeds the limit of ${maxBodyBytes} bytes`)
--- a/packages/node/src/http-api.ts
+++ b/packages/node/src/http-api.ts
@@ -14,6 +14,13 @@
 import { readShortRequest } from './short-request-headers.js'
 import { controlRoutes, type ControlRoute, type RouteInput } from './http-routes.js'
 
+/** An admitted request and its response. */
+interface Exchange {
+  readonly req: IncomingMessage
+  readonly res: ServerResponse
+  readonly guarded: GuardedRequest
+}
+
 /** Options of {@link HttpApi}. */
 export interface HttpApiOptions {
   readonly application: Application
@@ -127,20 +134,7 @@
       headersTimeout: requestReceiveTimeoutMs,
       connectionsCheckingInterval: Math.min(1_000, requestReceiveTimeoutMs),
       keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS
-    }, (req, res) => {
-      const guarded = guard.admitRequest(req, res)
-      if (guarded === undefined) return
-      req.on('error', () => {})
-      if (req.rawHeaders.length / 2 > MAX_HEADERS) {
-        const detail = `found ${req.rawHeaders.length / 2} headers, at most ${MAX_HEADERS} are allowed`
-        this.#sendFailure(res, failure('headers_too_large', detail))
-        return
-      }
-      const [, service, query = ''] = SHORT_REQUEST_PATH.exec(req.url ?? '') ?? []
-      // Short requests bypass the gateway, whose overhead per request exceeds all their other handling.
-      if (service !== undefined && req.method === 'POST') this.#executeShortRequest(service, query, req, res, guarded)
-      else this.#passToGateway(handler, req, res, guarded)
-    })
+    }, (req, res) => { this.#receive(handler, req, res) })
     // With a count limit Node.js would silently drop the remaining headers; their size is limited by `maxHeaderSize`.
     server.maxHeadersCount = 0
     server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => { this.#sendClientError(error, socket) })
@@ -213,23 +207,40 @@
     }
   }
 
-  #executeShortRequest (
-    service: string, query: string, req: IncomingMessage, res: ServerResponse, guarded: GuardedRequest
+  #receive (
+    handler: (req: IncomingMessage, res: ServerResponse) => void, req: IncomingMessage, res: ServerResponse
   ): void {
+    const guarded = this.#options.guard.admitRequest(req, res)
+    if (guarded === undefined) return
+    const exchange = { req, res, guarded }
+    req.on('error', () => {})
+    if (req.rawHeaders.length / 2 > MAX_HEADERS) {
+      const detail = `found ${req.rawHeaders.length / 2} headers, at most ${MAX_HEADERS} are allowed`
+      this.#sendFailure(res, failure('headers_too_large', detail))
+      return
+    }
+    const [, service, query = ''] = SHORT_REQUEST_PATH.exec(req.url ?? '') ?? []
+    // Short requests bypass the gateway, whose overhead per request exceeds all their other handling.
+    if (service !== undefined && req.method === 'POST') this.#executeShortRequest(service, query, exchange)
+    else this.#passToGateway(handler, exchange)
+  }
+
+  #executeShortRequest (service: string, query: string, exchange: Exchange): void {
     const { application, maxBodyBytes } = this.#options
+    const { res } = exchange
     if (query !== '') {
       this.#sendFailure(res, failure('unknown_field', `found query ${query}, short requests take no query parameters`))
       return
     }
     const rules = application.checkAdmission()
     if (!rules.ok) { this.#sendFailure(res, rules.failure); return }
-    this.#readBody(guarded, res, maxBodyBytes, body => {
-      this.#executeWithBody(service, body, rules.value, req, res, guarded)
+    this.#readBody(exchange, maxBodyBytes, body => {
+      this.#executeWithBody(service, body, rules.value, exchange)
     })
   }
 
   async #executeWithBody (
-    service: string, body: Buffer, rules: Rules, req: IncomingMessage, res: ServerResponse, guarded: GuardedRequest
+    service: string, body: Buffer, rules: Rules, { req, res, guarded }: Exchange
   ): Promise<void> {
     const { application } = this.#options
     if (body.length > rules.maxRequestBodyBytes) {
@@ -257,20 +268,16 @@
   }
 
   /** The gateway would keep each chunk of a body; it gets the body whole, in the property that its parser fills. */
-  #passToGateway (
-    handler: (req: IncomingMessage, res: ServerResponse) => void, req: IncomingMessage, res: ServerResponse,
-    guarded: GuardedRequest
-  ): void {
-    this.#readBody(guarded, res, MAX_JSON_BYTES, body => {
+  #passToGateway (handler: (req: IncomingMessage, res: ServerResponse) => void, exchange: Exchange): void {
+    const { req, res } = exchange
+    this.#readBody(exchange, MAX_JSON_BYTES, body => {
       const json = parseJsonBody(body, req.headers['content-encoding'])
       if (!json.ok) return this.#sendFailure(res, json.failure)
       handler(Object.assign(req, { _body: true, body: json.value }), res)
     })
   }
 
-  #readBody (
-    guarded: GuardedRequest, res: ServerResponse, maxBytes: number, onBody: (body: Buffer) => void
-  ): void {
+  #readBody ({ res, guarded }: Exchange, maxBytes: number, onBody: (body: Buffer) => void): void {
     guarded.readBody(maxBytes, { onBody, onRefused: cause => { this.#sendRefusal(res, guarded, cause) } })
   }
 
