Name the ratio of demands and the default conditions of the batch benchmark

'decay' was a ratio between organisations, not a change over time, and EVEN_FLEET has workers of different speeds. The table's 'nines' and estimate() of the learned speeds could not be understood from their comments, and the test of uneven workers did not say which failure it guards against.

--- a/packages/batch-node/src/batch-node.ts
+++ b/packages/batch-node/src/batch-node.ts
@@ -210,11 +210,9 @@
   }
 
   #membersMessage (): BatchMessage {
-    const { leaderNodeId = null, term = 0 } = this.#service ?? {}
-    const { clientLimits } = this.#service ?? {}
-    return {
-      kind: 'members', nodes: this.#knownNodes(), leaderNodeId, term, ...(clientLimits === undefined ? {} : { clientLimits })
-    }
+    const { leaderNodeId = null, term = 0, clientLimits } = this.#service ?? {}
+    const optional = clientLimits === undefined ? {} : { clientLimits }
+    return { kind: 'members', nodes: this.#knownNodes(), leaderNodeId, term, ...optional }
   }
 
   #receive (from: string, message: BatchMessage): void {
--- a/packages/batch/src/learned-worker-speeds.ts
+++ b/packages/batch/src/learned-worker-speeds.ts
@@ -181,7 +181,7 @@
     record.samples.delete(progress)
     record.samples.set(progress, { logSlowdown, atMs: nowMs })
     if (record.samples.size > MAX_SAMPLES) record.samples.delete(record.samples.keys().next().value as RunProgress)
-    record.logSlowdown = estimate([...record.samples.values()], this.#typicalLogSlowdown, nowMs)
+    record.logSlowdown = estimateLogSlowdown([...record.samples.values()], this.#typicalLogSlowdown, nowMs)
   }
 
   #logChange (workerKey: string, { workerId }: WorkerReport): void {
@@ -237,8 +237,8 @@
   return Math.exp((atMs - nowMs) / SAMPLE_DECAY_MS)
 }
 
-/** Weighted median, drawn towards the typical worker where there are few samples. */
-function estimate (samples: readonly SpeedSample[], typicalLogSlowdown: number, nowMs: number): number {
+/** Weighted median of the samples, shrunk towards the typical worker where they have little weight. */
+function estimateLogSlowdown (samples: readonly SpeedSample[], typicalLogSlowdown: number, nowMs: number): number {
   const weighted = samples
     .map(sample => ({ value: sample.logSlowdown, weight: weightOf(sample, nowMs) }))
     .sort((left, right) => left.value - right.value)
--- a/packages/batch/test/learned-run-times.test.ts
+++ b/packages/batch/test/learned-run-times.test.ts
@@ -27,7 +27,7 @@
     return (this.#random.nextFloat() * 2 - 1) * range
   }
 
-  /** A run time around the mean; rarely one of the tail. */
+  /** A run time around the mean, and for this share of the jobs one of seven times as much. */
   drawRunMs (meanMs = MEAN_RUN_MS, tailShare = 0): number {
     return meanMs * Math.exp(this.uniform(0.5)) * (this.#random.nextFloat() < tailShare ? 7 : 1)
   }
--- a/packages/bench/src/batch-bench.ts
+++ b/packages/bench/src/batch-bench.ts
@@ -85,7 +85,7 @@
   ]
 }
 
-/** A share of 0.01 of the jobs that are not served gives 2. */
+/** Number of nines of the share of the jobs that are served: 2 for 99 %. */
 function nines (unservedShare: number): number {
   return -Math.log10(unservedShare)
 }
--- a/packages/bench/src/batch-load.ts
+++ b/packages/bench/src/batch-load.ts
@@ -102,7 +102,7 @@
 export interface Demand {
   readonly organisations: number
   /** Demand of an organisation as a multiple of that of the one before it. */
-  readonly decay: number
+  readonly demandRatio: number
   /** Undefined where the demand does not vary. */
   readonly waves: DemandWaves | undefined
 }
@@ -118,7 +118,7 @@
   readonly peakFactor: number
 }
 
-export const defaultDemand: Demand = { organisations: 4, decay: 1, waves: undefined }
+export const defaultDemand: Demand = { organisations: 4, demandRatio: 1, waves: undefined }
 
 /** Job kinds with the arrival rates of a busy day on 33 workers, of whose accelerator time they need about 86 %. */
 export const defaultJobKinds: readonly JobKind[] = [
@@ -256,11 +256,12 @@
   return (job.arrivesAtMs + periodMs - phaseMs) % periodMs < peakMs ? peakFactor : 1
 }
 
-function drawOrganisation (random: Random, { organisations, decay }: Demand): number {
-  if (decay === 1) return random.nextInt(0, organisations - 1)
-  const total = (1 - decay ** organisations) / (1 - decay)
+/** Draws an organisation by its demand, of which those of the organisations form a geometric series. */
+function drawOrganisation (random: Random, { organisations, demandRatio }: Demand): number {
+  if (demandRatio === 1) return random.nextInt(0, organisations - 1)
+  const total = (1 - demandRatio ** organisations) / (1 - demandRatio)
   const point = random.nextFloat() * total
-  return Math.min(organisations - 1, Math.floor(Math.log(1 - point * (1 - decay)) / Math.log(decay)))
+  return Math.min(organisations - 1, Math.floor(Math.log(1 - point * (1 - demandRatio)) / Math.log(demandRatio)))
 }
 
 /** Draws a job. Its run time is at least 100 ms. */
--- a/packages/bench/src/batch-patterns.ts
+++ b/packages/bench/src/batch-patterns.ts
@@ -41,8 +41,8 @@
 
 const FAST_NETWORK: HeartbeatNetwork = { maxDelayMs: 0, lateShare: 0 }
 const REGIONAL_NETWORK: HeartbeatNetwork = { maxDelayMs: 13, lateShare: 0.1 }
-const EVEN_FLEET = { fleet: defaultFleetShape, demand: defaultDemand, cuts: [], losses: [] }
-const SMALL_FLEET = { ...EVEN_FLEET, workers: 33, kinds: defaultJobKinds, network: FAST_NETWORK }
+const DEFAULT_CONDITIONS = { fleet: defaultFleetShape, demand: defaultDemand, cuts: [], losses: [] }
+const SMALL_FLEET = { ...DEFAULT_CONDITIONS, workers: 33, kinds: defaultJobKinds, network: FAST_NETWORK }
 
 /** Job kinds of a fleet of several hundred workers: wider gangs, of which one task needs over half of a worker. */
 const largeFleetKinds: readonly JobKind[] = defaultJobKinds.map(kind => {
@@ -80,7 +80,7 @@
   }
 })
 
-const LARGE_FLEET = { ...EVEN_FLEET, workers: 378, kinds: largeFleetKinds, network: REGIONAL_NETWORK }
+const LARGE_FLEET = { ...DEFAULT_CONDITIONS, workers: 378, kinds: largeFleetKinds, network: REGIONAL_NETWORK }
 const URGENT_PEAK: LoadPeak = { kindName: 'urgent gang', fromMs: 8_000, toMs: 14_000, factor: 2.4 }
 const WIDE_PEAK: LoadPeak = { kindName: 'wide step', fromMs: 9_000, toMs: 12_300, factor: 2.4 }
 
@@ -133,7 +133,7 @@
 /** Share of the workers that the load has at a time; the others are under maintenance, reserved or lost. */
 const AVAILABLE_WORKERS_SHARE = 0.7
 const DEPLOYMENT = {
-  ...EVEN_FLEET,
+  ...DEFAULT_CONDITIONS,
   workers: Math.round(DEPLOYMENT_WORKERS * AVAILABLE_WORKERS_SHARE),
   network: REGIONAL_NETWORK
 }
@@ -144,7 +144,7 @@
 }
 const DEPLOYMENT_DEMAND: Demand = {
   organisations: 10,
-  decay: 0.7,
+  demandRatio: 0.7,
   waves: { zones: 6, periodMs: 11_000, peakMs: 3_500, peakFactor: 2.2 }
 }
 const DEPLOYMENT_A = {
--- a/packages/bench/test/batch-uneven-workers.test.ts
+++ b/packages/bench/test/batch-uneven-workers.test.ts
@@ -23,6 +23,7 @@
   return SEEDS.reduce((sum, seed) => sum + simulateGangs(seed, policies).servedValueShare, 0) / SEEDS.length
 }
 
+// Guards against gangs that are spread over slow and fast workers, so that the fast ones wait for the slow ones.
 test('gangs are served better on workers of like speed, since one slow member makes the whole gang slow', t => {
   const plain = meanServedValue('plain')
   const adaptive = meanServedValue('adaptive')
