--- a/packages/batch/src/evacuation-return.ts
+++ b/packages/batch/src/evacuation-return.ts
@@ -3,6 +3,7 @@
  * that starts on all of them at once would be slow at once.
  */
 import type { Clock } from '@comfreygrade/core'
+import { compareValues } from './compare-values.js'
 import type { EvacuationRecord } from './evacuations.js'
 import type { WorkerView } from './worker-view.js'
 
@@ -24,7 +25,7 @@
 /** Which workers of a zone may get work again after a withdrawal: an equal share of each service with each step. */
 export class EvacuationReturn {
   readonly #options: EvacuationReturnOptions
-  /** Workers that get no work yet, since a pass asks for each of them. */
+  /** Held workers by zone, computed once for each time, since a pass asks for every worker. */
   #held = { atMs: -Infinity, byZone: new Map<string, ReadonlySet<string>>() }
 
   constructor (options: EvacuationReturnOptions) {
@@ -68,9 +69,5 @@
 }
 
 function compareLocations ({ latest: left }: WorkerView, { latest: right }: WorkerView): number {
-  return compareText(left.rack, right.rack) || compareText(left.workerId, right.workerId)
-}
-
-function compareText (left: string, right: string): number {
-  return left < right ? -1 : Number(left > right)
+  return compareValues(left.rack, right.rack) || compareValues(left.workerId, right.workerId)
 }
--- a/packages/batch/src/scheduler.ts
+++ b/packages/batch/src/scheduler.ts
@@ -48,10 +48,9 @@
 }
 
 /**
- * Why tasks of a step were not placed: the step needs tickets, no worker could ever hold a task, none is in a region
- * that the step may run in, all racks that could
- * hold the gang or that have the data are in use, runs are being stopped for it, capacity is reserved for it, or it has
- * to wait for any capacity.
+ * Why tasks of a step were not placed: the step needs tickets, no worker could ever hold a task, no such worker is in a
+ * region that the step may run in, all racks that could hold the gang or that have the data are in use, runs are being
+ * stopped for it, capacity is reserved for it, or it has to wait for any capacity.
  */
 export type WaitReason = 'ticket' | 'no_worker' | 'region' | 'rack' | 'data_rack' | 'reclaim' | 'reservation' | 'capacity'
 
@@ -147,7 +146,7 @@
     this.#removeExpiredClaims()
     const listed = listWaitingSteps(state, this.#clock, this.#settings, this.#policies)
     const unschedulableWorkers = new Map<UnschedulableReason, number>()
-    const workers = listed.length === 0 ? [] : this.#schedulableWorkers(state, fleet, unschedulableWorkers)
+    const workers = listed.length === 0 ? [] : this.#listSchedulable(state, fleet, unschedulableWorkers)
     const steps = this.#withShares(listed, workers)
     const isFleetKnown = this.#clock.monotonicMs() - this.#termStartedAtMs >= this.#settings.fleetDiscoveryMs
     const pass: Pass = {
@@ -175,6 +174,13 @@
     return pass
   }
 
+  /** Returns the workers that may get new runs, with the reservations of the latest pass, for decisions outside one. */
+  schedulableWorkers (state: BatchState, fleet: FleetView): WorkerCapacity[] {
+    const workers = this.#listSchedulable(state, fleet, new Map())
+    for (const { step, reservation } of this.#reservations) reserveAgain(step, reservation, workers)
+    return workers
+  }
+
   /** Updates the attained service of all organisations. Usage does not count while no step waits. */
   #withShares (steps: readonly WaitingStep[], workers: readonly WorkerCapacity[]): WaitingStep[] {
     const { shares } = this.#policies
@@ -229,6 +235,7 @@
     if (unplaced.taskIndexes.length === 0) return
     const reason = this.#reclaimOrReserve(unplaced, candidates, pass)
     if (reason === undefined) return
+    // A placement that was tried on only some of the workers says nothing about other steps.
     if (regions === undefined && pools.includes(eligible)) pass.failed.add(step, candidates, lackOf(step, candidates))
     this.#recordWait(unplaced, reason, pass)
   }
@@ -325,13 +332,6 @@
     return budget === Infinity ? planReclaim(step, asSingleGroup(workers), this.#policies.shares) : undefined
   }
 
-  /** Returns the workers that may get new runs, with the reservations of the latest pass, for decisions outside one. */
-  schedulableWorkers (state: BatchState, fleet: FleetView): WorkerCapacity[] {
-    const workers = this.#schedulableWorkers(state, fleet, new Map())
-    for (const { step, reservation } of this.#reservations) reserveAgain(step, reservation, workers)
-    return workers
-  }
-
   #capacityOf (view: WorkerView, state: BatchState, fleet: FleetView, nowMs: number): WorkerCapacity {
     const runs = listOccupyingRuns(state, view, fleet.isStopping, nowMs, this.#policies)
     const isReachable = fleet.isReachable(view.latest.workerId)
@@ -339,7 +339,7 @@
   }
 
   /** Returns the workers that may get new runs, and counts the others by reason. */
-  #schedulableWorkers (
+  #listSchedulable (
     state: BatchState, fleet: FleetView, unschedulableWorkers: Map<UnschedulableReason, number>
   ): WorkerCapacity[] {
     const nowMs = this.#clock.monotonicMs()
--- a/packages/batch/src/zone-moves.ts
+++ b/packages/batch/src/zone-moves.ts
@@ -7,6 +7,7 @@
 import type { Clock, Metrics } from '@comfreygrade/core'
 import type { BatchState, TaskContext } from './batch-state.js'
 import type { Assignment } from './commands.js'
+import { compareValues } from './compare-values.js'
 import type { Eviction } from './evictions.js'
 import { stepKeyOf } from './jobs.js'
 import type { BatchSettings } from './settings.js'
@@ -28,8 +29,8 @@
   /** Workers that may get new runs, with their runs. */
   readonly schedulableWorkers: () => WorkerCapacity[]
   readonly isStopping: (assignment: Assignment) => boolean
-  /** Runs of the gang that a run belongs to; only the run itself where it belongs to none. */
   readonly policies: RunPolicies
+  /** Runs of the gang that a run belongs to; only the run itself where it belongs to none. */
   readonly gangRuns: (assignment: Assignment) => Assignment[]
   /** Whether the disruption budgets of their steps allow to stop the runs together. */
   readonly allowsStops: (assignments: readonly Assignment[]) => boolean
@@ -95,7 +96,7 @@
         moves.push({ run, context, obstacle, members: this.#options.gangRuns(run.assignment) })
       }
     }
-    return moves.sort((left, right) => compareNumbers(right.run.remainingMs, left.run.remainingMs))
+    return moves.sort((left, right) => compareValues(right.run.remainingMs, left.run.remainingMs))
   }
 
   /** A checkpointing run that ends before the bound of an evacuation is over does not continue for long. */
@@ -167,8 +168,3 @@
     return false
   }
 }
-
-/** Also for infinite values, whose difference is no number. */
-function compareNumbers (left: number, right: number): number {
-  return left < right ? -1 : Number(left > right)
-}
