Close connections that are long idle where the pool of a server is full

Cause: workers keep their connections to the control nodes that led before. Change: the connection that has been idle for longest since its latest answer, 5 s at least, makes room. The new test fails without it.

--- a/packages/core/src/client-admission.ts
+++ b/packages/core/src/client-admission.ts
@@ -59,6 +59,8 @@
   readonly pool: ConnectionPool
   openRequests: number
   hasServed: boolean
+  /** Time of the latest answer. */
+  answeredAtMs: number
   unreadBytes: number
   unfinishedBodies: number
   lastBodyAtMs: number
@@ -82,6 +84,8 @@
 const FRAGMENT_BYTES = 64
 /** A connection whose body is younger than this is not dropped for the sake of a new connection. */
 const MIN_DROP_AGE_MS = 1_000
+/** Longer than the interval of heartbeats and of the checks of ordinary clients, whose connections are in use. */
+const MIN_IDLE_MS = 5_000
 const NOTHING_DROPPED: Admission<never> = { dropped: [] }
 
 /**
@@ -92,7 +96,7 @@
  */
 export class ClientAdmission<Connection extends object, Body extends object> {
   readonly #limits: ClientAdmissionLimits
-  /** In the order in which they were opened. */
+  /** Those without an answer in the order of their opening, the others in the order of their latest answers. */
   readonly #connections = new Map<Connection, ConnectionState>()
   readonly #addresses = new Map<string, AddressState>()
   readonly #connectionCounts = emptyCounts()
@@ -110,8 +114,9 @@
   }
 
   /**
-   * Admits a connection. Where the limit of its pool or address is reached, a connection that has never been answered
-   * makes room for it: first the oldest without a request, then the one whose body has been unfinished for longest.
+   * Admits a connection. Where the limit of its pool or address is reached, another one makes room for it: first the
+   * oldest that has never been answered and has no request, then one whose body has stalled, then the one that has been
+   * idle for longest since its latest answer, since workers keep connections to control nodes that no longer lead.
    */
   openConnection (
     connection: Connection, { address, pool, nowMs }: { address: string, pool: ConnectionPool, nowMs: number }
@@ -153,11 +158,15 @@
   }
 
   /** Called when the answer of a request has been passed to the operating system, or the connection is closed. */
-  endRequest (connection: Connection, answerBytes: number): void {
+  endRequest (connection: Connection, answerBytes: number, nowMs = 0): void {
     const state = this.#connections.get(connection)
     if (state === undefined) return
     state.openRequests--
     state.hasServed = true
+    state.answeredAtMs = nowMs
+    // Keeps the connections that have been answered in the order of their latest answers.
+    this.#connections.delete(connection)
+    this.#connections.set(connection, state)
     this.#holdAnswer(state, -answerBytes)
   }
 
@@ -325,16 +334,22 @@
     pool: ConnectionPool, limit: ClientLimit, address: string, nowMs: number
   ): Connection | undefined {
     let stalled: Connection | undefined
+    let idle: Connection | undefined
     for (const [connection, state] of this.#connections) {
-      if (state.pool !== pool || state.hasServed) continue
+      if (state.pool !== pool) continue
       if (limit === 'address_connections' && state.addressName !== address) continue
-      if (state.openRequests === 0) return connection
-      if (stalled === undefined && isStalled(state, nowMs)) stalled = connection
+      if (state.openRequests === 0 && !state.hasServed) return connection
+      if (isIdle(state, nowMs)) idle ??= connection
+      else if (!state.hasServed && isStalled(state, nowMs)) stalled ??= connection
     }
-    return stalled
+    return stalled ?? idle
   }
 }
 
+function isIdle ({ openRequests, hasServed, answeredAtMs }: ConnectionState, nowMs: number): boolean {
+  return openRequests === 0 && hasServed && nowMs - answeredAtMs >= MIN_IDLE_MS
+}
+
 /** Whether a connection has requests, none of which has been received completely for some time. */
 function isStalled ({ openRequests, unfinishedBodies, lastBodyAtMs }: ConnectionState, nowMs: number): boolean {
   return openRequests > 0 && unfinishedBodies >= openRequests && nowMs - lastBodyAtMs >= MIN_DROP_AGE_MS
@@ -354,6 +369,14 @@
 
 function createConnectionState (addressName: string, address: AddressState, pool: ConnectionPool): ConnectionState {
   return {
-    addressName, address, pool, openRequests: 0, hasServed: false, unreadBytes: 0, unfinishedBodies: 0, lastBodyAtMs: 0
+    addressName,
+    address,
+    pool,
+    openRequests: 0,
+    hasServed: false,
+    answeredAtMs: 0,
+    unreadBytes: 0,
+    unfinishedBodies: 0,
+    lastBodyAtMs: 0
   }
 }
--- a/packages/core/test/client-admission.test.ts
+++ b/packages/core/test/client-admission.test.ts
@@ -47,6 +47,24 @@
   t.is(admission.openConnection(thing('readiness'), { address: 'e', pool: 'readiness', nowMs: 1 }).refused, undefined)
 })
 
+// Guards against workers that no control node admits, since all keep connections to the leaders of earlier terms.
+test('a full pool replaces the answered connection that has been idle for longest, but none in use', t => {
+  const admission = create({ maxAddressPercent: 100 })
+  const names = ['first', 'second', 'third', 'fourth']
+  const connections = names.map(name => connect(admission, name, name))
+  for (const connection of connections) {
+    admission.beginRequest(connection)
+    admission.endRequest(connection, 0, 0)
+  }
+  admission.beginRequest(connections[0] as Thing)
+  admission.endRequest(connections[0] as Thing, 0, 4_000)
+  admission.beginRequest(connections[1] as Thing)
+  const open = (name: string, nowMs: number): unknown =>
+    admission.openConnection(thing(name), { address: name, pool: 'client', nowMs })
+  t.like(open('early', 4_900), { refused: 'connections' })
+  t.like(open('late', 5_000), { refused: undefined, dropped: [connections[2]] })
+})
+
 // Guards against a single address that takes all connections.
 test('an address holds only its share of a pool', t => {
   const admission = create()
--- a/packages/node/src/client-guard.ts
+++ b/packages/node/src/client-guard.ts
@@ -283,9 +283,9 @@
   end (): void {
     if (this.#hasEnded) return
     this.#hasEnded = true
-    const { admission } = this.#limiter
+    const { admission, clock } = this.#limiter
     if (this.#admitted !== undefined) admission.endBody(this.#admitted)
-    admission.endRequest(this.#request.socket, this.#answerBytes)
+    admission.endRequest(this.#request.socket, this.#answerBytes, clock.monotonicMs())
     this.#onEnd()
   }
 
