Log which runs a release frees, lost and held ends, and start orders

None of these left a line. Change: 'worker gone' names the runs, 'heartbeat ignored' the unrecorded ends that it lists, 'ends of freed runs held back' and 'start order sent' are new, and 'unsent runs moved' has the run numbers; counter run.end_held. No change of behaviour.

--- a/packages/batch/src/leader.ts
+++ b/packages/batch/src/leader.ts
@@ -273,7 +273,9 @@
     const stopped = silent.flatMap(view => this.#orders.unsentRuns(view)).flatMap(run => this.#stop(run))
     const runs = stopped.filter(run => this.#orders.isUnsent(run, this.#registry.view(run.workerId)))
     if (runs.length === 0) return
-    this.#options.log.info('unsent runs moved', { runs: runs.map(({ taskKey, workerId }) => ({ taskKey, workerId })) })
+    this.#options.log.info('unsent runs moved', {
+      runs: runs.map(({ taskKey, run, workerId }) => ({ taskKey, run, workerId }))
+    })
     this.#propose({ kind: 'release', runs }, () => { this.#isPassDue = true })
   }
 
--- a/packages/batch/src/order-planner.ts
+++ b/packages/batch/src/order-planner.ts
@@ -182,12 +182,19 @@
       assembly.remove(assignment)
       const order = this.#createStartOrder(assignment)
       if (order === undefined) continue
-      view.startSentAtSequence.set(assignmentKey(assignment), view.latest.sequence)
+      this.#recordStartSent(assignment, view)
       starts.push(order)
     }
     return starts
   }
 
+  #recordStartSent (assignment: Assignment, view: WorkerView): void {
+    const { sequence } = view.latest
+    view.startSentAtSequence.set(assignmentKey(assignment), sequence)
+    const { taskKey, run, workerId } = assignment
+    this.#options.log.info('start order sent', { taskKey, run, workerId, sequence })
+  }
+
   /**
    * Creates a start order; undefined where the run has no valid ticket, and then it is stopped so that its task waits
    * again.
--- a/packages/batch/src/report-handler.ts
+++ b/packages/batch/src/report-handler.ts
@@ -88,9 +88,12 @@
     this.#releaseCompleteGangs(report.workerId)
   }
 
-  #ignore (requestId: string, { workerId, sequence }: WorkerReport, reason: IgnoredReason): void {
+  #ignore (requestId: string, report: WorkerReport, reason: IgnoredReason): void {
+    const { workerId, sequence } = report
     this.#options.metrics.increment('worker.report_ignored', { reason })
-    this.#options.log.info('heartbeat ignored', { workerId, sequence, reason })
+    const unrecordedEnds = this.#unrecordedEnds(report).map(describeEnd)
+    const ends = unrecordedEnds.length === 0 ? {} : { unrecordedEnds }
+    this.#options.log.info('heartbeat ignored', { workerId, sequence, reason, ...ends })
     this.#options.reply(requestId, undefined)
   }
 
@@ -125,7 +128,8 @@
    * worker lists ends of freed runs, which become void by its lapse.
    */
   #checkLease (view: WorkerView): void {
-    if (this.#unrecordedEnds(view).some(end => this.#isHeld(end, view))) return view.withholdLease()
+    const heldEnds = this.#unrecordedEnds(view.latest).filter(end => this.#isHeld(end, view))
+    if (heldEnds.length > 0) return this.#withholdLease(view, heldEnds)
     if (view.leaseStatus === 'held') return
     const hasRuns = this.#options.orders.mayHoldRuns(view)
     if (view.leaseStatus === 'uncertain' && hasRuns) return
@@ -133,6 +137,15 @@
     view.resetLease()
   }
 
+  #withholdLease (view: WorkerView, heldEnds: readonly RunEnd[]): void {
+    view.withholdLease()
+    const { workerId, sequence } = view.latest
+    const newEnds = view.takeNewHeldEnds(heldEnds).map(describeEnd)
+    if (newEnds.length === 0) return
+    this.#options.metrics.increment('run.end_held', {}, newEnds.length)
+    this.#options.log.info('ends of freed runs held back', { workerId, sequence, ends: newEnds, ...view.leaseBounds() })
+  }
+
   #proposeEnds (view: WorkerView): void {
     const { workerId, incarnation } = view.latest
     const life = { workerId, incarnation }
@@ -153,17 +166,17 @@
    * are acknowledged in order.
    */
   #recordableEnds (view: WorkerView): readonly RunEnd[] {
-    const ends = this.#unrecordedEnds(view)
+    const ends = this.#unrecordedEnds(view.latest)
     // A command in flight may free active runs before their ends are recorded.
     const isReleasing = this.#releasesInFlight.has(view.latest.workerId)
     const firstHeld = ends.findIndex(end => isReleasing ? end.sequence > view.voidEndSequence : this.#isHeld(end, view))
     return firstHeld === -1 ? ends : ends.slice(0, firstHeld)
   }
 
-  /** Ends of the latest report that are not recorded, in order. */
-  #unrecordedEnds ({ latest }: WorkerView): RunEnd[] {
-    const lastSequence = this.#options.state.lastEndSequence(latest)
-    return plausibleEnds(latest)
+  /** Ends of a report that are not recorded, in order. */
+  #unrecordedEnds (report: WorkerReport): RunEnd[] {
+    const lastSequence = this.#options.state.lastEndSequence(report)
+    return plausibleEnds(report)
       .filter(end => end.sequence > lastSequence)
       .sort((a, b) => a.sequence - b.sequence)
   }
@@ -241,7 +254,9 @@
     const silentMs = view === undefined
       ? undefined
       : Math.round(this.#options.clock.monotonicMs() - view.reportedAtMs)
-    log.info('worker gone', { ...life, reason, runs: runs.length, silentMs, ...view?.leaseBounds() })
+    const freedRuns = runs.map(({ taskKey, run }) => ({ taskKey, run }))
+    const reportSequence = view?.latest.sequence
+    log.info('worker gone', { ...life, reason, runs: runs.length, freedRuns, silentMs, reportSequence, ...view?.leaseBounds() })
     if (runs.length === 0) return
     const checkpoints = runs.flatMap(({ taskKey, run }) => {
       const checkpoint = view?.latestCheckpoint(taskKey, run) ?? ''
@@ -359,6 +374,11 @@
   }
 }
 
+/** An end as log lines name it. */
+function describeEnd ({ taskKey, run, reason }: RunEnd): Pick<RunEnd, 'taskKey' | 'run' | 'reason'> {
+  return { taskKey, run, reason }
+}
+
 /** Changes the count of a worker; a count of 0 is removed. */
 function adjustCount (counts: Map<string, number>, workerId: string, change: 1 | -1): void {
   const count = (counts.get(workerId) ?? 0) + change
--- a/packages/batch/src/worker-view.ts
+++ b/packages/batch/src/worker-view.ts
@@ -1,7 +1,7 @@
 /** The leader's view of one incarnation of a worker, from its reports. */
 import type { Clock } from '@comfreygrade/core'
 import { assignmentKey, taskRunKey } from './run-keys.js'
-import type { Assignment } from './commands.js'
+import type { Assignment, RunEnd } from './commands.js'
 import { FULL_PROGRESS_PERCENT, type WorkerReport, type RunningTask } from './worker-messages.js'
 import { plausibleEnds } from './report-plausibility.js'
 import type { BatchSettings } from './settings.js'
@@ -92,6 +92,8 @@
   #maxLeaseEndWorkerMs = -Infinity
   #leaseStatus: LeaseStatus = 'held'
   #voidEndSequence = 0
+  /** Number of the last end that was held back. */
+  #heldEndSequence = 0
 
   constructor (report: WorkerReport, termStartedAtMs: number, clock: Clock, settings: BatchSettings) {
     this.#settings = settings
@@ -199,6 +201,13 @@
     if (this.#lastGrantWorkerMs === undefined) this.recordLeaseGrant(this.#settings.leaseMs)
   }
 
+  /** Those of the held ends, given in order, that were not held back before. */
+  takeNewHeldEnds (heldEnds: readonly RunEnd[]): RunEnd[] {
+    const newEnds = heldEnds.filter(end => end.sequence > this.#heldEndSequence)
+    this.#heldEndSequence = Math.max(this.#heldEndSequence, newEnds.at(-1)?.sequence ?? 0)
+    return newEnds
+  }
+
   /** Discards all lease grants, once no run can depend on them any more. */
   resetLease (): void {
     this.#leaseStatus = 'held'
