Do not drop a listed end where it crosses the release of its run

What callers saw: a task starts again although its worker, alive and with a lease, has listed it as done (TWICE). Cause: the release of a worker's runs and the record of their ends are two commands that know nothing of each other. An end is lost that waits for a second heartbeat, or behind the end of a freed run, when its worker is replaced, restarts or falls silent; one whose run is freed while the record is in flight is acknowledged without effect; and the completion of a freed run is dropped even where no other run exists. Ruled out: a departure of a worker whose ends wait for a second heartbeat, which mended for that path alone. Change: worker_gone carries the ends that the latest heartbeat lists, which count before the other runs are freed, in one command, so that a full log cannot take one without the other. An end is checked again when its record is applied: where its task was assigned again meanwhile, it and those after it are not acknowledged. A completion of a freed run counts while no later run of its task was assigned. The check 'the end of a run that is no longer assigned is acknowledged without effect' asked for the work to be done again; it now asks for that where the task was assigned again, and a new check beside it forbids the acknowledgement there, if the record was proposed before. Why it works: whichever command comes first in the log, the end counts or stays unacknowledged.

--- a/packages/batch/src/batch-state.ts
+++ b/packages/batch/src/batch-state.ts
@@ -5,9 +5,11 @@
   type StepRecord, type TaskRecord
 } from './job-record.js'
 import type {
-  Assignment, BatchCommand, CommandResult, Departure, MaintenanceWave, RunEnd, TaskCheckpoint, WorkerIncarnation
+  Assignment, BatchCommand, CommandResult, Departure, EndReason, MaintenanceWave, RecordedEnd, RunEnd,
+  TaskCheckpoint,
+  WorkerIncarnation
 } from './commands.js'
-import { assignmentKey } from './run-keys.js'
+import { assignmentKey, taskRunKey } from './run-keys.js'
 import { Evacuations, type EvacuationRecord } from './evacuations.js'
 import { JobTable } from './job-table.js'
 import { PresumedEnds } from './presumed-ends.js'
@@ -159,11 +161,11 @@
   isOverruled (worker: WorkerIncarnation, end: RunEnd): boolean {
     const run = { ...worker, taskKey: end.taskKey, run: end.run }
     if (this.isActive(run) || (end.reason !== 'done' && end.reason !== 'failed')) return false
+    if (this.#workers.hasCounted(worker, taskRunKey(end))) return false
     const context = this.findTask(end.taskKey)
-    if (context === undefined) return false
-    const mayHaveStartedSince = context.task.lastRun > end.run
-    if (!mayHaveStartedSince && (context.job.state !== 'open' || context.task.isDone)) return false
-    return !context.stepSpec.isLasting && !(end.reason === 'failed' && this.#presumedEnds.has(run))
+    if (context === undefined || context.stepSpec.isLasting) return false
+    if (mayHaveStartedSince(context, end.run)) return !(end.reason === 'failed' && this.#presumedEnds.has(run))
+    return end.reason === 'failed' && canStartAgain(context) && !this.#presumedEnds.has(run)
   }
 
   /** Whether any run may be on a worker. */
@@ -236,7 +238,7 @@
       case 'record_ends': return this.#recordEnds(command, logTimeMs)
       case 'release': return this.#release(command)
       case 'presume_ended': return this.#presumeEnded(command)
-      case 'worker_gone': return this.#workerGone(command)
+      case 'worker_gone': return this.#workerGone(command, logTimeMs)
       case 'record_departure': return this.#recordDeparture(command, logTimeMs)
       case 'start_wave': return this.#startWave(command)
       case 'maintenance_done': return this.#maintenanceDone(command)
@@ -292,17 +294,20 @@
     return occurrence.steps[id.step]?.tasks[id.index]
   }
 
-  #recordEnds ({ life, ends }: CommandOf<'record_ends'>, logTimeMs: number): CommandResult {
+  /** A run may have been freed and its task assigned again since the command was proposed: its end is left out then. */
+  #recordEnds (command: CommandOf<'record_ends'>, logTimeMs: number): CommandResult {
+    const { life, ends, voidEndSequence = Infinity } = command
     const record = this.#useWorker(life, logTimeMs)
     if (record.incarnation !== life.incarnation) return { kind: 'unchanged' }
-    const freedRunEnds: number[] = []
+    const recordedEnds: RecordedEnd[] = []
     for (const end of ends) {
       if (end.sequence <= record.lastEndSequence) continue
-      if (!this.isActive({ ...life, ...end })) freedRunEnds.push(end.sequence)
+      if (end.sequence > voidEndSequence && this.isOverruled(life, end)) break
+      recordedEnds.push({ ...end, isFreedRun: !this.isActive({ ...life, ...end }) })
       record.lastEndSequence = end.sequence
       this.#recordEnd(life, end, logTimeMs)
     }
-    return { kind: 'applied', freedRunEnds }
+    return { kind: 'applied', recordedEnds }
   }
 
   #recordEnd (worker: WorkerIncarnation, end: RunEnd, logTimeMs: number): void {
@@ -310,17 +315,23 @@
     const context = this.findTask(end.taskKey)
     if (context === undefined) return
     const { job, stepSpec, step, task } = context
-    if (this.#presumedEnds.remove(run)) {
-      if (job.state === 'open' && end.reason === 'failed') this.#taskFailed(context, end.run, worker.workerId, logTimeMs)
-      return
-    }
-    if (!this.#removeRun(run) || job.state !== 'open') return
+    if (!this.#removeRun(run)) return this.#recordFreedRunEnd(run, end.reason, context, logTimeMs)
+    if (job.state !== 'open') return
     job.hasStarted = true
     this.#saveCheckpoint(stepSpec, step, task, end.checkpoint)
     if (end.reason === 'done') this.#taskDone(context, logTimeMs)
     if (end.reason === 'failed') this.#taskFailed(context, end.run, worker.workerId, logTimeMs)
   }
 
+  /** The work of a freed run that completed its task is not repeated where the task cannot have started since. */
+  #recordFreedRunEnd (run: Assignment, reason: EndReason, context: TaskContext, logTimeMs: number): void {
+    this.#workers.removeFreed(run, taskRunKey(run))
+    const isPresumed = this.#presumedEnds.remove(run)
+    if (context.job.state !== 'open') return
+    if (reason === 'failed' && isPresumed) this.#taskFailed(context, run.run, run.workerId, logTimeMs)
+    if (reason === 'done' && !mayHaveStartedSince(context, run.run)) this.#taskDone(context, logTimeMs)
+  }
+
   #taskDone ({ job, stepSpec, step, task }: TaskContext, logTimeMs: number): void {
     if (stepSpec.isLasting) return
     for (const member of stepSpec.isGang ? step.tasks : [task]) member.isDone = true
@@ -354,10 +365,14 @@
     return { kind: 'applied' }
   }
 
-  #workerGone ({ life, checkpoints }: CommandOf<'worker_gone'>): CommandResult {
+  #workerGone (command: CommandOf<'worker_gone'>, logTimeMs: number): CommandResult {
+    const { life, checkpoints, ends = [] } = command
+    const counted = ends.filter(end => this.isActive({ ...life, ...end }))
+    for (const end of counted) this.#recordEnd(life, end, logTimeMs)
+    this.#workers.addCounted(life, counted.map(taskRunKey))
     this.#removeRunsBefore(life.workerId, life.incarnation + 1)
     for (const { taskKey, checkpoint } of checkpoints) this.#restoreCheckpoint({ taskKey, checkpoint })
-    return { kind: 'applied' }
+    return { kind: 'applied', recordedEnds: counted.map(end => ({ ...end, isFreedRun: false })) }
   }
 
   #restoreCheckpoint ({ taskKey, checkpoint }: TaskCheckpoint): void {
@@ -417,6 +432,15 @@
   }
 }
 
+/** Whether a later run of a task was assigned; for a member of a gang, of any member. */
+function mayHaveStartedSince ({ stepSpec, step, task }: TaskContext, run: number): boolean {
+  return (stepSpec.isGang ? step.tasks : [task]).some(member => member.lastRun > run)
+}
+
+function canStartAgain ({ job, task }: TaskContext): boolean {
+  return job.state === 'open' && !task.isDone
+}
+
 function isSameRun (active: ActiveRun, assignment: Assignment): boolean {
   return active.run === assignment.run && active.workerId === assignment.workerId &&
     active.incarnation === assignment.incarnation
--- a/packages/batch/src/commands.ts
+++ b/packages/batch/src/commands.ts
@@ -82,14 +82,31 @@
   }
   | { readonly kind: 'cancel_job', readonly jobId: string }
   | { readonly kind: 'assign', readonly assignments: readonly Assignment[] }
-  /** `life` is the incarnation that reported the ends. */
-  | { readonly kind: 'record_ends', readonly life: WorkerIncarnation, readonly ends: readonly RunEnd[] }
+  /**
+   * `life` is the incarnation that reported the ends. Its lease has lapsed after the ends up to `voidEndSequence`;
+   * commands of older versions do not have it.
+   */
+  | {
+    readonly kind: 'record_ends'
+    readonly life: WorkerIncarnation
+    readonly ends: readonly RunEnd[]
+    readonly voidEndSequence?: number
+  }
   /** Removes runs that are certainly not on their workers. */
   | { readonly kind: 'release', readonly runs: readonly Assignment[] }
   /** Frees the tasks of runs that have certainly ended, though their workers have not reported how. */
   | { readonly kind: 'presume_ended', readonly runs: readonly Assignment[] }
-  /** No run of the incarnation `life` is active any more: it crashed, left, or its lease expired. */
-  | { readonly kind: 'worker_gone', readonly life: WorkerIncarnation, readonly checkpoints: readonly TaskCheckpoint[] }
+  /**
+   * No run of the incarnation `life` is active any more: it crashed, left, or its lease expired. `ends` are those that
+   * its latest report listed and that are not recorded: they count before the other runs are freed, and are not
+   * acknowledged by that. Commands of older versions have none.
+   */
+  | {
+    readonly kind: 'worker_gone'
+    readonly life: WorkerIncarnation
+    readonly checkpoints: readonly TaskCheckpoint[]
+    readonly ends?: readonly RunEnd[]
+  }
   /** Recorded, so that a heartbeat from before does not bring the worker back under a later leader. */
   | { readonly kind: 'record_departure', readonly life: WorkerIncarnation, readonly departure: Departure }
   | { readonly kind: 'start_wave', readonly wave: MaintenanceWave, readonly startedWallMs: number }
@@ -100,9 +117,14 @@
   /** Withdraws the evacuation of the zone. */
   | ({ readonly kind: 'end_evacuation' } & EvacuationRequest)
 
+/** An end that a command has recorded; `isFreedRun` where its run had been freed before. */
+export interface RecordedEnd extends RunEnd {
+  readonly isFreedRun: boolean
+}
+
 /** Effect of a command on the state. */
 export type CommandResult =
-  /** `freedRunEnds` has the sequence numbers of recorded ends that had no effect, since their runs had been freed. */
-  | { readonly kind: 'applied', readonly freedRunEnds?: readonly number[] }
+  /** `recordedEnds` are the ends that the command has recorded or counted. */
+  | { readonly kind: 'applied', readonly recordedEnds?: readonly RecordedEnd[] }
   | { readonly kind: 'unchanged' }
   | { readonly kind: 'unknown_job' }
--- a/packages/batch/src/report-handler.ts
+++ b/packages/batch/src/report-handler.ts
@@ -1,7 +1,7 @@
 /** Handles workers' reports: proposes the changes that follow from them, and answers them with orders. */
 import type { Clock, EventLog, Metrics } from '@comfreygrade/core'
 import type { BatchState } from './batch-state.js'
-import type { Assignment, BatchCommand, CommandResult, RunEnd, WorkerIncarnation } from './commands.js'
+import type { Assignment, BatchCommand, CommandResult, RecordedEnd, RunEnd, WorkerIncarnation } from './commands.js'
 import type { GangAssembly } from './gang-assembly.js'
 import { jobIdOf } from './jobs.js'
 import type { ProposalOutcome } from './operation-handler.js'
@@ -39,6 +39,9 @@
   readonly onRunEnded: (end: RunEnd) => void
 }
 
+/** Why a worker counts as gone, as the log names it. */
+type GoneReason = 'lease lapsed' | 'lease expired without a heartbeat' | 'left' | 'replaced by a later incarnation'
+
 /** Handles the reports of one term. */
 export class ReportHandler {
   readonly #options: ReportHandlerOptions
@@ -147,19 +150,26 @@
   }
 
   #proposeEnds (view: WorkerView): void {
-    const { workerId, incarnation } = view.latest
+    this.#proposeRecord(view.latest, this.#recordableEnds(view), view.voidEndSequence)
+  }
+
+  #proposeRecord (report: WorkerReport, ends: readonly RunEnd[], voidEndSequence: number): void {
+    const { workerId, incarnation } = report
     const life = { workerId, incarnation }
-    const ends = this.#recordableEnds(view)
     if (ends.length === 0) return
     for (const end of ends) this.#options.registry.updateHealth(life, end)
     const receivedAtMs = this.#options.clock.monotonicMs()
-    this.#proposeFor(workerId, { kind: 'record_ends', life, ends }, result => {
-      const freedRunEnds = result.kind === 'applied' ? result.freedRunEnds ?? [] : []
-      for (const end of ends) this.#handleRecordedEnd(end, life, receivedAtMs, freedRunEnds.includes(end.sequence))
-      this.#options.requestPass()
+    this.#proposeFor(workerId, { kind: 'record_ends', life, ends, voidEndSequence }, result => {
+      this.#handleRecordedEnds(result, life, receivedAtMs)
     })
   }
 
+  #handleRecordedEnds (result: CommandResult, worker: WorkerIncarnation, receivedAtMs: number): void {
+    const recordedEnds = result.kind === 'applied' ? result.recordedEnds ?? [] : []
+    for (const end of recordedEnds) this.#handleRecordedEnd(end, worker, receivedAtMs)
+    this.#options.requestPass()
+  }
+
   /**
    * The end of an active run counts whether or not the lease has held, since no other run of its task has started. That
    * of a freed run has no effect, and so must be void before it is acknowledged. Later ends wait with it, since ends
@@ -186,8 +196,8 @@
     return end.sequence > voidEndSequence && this.#options.state.isOverruled(latest, end)
   }
 
-  #handleRecordedEnd (end: RunEnd, worker: WorkerIncarnation, receivedAtMs: number, isFreedRun: boolean): void {
-    const { taskKey, run, reason, sequence } = end
+  #handleRecordedEnd (end: RecordedEnd, worker: WorkerIncarnation, receivedAtMs: number): void {
+    const { taskKey, run, reason, sequence, isFreedRun } = end
     const { log, metrics } = this.#options
     metrics.increment('run.ended', { reason })
     if (isFreedRun) metrics.increment('run.ended_after_release', { reason })
@@ -240,14 +250,19 @@
     if (view === undefined || view.latest.state !== 'leaving') return reply(requestId, undefined)
     const { incarnation } = view.latest
     registry.remove(workerId)
-    this.#proposeEnds(view)
     this.#handleWorkerGone(view.latest, 'left', view)
     const record = { kind: 'record_departure', life: { workerId, incarnation }, departure: 'left' } as const
     this.#proposeFor(workerId, record, () => { reply(requestId, undefined) })
   }
 
-  /** Frees the runs of an incarnation; they continue elsewhere from the latest checkpoints that it reported. */
-  #handleWorkerGone ({ workerId, incarnation }: WorkerIncarnation, reason: string, view: WorkerView | undefined): void {
+  /**
+   * Frees the runs of an incarnation; they continue elsewhere from the latest checkpoints that it reported. The same
+   * command has the ends that it listed, so that no listed end is lost: they may wait behind others, or for a second
+   * report, and a full log may refuse one command and accept the next one.
+   */
+  #handleWorkerGone (
+    { workerId, incarnation }: WorkerIncarnation, reason: GoneReason, view: WorkerView | undefined
+  ): void {
     const { log, state } = this.#options
     const life = { workerId, incarnation }
     const runs = [...state.runsOf(workerId)].filter(run => run.incarnation <= incarnation)
@@ -264,7 +279,10 @@
     })
     adjustCount(this.#releasesInFlight, workerId, 1)
     const onSettled = (): void => { adjustCount(this.#releasesInFlight, workerId, -1) }
-    this.#proposeFor(workerId, { kind: 'worker_gone', life, checkpoints }, () => { this.#options.requestPass() }, onSettled)
+    const ends = view === undefined ? [] : this.#unrecordedEnds(view.latest)
+    const command = { kind: 'worker_gone', life, checkpoints, ends } as const
+    const receivedAtMs = this.#options.clock.monotonicMs()
+    this.#proposeFor(workerId, command, result => { this.#handleRecordedEnds(result, life, receivedAtMs) }, onSettled)
   }
 
   /** Answers the reports that have waited long enough. */
--- a/packages/batch/src/worker-records.ts
+++ b/packages/batch/src/worker-records.ts
@@ -8,6 +8,8 @@
   departure?: Departure
   /** Log time of the latest command that named the worker; absent from records of older versions. */
   usedLogMs?: number
+  /** Keys of freed runs whose ends have counted already; absent where there are none. */
+  countedRuns?: string[] | undefined
 }
 
 /** Time for which the record of a worker without runs is kept; far longer than a message can be delayed. */
@@ -50,6 +52,16 @@
     return record.incarnation > incarnation ? 'left' : record.departure
   }
 
+  /** Whether the end of a freed run has counted already. */
+  hasCounted (worker: WorkerIncarnation, runKey: string): boolean {
+    return this.#recordOf(worker)?.countedRuns?.includes(runKey) === true
+  }
+
+  #recordOf ({ workerId, incarnation }: WorkerIncarnation): WorkerRecord | undefined {
+    const record = this.#records.get(workerId)
+    return record?.incarnation === incarnation ? record : undefined
+  }
+
   /** The record of a worker, which is that of a later incarnation where one is known. A newer one replaces it. */
   use ({ workerId, incarnation }: WorkerIncarnation, logTimeMs: number): WorkerRecord {
     const known = this.#records.get(workerId)
@@ -62,6 +74,20 @@
     return record
   }
 
+  /** Records freed runs of an incarnation whose ends have counted; without effect where a later one is known. */
+  addCounted (worker: WorkerIncarnation, runKeys: readonly string[]): void {
+    const record = this.#recordOf(worker)
+    if (record === undefined || runKeys.length === 0) return
+    record.countedRuns = [...record.countedRuns ?? [], ...runKeys]
+  }
+
+  /** Removes a freed run, once its end is recorded. */
+  removeFreed (worker: WorkerIncarnation, runKey: string): void {
+    const record = this.#recordOf(worker)
+    if (record === undefined) return
+    record.countedRuns = optionalList(record.countedRuns?.filter(key => key !== runKey) ?? [])
+  }
+
   /** Removes the records of workers without runs that no command has named for long. */
   removeUnused (logTimeMs: number, hasRuns: (workerId: string) => boolean): void {
     for (const [workerId, record] of this.#records) {
@@ -72,3 +98,7 @@
     }
   }
 }
+
+function optionalList (keys: string[]): string[] | undefined {
+  return keys.length === 0 ? undefined : keys
+}
--- a/packages/batch/src/worker-view.ts
+++ b/packages/batch/src/worker-view.ts
@@ -156,7 +156,12 @@
     const hasContinuingRun = running.some(task => this.reportedRuns.has(taskRunKey(task)))
     if (this.#lastGrantWorkerMs === undefined || hasContinuingRun) return 'held'
     if (clockMs < this.#minLeaseEndWorkerMs) return 'held'
-    return clockMs > Math.max(this.#maxLeaseEndWorkerMs, this.#inheritedLeaseEndWorkerMs()) ? 'lapsed' : 'uncertain'
+    return clockMs > this.leaseEndClockMs ? 'lapsed' : 'uncertain'
+  }
+
+  /** Time on the worker's clock by which every lease that this leader or an earlier one has granted has ended. */
+  get leaseEndClockMs (): number {
+    return Math.max(this.#maxLeaseEndWorkerMs, this.#inheritedLeaseEndWorkerMs())
   }
 
   /**
--- a/packages/batch/test/batch-state.test.ts
+++ b/packages/batch/test/batch-state.test.ts
@@ -64,15 +64,27 @@
   t.is(state.findTask('j1.0.0.1')?.task.checkpoint, 'saved-7')
 })
 
-test('the end of a run that is no longer assigned is acknowledged without effect', t => {
+test('the end of a freed run whose task was assigned again is acknowledged without effect', t => {
   const state = createState([step({ taskCount: 1 })])
   const gone = assign(state, 'j1.0.0.0', 1)
   state.apply({ kind: 'worker_gone', life: gone, checkpoints: [] }, 15)
+  assign(state, 'j1.0.0.0', 2, { workerId: 'w2', incarnation: 1_000 })
   recordEnd(state, 'j1.0.0.0', 1, 'done')
   t.is(state.job('j1')?.state, 'open')
   t.is(state.lastEndSequence(workerIncarnation), endSequence)
 })
 
+test('the end of a freed run is not acknowledged where its task was assigned again while the end was being recorded', t => {
+  const state = createState([step({ taskCount: 1 })])
+  const gone = assign(state, 'j1.0.0.0', 1)
+  state.apply({ kind: 'worker_gone', life: gone, checkpoints: [] }, 15)
+  assign(state, 'j1.0.0.0', 2, { workerId: 'w2', incarnation: 1_000 })
+  const before = state.lastEndSequence(workerIncarnation)
+  const ends = [{ sequence: before + 1, taskKey: 'j1.0.0.0', run: 1, reason: 'done' as const, checkpoint: '' }]
+  state.apply({ kind: 'record_ends', life: workerIncarnation, ends, voidEndSequence: 0 }, 20)
+  t.is(state.lastEndSequence(workerIncarnation), before)
+})
+
 test('a later incarnation of a worker frees the runs of the earlier one and restarts the numbering of ends', t => {
   const state = createState([step({ taskCount: 1 })])
   assign(state, 'j1.0.0.0', 1)
