Count the ends of heartbeats that a departure overtakes, or that come late

Cause: the message that a worker has left frees its runs at once, and any heartbeat that is ignored is thrown away with the ends that it lists. Until the departure was recorded, a later heartbeat even made the worker a new one. A leader that had not heard from the worker confirmed the departure without recording it, so that its runs waited for the end of the lease. Change: ends of ignored heartbeats of the worker itself are proposed like others, and count where the state allows it. A worker that has left is remembered from its message on. A departure also counts where only an earlier leader was told that the worker is leaving, which is recorded. While a release is in flight, ends are proposed too: the state decides by the order of the log.

--- a/packages/batch/src/batch-state.ts
+++ b/packages/batch/src/batch-state.ts
@@ -188,6 +188,11 @@
     return this.#workers.departureOf(worker)
   }
 
+  /** The latest incarnation of a worker, if it is leaving and is not known to have left. */
+  leavingIncarnation (workerId: string): WorkerIncarnation | undefined {
+    return this.#workers.leavingIncarnation(workerId)
+  }
+
   /** Workers that had runs and are not known to have left, whether or not they have reported to this leader. */
   presentWorkerIds (): string[] {
     return this.#workers.presentWorkerIds()
--- a/packages/batch/src/report-handler.ts
+++ b/packages/batch/src/report-handler.ts
@@ -97,6 +97,7 @@
     const unrecordedEnds = this.#unrecordedEnds(report).map(describeEnd)
     const ends = unrecordedEnds.length === 0 ? {} : { unrecordedEnds }
     this.#options.log.info('heartbeat ignored', { workerId, sequence, reason, ...ends })
+    if (reason !== 'implausible' && reason !== 'malformed') this.#proposeIgnoredEnds(report)
     this.#options.reply(requestId, undefined)
   }
 
@@ -153,6 +154,17 @@
     this.#proposeRecord(view.latest, this.#recordableEnds(view), view.voidEndSequence)
   }
 
+  /**
+   * An end is a fact, however late the heartbeat that lists it: the leader may be about to free the run, and the
+   * message that the worker has left may have overtaken its last heartbeat.
+   */
+  #proposeIgnoredEnds (report: WorkerReport): void {
+    const { state } = this.#options
+    const ends = this.#unrecordedEnds(report)
+    const firstHeld = ends.findIndex(end => state.isOverruled(report, end))
+    this.#proposeRecord(report, firstHeld === -1 ? ends : ends.slice(0, firstHeld), 0)
+  }
+
   #proposeRecord (report: WorkerReport, ends: readonly RunEnd[], voidEndSequence: number): void {
     const { workerId, incarnation } = report
     const life = { workerId, incarnation }
@@ -177,9 +189,7 @@
    */
   #recordableEnds (view: WorkerView): readonly RunEnd[] {
     const ends = this.#unrecordedEnds(view.latest)
-    // A command in flight may free active runs before their ends are recorded.
-    const isReleasing = this.#releasesInFlight.has(view.latest.workerId)
-    const firstHeld = ends.findIndex(end => isReleasing ? end.sequence > view.voidEndSequence : this.#isHeld(end, view))
+    const firstHeld = ends.findIndex(end => this.#isHeld(end, view))
     return firstHeld === -1 ? ends : ends.slice(0, firstHeld)
   }
 
@@ -246,13 +256,12 @@
    */
   handleWorkerLeft (requestId: string, workerId: string): void {
     const { registry, reply } = this.#options
+    const life = registry.leavingIncarnation(workerId)
+    if (life === undefined) return reply(requestId, undefined)
     const view = registry.view(workerId)
-    if (view === undefined || view.latest.state !== 'leaving') return reply(requestId, undefined)
-    const { incarnation } = view.latest
-    registry.remove(workerId)
-    this.#handleWorkerGone(view.latest, 'left', view)
-    const record = { kind: 'record_departure', life: { workerId, incarnation }, departure: 'left' } as const
-    this.#proposeFor(workerId, record, () => { reply(requestId, undefined) })
+    registry.removeDeparted(life)
+    this.#handleWorkerGone(life, 'left', view)
+    this.#proposeFor(workerId, { kind: 'record_departure', life, departure: 'left' }, () => { reply(requestId, undefined) })
   }
 
   /**
--- a/packages/batch/src/worker-records.ts
+++ b/packages/batch/src/worker-records.ts
@@ -52,6 +52,12 @@
     return record.incarnation > incarnation ? 'left' : record.departure
   }
 
+  /** The latest incarnation of a worker, if it is leaving and is not known to have left. */
+  leavingIncarnation (workerId: string): WorkerIncarnation | undefined {
+    const record = this.#records.get(workerId)
+    return record?.departure === 'leaving' ? { workerId, incarnation: record.incarnation } : undefined
+  }
+
   /** Whether the end of a freed run has counted already. */
   hasCounted (worker: WorkerIncarnation, runKey: string): boolean {
     return this.#recordOf(worker)?.countedRuns?.includes(runKey) === true
--- a/packages/batch/src/worker-registry.ts
+++ b/packages/batch/src/worker-registry.ts
@@ -69,6 +69,8 @@
   readonly #views = new Map<string, WorkerView>()
   readonly #locations = new WorkerLocations()
   readonly #startedJobs = new Set<string>()
+  /** Incarnations that have left, by worker, whose departures may not be recorded yet. */
+  readonly #departed = new Map<string, number>()
   readonly #termStartedAtMs: number
   /** Whether most of the workers of a service are in quarantine, since a pass asks for each of them. */
   #quarantinedPools = { atMs: -Infinity, byService: new Map<string, boolean>() }
@@ -92,7 +94,7 @@
     const origin = this.#originOf(report, known)
     if (origin === 'foreign') return { kind: 'ignored', reason: 'implausible', replaced: [] }
     if (this.#isUnknownWithMalformedEntries(report, known)) return { kind: 'ignored', reason: 'malformed', replaced: [] }
-    if (this.#state.departureOf(report) === 'left') return { kind: 'ignored', reason: 'left', replaced: [] }
+    if (this.#hasLeft(report)) return { kind: 'ignored', reason: 'left', replaced: [] }
     const others = this.#viewsAtLocationOf(report)
     if (others.some(view => view.latest.incarnation > report.incarnation)) {
       return { kind: 'ignored', reason: 'earlier_life', replaced: [] }
@@ -113,6 +115,10 @@
     return { kind: 'accepted', view: known, replaced }
   }
 
+  #hasLeft (worker: WorkerIncarnation): boolean {
+    return this.#departed.get(worker.workerId) === worker.incarnation || this.#state.departureOf(worker) === 'left'
+  }
+
   /**
    * After a contradiction, as after a change of leader, the worker counts as one that has not reported in this term.
    * Which of the two reports is from another writer is not known, but the worker goes on to report.
@@ -224,6 +230,22 @@
     return this.#state.evacuations.isEvacuated(latest.availabilityZone)
   }
 
+  /**
+   * The incarnation of a worker that has said that it is leaving, to this leader or to an earlier one; undefined where
+   * it has not.
+   */
+  leavingIncarnation (workerId: string): WorkerIncarnation | undefined {
+    const view = this.view(workerId)
+    if (view !== undefined) return view.latest.state === 'leaving' ? incarnationOf(view.latest) : undefined
+    return this.#state.leavingIncarnation(workerId)
+  }
+
+  /** Removes a worker that has left for good; later heartbeats of this incarnation are ignored. */
+  removeDeparted ({ workerId, incarnation }: WorkerIncarnation): void {
+    this.remove(workerId)
+    this.#departed.set(workerId, incarnation)
+  }
+
   /** Removes a worker that has gone. */
   remove (workerId: string): void {
     const view = this.#views.get(workerId)
@@ -338,6 +360,9 @@
   removeStaleWorkers (): void {
     const minMs = this.#clock.monotonicMs() - STALE_WORKER_RETENTION_MS
     for (const { latest, reportedAtMs } of this.#views.values()) if (reportedAtMs < minMs) this.remove(latest.workerId)
+    for (const [workerId, incarnation] of this.#departed) {
+      if (this.#state.departureOf({ workerId, incarnation }) === 'left') this.#departed.delete(workerId)
+    }
   }
 
   /** Whether any worker has runs of an earlier term and has not reported in this one. */
--- a/packages/batch/test/lost-completions.test.ts
+++ b/packages/batch/test/lost-completions.test.ts
@@ -50,6 +50,40 @@
   return runs
 }
 
+test('a task does not start again whose completion is listed while the departure of its worker is being recorded', t => {
+  const { fixture } = createLeavingWorker()
+  fixture.isCommitting = false
+  sayLeft(fixture)
+  fixture.advance(60)
+  listCompletion(fixture)
+  commitAll(fixture)
+  t.deepEqual(startsElsewhere(fixture), [])
+  t.is(fixture.state.job('j1')?.state, 'completed')
+})
+
+test('a task does not start again whose completion a leaving worker lists before its departure is confirmed to it', t => {
+  const { fixture } = createLeavingWorker()
+  sayLeft(fixture)
+  fixture.advance(60)
+  listCompletion(fixture)
+  t.deepEqual(startsElsewhere(fixture), [])
+  t.is(fixture.state.job('j1')?.state, 'completed')
+})
+
+test('a new leader does not start a task again whose completion is listed while a former one records the departure', t => {
+  const { fixture } = createLeavingWorker()
+  fixture.isCommitting = false
+  sayLeft(fixture)
+  fixture.changeLeader()
+  sayLeft(fixture)
+  listCompletion(fixture)
+  fixture.advance(REPORT_INTERVAL_MS)
+  listCompletion(fixture)
+  commitAll(fixture)
+  t.deepEqual(startsElsewhere(fixture), [])
+  t.is(fixture.state.job('j1')?.state, 'completed')
+})
+
 /** A worker with one run whose end a new leader has only seen in its first heartbeat to it, and so has not recorded. */
 function createCompletionSeenOnce (): LeaderFixture {
   const { fixture } = createLeavingWorker()
@@ -87,6 +121,13 @@
   t.is(fixture.state.job('j1')?.state, 'completed')
 })
 
+test('a departure is not confirmed by a leader that has no report of the worker and does not record it', t => {
+  const { fixture } = createLeavingWorker()
+  fixture.changeLeader()
+  sayLeft(fixture)
+  t.is(fixture.state.departureOf({ workerId: 'w1', incarnation: 1_000 }), 'left')
+})
+
 /** The leader holds a release in flight for a run that late copies of heartbeats from before its start do not list. */
 function createReleaseInFlight (): LeaderFixture {
   const fixture = new LeaderFixture()
@@ -151,6 +192,17 @@
   })
 }
 
+test('a completion counts whose heartbeat reaches the leader after the departure of its worker and before the next start', t => {
+  const { fixture } = createLeavingWorker()
+  sayLeft(fixture)
+  for (let count = 0; count < 2; count++) {
+    fixture.advance(60)
+    listCompletion(fixture)
+  }
+  t.is(fixture.state.findTask('j1.0.0.0')?.task.lastRun, 1)
+  t.is(fixture.state.job('j1')?.state, 'completed')
+})
+
 for (const commandKind of ['worker_gone', 'release'] as const) {
   test(`a completion of a run that ${commandKind} has freed counts while no later run of its task was assigned`, t => {
     const fixture = new LeaderFixture()
@@ -166,3 +218,12 @@
     t.is(fixture.state.job('j1')?.state, 'completed')
   })
 }
+
+test('a completion counts that is listed by a late heartbeat just before the lease of its worker expires', t => {
+  const { fixture } = createLeavingWorker()
+  const endedMs = fixture.clock.monotonicMs() + 100
+  for (let elapsedMs = 0; elapsedMs < 6_000; elapsedMs += REPORT_INTERVAL_MS) fixture.advance(REPORT_INTERVAL_MS)
+  fixture.sendReport(report('w1', { clockMs: endedMs, sequence: Math.round(endedMs), state: 'leaving', ends: [DONE_END] }))
+  for (let elapsedMs = 0; elapsedMs < 1_000; elapsedMs += REPORT_INTERVAL_MS) fixture.advance(REPORT_INTERVAL_MS)
+  t.is(fixture.state.job('j1')?.state, 'completed')
+})
