Record the ends of active runs from a worker's first heartbeat to a leader

Cause: ends waited for a second heartbeat, since the first one may be an old copy. An end is true however old the heartbeat is, and since the state of the run decides. Change: ends are proposed from the first heartbeat on. Those of freed runs stay held.

--- a/packages/batch/src/report-handler.ts
+++ b/packages/batch/src/report-handler.ts
@@ -82,7 +82,7 @@
     if (!wasResponsive) this.#options.requestPass()
     this.#countMalformedEntries(report)
     policies.workerSpeeds.observe(view, nowMs, taskKey => state.findTask(taskKey)?.stepSpec)
-    if (view.hasSecondReport) this.#proposeEnds(view)
+    this.#proposeEnds(view)
     this.#checkLease(view)
     this.#releaseAbsentRuns(view)
     if (report.state === 'leaving') this.#recordLeaving(report)
--- a/packages/batch/src/worker-view.ts
+++ b/packages/batch/src/worker-view.ts
@@ -85,8 +85,6 @@
   /** Least (leader's clock - worker's clock), from the fastest heartbeat; grows by the possible drift since then. */
   #clockOffsetMs: number
   #offsetAtMs: number
-  /** Whether a heartbeat after the first one was accepted. */
-  #hasSecondReport = false
   #lastGrantWorkerMs: number | undefined
   #minLeaseEndWorkerMs = -Infinity
   #maxLeaseEndWorkerMs = -Infinity
@@ -114,7 +112,6 @@
   accept (report: WorkerReport, nowMs: number): boolean {
     if (report.sequence < this.latest.sequence) return false
     if (this.#updateClockOffset(report, nowMs) > this.#settings.reportTimeoutMs) return false
-    this.#hasSecondReport = true
     this.#confirmLeaseGrant(report)
     this.#leaseStatus = this.#evaluateLease(report)
     if (this.#leaseStatus === 'lapsed') this.#voidEndSequence = lastSequenceOf(report)
@@ -138,14 +135,6 @@
     return offsetMs - this.#clockOffsetMs
   }
 
-  /**
-   * Whether the latest heartbeat has been compared with an earlier one and was in time. There is nothing to compare the
-   * first one with, so it may have been delayed in the network for any time.
-   */
-  get hasSecondReport (): boolean {
-    return this.#hasSecondReport
-  }
-
   /** Status of the lease up to the latest heartbeat. */
   get leaseStatus (): LeaseStatus {
     return this.#leaseStatus
