Remember that runs were freed with their lease, so that no later leader withholds it again

Cause: an end of a freed run is held back until the lease has certainly lapsed. The leader that freed the run knew that, but it was not in the state, so the next leader brought about a lapse of its own. Change: worker_gone records, for runs that are freed since their lease has ended, the time on the worker's clock by which it had. A report from after that time is of a worker that has lived through the lapse, and the ends of these runs are acknowledged at once. Copies from before, also of a worker that has crashed, are held back as before.

--- a/packages/batch/src/report-handler.ts
+++ b/packages/batch/src/report-handler.ts
@@ -42,6 +42,8 @@
 /** Why a worker counts as gone, as the log names it. */
 type GoneReason = 'lease lapsed' | 'lease expired without a heartbeat' | 'left' | 'replaced by a later incarnation'
 
+const LEASE_REASONS: ReadonlySet<GoneReason> = new Set(['lease lapsed', 'lease expired without a heartbeat'])
+
 /** Handles the reports of one term. */
 export class ReportHandler {
   readonly #options: ReportHandlerOptions
@@ -161,17 +163,17 @@
   #proposeIgnoredEnds (report: WorkerReport): void {
     const { state } = this.#options
     const ends = this.#unrecordedEnds(report)
-    const firstHeld = ends.findIndex(end => state.isOverruled(report, end))
+    const firstHeld = ends.findIndex(end => state.isOverruled(report, end, report.clockMs))
     this.#proposeRecord(report, firstHeld === -1 ? ends : ends.slice(0, firstHeld), 0)
   }
 
   #proposeRecord (report: WorkerReport, ends: readonly RunEnd[], voidEndSequence: number): void {
-    const { workerId, incarnation } = report
+    const { workerId, incarnation, clockMs } = report
     const life = { workerId, incarnation }
     if (ends.length === 0) return
     for (const end of ends) this.#options.registry.updateHealth(life, end)
     const receivedAtMs = this.#options.clock.monotonicMs()
-    this.#proposeFor(workerId, { kind: 'record_ends', life, ends, voidEndSequence }, result => {
+    this.#proposeFor(workerId, { kind: 'record_ends', life, ends, clockMs, voidEndSequence }, result => {
       this.#handleRecordedEnds(result, life, receivedAtMs)
     })
   }
@@ -203,7 +205,7 @@
 
   /** Whether an end is that of a freed run, and it is not certain that the lease has lapsed since. */
   #isHeld (end: RunEnd, { latest, voidEndSequence }: WorkerView): boolean {
-    return end.sequence > voidEndSequence && this.#options.state.isOverruled(latest, end)
+    return end.sequence > voidEndSequence && this.#options.state.isOverruled(latest, end, latest.clockMs)
   }
 
   #handleRecordedEnd (end: RecordedEnd, worker: WorkerIncarnation, receivedAtMs: number): void {
@@ -289,7 +291,10 @@
     adjustCount(this.#releasesInFlight, workerId, 1)
     const onSettled = (): void => { adjustCount(this.#releasesInFlight, workerId, -1) }
     const ends = view === undefined ? [] : this.#unrecordedEnds(view.latest)
-    const command = { kind: 'worker_gone', life, checkpoints, ends } as const
+    const lapsedAtClockMs = LEASE_REASONS.has(reason) ? view?.leaseEndClockMs : undefined
+    const command = {
+      kind: 'worker_gone', life, checkpoints, ends, ...(lapsedAtClockMs === undefined ? {} : { lapsedAtClockMs })
+    } as const
     const receivedAtMs = this.#options.clock.monotonicMs()
     this.#proposeFor(workerId, command, result => { this.#handleRecordedEnds(result, life, receivedAtMs) }, onSettled)
   }
