Stop the runs of a leaving worker while it can still report how they end

Cause: runs without checkpoints stayed on a leaving worker for up to 6 s beyond the time that it said it would stay at least, since their work would be lost otherwise. The leader took the departure for proof that the run had not ended. Ruled out: a heartbeat that the departure overtakes (it exists, and is mended apart); a change of leader; a lapse; a release of a run whose worker stays. Change: all runs of a leaving worker are stopped a second before it may be gone, which is time for the next heartbeat, the stop, the heartbeat that lists the end and its answer. Why it works: a worker holds no run when it leaves, so each end is known.

--- a/packages/batch/src/evictions.ts
+++ b/packages/batch/src/evictions.ts
@@ -26,7 +26,9 @@
 /**
  * Chooses the runs of a leaving worker that cannot end before it is gone, and the stalled runs of any other worker.
  * Checkpointing and lasting runs move as soon as the reported remaining time is too short for them. A run whose work
- * would be lost gets `leavingGraceMs` more, since the worker may live longer than it reports.
+ * would be lost gets `leavingGraceMs` more, since it may take less time than estimated. All runs are stopped
+ * `leavingStopLeadMs` before the worker may be gone: nobody learns how one ends in its last moment, and a completed
+ * task would run again.
  *
  * @example
  * for (const { assignment } of planEvictions(state, view, settings, nowMs, policies)) orders.stop(assignment)
@@ -39,9 +41,10 @@
   if (!isLeaving && view.runsUnchangedFor(settings.stalledAfterMs).length === 0) return []
   const runs = listOccupyingRuns(state, view, () => false, nowMs, policies)
   if (isLeaving) {
+    const workerRemainingMs = remainingMsOf(view, nowMs)
     return runs
-      .filter(run => cannotEndInTime(run, view.latest.remainingMs, settings))
-      .map(run => leavingWorkerEviction(run, view))
+      .filter(run => cannotEndInTime(run, workerRemainingMs, settings))
+      .map(run => leavingWorkerEviction(run, workerRemainingMs))
   }
   return runs.filter(run => isStalled(run, view, settings)).map(run => stalledEviction(run, view))
 }
@@ -59,8 +62,15 @@
     .map(({ assignment }) => ({ assignment, reason: 'maintenance' }))
 }
 
-function leavingWorkerEviction ({ assignment, remainingMs }: OccupyingRun, view: WorkerView): Eviction {
-  return { assignment, reason: 'worker_leaving', remainingMs, workerRemainingMs: view.latest.remainingMs }
+/** Shortest time until a leaving worker is gone. */
+function remainingMsOf ({ latest, reportedAtMs }: WorkerView, nowMs: number): number | undefined {
+  return latest.remainingMs === undefined ? undefined : Math.max(0, latest.remainingMs - (nowMs - reportedAtMs))
+}
+
+function leavingWorkerEviction (
+  { assignment, remainingMs }: OccupyingRun, workerRemainingMs: number | undefined
+): Eviction {
+  return { assignment, reason: 'worker_leaving', remainingMs, workerRemainingMs }
 }
 
 function stalledEviction ({ assignment }: OccupyingRun, view: WorkerView): Eviction {
@@ -71,6 +81,7 @@
 
 function cannotEndInTime (run: OccupyingRun, workerRemainingMs: number | undefined, settings: BatchSettings): boolean {
   if (workerRemainingMs === undefined) return false
+  if (workerRemainingMs <= settings.leavingStopLeadMs) return true
   const { spec, remainingMs } = run
   if (spec.isLasting || spec.isCheckpointing) return remainingMs > workerRemainingMs
   return remainingMs > workerRemainingMs + settings.leavingGraceMs
--- a/packages/batch/src/settings.ts
+++ b/packages/batch/src/settings.ts
@@ -88,8 +88,13 @@
   readonly passIntervalMs: number
   /** Occurrences start this long after they are due, so that clock differences start none early. */
   readonly dueMarginMs: number
-  /** A leaving worker may live this much longer than it reports; runs whose work would be lost stay accordingly. */
+  /** Runs on a leaving worker whose work would be lost may be estimated to take this much longer than it lives. */
   readonly leavingGraceMs: number
+  /**
+   * Time before a leaving worker may be gone at which its runs are stopped, so that it reports how they ended: for the
+   * next heartbeat, the stop, the heartbeat that lists the end and its answer.
+   */
+  readonly leavingStopLeadMs: number
   /**
    * A run without progress for this long, plus allowances for its estimate and for gangs, has stalled and is evicted.
    */
@@ -159,6 +164,7 @@
   passIntervalMs: 20,
   dueMarginMs: 20,
   leavingGraceMs: 6_000,
+  leavingStopLeadMs: 1_000,
   stalledAfterMs: 4_000,
   suspectAfterMs: 1_500,
   gangWaitMs: 3_000,
