Free the runs of a worker that has gone with its listed ends also where the log refused that once

In unit tests a task started again that its worker had listed as done before it left or was replaced, while the log refused commands. Cause: the view of such a worker is removed before its release is committed. Where the log is full or leadership is being transferred, the next check of the fleet took the worker for one that had not reported in this term, and freed its runs without the ends and checkpoints that it had listed. Change: the leader keeps the release of a worker that has gone for good, with its last report, until it is applied, and proposes it again.

--- a/packages/batch/src/report-handler.ts
+++ b/packages/batch/src/report-handler.ts
@@ -42,6 +42,13 @@
 /** Why a worker counts as gone, as the log names it. */
 type GoneReason = 'lease lapsed' | 'lease expired without a heartbeat' | 'left' | 'replaced by a later incarnation'
 
+/** An incarnation that has gone for good. */
+interface GoneWorker {
+  readonly life: WorkerIncarnation
+  readonly reason: GoneReason
+  readonly view: WorkerView | undefined
+}
+
 const LEASE_REASONS: ReadonlySet<GoneReason> = new Set(['lease lapsed', 'lease expired without a heartbeat'])
 
 /** Handles the reports of one term. */
@@ -54,6 +61,8 @@
   readonly #commandsInFlight = new Map<string, number>()
   /** Number of proposed commands that free all runs of a worker and are not settled yet, by worker. */
   readonly #releasesInFlight = new Map<string, number>()
+  /** Incarnations that have gone for good and whose runs are not freed yet; the log may refuse that. By worker. */
+  readonly #unreleased = new Map<string, GoneWorker>()
   /** Jobs whose end was logged; kept while the state has the job, so that each end is logged once. */
   readonly #loggedJobs = new Set<string>()
 
@@ -296,7 +305,12 @@
       kind: 'worker_gone', life, checkpoints, ends, ...(lapsedAtClockMs === undefined ? {} : { lapsedAtClockMs })
     } as const
     const receivedAtMs = this.#options.clock.monotonicMs()
-    this.#proposeFor(workerId, command, result => { this.#handleRecordedEnds(result, life, receivedAtMs) }, onSettled)
+    if (!LEASE_REASONS.has(reason)) this.#unreleased.set(workerId, { life, reason, view })
+    const onApplied = (result: CommandResult): void => {
+      if (this.#unreleased.get(workerId)?.life === life) this.#unreleased.delete(workerId)
+      this.#handleRecordedEnds(result, life, receivedAtMs)
+    }
+    this.#proposeFor(workerId, command, onApplied, onSettled)
   }
 
   /** Answers the reports that have waited long enough. */
@@ -335,6 +349,11 @@
 
   /** Frees the runs of workers whose leases have certainly expired, and of incarnations that later ones replaced. */
   releaseGoneWorkers (): void {
+    for (const { life, reason, view } of [...this.#unreleased.values()]) {
+      if (this.hasCommandsInFlight(life.workerId)) continue
+      this.#unreleased.delete(life.workerId)
+      this.#handleWorkerGone(life, reason, view)
+    }
     for (const worker of this.#options.registry.replacedIncarnations()) {
       if (this.hasCommandsInFlight(worker.workerId)) continue
       this.#handleWorkerGone(worker, 'replaced by a later incarnation', undefined)
--- a/packages/batch/test/lost-completions.test.ts
+++ b/packages/batch/test/lost-completions.test.ts
@@ -227,3 +227,34 @@
   for (let elapsedMs = 0; elapsedMs < 1_000; elapsedMs += REPORT_INTERVAL_MS) fixture.advance(REPORT_INTERVAL_MS)
   t.is(fixture.state.job('j1')?.state, 'completed')
 })
+
+/** The log refuses all that was proposed, as while it is full or leadership is being transferred, and then no more. */
+function refuseAll (fixture: LeaderFixture, firstIndex: number): void {
+  for (const { proposalId } of fixture.proposals.slice(firstIndex)) {
+    fixture.deliver({ kind: 'rejected', proposalId, isCertain: true })
+  }
+}
+
+const REFUSED_DEPARTURES: ReadonlyArray<readonly [string, (fixture: LeaderFixture) => void]> = [
+  ['left', sayLeft],
+  ['was replaced', fixture => { fixture.sendReport(report('w3', { vmId: 'vm-w1', incarnation: 2_000, state: 'leaving' })) }]
+]
+
+for (const [description, go] of REFUSED_DEPARTURES) {
+  test(`the completion that a worker listed before it ${description} is not lost when the log refuses to record it`, t => {
+    const { fixture } = createLeavingWorker()
+    for (let elapsedMs = 0; elapsedMs < 7_000; elapsedMs += REPORT_INTERVAL_MS) {
+      fixture.heartbeat('w1', { running: runningTasks([{ taskKey: 'j1.0.0.0', run: 1, payload: '', checkpoint: '' }]), state: 'leaving' })
+      fixture.advance(REPORT_INTERVAL_MS)
+    }
+    const firstIndex = fixture.proposals.length
+    fixture.isCommitting = false
+    listCompletion(fixture)
+    go(fixture)
+    refuseAll(fixture, firstIndex)
+    fixture.isCommitting = true
+    fixture.advance(REPORT_INTERVAL_MS)
+    t.deepEqual(startsElsewhere(fixture), [])
+    t.is(fixture.state.job('j1')?.state, 'completed')
+  })
+}
