Revert "Remember that runs were freed with their lease, so that no later leader withholds it again"

The review shows with a test that the time by which a lease has ended, as the leader estimates it on the worker's clock, is too early where the only heartbeats of the worker in the term were copies over a second old. Stored in the state, it then let an end be acknowledged after the task had started again, also by a later leader that was not certain itself. An upper bound for the delay of a copy is not known, so there is no safe value to store. Without it a worker that was cut off, and whose runs were started again, gets no lease from the next leader for up to 7 s, as before.

--- a/packages/batch/src/batch-state.ts
+++ b/packages/batch/src/batch-state.ts
@@ -156,14 +156,12 @@
 
   /**
    * Whether the acknowledgement of an end would contradict the state: its run was freed, and the task may have started
-   * since or can run again, though the run has completed it or used up an attempt. Not where the worker has lived
-   * through the lapse of its lease when it lists the end, at the given time on its clock.
+   * since or can run again, though the run has completed it or used up an attempt.
    */
-  isOverruled (worker: WorkerIncarnation, end: RunEnd, clockMs: number): boolean {
+  isOverruled (worker: WorkerIncarnation, end: RunEnd): boolean {
     const run = { ...worker, taskKey: end.taskKey, run: end.run }
     if (this.isActive(run) || (end.reason !== 'done' && end.reason !== 'failed')) return false
-    const key = taskRunKey(end)
-    if (this.#workers.hasCounted(worker, key) || this.#workers.hasLapsed(worker, key, clockMs)) return false
+    if (this.#workers.hasCounted(worker, taskRunKey(end))) return false
     const context = this.findTask(end.taskKey)
     if (context === undefined || context.stepSpec.isLasting) return false
     if (mayHaveStartedSince(context, end.run)) return !(end.reason === 'failed' && this.#presumedEnds.has(run))
@@ -303,14 +301,13 @@
 
   /** A run may have been freed and its task assigned again since the command was proposed: its end is left out then. */
   #recordEnds (command: CommandOf<'record_ends'>, logTimeMs: number): CommandResult {
-    const { life, ends, clockMs, voidEndSequence = 0 } = command
+    const { life, ends, voidEndSequence = Infinity } = command
     const record = this.#useWorker(life, logTimeMs)
     if (record.incarnation !== life.incarnation) return { kind: 'unchanged' }
     const recordedEnds: RecordedEnd[] = []
     for (const end of ends) {
       if (end.sequence <= record.lastEndSequence) continue
-      const isVoid = clockMs === undefined || end.sequence <= voidEndSequence
-      if (!isVoid && this.isOverruled(life, end, clockMs)) break
+      if (end.sequence > voidEndSequence && this.isOverruled(life, end)) break
       recordedEnds.push({ ...end, isFreedRun: !this.isActive({ ...life, ...end }) })
       record.lastEndSequence = end.sequence
       this.#recordEnd(life, end, logTimeMs)
@@ -374,14 +371,10 @@
   }
 
   #workerGone (command: CommandOf<'worker_gone'>, logTimeMs: number): CommandResult {
-    const { life, checkpoints, ends = [], lapsedAtClockMs } = command
+    const { life, checkpoints, ends = [] } = command
     const counted = ends.filter(end => this.isActive({ ...life, ...end }))
     for (const end of counted) this.#recordEnd(life, end, logTimeMs)
     this.#workers.addCounted(life, counted.map(taskRunKey))
-    if (lapsedAtClockMs !== undefined) {
-      const runs = [...this.runsOf(life.workerId)].filter(run => run.incarnation === life.incarnation)
-      this.#workers.addLapsed(life, { clockMs: lapsedAtClockMs, runKeys: runs.map(taskRunKey) })
-    }
     this.#removeRunsBefore(life.workerId, life.incarnation + 1)
     for (const { taskKey, checkpoint } of checkpoints) this.#restoreCheckpoint({ taskKey, checkpoint })
     return { kind: 'applied', recordedEnds: counted.map(end => ({ ...end, isFreedRun: false })) }
--- a/packages/batch/src/commands.ts
+++ b/packages/batch/src/commands.ts
@@ -83,14 +83,13 @@
   | { readonly kind: 'cancel_job', readonly jobId: string }
   | { readonly kind: 'assign', readonly assignments: readonly Assignment[] }
   /**
-   * `life` is the incarnation that reported the ends, at `clockMs` on its clock. Its lease has lapsed after the ends up
-   * to `voidEndSequence`. Commands of older versions have neither.
+   * `life` is the incarnation that reported the ends. Its lease has lapsed after the ends up to `voidEndSequence`;
+   * commands of older versions do not have it.
    */
   | {
     readonly kind: 'record_ends'
     readonly life: WorkerIncarnation
     readonly ends: readonly RunEnd[]
-    readonly clockMs?: number
     readonly voidEndSequence?: number
   }
   /** Removes runs that are certainly not on their workers. */
@@ -100,15 +99,13 @@
   /**
    * No run of the incarnation `life` is active any more: it crashed, left, or its lease expired. `ends` are those that
    * its latest report listed and that are not recorded: they count before the other runs are freed, and are not
-   * acknowledged by that. `lapsedAtClockMs` is a time on the worker's clock by which the lease of all its runs has
-   * lapsed, if the worker was still running then. Both are absent from commands of older versions.
+   * acknowledged by that. Commands of older versions have none.
    */
   | {
     readonly kind: 'worker_gone'
     readonly life: WorkerIncarnation
     readonly checkpoints: readonly TaskCheckpoint[]
     readonly ends?: readonly RunEnd[]
-    readonly lapsedAtClockMs?: number
   }
   /** Recorded, so that a heartbeat from before does not bring the worker back under a later leader. */
   | { readonly kind: 'record_departure', readonly life: WorkerIncarnation, readonly departure: Departure }
--- a/packages/batch/src/report-handler.ts
+++ b/packages/batch/src/report-handler.ts
@@ -49,7 +49,8 @@
   readonly view: WorkerView | undefined
 }
 
-const LEASE_REASONS: ReadonlySet<GoneReason> = new Set(['lease lapsed', 'lease expired without a heartbeat'])
+/** A worker whose lease has ended may come back, and is looked at again with its next report. */
+const FINAL_REASONS: ReadonlySet<GoneReason> = new Set(['left', 'replaced by a later incarnation'])
 
 /** Handles the reports of one term. */
 export class ReportHandler {
@@ -172,17 +173,17 @@
   #proposeIgnoredEnds (report: WorkerReport): void {
     const { state } = this.#options
     const ends = this.#unrecordedEnds(report)
-    const firstHeld = ends.findIndex(end => state.isOverruled(report, end, report.clockMs))
+    const firstHeld = ends.findIndex(end => state.isOverruled(report, end))
     this.#proposeRecord(report, firstHeld === -1 ? ends : ends.slice(0, firstHeld), 0)
   }
 
   #proposeRecord (report: WorkerReport, ends: readonly RunEnd[], voidEndSequence: number): void {
-    const { workerId, incarnation, clockMs } = report
+    const { workerId, incarnation } = report
     const life = { workerId, incarnation }
     if (ends.length === 0) return
     for (const end of ends) this.#options.registry.updateHealth(life, end)
     const receivedAtMs = this.#options.clock.monotonicMs()
-    this.#proposeFor(workerId, { kind: 'record_ends', life, ends, clockMs, voidEndSequence }, result => {
+    this.#proposeFor(workerId, { kind: 'record_ends', life, ends, voidEndSequence }, result => {
       this.#handleRecordedEnds(result, life, receivedAtMs)
     })
   }
@@ -214,7 +215,7 @@
 
   /** Whether an end is that of a freed run, and it is not certain that the lease has lapsed since. */
   #isHeld (end: RunEnd, { latest, voidEndSequence }: WorkerView): boolean {
-    return end.sequence > voidEndSequence && this.#options.state.isOverruled(latest, end, latest.clockMs)
+    return end.sequence > voidEndSequence && this.#options.state.isOverruled(latest, end)
   }
 
   #handleRecordedEnd (end: RecordedEnd, worker: WorkerIncarnation, receivedAtMs: number): void {
@@ -300,12 +301,9 @@
     adjustCount(this.#releasesInFlight, workerId, 1)
     const onSettled = (): void => { adjustCount(this.#releasesInFlight, workerId, -1) }
     const ends = view === undefined ? [] : this.#unrecordedEnds(view.latest)
-    const lapsedAtClockMs = LEASE_REASONS.has(reason) ? view?.leaseEndClockMs : undefined
-    const command = {
-      kind: 'worker_gone', life, checkpoints, ends, ...(lapsedAtClockMs === undefined ? {} : { lapsedAtClockMs })
-    } as const
+    const command = { kind: 'worker_gone', life, checkpoints, ends } as const
     const receivedAtMs = this.#options.clock.monotonicMs()
-    if (!LEASE_REASONS.has(reason)) this.#unreleased.set(workerId, { life, reason, view })
+    if (FINAL_REASONS.has(reason)) this.#unreleased.set(workerId, { life, reason, view })
     const onApplied = (result: CommandResult): void => {
       if (this.#unreleased.get(workerId)?.life === life) this.#unreleased.delete(workerId)
       this.#handleRecordedEnds(result, life, receivedAtMs)
--- a/packages/batch/src/worker-records.ts
+++ b/packages/batch/src/worker-records.ts
@@ -10,15 +10,6 @@
   usedLogMs?: number
   /** Keys of freed runs whose ends have counted already; absent where there are none. */
   countedRuns?: string[] | undefined
-  /** Runs that were freed because the lease had ended; absent where there are none. */
-  lapse?: LapsedRuns | undefined
-}
-
-/** Runs that were freed because their worker's lease had ended. */
-export interface LapsedRuns {
-  /** Time on the worker's clock by which the lease has lapsed, if the worker was still running then. */
-  readonly clockMs: number
-  readonly runKeys: readonly string[]
 }
 
 /** Time for which the record of a worker without runs is kept; far longer than a message can be delayed. */
@@ -72,15 +63,6 @@
     return this.#recordOf(worker)?.countedRuns?.includes(runKey) === true
   }
 
-  /**
-   * Whether a worker that lists the end of a freed run at the given time on its clock has lived through the lapse of
-   * the lease under which it ran.
-   */
-  hasLapsed (worker: WorkerIncarnation, runKey: string, clockMs: number): boolean {
-    const lapse = this.#recordOf(worker)?.lapse
-    return lapse !== undefined && clockMs > lapse.clockMs && lapse.runKeys.includes(runKey)
-  }
-
   #recordOf ({ workerId, incarnation }: WorkerIncarnation): WorkerRecord | undefined {
     const record = this.#records.get(workerId)
     return record?.incarnation === incarnation ? record : undefined
@@ -105,24 +87,11 @@
     record.countedRuns = [...record.countedRuns ?? [], ...runKeys]
   }
 
-  /** Records runs of an incarnation that were freed with its lease; without effect where a later one is known. */
-  addLapsed (worker: WorkerIncarnation, { clockMs, runKeys }: LapsedRuns): void {
-    const record = this.#recordOf(worker)
-    if (record === undefined || runKeys.length === 0) return
-    const { lapse } = record
-    record.lapse = {
-      clockMs: Math.max(clockMs, lapse?.clockMs ?? -Infinity), runKeys: [...lapse?.runKeys ?? [], ...runKeys]
-    }
-  }
-
   /** Removes a freed run, once its end is recorded. */
   removeFreed (worker: WorkerIncarnation, runKey: string): void {
     const record = this.#recordOf(worker)
     if (record === undefined) return
-    const { countedRuns = [], lapse } = record
-    record.countedRuns = optionalList(countedRuns.filter(key => key !== runKey))
-    const runKeys = optionalList(lapse?.runKeys.filter(key => key !== runKey) ?? [])
-    record.lapse = lapse === undefined || runKeys === undefined ? undefined : { ...lapse, runKeys }
+    record.countedRuns = optionalList(record.countedRuns?.filter(key => key !== runKey) ?? [])
   }
 
   /** Removes the records of workers without runs that no command has named for long. */
