Keep departures, counted ends and health in step with what is recorded

A departure was ignored where the first heartbeat to a new leader was a copy from before the worker said that it leaves, though the state knew it; it was answered without a record where the first one had been refused, and handled twice where the worker repeated it. A worker was told that it may leave before that was recorded, where the same heartbeat listed an end. A failure of a presumed end that a departure lists did not count as an attempt. An end that had counted with a release was logged again when it was recorded, and its key stayed in the state where the job had expired. Late copies of an earlier incarnation changed the health of the restarted worker. Change: a departed incarnation is kept by the registry and its departure proposed until it is recorded; the recorded 'leaving' counts beside the view; that a worker is leaving is proposed beside other commands; worker_gone counts presumed ends; health follows the ends that were recorded. Freed runs count only by commands of this version, so that a replica which replays older ones agrees with one that applied them. A test of the review on the answers to gangs was left out, since it passed without a change once its gang had started.

--- a/packages/batch/src/batch-state.ts
+++ b/packages/batch/src/batch-state.ts
@@ -302,25 +302,28 @@
   /** A run may have been freed and its task assigned again since the command was proposed: its end is left out then. */
   #recordEnds (command: CommandOf<'record_ends'>, logTimeMs: number): CommandResult {
     const { life, ends, voidEndSequence = Infinity } = command
+    const countsFreedRuns = command.voidEndSequence !== undefined
     const record = this.#useWorker(life, logTimeMs)
     if (record.incarnation !== life.incarnation) return { kind: 'unchanged' }
     const recordedEnds: RecordedEnd[] = []
     for (const end of ends) {
       if (end.sequence <= record.lastEndSequence) continue
       if (end.sequence > voidEndSequence && this.isOverruled(life, end)) break
-      recordedEnds.push({ ...end, isFreedRun: !this.isActive({ ...life, ...end }) })
+      const isFreedRun = !this.isActive({ ...life, ...end })
+      if (!this.#workers.hasCounted(life, taskRunKey(end))) recordedEnds.push({ ...end, isFreedRun })
       record.lastEndSequence = end.sequence
-      this.#recordEnd(life, end, logTimeMs)
+      this.#recordEnd(life, end, logTimeMs, countsFreedRuns)
     }
     return { kind: 'applied', recordedEnds }
   }
 
-  #recordEnd (worker: WorkerIncarnation, end: RunEnd, logTimeMs: number): void {
+  #recordEnd (worker: WorkerIncarnation, end: RunEnd, logTimeMs: number, countsFreedRuns = true): void {
     const run = { ...worker, taskKey: end.taskKey, run: end.run }
+    this.#workers.removeCounted(worker, taskRunKey(run))
     const context = this.findTask(end.taskKey)
     if (context === undefined) return
     const { job, stepSpec, step, task } = context
-    if (!this.#removeRun(run)) return this.#recordFreedRunEnd(run, end.reason, context, logTimeMs)
+    if (!this.#removeRun(run)) return this.#recordFreedRunEnd(run, end.reason, context, logTimeMs, countsFreedRuns)
     if (job.state !== 'open') return
     job.hasStarted = true
     this.#saveCheckpoint(stepSpec, step, task, end.checkpoint)
@@ -329,12 +332,13 @@
   }
 
   /** The work of a freed run that completed its task is not repeated where the task cannot have started since. */
-  #recordFreedRunEnd (run: Assignment, reason: EndReason, context: TaskContext, logTimeMs: number): void {
-    this.#workers.removeFreed(run, taskRunKey(run))
+  #recordFreedRunEnd (
+    run: Assignment, reason: EndReason, context: TaskContext, logTimeMs: number, countsFreedRuns: boolean
+  ): void {
     const isPresumed = this.#presumedEnds.remove(run)
     if (context.job.state !== 'open') return
     if (reason === 'failed' && isPresumed) this.#taskFailed(context, run.run, run.workerId, logTimeMs)
-    if (reason === 'done' && !mayHaveStartedSince(context, run.run)) this.#taskDone(context, logTimeMs)
+    if (reason === 'done' && countsFreedRuns && !mayHaveStartedSince(context, run.run)) this.#taskDone(context, logTimeMs)
   }
 
   #taskDone ({ job, stepSpec, step, task }: TaskContext, logTimeMs: number): void {
@@ -372,7 +376,10 @@
 
   #workerGone (command: CommandOf<'worker_gone'>, logTimeMs: number): CommandResult {
     const { life, checkpoints, ends = [] } = command
-    const counted = ends.filter(end => this.isActive({ ...life, ...end }))
+    const counted = ends.filter(end => {
+      const run = { ...life, ...end }
+      return this.isActive(run) || this.#presumedEnds.has(run)
+    })
     for (const end of counted) this.#recordEnd(life, end, logTimeMs)
     this.#workers.addCounted(life, counted.map(taskRunKey))
     this.#removeRunsBefore(life.workerId, life.incarnation + 1)
--- a/packages/batch/src/report-handler.ts
+++ b/packages/batch/src/report-handler.ts
@@ -62,6 +62,8 @@
   readonly #commandsInFlight = new Map<string, number>()
   /** Number of proposed commands that free all runs of a worker and are not settled yet, by worker. */
   readonly #releasesInFlight = new Map<string, number>()
+  /** Workers for which it is being recorded that they are leaving. */
+  readonly #leavingInFlight = new Set<string>()
   /** Incarnations that have gone for good and whose runs are not freed yet; the log may refuse that. By worker. */
   readonly #unreleased = new Map<string, GoneWorker>()
   /** Jobs whose end was logged; kept while the state has the job, so that each end is logged once. */
@@ -181,7 +183,6 @@
     const { workerId, incarnation } = report
     const life = { workerId, incarnation }
     if (ends.length === 0) return
-    for (const end of ends) this.#options.registry.updateHealth(life, end)
     const receivedAtMs = this.#options.clock.monotonicMs()
     this.#proposeFor(workerId, { kind: 'record_ends', life, ends, voidEndSequence }, result => {
       this.#handleRecordedEnds(result, life, receivedAtMs)
@@ -220,7 +221,8 @@
 
   #handleRecordedEnd (end: RecordedEnd, worker: WorkerIncarnation, receivedAtMs: number): void {
     const { taskKey, run, reason, sequence, isFreedRun } = end
-    const { log, metrics } = this.#options
+    const { log, metrics, registry } = this.#options
+    registry.updateHealth(worker, end)
     metrics.increment('run.ended', { reason })
     if (isFreedRun) metrics.increment('run.ended_after_release', { reason })
     const view = this.#options.registry.view(worker.workerId)
@@ -258,8 +260,10 @@
   /** The answer waits for the record, so that no later leader gives new runs to a worker that was told it may leave. */
   #recordLeaving ({ workerId, incarnation }: WorkerReport): void {
     const life = { workerId, incarnation }
-    if (this.#options.state.departureOf(life) !== undefined || this.hasCommandsInFlight(workerId)) return
-    this.#proposeFor(workerId, { kind: 'record_departure', life, departure: 'leaving' }, () => {})
+    if (this.#options.state.departureOf(life) !== undefined || this.#leavingInFlight.has(workerId)) return
+    this.#leavingInFlight.add(workerId)
+    const onSettled = (): void => { this.#leavingInFlight.delete(workerId) }
+    this.#proposeFor(workerId, { kind: 'record_departure', life, departure: 'leaving' }, () => {}, onSettled)
   }
 
   /**
@@ -270,9 +274,11 @@
     const { registry, reply } = this.#options
     const life = registry.leavingIncarnation(workerId)
     if (life === undefined) return reply(requestId, undefined)
-    const view = registry.view(workerId)
-    registry.removeDeparted(life)
-    this.#handleWorkerGone(life, 'left', view)
+    if (!registry.hasDeparted(life)) {
+      const view = registry.view(workerId)
+      registry.removeDeparted(life)
+      this.#handleWorkerGone(life, 'left', view)
+    }
     this.#proposeFor(workerId, { kind: 'record_departure', life, departure: 'left' }, () => { reply(requestId, undefined) })
   }
 
--- a/packages/batch/src/worker-records.ts
+++ b/packages/batch/src/worker-records.ts
@@ -87,8 +87,8 @@
     record.countedRuns = [...record.countedRuns ?? [], ...runKeys]
   }
 
-  /** Removes a freed run, once its end is recorded. */
-  removeFreed (worker: WorkerIncarnation, runKey: string): void {
+  /** Removes a run whose end has counted, once the end is recorded. */
+  removeCounted (worker: WorkerIncarnation, runKey: string): void {
     const record = this.#recordOf(worker)
     if (record === undefined) return
     record.countedRuns = optionalList(record.countedRuns?.filter(key => key !== runKey) ?? [])
--- a/packages/batch/src/worker-registry.ts
+++ b/packages/batch/src/worker-registry.ts
@@ -116,7 +116,7 @@
   }
 
   #hasLeft (worker: WorkerIncarnation): boolean {
-    return this.#departed.get(worker.workerId) === worker.incarnation || this.#state.departureOf(worker) === 'left'
+    return this.hasDeparted(worker) || this.#state.departureOf(worker) === 'left'
   }
 
   /**
@@ -166,6 +166,7 @@
   }
 
   #add (report: WorkerReport): WorkerView {
+    this.#departed.delete(report.workerId)
     const view = new WorkerView(report, this.#termStartedAtMs, this.#clock, this.#settings)
     this.#views.set(report.workerId, view)
     this.#locations.add(report)
@@ -235,9 +236,17 @@
    * it has not.
    */
   leavingIncarnation (workerId: string): WorkerIncarnation | undefined {
+    const departed = this.#departed.get(workerId)
+    if (departed !== undefined) return { workerId, incarnation: departed }
     const view = this.view(workerId)
-    if (view !== undefined) return view.latest.state === 'leaving' ? incarnationOf(view.latest) : undefined
-    return this.#state.leavingIncarnation(workerId)
+    if (view?.latest.state === 'leaving') return incarnationOf(view.latest)
+    const recorded = this.#state.leavingIncarnation(workerId)
+    return view === undefined || view.latest.incarnation === recorded?.incarnation ? recorded : undefined
+  }
+
+  /** Whether this leader was told that the incarnation has left for good. */
+  hasDeparted ({ workerId, incarnation }: WorkerIncarnation): boolean {
+    return this.#departed.get(workerId) === incarnation
   }
 
   /** Removes a worker that has left for good; later heartbeats of this incarnation are ignored. */
--- a/packages/batch/test/lost-completions.test.ts
+++ b/packages/batch/test/lost-completions.test.ts
@@ -214,7 +214,7 @@
     fixture.state.apply(commandKind === 'release'
       ? { kind: 'release', runs: [run] }
       : { kind: 'worker_gone', life: run, checkpoints: [] }, 0)
-    fixture.state.apply({ kind: 'record_ends', life: run, ends: [DONE_END] }, 0)
+    fixture.state.apply({ kind: 'record_ends', life: run, ends: [DONE_END], voidEndSequence: 0 }, 0)
     t.is(fixture.state.job('j1')?.state, 'completed')
   })
 }
