Check that no task starts while the worker of its completion keeps its lease

Cause: the simulations counted a completion only once it was acknowledged, so a run that is freed while its worker lists its end as done passed unnoticed.

Change: RunHistory keeps completions that stand: ended as done, on a worker that is alive and has not lost its lease since. A start of the task is a violation.

--- a/packages/standins/src/leased-runs.ts
+++ b/packages/standins/src/leased-runs.ts
@@ -58,8 +58,16 @@
 
   /** Ends all runs without telling anyone, as a crash does. */
   crash (): void {
+    this.exit(0)
+  }
+
+  /** Ends all runs, as {@link crash} does; others know the ends up to the given number, if the lease holds on. */
+  exit (knownEndSequence: number): void {
     for (const taskKey of this.#runs.keys()) this.#history.recordNotRunning(taskKey, this.#workerId)
     this.#runs.clear()
+    for (const end of this.#ends) {
+      if (end.sequence > knownEndSequence) this.#history.recordEndForgotten(end, this.#workerId)
+    }
   }
 
   /** Ends runs that are complete; after the lease has lapsed, all runs, and unacknowledged ends become void. */
--- a/packages/standins/src/run-history.ts
+++ b/packages/standins/src/run-history.ts
@@ -14,6 +14,8 @@
   readonly #failureNumbers: number[] = []
   /** Number of the first completion that was acknowledged. */
   #completionNumber = Infinity
+  /** Completions that still count though they may not be acknowledged, by {@link endKey}. */
+  readonly #standingCompletions = new Set<string>()
 
   get hasStarted (): boolean {
     return this.#lastStartNumber > 0
@@ -23,12 +25,24 @@
     this.#lastStartNumber = ++this.#eventCount
   }
 
-  recordEnd (key: string): void {
+  recordEnd (key: string, reason: RunEnd['reason']): void {
     this.#endNumbers.set(key, ++this.#eventCount)
+    if (reason === 'done') this.#standingCompletions.add(key)
   }
 
   voidEnd (key: string): void {
     this.#endNumbers.delete(key)
+    this.#standingCompletions.delete(key)
+  }
+
+  /** An end whose worker is gone may still be acknowledged, but does not rule out another run until then. */
+  forgetEnd (key: string): void {
+    this.#standingCompletions.delete(key)
+  }
+
+  /** A completion that still counts; undefined where there is none. */
+  get standingCompletion (): string | undefined {
+    return [...this.#standingCompletions][0]
   }
 
   /** Returns whether the end counts; not where it is void or was acknowledged before. */
@@ -53,7 +67,8 @@
 
 /**
  * Collects violations: a task that runs twice at once, or that starts after its completion or after as many failures as
- * it has attempts, whether these ends are acknowledged before that start or after it.
+ * it has attempts, whether these ends are acknowledged before that start or after it. A task must not start either
+ * while the worker of an earlier run that has ended as done is alive and has kept its lease since, acknowledged or not.
  */
 export class RunHistory {
   readonly #maxAttempts: number
@@ -73,6 +88,9 @@
     task.runningWorkerId = workerId
     task.recordStart()
     if (task.hasStartedAfterCompletion) this.violations.push(`${taskKey} starts on ${workerId} after its completion was acknowledged`)
+    else if (task.standingCompletion !== undefined) {
+      this.violations.push(`${taskKey} starts on ${workerId} though ${task.standingCompletion} is done and its worker has kept its lease`)
+    }
     if (task.hasStartedAfterFailures(this.#maxAttempts)) {
       this.violations.push(`${taskKey} starts on ${workerId} after its last attempt has failed`)
     }
@@ -86,7 +104,12 @@
   /** Records the end of a run, which its worker reports until it is acknowledged. */
   recordRunEnded (end: ObservedEnd, workerId: string): void {
     this.recordNotRunning(end.taskKey, workerId)
-    this.#task(end.taskKey).recordEnd(endKey(end, workerId))
+    this.#task(end.taskKey).recordEnd(endKey(end, workerId), end.reason)
+  }
+
+  /** Records that the worker of an end that was not acknowledged to it is gone. */
+  recordEndForgotten (end: ObservedEnd, workerId: string): void {
+    this.#task(end.taskKey).forgetEnd(endKey(end, workerId))
   }
 
   /** Records that the task no longer runs on the worker, which has crashed. */
