Count what a departed worker has listed in the protocol simulation

A worker that exits after its last heartbeat has listed an end as done, without a delay of that heartbeat, must not have its task run again before its lease would have lapsed.

--- a/packages/standins/test/protocol-simulation.ts
+++ b/packages/standins/test/protocol-simulation.ts
@@ -22,6 +22,8 @@
 /** Share of heartbeats that the network delivers a second time, and the longest time until then. */
 const COPIED_REPORT_SHARE = 0.1
 const MAX_COPY_DELAY_MS = 3_000
+/** A heartbeat that reaches a control node within this time counts as listed. */
+const PROMPT_REPORT_MS = 100
 /** Time within which a leader records an end that a worker lists in each heartbeat and whose answers it receives. */
 const RECORD_END_TIMEOUT_MS = 2_500
 const WORKERS = ['w1', 'w2']
@@ -74,6 +76,7 @@
   readonly #history = new RunHistory(MAX_ATTEMPTS)
   readonly #nodes: ProtocolNode[]
   readonly #workers: ProtocolWorker[] = []
+  readonly #departed: ProtocolWorker[] = []
   readonly #log: LogEntry[] = []
   readonly #startMs: number
   #actions: ScheduledAction[] = []
@@ -124,6 +127,7 @@
     this.#actions = this.#actions.filter(action => action.atMs > this.#nowMs)
     for (const action of due) action.run()
     for (const worker of this.#workers) this.#sendDueReport(worker)
+    for (const worker of this.#departed) worker.expireEnds()
     for (const node of this.#nodes) if (!node.isFrozen) node.tick()
   }
 
@@ -244,7 +248,7 @@
     const index = this.#workers.indexOf(worker)
     if (index === -1) return
     this.#workers.splice(index, 1)
-    worker.crash()
+    if (worker.isAlive) worker.crash()
     const workerId = this.#random.nextFloat() < 0.5 ? worker.workerId : `w${WORKERS.length + ++this.#extraWorkerCount}`
     this.#after(this.#random.nextInt(0, 2_000), () => { this.#addWorker(workerId, worker.vmId) })
     if (this.#workers.length === 0) this.#addWorker(`w${WORKERS.length + ++this.#extraWorkerCount}`)
@@ -257,6 +261,8 @@
       if (!worker.isAlive) return
       const { workerId } = worker
       this.#request(requestId => ({ kind: 'worker_left', requestId, workerId }), () => {})
+      worker.exit()
+      this.#departed.push(worker)
       this.#crash(worker)
     })
   }
@@ -282,7 +288,9 @@
       if (this.#random.nextFloat() < 0.5) return
     }
     this.#sendCopy(worker, report)
-    this.#after(this.#delayMs(), () => {
+    const delayMs = this.#delayMs()
+    if (delayMs <= PROMPT_REPORT_MS) worker.recordPromptReport()
+    this.#after(delayMs, () => {
       this.#request(requestId => ({ kind: 'report', requestId, report }), answer => {
         const orders = answer as WorkerOrders | undefined
         worker.observeAnswer(orders)
--- a/packages/standins/test/protocol-worker.ts
+++ b/packages/standins/test/protocol-worker.ts
@@ -39,6 +39,8 @@
   #sequence = 0
   /** Number of the last end that the latest heartbeat lists. */
   #listedEndSequence = 0
+  /** Number of the last end that a heartbeat listed which was not delayed. */
+  #knownEndSequence = 0
   #isAlive = true
   #isLeaving = false
   #sentTrueMs: number | undefined
@@ -84,6 +86,22 @@
     this.#runs.crash()
   }
 
+  /** Leaves for good. What its prompt heartbeats have listed still counts. */
+  exit (): void {
+    this.#isAlive = false
+    this.#runs.exit(this.#knownEndSequence)
+  }
+
+  /** Records that the latest heartbeat reaches a control node at once. */
+  recordPromptReport (): void {
+    this.#knownEndSequence = this.#listedEndSequence
+  }
+
+  /** Ends that a worker has left behind become void with its lease. */
+  expireEnds (): void {
+    if (!this.#isAlive) this.#runs.endDueRuns()
+  }
+
   /** Returns the next heartbeat if it is due. */
   takeDueReport (): WorkerReport | undefined {
     if (!this.#isAlive) return undefined
