Add a test that fails: a departure that overtakes the last heartbeat of its worker

Seen: the leader frees the runs of the worker at once and ignores the heartbeat (reason left), so a task that it lists as done starts again on another worker. The order listed first passes.

--- /dev/null
+++ b/packages/batch/test/departure-order.test.ts
@@ -0,0 +1,51 @@
+/**
+ * A worker that leaves sends its last heartbeat and then the message that it has left, which may overtake the
+ * heartbeat. Guards against a completed task that runs again because the last heartbeat came second.
+ */
+import test from 'ava'
+import { report, step } from './sample-data.js'
+import { LeaderFixture, runningTasks } from './leader-fixture.js'
+import type { WorkerReport } from '../src/index.js'
+
+const DONE_END = { sequence: 1, taskKey: 'j1.0.0.0', run: 1, reason: 'done' as const, checkpoint: '' }
+
+/** A leaving worker with one run, and its last heartbeat, which lists the end of the run and is still on its way. */
+function createLeavingWorker (): { fixture: LeaderFixture, last: WorkerReport } {
+  const fixture = new LeaderFixture()
+  fixture.advance(1_000)
+  fixture.heartbeat('w1')
+  fixture.submit('j1', [step({ taskCount: 1 })])
+  const running = runningTasks(fixture.heartbeat('w1')?.starts ?? [])
+  for (let count = 0; count < 3; count++) {
+    fixture.advance(200)
+    fixture.heartbeat('w1', { running, state: 'leaving' })
+  }
+  fixture.advance(200)
+  const nowMs = fixture.clock.monotonicMs()
+  const last = report('w1', { state: 'leaving', clockMs: nowMs, sequence: Math.round(nowMs), ends: [DONE_END] })
+  return { fixture, last }
+}
+
+function startsAgain (fixture: LeaderFixture): boolean {
+  for (let count = 0; count < 3; count++) {
+    if ((fixture.heartbeat('w2')?.starts.length ?? 0) > 0) return true
+    fixture.advance(100)
+  }
+  return false
+}
+
+test('a task does not start again that its worker has listed as done in its last heartbeat before it left', t => {
+  const { fixture, last } = createLeavingWorker()
+  fixture.sendReport(last)
+  fixture.deliver({ kind: 'worker_left', requestId: 'left', workerId: 'w1' })
+  t.is(fixture.state.job('j1')?.state, 'completed')
+  t.false(startsAgain(fixture))
+})
+
+test('a task does not start again whose end is listed in a heartbeat that the departure of its worker has overtaken', t => {
+  const { fixture, last } = createLeavingWorker()
+  fixture.deliver({ kind: 'worker_left', requestId: 'left', workerId: 'w1' })
+  fixture.advance(20)
+  fixture.sendReport(last)
+  t.false(startsAgain(fixture))
+})
