--- /dev/null
+++ b/packages/standins/test/protocol-profile.ts
@@ -0,0 +1,66 @@
+/** Profiles of the protocol simulation: what it plays. Each is kept as it is, so that its seeds replay. */
+
+/** What disturbs the protocol; `calm` leaves a gap between the others. */
+export type Fault =
+  | 'transfer' | 'freeze' | 'cut_off' | 'crash' | 'leave' | 'slow_log' | 'odd_report' | 'configuration' | 'calm'
+
+/** Lowest and highest value of a draw. */
+export type Range = readonly [number, number]
+
+/** Settings of a simulation. A share of 0 and a range of one value take no draw. */
+export interface ProtocolProfile {
+  readonly stepMs: number
+  readonly workerIds: readonly string[]
+  readonly nodeCount: number
+  /** Time of the last fault and of the last job. */
+  readonly faultsEndMs: number
+  /** Time after the last fault within which every job must have ended. */
+  readonly calmMs: number
+  /** Time after the last fault from which the simulation ends once all jobs have ended. */
+  readonly minCalmMs: number
+  readonly faults: readonly Fault[]
+  readonly jobIntervalMs: number
+  readonly leaseMs: Range
+  readonly runMs: Range
+  readonly longRunShare: number
+  readonly longRunMs: Range
+  /** Share of the jobs with a second step that depends on the first one. */
+  readonly secondStepShare: number
+  /** Policies of the leader; the system uses the adaptive ones. */
+  readonly policies: 'plain' | 'adaptive'
+}
+
+/** Two workers, whose runs are much shorter than a lease. */
+export const SHORT_RUNS: ProtocolProfile = {
+  stepMs: 5,
+  workerIds: ['w1', 'w2'],
+  nodeCount: 2,
+  faultsEndMs: 12_000,
+  calmMs: 20_000,
+  minCalmMs: Infinity,
+  faults: ['transfer', 'freeze', 'cut_off', 'crash', 'leave', 'slow_log', 'odd_report', 'configuration', 'calm'],
+  jobIntervalMs: 250,
+  leaseMs: [3_000, 3_000],
+  runMs: [50, 900],
+  longRunShare: 0,
+  longRunMs: [0, 0],
+  secondStepShare: 0,
+  policies: 'plain'
+}
+
+/** Four workers, some of whose runs are longer than a lease and a term, and work that becomes ready by an end. */
+export const LONG_RUNS: ProtocolProfile = {
+  ...SHORT_RUNS,
+  stepMs: 10,
+  workerIds: ['w1', 'w2', 'w3', 'w4'],
+  faultsEndMs: 25_000,
+  // Two steps of the longest runs, one after the other, and lost runs before them.
+  calmMs: 100_000,
+  minCalmMs: 10_000,
+  jobIntervalMs: 700,
+  leaseMs: [3_000, 6_000],
+  longRunShare: 0.35,
+  longRunMs: [900, 25_000],
+  secondStepShare: 0.4,
+  policies: 'adaptive'
+}
