Add a test that fails: a replaced worker had listed an end as done

Seen: a new leader has one heartbeat of a worker, so it waits for a second one before it records the ends. A later incarnation takes the place of the worker, and its runs are freed without the ends that the first heartbeat listed.

--- a/packages/batch/test/departure-order.test.ts
+++ b/packages/batch/test/departure-order.test.ts
@@ -49,3 +49,14 @@
   fixture.sendReport(last)
   t.false(startsAgain(fixture))
 })
+
+/** A new leader has one heartbeat of a worker, which lists an end; then another incarnation takes its place. */
+test('an end that a worker has listed is recorded before a later incarnation replaces the worker', t => {
+  const { fixture, last } = createLeavingWorker()
+  fixture.changeLeader()
+  fixture.sendReport(last)
+  fixture.advance(200)
+  fixture.heartbeat('w1', { incarnation: 2_000, sequence: 1, clockMs: 0, state: 'leaving' })
+  t.is(fixture.state.job('j1')?.state, 'completed')
+  t.false(startsAgain(fixture))
+})
