Stop runs while they complete in the protocol simulation

Cause: a stop took effect at once, and only a deposed leader's runs were stopped.

Change: in the third profile a stop takes up to 200 ms, in which the run is listed neither as running nor as ended and may complete. Jobs are cancelled, urgent jobs under a guarantee reclaim, zones are evacuated and VMs maintained, whose calls may be executed without an answer.

--- a/packages/standins/src/leased-runs.ts
+++ b/packages/standins/src/leased-runs.ts
@@ -8,6 +8,8 @@
   readonly startedMs: number
   readonly durationMs: number
   readonly fails: boolean
+  /** Time by which a stop takes effect; undefined where the run is not being stopped. */
+  stopsAtMs: number | undefined
 }
 
 /** Progress of a run that has not ended. */
@@ -28,6 +30,7 @@
   readonly #workerId: string
   readonly #clock: Clock
   readonly #history: RunHistory
+  readonly #drawStopMs: () => number
   readonly #runs = new Map<string, Run>()
   /** A repeated order must not start a run that has ended. */
   readonly #lastEndedRunByTask = new Map<string, number>()
@@ -37,16 +40,18 @@
   #fencingToken = 0
   #leaseEndMs = 0
 
-  constructor (workerId: string, clock: Clock, history: RunHistory) {
+  /** A stop takes the drawn time, in which the run may still complete; none by default. */
+  constructor (workerId: string, clock: Clock, history: RunHistory, drawStopMs: () => number = () => 0) {
+    this.#drawStopMs = drawStopMs
     this.#workerId = workerId
     this.#clock = clock
     this.#history = history
   }
 
-  /** Runs as a heartbeat lists them. */
+  /** Runs as a heartbeat lists them; one that is being stopped is listed neither here nor among the ends. */
   running (): RunningTask[] {
     const nowMs = this.#clock.monotonicMs()
-    return [...this.#runs].map(([taskKey, run]) => ({
+    return [...this.#runs].filter(([, { stopsAtMs }]) => stopsAtMs === undefined).map(([taskKey, run]) => ({
       taskKey, run: run.run, checkpoint: '', percent: progressPercent(run, nowMs), usage: 0
     }))
   }
@@ -76,9 +81,10 @@
     const nowMs = this.#clock.monotonicMs()
     const hasLapsed = nowMs >= this.#leaseEndMs
     if (hasLapsed) for (const end of this.#ends) this.#history.recordEndVoided(end, this.#workerId)
-    for (const [taskKey, { run, startedMs, durationMs, fails }] of this.#runs) {
+    for (const [taskKey, { run, startedMs, durationMs, fails, stopsAtMs }] of this.#runs) {
       if (hasLapsed) this.#endRun(taskKey, run, 'lapsed')
       else if (nowMs - startedMs >= durationMs) this.#endRun(taskKey, run, fails ? 'failed' : 'done')
+      else if (stopsAtMs !== undefined && nowMs >= stopsAtMs) this.#endRun(taskKey, run, 'stopped')
     }
   }
 
@@ -95,9 +101,7 @@
     this.#fencingToken = orders.fencingToken
     this.recordAcknowledgements(orders)
     this.#ends = this.#ends.filter(({ sequence }) => sequence > orders.recordedEndSequence)
-    for (const { taskKey, run } of orders.stops) {
-      if (this.#runs.get(taskKey)?.run === run) this.#endRun(taskKey, run, 'stopped')
-    }
+    for (const { taskKey, run } of orders.stops) this.#stopRun(taskKey, run)
     if (orders.leaseMs === undefined) return true
     this.#leaseEndMs = Math.max(this.#leaseEndMs, sentMs + orders.leaseMs)
     for (const { taskKey, run, payload } of orders.starts) this.#startRun(taskKey, run, payload)
@@ -114,6 +118,14 @@
     }
   }
 
+  #stopRun (taskKey: string, runNumber: number): void {
+    const run = this.#runs.get(taskKey)
+    if (run?.run !== runNumber) return
+    const stopMs = this.#drawStopMs()
+    if (stopMs === 0) this.#endRun(taskKey, runNumber, 'stopped')
+    else run.stopsAtMs ??= this.#clock.monotonicMs() + stopMs
+  }
+
   #endRun (taskKey: string, run: number, reason: EndReason): void {
     this.#runs.delete(taskKey)
     this.#lastEndedRunByTask.set(taskKey, Math.max(run, this.#lastEndedRunByTask.get(taskKey) ?? 0))
@@ -126,7 +138,7 @@
     if (this.#runs.has(taskKey) || run <= (this.#lastEndedRunByTask.get(taskKey) ?? 0)) return
     const fails = payload.endsWith(FAILS_SUFFIX)
     const durationMs = Number(fails ? payload.slice(0, -FAILS_SUFFIX.length) : payload)
-    this.#runs.set(taskKey, { run, startedMs: this.#clock.monotonicMs(), durationMs, fails })
+    this.#runs.set(taskKey, { run, startedMs: this.#clock.monotonicMs(), durationMs, fails, stopsAtMs: undefined })
     this.#history.recordRunStarted(taskKey, this.#workerId)
   }
 }
--- a/packages/standins/test/protocol-jobs.ts
+++ b/packages/standins/test/protocol-jobs.ts
@@ -1,8 +1,38 @@
 /** Jobs of the protocol simulation. */
 import type { Random } from '@comfreygrade/core'
-import type { JobSpec, StepSpec } from '@comfreygrade/batch'
+import type { JobSpec, QueueDocument, StepSpec } from '@comfreygrade/batch'
 import type { ProtocolProfile, Range } from './protocol-profile.js'
 
+export const MAX_ATTEMPTS = 2
+export const NORMAL_PATH = '/q/'
+export const URGENT_PATH = '/urgent/'
+export const API_KEY = 'key'
+
+const QUEUE = {
+  name: 'q',
+  host: 'h',
+  pathPrefix: NORMAL_PATH,
+  service: 'billing',
+  timeoutMs: 3_000,
+  targetLatencyMs: 1_000,
+  priority: 1,
+  maxAttempts: MAX_ATTEMPTS,
+  slackFactor: 3,
+  isAnonymous: true
+}
+
+/** The configuration, with or without its queues. */
+export function createDocument (version: number, hasQueues = true): QueueDocument {
+  const urgent = { ...QUEUE, name: 'urgent', pathPrefix: URGENT_PATH, priority: 0 }
+  return {
+    version,
+    queues: hasQueues ? [QUEUE, urgent] : [],
+    services: [{ name: 'billing', isStandby: false }],
+    organisations: [{ name: 'org', apiKeys: [API_KEY], guaranteedAccelerators: 8 }],
+    source: '{}'
+  }
+}
+
 /** Draws the jobs of a seed. */
 export class JobDraws {
   readonly #profile: ProtocolProfile
@@ -14,6 +44,11 @@
     this.#random = random
   }
 
+  /** Path of the queue of the next job. */
+  nextQueuePath (): string {
+    return this.#isDrawn(this.#profile.urgentShare) ? URGENT_PATH : NORMAL_PATH
+  }
+
   next (): JobSpec {
     const first = this.#createStep()
     // Members of a gang that fail one by one would break the others, which the workers of this simulation do not play.
--- a/packages/standins/test/protocol-node.ts
+++ b/packages/standins/test/protocol-node.ts
@@ -3,7 +3,7 @@
 import { NullMetrics, type Clock, type EventLog } from '@comfreygrade/core'
 import {
   adaptivePolicies, BatchLeader, BatchState, plainPolicies, type BatchCommand, type BatchResult, type BatchSettings,
-  type BatchSnapshot, type LeaderEvent, type WorkerOrders
+  type BatchSnapshot, type LeaderEvent, type MaintenanceAnswer, type MaintenanceCall, type WorkerOrders
 } from '@comfreygrade/batch'
 import type { ProtocolProfile } from './protocol-profile.js'
 
@@ -31,6 +31,7 @@
   readonly clock: Clock
   readonly policies: ProtocolProfile['policies']
   readonly log: EventLog
+  readonly beginMaintenance: (node: ProtocolNode, call: MaintenanceCall, fencingToken: number) => void
   readonly propose: (node: ProtocolNode, proposal: Pick<LogEntry, 'proposalId' | 'command'>) => void
 }
 
@@ -40,6 +41,7 @@
   #state: BatchState
   readonly #replies = new Map<string, Reply>()
   #leader: BatchLeader | undefined
+  #term = 0
   #appliedCount = 0
   #requestCount = 0
   /** Whether this node holds the quorum lease; without it no request is handled and no answer is sent. */
@@ -103,6 +105,7 @@
   }
 
   lead (term: number): void {
+    this.#term = term
     const { settings, clock, log } = this.#options
     const metrics = ProtocolNode.NULL_METRICS
     const isAdaptive = this.#options.policies === 'adaptive'
@@ -127,6 +130,11 @@
     return true
   }
 
+  /** The platform answers a call of the leader of a term, which counts only for that leader. */
+  answerMaintenance (term: number, call: MaintenanceCall, answer: MaintenanceAnswer): void {
+    if (this.#term === term) this.#dispatch({ kind: 'maintenance_answered', call, answer })
+  }
+
   tick (): void {
     this.#dispatch({ kind: 'tick' })
   }
@@ -134,6 +142,7 @@
   #dispatch (event: LeaderEvent): void {
     for (const effect of this.#leader?.handle(event) ?? []) {
       if (effect.kind === 'propose') this.#options.propose(this, effect)
+      if (effect.kind === 'begin_maintenance') this.#options.beginMaintenance(this, effect.call, effect.fencingToken)
       if (effect.kind === 'reply') this.#respond(effect.requestId, effect.result)
       if (effect.kind === 'reply_worker') this.#respond(effect.requestId, effect.orders)
     }
--- a/packages/standins/test/protocol-profile.ts
+++ b/packages/standins/test/protocol-profile.ts
@@ -2,7 +2,7 @@
 
 /** What disturbs the protocol; `calm` leaves a gap between the others. */
 export type Fault =
-  | 'restart' | 'cut_node' | 'transfer' | 'freeze' | 'cut_off' | 'crash' | 'leave' | 'slow_log' | 'odd_report' | 'configuration' | 'calm'
+  | 'cancel' | 'evacuation' | 'maintenance' | 'restart' | 'cut_node' | 'transfer' | 'freeze' | 'cut_off' | 'crash' | 'leave' | 'slow_log' | 'odd_report' | 'configuration' | 'calm'
 
 /** Lowest and highest value of a draw. */
 export type Range = readonly [number, number]
@@ -26,6 +26,12 @@
   readonly longRunMs: Range
   /** Share of the jobs with a second step that depends on the first one. */
   readonly secondStepShare: number
+  /** Time that a stop takes, in which the run may complete. */
+  readonly stopMs: Range
+  /** Share of the jobs that are urgent and within the guarantee of their organisation. */
+  readonly urgentShare: number
+  /** Zones of the workers, in turn. */
+  readonly zones: readonly string[]
   /** Whether requests reach the leader by way of other nodes, which follow the log. */
   readonly hasFollowers: boolean
   readonly refusedProposalShare: number
@@ -50,6 +56,9 @@
   longRunShare: 0,
   longRunMs: [0, 0],
   secondStepShare: 0,
+  stopMs: [0, 0],
+  urgentShare: 0,
+  zones: ['a'],
   hasFollowers: false,
   refusedProposalShare: 0,
   calmDelays: 'long',
@@ -78,7 +87,11 @@
 export const WHOLE_SYSTEM: ProtocolProfile = {
   ...LONG_RUNS,
   nodeCount: 3,
-  faults: [...SHORT_RUNS.faults, 'leave', 'restart', 'cut_node'],
+  faults: [...SHORT_RUNS.faults, 'leave', 'restart', 'cut_node', 'cancel', 'cancel', 'evacuation', 'maintenance'],
+  jobIntervalMs: 500,
+  stopMs: [10, 200],
+  urgentShare: 0.2,
+  zones: ['a', 'b'],
   hasFollowers: true,
   refusedProposalShare: 0.02
 }
--- a/packages/standins/test/protocol-simulation.ts
+++ b/packages/standins/test/protocol-simulation.ts
@@ -5,20 +5,19 @@
  */
 import { ManualClock, Random } from '@comfreygrade/core'
 import {
-  defaultBatchSettings, type BatchSettings, type JobSpec, type LeaderEvent, type QueueDocument, type WorkerOrders,
-  type WorkerReport
+  defaultBatchSettings, type BatchOperation, type BatchSettings, type JobSpec, type LeaderEvent,
+  type MaintenanceAnswer, type MaintenanceCall, type WorkerOrders, type WorkerReport
 } from '@comfreygrade/batch'
 import { RunHistory } from '../src/index.js'
-import { JobDraws } from './protocol-jobs.js'
+import { API_KEY, createDocument, JobDraws, MAX_ATTEMPTS, NORMAL_PATH, URGENT_PATH } from './protocol-jobs.js'
 import { ProtocolNode, type LogEntry, type NodeSnapshot } from './protocol-node.js'
-import type { Fault, ProtocolProfile } from './protocol-profile.js'
-import { DirectRoutes, FollowerRoutes, type RequestRoutes } from './protocol-routes.js'
+import type { Fault, ProtocolProfile, Range } from './protocol-profile.js'
+import { DirectRoutes, FollowerRoutes, type RequestRoutes, type RoutedRequest } from './protocol-routes.js'
 import { ProtocolSchedule } from './protocol-schedule.js'
 import { ProtocolTrace, RecordedTrace } from './protocol-trace.js'
 import { ProtocolWorker } from './protocol-worker.js'
 import { TracedHistory } from './traced-history.js'
 
-const MAX_ATTEMPTS = 2
 const SLOWEST_CLOCK_RATE = 0.98
 /** Share of heartbeats that the network delivers a second time, and the longest time until then. */
 const COPIED_REPORT_SHARE = 0.1
@@ -30,27 +29,10 @@
 /** Interval at which replicas follow the log, and share of these times at which one keeps a snapshot. */
 const FOLLOW_INTERVAL_MS = 100
 const SNAPSHOT_SHARE = 0.03
+const OPERATOR_RETRY_MS = 1_000
+const MAX_ATTEMPTS_OF_OPERATOR = 60
 /** Wait for a node that can lead. */
 const TERM_RETRY_MS = 100
-const DOCUMENT: QueueDocument = {
-  version: 1,
-  queues: [{
-    name: 'q',
-    host: 'h',
-    pathPrefix: '/q/',
-    service: 'billing',
-    timeoutMs: 3_000,
-    targetLatencyMs: 1_000,
-    priority: 1,
-    maxAttempts: MAX_ATTEMPTS,
-    slackFactor: 3,
-    isAnonymous: true
-  }],
-  services: [{ name: 'billing', isStandby: false }],
-  organisations: [],
-  source: '{}'
-}
-
 type NewProposal = Pick<LogEntry, 'proposalId' | 'command'>
 
 interface Proposal extends NewProposal {
@@ -102,9 +84,13 @@
   readonly #requestsLostUntilMs = new Map<string, number>()
   readonly #answersLostUntilMs = new Map<string, number>()
   readonly #snapshots = new Map<ProtocolNode, NodeSnapshot>()
+  readonly #zones = new Map<string, string>()
+  /** Highest fencing token of a maintenance call. */
+  #maintenanceToken = 0
+  #waveCount = 0
   readonly #unrecordedEnds = new Set<string>()
   #commitDelayMs = 0
-  #version = DOCUMENT.version
+  #version = 1
 
   constructor (profile: ProtocolProfile, seed: number, clock: ManualClock, trace: ProtocolTrace) {
     this.#profile = profile
@@ -116,12 +102,13 @@
     this.#schedule = new ProtocolSchedule(clock)
     const propose = (node: ProtocolNode, proposal: NewProposal): void => { this.#propose(node, proposal) }
     const settings = this.#drawSettings()
-    const options = { settings, clock, policies: profile.policies, propose }
+    const beginMaintenance = this.#beginMaintenance.bind(this)
+    const options = { settings, clock, policies: profile.policies, propose, beginMaintenance }
     this.#nodes = Array.from({ length: profile.nodeCount }, (_, index) =>
       new ProtocolNode({ ...options, log: trace.logOf(index) }))
     this.#leader = this.#nodes[0] as ProtocolNode
     this.#routes = this.#createRoutes()
-    this.#log.push({ proposalId: '', command: { kind: 'put_configuration', document: DOCUMENT }, logTimeMs: clock.monotonicMs() })
+    this.#log.push({ proposalId: '', command: { kind: 'put_configuration', document: createDocument(1) }, logTimeMs: clock.monotonicMs() })
     this.#startTerm(this.#leader)
     for (const workerId of profile.workerIds) this.#addWorker(workerId)
   }
@@ -136,8 +123,14 @@
   }
 
   #drawSettings (): BatchSettings {
-    const [low, high] = this.#profile.leaseMs
-    return { ...defaultBatchSettings, leaseMs: low === high ? low : this.#random.nextInt(low, high) }
+    return { ...defaultBatchSettings, leaseMs: this.#drawIn(this.#profile.leaseMs) }
+  }
+
+  /** A VM stays in its zone. */
+  #zoneOf (vmId: string): string {
+    const zone = this.#zones.get(vmId) ?? this.#profile.zones[this.#zones.size % this.#profile.zones.length] ?? 'a'
+    this.#zones.set(vmId, zone)
+    return zone
   }
 
   get #isOver (): boolean {
@@ -257,6 +250,9 @@
     this.#trace.add(`fault ${fault}`)
     switch (fault) {
       case 'transfer': return this.#changeLeader(this.#random.nextInt(0, 1_500))
+      case 'cancel': return this.#cancelJob()
+      case 'evacuation': return this.#evacuate(this.#pick(this.#profile.zones))
+      case 'maintenance': return this.#startWave()
       case 'restart': return this.#isSecondDown ? undefined : this.#restart(this.#pick(this.#nodes))
       case 'cut_node': return this.#cutNode(this.#pick(this.#nodes))
       case 'freeze': return this.#freeze()
@@ -272,6 +268,67 @@
     }
   }
 
+  #cancelJob (): void {
+    const openJobs = [...this.#leader.state.openJobs()]
+    if (openJobs.length === 0) return
+    const { spec, queueAddress } = this.#pick(openJobs)
+    const path = `${queueAddress.endsWith(URGENT_PATH) ? URGENT_PATH : NORMAL_PATH}${spec.jobId}`
+    this.#execute({ kind: 'cancel', request: { host: 'h', path } })
+  }
+
+  #evacuate (zone: string): void {
+    this.#executeUntilAccepted({ kind: 'start_evacuation', zone, requestedBy: 'operator' })
+    this.#schedule.after(this.#random.nextInt(500, 6_000), () => {
+      this.#executeUntilAccepted({ kind: 'end_evacuation', zone, requestedBy: 'operator' })
+    })
+  }
+
+  #startWave (): void {
+    const vmIds = [...new Set([this.#pick(this.#workers).vmId, this.#pick(this.#workers).vmId])]
+    const durationMs = this.#random.nextInt(1_000, 15_000)
+    const wave = { waveId: `wave-${++this.#waveCount}`, vmIds, maxConcurrent: 1, durationMs }
+    this.#executeUntilAccepted({ kind: 'start_wave', wave })
+  }
+
+  /** The platform terminates what runs on the VM, and a new worker joins later. */
+  #beginMaintenance (node: ProtocolNode, call: MaintenanceCall, fencingToken: number): void {
+    this.#schedule.after(this.#random.nextInt(5, 300), () => {
+      const answer = this.#maintain(call, fencingToken)
+      this.#trace.add('maintenance', { ...call, answer })
+      const isLost = this.#isDrawn(0.1)
+      this.#schedule.after(this.#random.nextInt(5, 300), () => {
+        node.answerMaintenance(fencingToken, call, isLost ? 'failed' : answer)
+      })
+    })
+  }
+
+  #maintain ({ vmId }: MaintenanceCall, fencingToken: number): MaintenanceAnswer {
+    if (fencingToken < this.#maintenanceToken) return 'fenced'
+    this.#maintenanceToken = fencingToken
+    const worker = this.#workers.find(candidate => candidate.vmId === vmId)
+    if (worker === undefined) return 'busy'
+    this.#crash(worker)
+    return 'begun'
+  }
+
+  #execute (operation: BatchOperation, reply: RoutedRequest['reply'] = () => {}): void {
+    const createEvent = (requestId: string): LeaderEvent => ({ kind: 'operation', requestId, operation })
+    this.#routes.send({ createEvent, onAnswered: () => {}, reply })
+  }
+
+  /** An operator repeats what is not accepted. */
+  #executeUntilAccepted (operation: BatchOperation, attempts = MAX_ATTEMPTS_OF_OPERATOR): void {
+    let isAnswered = false
+    const retry = (): void => {
+      if (!isAnswered && attempts > 1) this.#executeUntilAccepted(operation, attempts - 1)
+      isAnswered = true
+    }
+    this.#schedule.after(OPERATOR_RETRY_MS, retry)
+    this.#execute(operation, answer => {
+      if (typeof answer === 'object' && 'ok' in answer && answer.ok) isAnswered = true
+    })
+  }
+
   /** A report under the ID of a worker that the worker cannot have sent. */
   #sendOddReport (worker: ProtocolWorker): void {
     const odd = this.#pick<Partial<WorkerReport>>([
@@ -287,8 +344,8 @@
   }
 
   #replaceConfiguration (hasQueue: boolean): void {
-    const document = { ...DOCUMENT, version: ++this.#version, queues: hasQueue ? DOCUMENT.queues : [] }
-    this.#request(requestId => ({ kind: 'operation', requestId, operation: { kind: 'put_configuration', document } }))
+    const document = createDocument(++this.#version, hasQueue)
+    this.#execute({ kind: 'put_configuration', document })
   }
 
   /** The old leader loses its lease at once and learns of its successor later; its object acts on until then. */
@@ -373,6 +430,8 @@
       trueClock: this.#clock,
       clockRate: SLOWEST_CLOCK_RATE + this.#random.nextFloat() * (1 - SLOWEST_CLOCK_RATE),
       history: this.#history,
+      drawStopMs: () => this.#drawIn(this.#profile.stopMs),
+      availabilityZone: this.#zoneOf(vmId),
       nodeCount: this.#profile.hasFollowers ? this.#nodes.length : 1,
       nodeIndexOf: term => this.#leaderIndexes.get(term)
     }))
@@ -449,9 +508,13 @@
   }
 
   #submit ({ jobId, ...spec }: JobSpec): void {
-    const request = { host: 'h', path: `/q/${jobId}` }
-    const operation = { kind: 'submit', request, spec } as const
-    this.#request(requestId => ({ kind: 'operation', requestId, operation }))
+    const pathPrefix = this.#jobs.nextQueuePath()
+    const key = pathPrefix === URGENT_PATH ? { apiKey: API_KEY } : {}
+    this.#execute({ kind: 'submit', request: { host: 'h', path: `${pathPrefix}${jobId}`, ...key }, spec })
+  }
+
+  #drawIn ([low, high]: Range): number {
+    return low === high ? low : this.#random.nextInt(low, high)
   }
 
   #isDrawn (share: number): boolean {
--- a/packages/standins/test/protocol-worker.ts
+++ b/packages/standins/test/protocol-worker.ts
@@ -29,6 +29,8 @@
   /** Rate of the worker's clock against true time. */
   readonly clockRate: number
   readonly history: RunHistory
+  readonly drawStopMs: () => number
+  readonly availabilityZone: string
   /** Number of nodes that the worker calls; 1 where the network finds the leader. */
   readonly nodeCount: number
   /** The node that the answers of a term name for later heartbeats; undefined for none. */
@@ -66,7 +68,7 @@
     this.#options = options
     this.#nextReportTrueMs = options.trueClock.monotonicMs()
     this.#clock = new WorkerClock(options.trueClock, options.clockRate, this.#nextReportTrueMs)
-    this.#runs = new LeasedRuns(options.workerId, this.#clock, options.history)
+    this.#runs = new LeasedRuns(options.workerId, this.#clock, options.history, options.drawStopMs)
   }
 
   get workerId (): string {
@@ -192,14 +194,14 @@
 
   /** What the worker reports at this time, under the number of its latest heartbeat. */
   currentReport (): WorkerReport {
-    const { workerId, vmId, incarnation } = this.#options
+    const { workerId, vmId, incarnation, availabilityZone } = this.#options
     return {
       workerId,
       incarnation,
       service: 'billing',
       address: `${workerId}:80`,
       vmId,
-      availabilityZone: 'a',
+      availabilityZone,
       sequence: this.#sequence,
       state: this.#isLeaving ? 'leaving' : 'active',
       capacity: { cpuMillicores: 8_000, memoryMb: 8_000, acceleratorCount: 4 },
