Break gangs by themselves in the protocol simulation

Cause: members of a gang ran each by itself, and none ever failed.

Change: members work only together, end together as done, and are broken when another one ends, or alone after 3 s. In the third profile a member of three in ten gangs fails in its first run. An operator's evacuations end in calm, also where a request arrived late.

--- a/packages/standins/src/leased-runs.ts
+++ b/packages/standins/src/leased-runs.ts
@@ -1,26 +1,22 @@
 /** Runs of a stand-in worker of the batch scheduler: its lease, its runs and the ends that it reports. */
 import type { Clock } from '@comfreygrade/core'
 import type { EndReason, RunEnd, RunningTask, WorkerOrders } from '@comfreygrade/batch'
+import type { GangMeetings } from './gang-meetings.js'
+import { GangMember, SingleRun, type LeasedRun } from './leased-run.js'
+import { readPayload } from './run-payload.js'
 import type { RunHistory } from './run-history.js'
 
-interface Run {
-  readonly run: number
-  readonly startedMs: number
-  readonly durationMs: number
-  readonly fails: boolean
-  /** Time by which a stop takes effect; undefined where the run is not being stopped. */
-  stopsAtMs: number | undefined
+/** What varies between the workers of simulations. */
+export interface LeasedRunsOptions {
+  /** Time that a stop takes, in which the run may still complete. */
+  readonly drawStopMs?: () => number
+  /** Without it, the members of a gang run each by itself. */
+  readonly gangs?: GangMeetings
 }
 
-/** Progress of a run that has not ended. */
-const MAX_RUNNING_PERCENT = 99
-
-/** At the end of a payload, marks a job whose tasks fail. */
-const FAILS_SUFFIX = '!'
-
 /**
- * One incarnation of a worker without input or output, on its own clock. The payload of a job is the run time of each
- * task in milliseconds, followed by `!` where the tasks fail at their end.
+ * One incarnation of a worker without input or output, on its own clock. The payload of a job says what its tasks do,
+ * see {@link readPayload}.
  *
  * @example
  * const runs = new LeasedRuns('w1', clock, history)
@@ -30,8 +26,8 @@
   readonly #workerId: string
   readonly #clock: Clock
   readonly #history: RunHistory
-  readonly #drawStopMs: () => number
-  readonly #runs = new Map<string, Run>()
+  readonly #options: LeasedRunsOptions
+  readonly #runs = new Map<string, LeasedRun>()
   /** A repeated order must not start a run that has ended. */
   readonly #lastEndedRunByTask = new Map<string, number>()
   /** Ends that are reported in every heartbeat until they are acknowledged. */
@@ -40,9 +36,8 @@
   #fencingToken = 0
   #leaseEndMs = 0
 
-  /** A stop takes the drawn time, in which the run may still complete; none by default. */
-  constructor (workerId: string, clock: Clock, history: RunHistory, drawStopMs: () => number = () => 0) {
-    this.#drawStopMs = drawStopMs
+  constructor (workerId: string, clock: Clock, history: RunHistory, options: LeasedRunsOptions = {}) {
+    this.#options = options
     this.#workerId = workerId
     this.#clock = clock
     this.#history = history
@@ -50,10 +45,8 @@
 
   /** Runs as a heartbeat lists them; one that is being stopped is listed neither here nor among the ends. */
   running (): RunningTask[] {
-    const nowMs = this.#clock.monotonicMs()
-    return [...this.#runs].filter(([, { stopsAtMs }]) => stopsAtMs === undefined).map(([taskKey, run]) => ({
-      taskKey, run: run.run, checkpoint: '', percent: progressPercent(run, nowMs), usage: 0
-    }))
+    return [...this.#runs].filter(([, { stopsAtMs }]) => stopsAtMs === undefined)
+      .map(([taskKey, { run, percent }]) => ({ taskKey, run, checkpoint: '', percent, usage: 0 }))
   }
 
   /** Ends that have not been acknowledged. */
@@ -68,7 +61,10 @@
 
   /** Ends all runs, as {@link crash} does; others know the ends up to the given number, if the lease holds on. */
   exit (knownEndSequence: number): void {
-    for (const taskKey of this.#runs.keys()) this.#history.recordNotRunning(taskKey, this.#workerId)
+    for (const [taskKey, run] of this.#runs) {
+      run.end(undefined)
+      this.#history.recordNotRunning(taskKey, this.#workerId)
+    }
     this.#runs.clear()
     for (const end of this.#ends) {
       if (end.sequence > knownEndSequence) this.#history.recordEndForgotten(end, this.#workerId)
@@ -81,10 +77,9 @@
     const nowMs = this.#clock.monotonicMs()
     const hasLapsed = nowMs >= this.#leaseEndMs
     if (hasLapsed) for (const end of this.#ends) this.#history.recordEndVoided(end, this.#workerId)
-    for (const [taskKey, { run, startedMs, durationMs, fails, stopsAtMs }] of this.#runs) {
-      if (hasLapsed) this.#endRun(taskKey, run, 'lapsed')
-      else if (nowMs - startedMs >= durationMs) this.#endRun(taskKey, run, fails ? 'failed' : 'done')
-      else if (stopsAtMs !== undefined && nowMs >= stopsAtMs) this.#endRun(taskKey, run, 'stopped')
+    for (const [taskKey, run] of this.#runs) {
+      const reason = hasLapsed ? 'lapsed' : run.ownEnd ?? (nowMs >= (run.stopsAtMs ?? Infinity) ? 'stopped' : undefined)
+      if (reason !== undefined) this.#endRun(taskKey, run, reason)
     }
   }
 
@@ -121,13 +116,15 @@
   #stopRun (taskKey: string, runNumber: number): void {
     const run = this.#runs.get(taskKey)
     if (run?.run !== runNumber) return
-    const stopMs = this.#drawStopMs()
-    if (stopMs === 0) this.#endRun(taskKey, runNumber, 'stopped')
+    const stopMs = this.#options.drawStopMs?.() ?? 0
+    if (stopMs === 0) this.#endRun(taskKey, run, 'stopped')
     else run.stopsAtMs ??= this.#clock.monotonicMs() + stopMs
   }
 
-  #endRun (taskKey: string, run: number, reason: EndReason): void {
+  #endRun (taskKey: string, leasedRun: LeasedRun, reason: EndReason): void {
+    const { run } = leasedRun
     this.#runs.delete(taskKey)
+    leasedRun.end(reason)
     this.#lastEndedRunByTask.set(taskKey, Math.max(run, this.#lastEndedRunByTask.get(taskKey) ?? 0))
     const end = { sequence: ++this.#lastEndSequence, taskKey, run, reason, checkpoint: '' }
     this.#ends.push(end)
@@ -136,13 +133,20 @@
 
   #startRun (taskKey: string, run: number, payload: string): void {
     if (this.#runs.has(taskKey) || run <= (this.#lastEndedRunByTask.get(taskKey) ?? 0)) return
-    const fails = payload.endsWith(FAILS_SUFFIX)
-    const durationMs = Number(fails ? payload.slice(0, -FAILS_SUFFIX.length) : payload)
-    this.#runs.set(taskKey, { run, startedMs: this.#clock.monotonicMs(), durationMs, fails, stopsAtMs: undefined })
+    this.#runs.set(taskKey, this.#createRun(taskKey, run, payload))
     this.#history.recordRunStarted(taskKey, this.#workerId)
   }
-}
 
-function progressPercent ({ startedMs, durationMs }: Run, nowMs: number): number {
-  return Math.min(MAX_RUNNING_PERCENT, Math.floor((nowMs - startedMs) / durationMs * 100))
+  /** The first step of a job may be a gang. A member of its first run may fail, the first of them. */
+  #createRun (taskKey: string, run: number, payload: string): LeasedRun {
+    const { durationMs, fails, gangSize, breaksAfterShare } = readPayload(payload)
+    const { gangs } = this.#options
+    const [jobId, occurrence, step] = taskKey.split('.')
+    if (gangs === undefined || gangSize === undefined || step !== '0') {
+      return new SingleRun(run, this.#clock, durationMs, fails)
+    }
+    const breaks = breaksAfterShare !== undefined && run === 1
+    const failure = { taskKey: `${jobId}.${occurrence}.${step}.0`, afterMs: durationMs * (breaksAfterShare ?? 1) }
+    return new GangMember(run, taskKey, gangs, { size: gangSize, durationMs, failure: breaks ? failure : undefined })
+  }
 }
--- a/packages/standins/test/protocol-jobs.ts
+++ b/packages/standins/test/protocol-jobs.ts
@@ -51,15 +51,22 @@
 
   next (): JobSpec {
     const first = this.#createStep()
-    // Members of a gang that fail one by one would break the others, which the workers of this simulation do not play.
+    // Members of a gang that fail one by one would break the others.
     const fails = !first.isGang && this.#random.nextFloat() < 0.15
-    const payload = `${this.#drawRunMs()}${fails ? '!' : ''}`
+    const payload = `${this.#drawRunMs()}${fails ? '!' : ''}${this.#drawGang(first)}`
     const steps = [first]
     const hasSecond = this.#isDrawn(this.#profile.secondStepShare)
     if (hasSecond) steps.push({ ...this.#createStep(), isGang: false, dependsOn: [0] })
     return { jobId: `j${++this.#jobCount}`, payload, steps }
   }
 
+  /** The part of a payload for a gang whose members work together. */
+  #drawGang ({ isGang, taskCount }: StepSpec): string {
+    const { brokenGangShare } = this.#profile
+    if (!isGang || brokenGangShare === 0) return ''
+    return `g${taskCount}${this.#isDrawn(brokenGangShare) ? `b${this.#random.nextFloat().toFixed(2)}` : ''}`
+  }
+
   #createStep (): StepSpec {
     return {
       taskCount: this.#random.nextInt(1, 3),
--- a/packages/standins/test/protocol-profile.ts
+++ b/packages/standins/test/protocol-profile.ts
@@ -30,6 +30,8 @@
   readonly stopMs: Range
   /** Share of the jobs that are urgent and within the guarantee of their organisation. */
   readonly urgentShare: number
+  /** Share of the gangs of which a member fails in the first run; those of profiles without run each by itself. */
+  readonly brokenGangShare: number
   /** Zones of the workers, in turn. */
   readonly zones: readonly string[]
   /** Whether requests reach the leader by way of other nodes, which follow the log. */
@@ -58,6 +60,7 @@
   secondStepShare: 0,
   stopMs: [0, 0],
   urgentShare: 0,
+  brokenGangShare: 0,
   zones: ['a'],
   hasFollowers: false,
   refusedProposalShare: 0,
@@ -91,6 +94,7 @@
   jobIntervalMs: 500,
   stopMs: [10, 200],
   urgentShare: 0.2,
+  brokenGangShare: 0.3,
   zones: ['a', 'b'],
   hasFollowers: true,
   refusedProposalShare: 0.02
--- a/packages/standins/test/protocol-simulation.ts
+++ b/packages/standins/test/protocol-simulation.ts
@@ -8,7 +8,7 @@
   defaultBatchSettings, type BatchOperation, type BatchSettings, type JobSpec, type LeaderEvent,
   type MaintenanceAnswer, type MaintenanceCall, type WorkerOrders, type WorkerReport
 } from '@comfreygrade/batch'
-import { RunHistory } from '../src/index.js'
+import { GangMeetings, RunHistory } from '../src/index.js'
 import { API_KEY, createDocument, JobDraws, MAX_ATTEMPTS, NORMAL_PATH, URGENT_PATH } from './protocol-jobs.js'
 import { ProtocolNode, type LogEntry, type NodeSnapshot } from './protocol-node.js'
 import type { Fault, ProtocolProfile, Range } from './protocol-profile.js'
@@ -29,6 +29,8 @@
 /** Interval at which replicas follow the log, and share of these times at which one keeps a snapshot. */
 const FOLLOW_INTERVAL_MS = 100
 const SNAPSHOT_SHARE = 0.03
+/** Time after the last fault by which every evacuation has ended. */
+const LAST_EVACUATION_MS = 10_000
 const OPERATOR_RETRY_MS = 1_000
 const MAX_ATTEMPTS_OF_OPERATOR = 60
 /** Wait for a node that can lead. */
@@ -84,6 +86,7 @@
   readonly #requestsLostUntilMs = new Map<string, number>()
   readonly #answersLostUntilMs = new Map<string, number>()
   readonly #snapshots = new Map<ProtocolNode, NodeSnapshot>()
+  readonly #gangs: GangMeetings
   readonly #zones = new Map<string, string>()
   /** Highest fencing token of a maintenance call. */
   #maintenanceToken = 0
@@ -99,6 +102,7 @@
     this.#history = new TracedHistory(MAX_ATTEMPTS, trace)
     this.#random = new Random(seed)
     this.#jobs = new JobDraws(profile, this.#random)
+    this.#gangs = new GangMeetings(clock)
     this.#schedule = new ProtocolSchedule(clock)
     const propose = (node: ProtocolNode, proposal: NewProposal): void => { this.#propose(node, proposal) }
     const settings = this.#drawSettings()
@@ -117,6 +121,7 @@
     this.#scheduleFault()
     this.#scheduleJob()
     if (this.#profile.hasFollowers) this.#followLog()
+    this.#schedule.after(this.#profile.faultsEndMs + LAST_EVACUATION_MS, () => { this.#endEvacuations() })
     while (!this.#isOver) this.#step()
     const openJobs = [...this.#leader.state.openJobs()].map(job => `job ${job.spec.jobId} did not end`)
     return [...this.#history.violations, ...this.#unrecordedEnds, ...openJobs]
@@ -277,12 +282,20 @@
   }
 
   #evacuate (zone: string): void {
-    this.#executeUntilAccepted({ kind: 'start_evacuation', zone, requestedBy: 'operator' })
+    this.#executeUntilAccepted({ kind: 'start_evacuation', zone, requestedBy: 'operator' }, 3)
     this.#schedule.after(this.#random.nextInt(500, 6_000), () => {
       this.#executeUntilAccepted({ kind: 'end_evacuation', zone, requestedBy: 'operator' })
     })
   }
 
+  /** A request for an evacuation may have arrived after the one for its end. */
+  #endEvacuations (): void {
+    if (this.#profile.zones.length === 1) return
+    for (const zone of this.#profile.zones) {
+      this.#executeUntilAccepted({ kind: 'end_evacuation', zone, requestedBy: 'operator' })
+    }
+  }
+
   #startWave (): void {
     const vmIds = [...new Set([this.#pick(this.#workers).vmId, this.#pick(this.#workers).vmId])]
     const durationMs = this.#random.nextInt(1_000, 15_000)
@@ -430,6 +443,7 @@
       trueClock: this.#clock,
       clockRate: SLOWEST_CLOCK_RATE + this.#random.nextFloat() * (1 - SLOWEST_CLOCK_RATE),
       history: this.#history,
+      gangs: this.#gangs,
       drawStopMs: () => this.#drawIn(this.#profile.stopMs),
       availabilityZone: this.#zoneOf(vmId),
       nodeCount: this.#profile.hasFollowers ? this.#nodes.length : 1,
--- a/packages/standins/test/protocol-worker.ts
+++ b/packages/standins/test/protocol-worker.ts
@@ -1,7 +1,7 @@
 /** A worker in the simulation of the run protocol: heartbeats over a network that delays and loses messages. */
 import type { Clock } from '@comfreygrade/core'
 import type { WorkerOrders, WorkerReport } from '@comfreygrade/batch'
-import { LeasedRuns, type RunHistory } from '../src/index.js'
+import { LeasedRuns, type GangMeetings, type RunHistory } from '../src/index.js'
 
 /** A worker discards an answer that comes later than this after its heartbeat. */
 export const REPORT_TIMEOUT_MS = 1_000
@@ -30,6 +30,7 @@
   readonly clockRate: number
   readonly history: RunHistory
   readonly drawStopMs: () => number
+  readonly gangs: GangMeetings
   readonly availabilityZone: string
   /** Number of nodes that the worker calls; 1 where the network finds the leader. */
   readonly nodeCount: number
@@ -68,7 +69,7 @@
     this.#options = options
     this.#nextReportTrueMs = options.trueClock.monotonicMs()
     this.#clock = new WorkerClock(options.trueClock, options.clockRate, this.#nextReportTrueMs)
-    this.#runs = new LeasedRuns(options.workerId, this.#clock, options.history, options.drawStopMs)
+    this.#runs = new LeasedRuns(options.workerId, this.#clock, options.history, options)
   }
 
   get workerId (): string {
