--- a/packages/standins/test/protocol-worker.ts
+++ b/packages/standins/test/protocol-worker.ts
@@ -99,6 +99,11 @@
     this.#runs.crash()
   }
 
+  /** Time since the latest heartbeat, on the worker's clock. */
+  get sinceReportMs (): number {
+    return this.#clock.monotonicMs() - this.#sentMs
+  }
+
   /** Leaves for good. The ends that it has listed count on, until it is known which of them have reached the leader. */
   exit (): void {
     this.#isAlive = false
