--- a/packages/standins/test/protocol-simulation.ts
+++ b/packages/standins/test/protocol-simulation.ts
@@ -125,7 +125,7 @@
     this.#schedule.after(this.#profile.faultsEndMs + LAST_EVACUATION_MS, () => { this.#endEvacuations() })
     while (!this.#isOver) this.#step()
     const openJobs = [...this.#leader.state.openJobs()].map(job => `job ${job.spec.jobId} did not end`)
-    return [...this.#history.violations, ...this.#unrecordedEnds, ...openJobs]
+    return [...this.#history.violations, ...this.#unrecordedEnds, ...openJobs, ...this.#differingReplicas()]
   }
 
   #drawSettings (): BatchSettings {
@@ -149,6 +149,17 @@
     return this.#schedule.elapsedMs >= faultsEndMs + minCalmMs && [...this.#leader.state.openJobs()].length === 0
   }
 
+  /** The same log gives the same state on each replica, also on one that was restored from a snapshot. */
+  #differingReplicas (): string[] {
+    if (!this.#profile.hasFollowers) return []
+    const [first, ...others] = this.#nodes.map(node => {
+      node.stepDown()
+      node.catchUp(this.#log)
+      return JSON.stringify(node.state.snapshot())
+    })
+    return others.every(state => state === first) ? [] : ['the states of the replicas differ']
+  }
+
   #createRoutes (): RequestRoutes {
     const { calmDelays, faultsEndMs } = this.#profile
     const options = {
