Add tests that fail: a refused record of ends, and the late departure of an earlier life

A message that a worker has left names no incarnation: one that is late frees the runs of a later incarnation that is leaving and still runs them.

--- a/packages/batch/test/departure-order.test.ts
+++ b/packages/batch/test/departure-order.test.ts
@@ -60,3 +60,31 @@
   t.is(fixture.state.job('j1')?.state, 'completed')
   t.false(startsAgain(fixture))
 })
+
+test('a run whose listed end the log refused to record is not freed as that of a worker that has left', t => {
+  const { fixture, last } = createLeavingWorker()
+  fixture.isCommitting = false
+  fixture.sendReport(last)
+  t.is(fixture.refuseNext()?.command.kind, 'record_ends')
+  fixture.deliver({ kind: 'worker_left', requestId: 'left', workerId: 'w1' })
+  t.is(fixture.refuseNext()?.command.kind, 'record_ends')
+  while (fixture.commitNext() !== undefined);
+  fixture.isCommitting = true
+  t.false(startsAgain(fixture))
+})
+
+test('the departure of an earlier incarnation that arrives late does not free the runs of one that is still leaving', t => {
+  const { fixture, last } = createLeavingWorker()
+  fixture.sendReport({ ...last, ends: [] })
+  const heartbeat = (fields: Partial<WorkerReport>) => fixture.heartbeat('w1', { incarnation: 2_000, ...fields })
+  const running = runningTasks(heartbeat({})?.starts ?? [])
+  t.is(running[0]?.run, 2)
+  for (let count = 0; count < 3; count++) {
+    fixture.advance(200)
+    heartbeat({ running, state: 'leaving' })
+  }
+  fixture.deliver({ kind: 'worker_left', requestId: 'left', workerId: 'w1' })
+  fixture.advance(50)
+  heartbeat({ running, state: 'leaving' })
+  t.false(startsAgain(fixture))
+})
--- a/packages/batch/test/leader-fixture.ts
+++ b/packages/batch/test/leader-fixture.ts
@@ -144,6 +144,13 @@
     return effect
   }
 
+  /** Refuses the oldest proposal that was only collected, as a log does whose queue is full, and returns it. */
+  refuseNext (): Extract<LeaderEffect, { kind: 'propose' }> | undefined {
+    const effect = this.#uncommitted.shift()
+    if (effect !== undefined) this.deliver({ kind: 'rejected', proposalId: effect.proposalId, isCertain: true })
+    return effect
+  }
+
   #propose (effect: Extract<LeaderEffect, { kind: 'propose' }>): void {
     this.proposals.push(effect)
     if (this.isCommitting) this.#commit(effect)
