--- a/packages/standins/test/protocol-jobs.ts
+++ b/packages/standins/test/protocol-jobs.ts
@@ -1,7 +1,7 @@
 /** Jobs of the protocol simulation. */
-import type { Random } from '@comfreygrade/core'
 import type { JobSpec, QueueDocument, StepSpec } from '@comfreygrade/batch'
-import type { ProtocolProfile, Range } from './protocol-profile.js'
+import type { ProtocolDraws } from './protocol-draws.js'
+import type { ProtocolProfile } from './protocol-profile.js'
 
 export const MAX_ATTEMPTS = 2
 export const NORMAL_PATH = '/q/'
@@ -36,17 +36,17 @@
 /** Draws the jobs of a seed. */
 export class JobDraws {
   readonly #profile: ProtocolProfile
-  readonly #random: Random
+  readonly #random: ProtocolDraws
   #jobCount = 0
 
-  constructor (profile: ProtocolProfile, random: Random) {
+  constructor (profile: ProtocolProfile, random: ProtocolDraws) {
     this.#profile = profile
     this.#random = random
   }
 
   /** Path of the queue of the next job. */
   nextQueuePath (): string {
-    return this.#isDrawn(this.#profile.urgentShare) ? URGENT_PATH : NORMAL_PATH
+    return this.#random.isDrawn(this.#profile.urgentShare) ? URGENT_PATH : NORMAL_PATH
   }
 
   next (): JobSpec {
@@ -55,7 +55,7 @@
     const fails = !first.isGang && this.#random.nextFloat() < 0.15
     const payload = `${this.#drawRunMs()}${fails ? '!' : ''}${this.#drawGang(first)}`
     const steps = [first]
-    const hasSecond = this.#isDrawn(this.#profile.secondStepShare)
+    const hasSecond = this.#random.isDrawn(this.#profile.secondStepShare)
     if (hasSecond) steps.push({ ...this.#createStep(), isGang: false, dependsOn: [0] })
     return { jobId: `j${++this.#jobCount}`, payload, steps }
   }
@@ -64,7 +64,7 @@
   #drawGang ({ isGang, taskCount }: StepSpec): string {
     const { brokenGangShare } = this.#profile
     if (!isGang || brokenGangShare === 0) return ''
-    return `g${taskCount}${this.#isDrawn(brokenGangShare) ? `b${this.#random.nextFloat().toFixed(2)}` : ''}`
+    return `g${taskCount}${this.#random.isDrawn(brokenGangShare) ? `b${this.#random.nextFloat().toFixed(2)}` : ''}`
   }
 
   #createStep (): StepSpec {
@@ -89,14 +89,6 @@
 
   #drawRunMs (): number {
     const { runMs, longRunMs, longRunShare } = this.#profile
-    return this.#drawIn(this.#isDrawn(longRunShare) ? longRunMs : runMs)
-  }
-
-  #drawIn ([low, high]: Range): number {
-    return this.#random.nextInt(low, high)
-  }
-
-  #isDrawn (share: number): boolean {
-    return share > 0 && this.#random.nextFloat() < share
+    return this.#random.inRange(this.#random.isDrawn(longRunShare) ? longRunMs : runMs)
   }
 }
--- a/packages/standins/test/protocol-routes.ts
+++ b/packages/standins/test/protocol-routes.ts
@@ -1,6 +1,6 @@
 /** Ways of a request to the leader in the protocol simulation. */
-import type { Random } from '@comfreygrade/core'
 import type { LeaderEvent } from '@comfreygrade/batch'
+import type { ProtocolDraws } from './protocol-draws.js'
 import type { Answer, ProtocolNode } from './protocol-node.js'
 import type { ProtocolSchedule } from './protocol-schedule.js'
 
@@ -19,7 +19,7 @@
 /** Options of {@link RequestRoutes}. */
 export interface RequestRoutesOptions {
   readonly schedule: ProtocolSchedule
-  readonly random: Random
+  readonly random: ProtocolDraws
   readonly nodes: readonly ProtocolNode[]
   readonly leader: () => ProtocolNode
   /** Whether no message is delayed for long any more. */
@@ -46,17 +46,13 @@
     if (draw < 0.9 || this.options.isCalm()) return random.nextInt(1, 25)
     return draw < 0.97 ? random.nextInt(25, 900) : random.nextInt(900, 8_000)
   }
-
-  protected pick<T> (values: readonly T[]): T {
-    return values[this.options.random.nextInt(0, values.length - 1)] as T
-  }
 }
 
 /** Most requests reach the leader, and others go on to it. */
 export class DirectRoutes extends RequestRoutes {
   override send ({ createEvent, onAnswered, reply }: RoutedRequest): void {
     const { random, leader, nodes, schedule } = this.options
-    const node = random.nextFloat() < 0.9 ? leader() : this.pick(nodes)
+    const node = random.nextFloat() < 0.9 ? leader() : this.options.random.pick(nodes)
     const answer = (result: Answer): void => { onAnswered(result); reply(result) }
     schedule.deliver(node, () => {
       if (node.handle(createEvent, answer)) return
@@ -99,7 +95,7 @@
 
   override send (request: RoutedRequest): void {
     const { schedule, nodes } = this.options
-    const entry = request.entry ?? this.pick(nodes)
+    const entry = request.entry ?? this.options.random.pick(nodes)
     if (!entry.isUp) return schedule.after(this.#linkDelayMs(), () => { request.reply('refused') })
     schedule.deliver(entry, () => { this.#begin(entry, request) })
   }
--- a/packages/standins/test/protocol-simulation.ts
+++ b/packages/standins/test/protocol-simulation.ts
@@ -1,18 +1,20 @@
 /**
- * Random interleavings of the run protocol: two control nodes that take turns as the leader and two workers, with
- * delayed, copied and lost messages, frozen nodes, crashed and leaving workers, reports of other writers,
- * configurations that remove the queue, and proposals that a change of leader drops or keeps.
+ * Random interleavings of the run protocol: control nodes that take turns as the leader, and workers, with delayed,
+ * copied and lost messages, frozen nodes, crashed and leaving workers, reports of other writers, configurations that
+ * remove the queue, and proposals that a change of leader drops or keeps. The profile says what else is played.
  */
-import { ManualClock, Random } from '@comfreygrade/core'
+import { ManualClock } from '@comfreygrade/core'
 import {
-  defaultBatchSettings, type BatchOperation, type BatchSettings, type JobSpec, type LeaderEvent,
-  type MaintenanceAnswer, type MaintenanceCall, type WorkerOrders, type WorkerReport
+  defaultBatchSettings, type BatchSettings, type LeaderEvent, type MaintenanceAnswer, type MaintenanceCall,
+  type WorkerOrders, type WorkerReport
 } from '@comfreygrade/batch'
 import { GangMeetings, RunHistory } from '../src/index.js'
-import { API_KEY, createDocument, JobDraws, MAX_ATTEMPTS, NORMAL_PATH, URGENT_PATH } from './protocol-jobs.js'
+import { ProtocolDraws } from './protocol-draws.js'
+import { createDocument, JobDraws, MAX_ATTEMPTS } from './protocol-jobs.js'
 import { ProtocolNode, type LogEntry, type NodeSnapshot } from './protocol-node.js'
-import type { Fault, ProtocolProfile, Range } from './protocol-profile.js'
-import { DirectRoutes, FollowerRoutes, type RequestRoutes, type RoutedRequest } from './protocol-routes.js'
+import { ProtocolOperator } from './protocol-operator.js'
+import type { Fault, ProtocolProfile } from './protocol-profile.js'
+import { DirectRoutes, FollowerRoutes, type RequestRoutes } from './protocol-routes.js'
 import { ProtocolSchedule } from './protocol-schedule.js'
 import { ProtocolTrace, RecordedTrace } from './protocol-trace.js'
 import { ProtocolWorker } from './protocol-worker.js'
@@ -32,8 +34,6 @@
 const SNAPSHOT_SHARE = 0.03
 /** Time after the last fault by which every evacuation has ended. */
 const LAST_EVACUATION_MS = 10_000
-const OPERATOR_RETRY_MS = 1_000
-const MAX_ATTEMPTS_OF_OPERATOR = 60
 /** Wait for a node that can lead. */
 const TERM_RETRY_MS = 100
 type NewProposal = Pick<LogEntry, 'proposalId' | 'command'>
@@ -66,8 +66,9 @@
 
 class ProtocolSimulation {
   readonly #profile: ProtocolProfile
-  readonly #random: Random
+  readonly #random: ProtocolDraws
   readonly #jobs: JobDraws
+  readonly #operator: ProtocolOperator
   readonly #clock: ManualClock
   readonly #trace: ProtocolTrace
   readonly #history: RunHistory
@@ -91,17 +92,15 @@
   readonly #zones = new Map<string, string>()
   /** Highest fencing token of a maintenance call. */
   #maintenanceToken = 0
-  #waveCount = 0
   readonly #unrecordedEnds = new Set<string>()
   #commitDelayMs = 0
-  #version = 1
 
   constructor (profile: ProtocolProfile, seed: number, clock: ManualClock, trace: ProtocolTrace) {
     this.#profile = profile
     this.#clock = clock
     this.#trace = trace
     this.#history = new TracedHistory(MAX_ATTEMPTS, trace)
-    this.#random = new Random(seed)
+    this.#random = new ProtocolDraws(seed)
     this.#jobs = new JobDraws(profile, this.#random)
     this.#gangs = new GangMeetings(clock)
     this.#schedule = new ProtocolSchedule(clock)
@@ -113,7 +112,11 @@
       new ProtocolNode({ ...options, log: trace.logOf(index) }))
     this.#leader = this.#nodes[0] as ProtocolNode
     this.#routes = this.#createRoutes()
-    this.#log.push({ proposalId: '', command: { kind: 'put_configuration', document: createDocument(1) }, logTimeMs: clock.monotonicMs() })
+    this.#operator = new ProtocolOperator({
+      profile, random: this.#random, schedule: this.#schedule, routes: this.#routes, leader: () => this.#leader
+    })
+    const command = { kind: 'put_configuration', document: createDocument(1) } as const
+    this.#log.push({ proposalId: '', command, logTimeMs: clock.monotonicMs() })
     this.#startTerm(this.#leader)
     for (const workerId of profile.workerIds) this.#addWorker(workerId)
   }
@@ -122,7 +125,7 @@
     this.#scheduleFault()
     this.#scheduleJob()
     if (this.#profile.hasFollowers) this.#followLog()
-    this.#schedule.after(this.#profile.faultsEndMs + LAST_EVACUATION_MS, () => { this.#endEvacuations() })
+    this.#schedule.after(this.#profile.faultsEndMs + LAST_EVACUATION_MS, () => { this.#operator.endEvacuations() })
     while (!this.#isOver) this.#step()
     const openJobs = [...this.#leader.state.openJobs()].map(job => `job ${job.spec.jobId} did not end`)
     return [...this.#history.violations, ...this.#unrecordedEnds, ...openJobs, ...this.#differingReplicas()]
@@ -133,7 +136,7 @@
     // The first draws of neighbouring seeds are alike.
     const discardedDraws = low === high ? 0 : DISCARDED_DRAWS
     for (let count = 0; count < discardedDraws; count++) this.#random.nextFloat()
-    return { ...defaultBatchSettings, leaseMs: this.#drawIn(this.#profile.leaseMs) }
+    return { ...defaultBatchSettings, leaseMs: this.#random.inRange(this.#profile.leaseMs) }
   }
 
   /** A VM stays in its zone. */
@@ -185,7 +188,7 @@
 
   #propose (node: ProtocolNode, { proposalId, command }: NewProposal): void {
     if (node !== this.#leader || !node.hasQuorumLease) return
-    if (this.#isDrawn(this.#profile.refusedProposalShare)) {
+    if (this.#random.isDrawn(this.#profile.refusedProposalShare)) {
       this.#trace.add('proposal refused', { kind: command.kind })
       return node.refuseProposal(proposalId)
     }
@@ -210,7 +213,7 @@
   #followLog (): void {
     for (const node of this.#nodes) {
       node.follow(this.#log)
-      if (node.isUp && this.#isDrawn(SNAPSHOT_SHARE)) this.#snapshots.set(node, node.takeSnapshot())
+      if (node.isUp && this.#random.isDrawn(SNAPSHOT_SHARE)) this.#snapshots.set(node, node.takeSnapshot())
     }
     this.#schedule.after(FOLLOW_INTERVAL_MS, () => { this.#followLog() })
   }
@@ -233,7 +236,7 @@
     const snapshot = this.#snapshots.get(node)
     node.kill()
     const others = this.#nodes.filter(other => other !== node && other.isUp)
-    const donor = this.#pick(others)
+    const donor = this.#random.pick(others)
     const hasLostDisk = snapshot === undefined || this.#random.nextFloat() < 0.3
     this.#schedule.after(this.#random.nextInt(300, 3_000), () => {
       node.restart(hasLostDisk ? donor.takeSnapshot() : snapshot)
@@ -262,7 +265,7 @@
   #scheduleFault (): void {
     this.#schedule.after(this.#random.nextInt(50, 1_500), () => {
       if (this.#schedule.elapsedMs >= this.#profile.faultsEndMs) return
-      this.#inject(this.#pick(this.#profile.faults))
+      this.#inject(this.#random.pick(this.#profile.faults))
       this.#scheduleFault()
     })
   }
@@ -271,60 +274,30 @@
     this.#trace.add(`fault ${fault}`)
     switch (fault) {
       case 'transfer': return this.#changeLeader(this.#random.nextInt(0, 1_500))
-      case 'cancel': return this.#cancelJob()
-      case 'evacuation': return this.#evacuate(this.#pick(this.#profile.zones))
-      case 'maintenance': return this.#startWave()
-      case 'restart': return this.#isSecondDown ? undefined : this.#restart(this.#pick(this.#nodes))
-      case 'cut_node': return this.#cutNode(this.#pick(this.#nodes))
+      case 'cancel': return this.#operator.cancelJob()
+      case 'evacuation': return this.#operator.evacuate(this.#random.pick(this.#profile.zones))
+      case 'maintenance': return this.#operator.startWave([this.#random.pick(this.#workers).vmId, this.#random.pick(this.#workers).vmId])
+      case 'restart': return this.#isSecondDown ? undefined : this.#restart(this.#random.pick(this.#nodes))
+      case 'cut_node': return this.#cutNode(this.#random.pick(this.#nodes))
       case 'freeze': return this.#freeze()
-      case 'cut_off': return this.#cutOff(this.#pick(this.#workers).workerId)
-      case 'crash': return this.#crash(this.#pick(this.#workers))
-      case 'leave': return this.#leave(this.#pick(this.#workers))
+      case 'cut_off': return this.#cutOff(this.#random.pick(this.#workers).workerId)
+      case 'crash': return this.#crash(this.#random.pick(this.#workers))
+      case 'leave': return this.#leave(this.#random.pick(this.#workers))
       case 'slow_log':
         this.#commitDelayMs = this.#random.nextInt(100, 900)
         return this.#schedule.after(this.#random.nextInt(300, 2_000), () => { this.#commitDelayMs = 0 })
-      case 'odd_report': return this.#sendOddReport(this.#pick(this.#workers))
-      case 'configuration': return this.#replaceConfiguration(this.#random.nextFloat() < 0.5)
+      case 'odd_report': return this.#sendOddReport(this.#random.pick(this.#workers))
+      case 'configuration': return this.#operator.replaceConfiguration(this.#random.nextFloat() < 0.5)
       case 'calm': return undefined
     }
   }
 
-  #cancelJob (): void {
-    const openJobs = [...this.#leader.state.openJobs()]
-    if (openJobs.length === 0) return
-    const { spec, queueAddress } = this.#pick(openJobs)
-    const path = `${queueAddress.endsWith(URGENT_PATH) ? URGENT_PATH : NORMAL_PATH}${spec.jobId}`
-    this.#execute({ kind: 'cancel', request: { host: 'h', path } })
-  }
-
-  #evacuate (zone: string): void {
-    this.#executeUntilAccepted({ kind: 'start_evacuation', zone, requestedBy: 'operator' }, 3)
-    this.#schedule.after(this.#random.nextInt(500, 6_000), () => {
-      this.#executeUntilAccepted({ kind: 'end_evacuation', zone, requestedBy: 'operator' })
-    })
-  }
-
-  /** A request for an evacuation may have arrived after the one for its end. */
-  #endEvacuations (): void {
-    if (this.#profile.zones.length === 1) return
-    for (const zone of this.#profile.zones) {
-      this.#executeUntilAccepted({ kind: 'end_evacuation', zone, requestedBy: 'operator' })
-    }
-  }
-
-  #startWave (): void {
-    const vmIds = [...new Set([this.#pick(this.#workers).vmId, this.#pick(this.#workers).vmId])]
-    const durationMs = this.#random.nextInt(1_000, 15_000)
-    const wave = { waveId: `wave-${++this.#waveCount}`, vmIds, maxConcurrent: 1, durationMs }
-    this.#executeUntilAccepted({ kind: 'start_wave', wave })
-  }
-
   /** The platform terminates what runs on the VM, and a new worker joins later. */
   #beginMaintenance (node: ProtocolNode, call: MaintenanceCall, fencingToken: number): void {
     this.#schedule.after(this.#random.nextInt(5, 300), () => {
       const answer = this.#maintain(call, fencingToken)
       this.#trace.add('maintenance', { ...call, answer })
-      const isLost = this.#isDrawn(0.1)
+      const isLost = this.#random.isDrawn(0.1)
       this.#schedule.after(this.#random.nextInt(5, 300), () => {
         node.answerMaintenance(fencingToken, call, isLost ? 'failed' : answer)
       })
@@ -340,27 +313,9 @@
     return 'begun'
   }
 
-  #execute (operation: BatchOperation, reply: RoutedRequest['reply'] = () => {}): void {
-    const createEvent = (requestId: string): LeaderEvent => ({ kind: 'operation', requestId, operation })
-    this.#routes.send({ createEvent, onAnswered: () => {}, reply })
-  }
-
-  /** An operator repeats what is not accepted. */
-  #executeUntilAccepted (operation: BatchOperation, attempts = MAX_ATTEMPTS_OF_OPERATOR): void {
-    let isAnswered = false
-    const retry = (): void => {
-      if (!isAnswered && attempts > 1) this.#executeUntilAccepted(operation, attempts - 1)
-      isAnswered = true
-    }
-    this.#schedule.after(OPERATOR_RETRY_MS, retry)
-    this.#execute(operation, answer => {
-      if (typeof answer === 'object' && 'ok' in answer && answer.ok) isAnswered = true
-    })
-  }
-
   /** A report under the ID of a worker that the worker cannot have sent. */
   #sendOddReport (worker: ProtocolWorker): void {
-    const odd = this.#pick<Partial<WorkerReport>>([
+    const odd = this.#random.pick<Partial<WorkerReport>>([
       { sequence: 2 ** 50 },
       { clockMs: 1e11 },
       { incarnation: 2 ** 50 },
@@ -372,24 +327,19 @@
     this.#request(requestId => ({ kind: 'report', requestId, report }))
   }
 
-  #replaceConfiguration (hasQueue: boolean): void {
-    const document = createDocument(++this.#version, hasQueue)
-    this.#execute({ kind: 'put_configuration', document })
-  }
-
   /** The old leader loses its lease at once and learns of its successor later; its object acts on until then. */
   #changeLeader (gapMs: number): void {
     const former = this.#leader
     if (!former.hasQuorumLease) return
     former.hasQuorumLease = false
-    const next = this.#pick(this.#nodes)
+    const next = this.#random.pick(this.#nodes)
     this.#schedule.after(gapMs, () => { this.#startTermOnAny(next, former) })
     if (next === former) return
     this.#schedule.after(this.#random.nextInt(0, 2_500), () => { if (former !== this.#leader) former.stepDown() })
   }
 
   #freeze (): void {
-    const node = this.#pick(this.#nodes)
+    const node = this.#random.pick(this.#nodes)
     const durationMs = this.#random.nextInt(300, 5_000)
     node.frozenUntilMs = this.#schedule.nowMs + durationMs
     // A leader that is frozen for longer than its lease is deposed.
@@ -404,13 +354,13 @@
     node.cutOffUntilMs = this.#schedule.nowMs + this.#random.nextInt(300, 6_000)
     if (node !== this.#leader || !node.hasQuorumLease) return
     node.hasQuorumLease = false
-    const next = this.#pick(this.#nodes.filter(other => other !== node))
+    const next = this.#random.pick(this.#nodes.filter(other => other !== node))
     this.#schedule.after(this.#random.nextInt(500, 1_500), () => { this.#startTermOnAny(next, node) })
   }
 
   #cutOff (workerId: string): void {
     const untilMs = this.#schedule.nowMs + this.#random.nextInt(500, 6_000)
-    const direction = this.#pick(['requests', 'answers', 'both'] as const)
+    const direction = this.#random.pick(['requests', 'answers', 'both'] as const)
     if (direction !== 'answers') this.#requestsLostUntilMs.set(workerId, untilMs)
     if (direction !== 'requests') this.#answersLostUntilMs.set(workerId, untilMs)
   }
@@ -461,7 +411,7 @@
       clockRate: SLOWEST_CLOCK_RATE + this.#random.nextFloat() * (1 - SLOWEST_CLOCK_RATE),
       history: this.#history,
       gangs: this.#gangs,
-      drawStopMs: () => this.#drawIn(this.#profile.stopMs),
+      drawStopMs: () => this.#random.inRange(this.#profile.stopMs),
       availabilityZone: this.#zoneOf(vmId),
       nodeCount: this.#profile.hasFollowers ? this.#nodes.length : 1,
       nodeIndexOf: term => this.#leaderIndexes.get(term)
@@ -534,27 +484,9 @@
 
   #scheduleJob (): void {
     const { faultsEndMs, jobIntervalMs } = this.#profile
-    this.#submit(this.#jobs.next())
+    this.#operator.submit(this.#jobs.next(), this.#jobs.nextQueuePath())
     if (this.#schedule.elapsedMs < faultsEndMs) this.#schedule.after(jobIntervalMs, () => { this.#scheduleJob() })
   }
-
-  #submit ({ jobId, ...spec }: JobSpec): void {
-    const pathPrefix = this.#jobs.nextQueuePath()
-    const key = pathPrefix === URGENT_PATH ? { apiKey: API_KEY } : {}
-    this.#execute({ kind: 'submit', request: { host: 'h', path: `${pathPrefix}${jobId}`, ...key }, spec })
-  }
-
-  #drawIn ([low, high]: Range): number {
-    return low === high ? low : this.#random.nextInt(low, high)
-  }
-
-  #isDrawn (share: number): boolean {
-    return share > 0 && this.#random.nextFloat() < share
-  }
-
-  #pick<T> (values: readonly T[]): T {
-    return values[this.#random.nextInt(0, values.length - 1)] as T
-  }
 }
 
 function summaryOf (report: WorkerReport): Readonly<Record<string, unknown>> {
