--- a/packages/standins/src/run-history.ts
+++ b/packages/standins/src/run-history.ts
@@ -3,6 +3,9 @@
 
 type ObservedEnd = Pick<RunEnd, 'taskKey' | 'run' | 'reason'>
 
+/** Why a completion counts that may not be acknowledged. */
+type CompletionHolder = 'keeps its lease' | 'has left'
+
 /** Runs of a task as its workers observe them; starts and ends are numbered together in the order of their events. */
 class TaskHistory {
   #eventCount = 0
@@ -14,6 +17,8 @@
   readonly #failureNumbers: number[] = []
   /** Number of the first completion that was acknowledged. */
   #completionNumber = Infinity
+  /** Completions that still count though they may not be acknowledged, by {@link endKey}. */
+  readonly #standingCompletions = new Map<string, CompletionHolder>()
 
   get hasStarted (): boolean {
     return this.#lastStartNumber > 0
@@ -23,12 +28,30 @@
     this.#lastStartNumber = ++this.#eventCount
   }
 
-  recordEnd (key: string): void {
+  recordEnd (key: string, reason: RunEnd['reason']): void {
     this.#endNumbers.set(key, ++this.#eventCount)
+    if (reason === 'done') this.#standingCompletions.set(key, 'keeps its lease')
   }
 
   voidEnd (key: string): void {
     this.#endNumbers.delete(key)
+    this.#standingCompletions.delete(key)
+  }
+
+  /** An end whose worker is gone may still be acknowledged, but does not rule out another run until then. */
+  forgetEnd (key: string): void {
+    this.#standingCompletions.delete(key)
+  }
+
+  /** The worker of an end has left after others learnt of the end. */
+  leaveEnd (key: string): void {
+    if (this.#standingCompletions.has(key)) this.#standingCompletions.set(key, 'has left')
+  }
+
+  /** A completion that still counts, with what its worker does; undefined where there is none. */
+  get standingCompletion (): string | undefined {
+    const [standing] = this.#standingCompletions
+    return standing === undefined ? undefined : `${standing[0]} is done and its worker ${standing[1]}`
   }
 
   /** Returns whether the end counts; not where it is void or was acknowledged before. */
@@ -53,7 +76,8 @@
 
 /**
  * Collects violations: a task that runs twice at once, or that starts after its completion or after as many failures as
- * it has attempts, whether these ends are acknowledged before that start or after it.
+ * it has attempts, whether these ends are acknowledged before that start or after it. A task must not start either
+ * while the worker of an earlier run that has ended as done is alive and has kept its lease since, acknowledged or not.
  */
 export class RunHistory {
   readonly #maxAttempts: number
@@ -73,6 +97,9 @@
     task.runningWorkerId = workerId
     task.recordStart()
     if (task.hasStartedAfterCompletion) this.violations.push(`${taskKey} starts on ${workerId} after its completion was acknowledged`)
+    else if (task.standingCompletion !== undefined) {
+      this.violations.push(`${taskKey} starts on ${workerId} though ${task.standingCompletion}`)
+    }
     if (task.hasStartedAfterFailures(this.#maxAttempts)) {
       this.violations.push(`${taskKey} starts on ${workerId} after its last attempt has failed`)
     }
@@ -86,7 +113,17 @@
   /** Records the end of a run, which its worker reports until it is acknowledged. */
   recordRunEnded (end: ObservedEnd, workerId: string): void {
     this.recordNotRunning(end.taskKey, workerId)
-    this.#task(end.taskKey).recordEnd(endKey(end, workerId))
+    this.#task(end.taskKey).recordEnd(endKey(end, workerId), end.reason)
+  }
+
+  /** Records that the worker of an end has left after it listed the end, which counts on. */
+  recordEndLeftBehind (end: ObservedEnd, workerId: string): void {
+    this.#task(end.taskKey).leaveEnd(endKey(end, workerId))
+  }
+
+  /** Records that the worker of an end that was not acknowledged to it is gone. */
+  recordEndForgotten (end: ObservedEnd, workerId: string): void {
+    this.#task(end.taskKey).forgetEnd(endKey(end, workerId))
   }
 
   /** Records that the task no longer runs on the worker, which has crashed. */
