--- a/packages/batch/src/batch-state.ts
+++ b/packages/batch/src/batch-state.ts
@@ -155,8 +155,8 @@
   }
 
   /**
-   * Whether the acknowledgement of an end would contradict the state: its run was freed, and the task may have started
-   * since or can run again, though the run has completed it or used up an attempt.
+   * Whether the acknowledgement of an end would contradict the state: the run completed its task or used up an attempt,
+   * but was freed before, and a later run may have started since, or the attempt would not count.
    */
   isOverruled (worker: WorkerIncarnation, end: RunEnd): boolean {
     const run = { ...worker, taskKey: end.taskKey, run: end.run }
--- a/packages/batch/src/report-handler.ts
+++ b/packages/batch/src/report-handler.ts
@@ -197,8 +197,8 @@
 
   /**
    * The end of an active run counts whether or not the lease has held, since no other run of its task has started. That
-   * of a freed run has no effect, and so must be void before it is acknowledged. Later ends wait with it, since ends
-   * are acknowledged in order.
+   * of a freed run whose task was assigned again must be void before it is acknowledged. Later ends wait with it, since
+   * ends are acknowledged in order.
    */
   #recordableEnds (view: WorkerView): readonly RunEnd[] {
     const ends = this.#unrecordedEnds(view.latest)
@@ -284,8 +284,8 @@
 
   /**
    * Frees the runs of an incarnation; they continue elsewhere from the latest checkpoints that it reported. The same
-   * command has the ends that it listed, so that no listed end is lost: they may wait behind others, or for a second
-   * report, and a full log may refuse one command and accept the next one.
+   * command has the ends that it listed and that are not recorded, so that none is lost: they may wait behind one that
+   * is held back, and a full log may refuse one command and accept the next one.
    */
   #handleWorkerGone (
     { workerId, incarnation }: WorkerIncarnation, reason: GoneReason, view: WorkerView | undefined
