--- a/review/lib-2/case.mjs
+++ b/review/lib-2/case.mjs
@@ -105,12 +105,6 @@
     }
   }
 
-  /** Address of the leader, as the runners were last told it. */
-  leader () {
-    const url = this.runners.map(runner => runner.url).find(Boolean) ?? ''
-    return url.replace('http://', '')
-  }
-
   /**
    * Starts runners of 64 cores, 256 GB and 8 GPUs, which note what they start and how it ends. `durationMs` as of
    * `Runner`.
--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -16,7 +16,7 @@
 const RESTART_DELAY_MS = 300
 
 /** Bounds of the settings, as DEPLOY.md shows them. */
-export const BOUNDS = {
+const BOUNDS = {
   seedLagS: 3,
   reuseAfterS: 2,
   contactMs: 4000,
@@ -106,7 +106,7 @@
   get frontUrl () { return `http://${this.ip}:${FRONTEND_PORT}` }
 
   async start (settings) {
-    this.settings = settings ?? this.settings
+    this.settings = settings
     await writeFile(this.settingsPath, toYaml(this.settings))
     this.isWanted = true
     this.#spawn()
@@ -138,21 +138,16 @@
     })
   }
 
-  signal (name) { this.child?.kill(name) }
-
-  /** Ends the process for good, or until `start` is called again. */
-  async kill (signal = 'SIGKILL') {
+  /** Ends the process for good. */
+  async kill () {
     this.isWanted = false
     const child = this.child
     if (child === undefined) return
     await new Promise(resolve => {
       child.once('exit', resolve)
-      child.kill('SIGCONT')
-      child.kill(signal)
+      child.kill('SIGKILL')
     })
   }
-
-  async restart () { await this.start({ ...this.settings, bootstrap: false }) }
 }
 
 /** Starts control and front processes; `stop` ends all of them and removes their files. */
@@ -162,7 +157,7 @@
   }
 
   static async start ({
-    controlCount = 3, frontCount = 1, bounds = {}, settings = () => ({}), onEnd, log = () => {}
+    controlCount = 3, frontCount = 1, settings = () => ({}), onEnd, log = () => {}
   } = {}) {
     const prefix = await findPrefix()
     const folder = await mkdtemp(join(tmpdir(), 'review-'))
@@ -208,7 +203,7 @@
         heartbeatMs: 1500,
         contracts: ['base', 'drain', 'config', 'cost', 'recover', 'sched', 'tenants', 'advice', 'upkeep', 'sharing'],
         faultTolerance: { machines: 1, zones: 0, regionCount: 0 },
-        bounds: { ...BOUNDS, ...bounds },
+        bounds: BOUNDS,
         config_mode: 'highest',
         orders: 'heartbeat',
         ...settings(prefix)
--- a/review/lib-2/runner.mjs
+++ b/review/lib-2/runner.mjs
@@ -50,7 +50,7 @@
     this.fence = 0
     this.leaseEndMs = -Infinity
     this.url = undefined
-    this.heardMs = performance.now()
+    this.drainConfirmedMs = undefined
     const life = { born: this.born }
     this.life = life
     this.#loop(life)
@@ -123,6 +123,7 @@
   async #ping (life) {
     const sentMs = performance.now()
     const base = this.url ?? this.controls[this.next++ % this.controls.length]
+    const { state } = this
     const answer = await call('PUT', `${base}/api/instances/${this.id}`, { body: this.#report(), timeoutMs: ANSWER_TIMEOUT_MS })
     if (this.life !== life || !this.isUp) return 0
     const isAnswer = answer.status >= 200 && answer.status < 300 && answer.bytes <= MAX_ANSWER_BYTES &&
@@ -132,7 +133,7 @@
       this.url = undefined
       return AFTER_FAILURE_MS
     }
-    this.heardMs = performance.now()
+    if (state === 'draining') this.drainConfirmedMs ??= performance.now()
     this.#obey(answer.body ?? {}, sentMs)
     return answer.body?.retryMs ?? 500
   }
