--- a/packages/batch/src/leader.ts
+++ b/packages/batch/src/leader.ts
@@ -235,6 +235,7 @@
     for (const reclaim of decision.reclaims) this.#reclaim(reclaim)
     this.#assign(decision.assignments)
     const durationMs = this.#options.clock.monotonicMs() - nowMs
+    this.#options.metrics.timing('leader.pass', durationMs)
     this.#nextPassMs = nowMs + Math.max(this.#options.settings.passIntervalMs, durationMs * MIN_PASS_INTERVAL_FACTOR)
   }
 
--- a/packages/bench/src/batch-bench.ts
+++ b/packages/bench/src/batch-bench.ts
@@ -1,5 +1,6 @@
 /** Benchmark of the batch scheduler's decisions under normal load, peaks of urgent or large gangs, and overload. */
 import type { BatchSettings } from '@comfreygrade/batch'
+import { runBacklogBench } from './batch-backlog.js'
 import { drawJobs } from './batch-load.js'
 import { wasteCauses, type BatchSimulationResult } from './batch-measures.js'
 import { loadPatterns, type LoadPattern } from './batch-patterns.js'
@@ -61,7 +62,7 @@
       'core-s thrown away', ...wasteCauses
     ],
     rows
-  }]
+  }, ...loads.length === 0 ? runBacklogBench(quick) : []]
 }
 
 function toRow (
