Keep records of started tasks only, not of all tasks of a started occurrence

A task without a run has no record now, a done one is an index in a set of ranges, a done occurrence one number. The number of the latest run stays where it is not the first, since ends that are reported late depend on it; for a done occurrence as long as ended jobs are kept. Whether a job is done is a count and not a scan, which cost the square of its tasks.

--- a/packages/batch/src/batch-state.ts
+++ b/packages/batch/src/batch-state.ts
@@ -1,9 +1,6 @@
 /** The replicated state: jobs, run ends by worker, configuration, maintenance waves and evacuations. */
-import { parseTaskKey, taskKey, type StepSpec, type TaskId } from './jobs.js'
-import {
-  createJobRecord, createOccurrence, isJobDone, type ActiveRun, type JobRecord, type OccurrenceRecord,
-  type StepRecord, type TaskRecord
-} from './job-record.js'
+import { parseTaskKey, taskKey, type TaskId } from './jobs.js'
+import { createJobRecord, restoreJobRecord, snapshotJobRecord, type JobRecord, type JobSnapshot } from './job-record.js'
 import type {
   Assignment, BatchCommand, CommandResult, Departure, EndReason, MaintenanceWave, RecordedEnd, RunEnd,
   TaskCheckpoint,
@@ -15,6 +12,8 @@
 import { PresumedEnds } from './presumed-ends.js'
 import { QueueRegistry, type QueueRegistrySnapshot } from './queue-registry.js'
 import type { QueueConfiguration, QueueDirectory } from './queues.js'
+import type { StepRecord } from './step-record.js'
+import { TaskContext } from './task-context.js'
 import { WorkerRecords, type WorkerRecord } from './worker-records.js'
 
 type CommandOf<K extends BatchCommand['kind']> = Extract<BatchCommand, { kind: K }>
@@ -28,11 +27,11 @@
 }
 
 /**
- * The state in serialisable form. It shares its records with the state that it was taken from or is restored to, so it
- * is valid only until the next command is applied there.
+ * The state in serialisable form. It shares records with the state that it was taken from or is restored to, so it is
+ * valid only until the next command is applied there.
  */
 export interface BatchSnapshot extends QueueRegistrySnapshot {
-  readonly jobs: readonly JobRecord[]
+  readonly jobs: readonly JobSnapshot[]
   readonly workers: ReadonlyArray<readonly [string, WorkerRecord]>
   readonly waves: readonly WaveRecord[]
   /** Runs that are presumed to have ended; absent from snapshots of older versions. */
@@ -41,17 +40,12 @@
   readonly evacuations?: readonly EvacuationRecord[]
 }
 
-/** A task with its step and job. */
-export interface TaskContext {
-  readonly job: JobRecord
-  readonly stepSpec: StepSpec
-  readonly step: StepRecord
-  readonly task: TaskRecord
+/** Options of {@link BatchState}. */
+export interface BatchStateOptions {
+  /** Time for which ended jobs and occurrences are kept. */
+  readonly endedJobRetentionMs: number
 }
 
-/** Number of most recent failed workers kept per task, so that its next run avoids them. */
-const MAX_FAILED_WORKERS_PER_TASK = 4
-
 /**
  * Deterministic state machine: the same commands at the same log times give the same state on every replica, also on
  * one that was restored from a snapshot.
@@ -61,7 +55,7 @@
  * state.apply({ kind: 'cancel_job', jobId: '5c0e' }, 1_000) // { kind: 'unknown_job' }
  */
 export class BatchState {
-  readonly #options: { readonly endedJobRetentionMs: number }
+  readonly #options: BatchStateOptions
   #queues = new QueueRegistry({ document: null })
   #jobs: JobTable
   #workers = new WorkerRecords([])
@@ -72,13 +66,13 @@
   readonly #waves = new Map<string, WaveRecord>()
   #evacuations = new Evacuations([])
 
-  constructor (options: { readonly endedJobRetentionMs: number }) {
+  constructor (options: BatchStateOptions) {
     this.#options = options
     this.#jobs = new JobTable(options, [])
   }
 
   /** Restores the state from a snapshot, whose records it takes over. */
-  static restore (snapshot: BatchSnapshot, options: { readonly endedJobRetentionMs: number }): BatchState {
+  static restore (snapshot: BatchSnapshot, options: BatchStateOptions): BatchState {
     const state = new BatchState(options)
     state.#queues = new QueueRegistry(snapshot)
     state.#restoreJobs(snapshot.jobs)
@@ -89,7 +83,8 @@
     return state
   }
 
-  #restoreJobs (jobs: readonly JobRecord[]): void {
+  #restoreJobs (snapshots: readonly JobSnapshot[]): void {
+    const jobs = snapshots.map(restoreJobRecord)
     this.#jobs = new JobTable(this.#options, jobs)
     for (const { spec } of jobs) for (const run of this.activeRunsOf(spec.jobId)) this.#indexRun(run)
   }
@@ -98,7 +93,7 @@
   snapshot (): BatchSnapshot {
     return {
       ...this.#queues.snapshot(),
-      jobs: [...this.#jobs.all()],
+      jobs: Array.from(this.#jobs.all(), snapshotJobRecord),
       workers: this.#workers.entries(),
       waves: [...this.#waves.values()],
       presumedEnded: this.#presumedEnds.runs(),
@@ -141,12 +136,15 @@
 
   /** Runs of a job that may be on workers. */
   activeRunsOf (jobId: string): Assignment[] {
-    const { occurrences = [] } = this.#jobs.get(jobId) ?? {}
-    return occurrences.flatMap((occurrence, occurrenceIndex) => occurrence?.steps.flatMap((step, stepIndex) =>
-      step.tasks.flatMap((task, index) => {
-        const key = taskKey({ jobId, occurrence: occurrenceIndex, step: stepIndex, index })
-        return task.active.map(run => ({ ...run, taskKey: key }))
-      })) ?? [])
+    const runs: Assignment[] = []
+    for (const [occurrence, { steps }] of this.#jobs.get(jobId)?.occurrences.withRecords() ?? []) {
+      for (const [step, record] of steps.entries()) {
+        for (const [index, { active }] of record.startedTasks()) {
+          for (const run of active) runs.push({ ...run, taskKey: taskKey({ jobId, occurrence, step, index }) })
+        }
+      }
+    }
+    return runs
   }
 
   /** Whether a run may be on its worker: it was assigned, and neither has its end been recorded nor was it freed. */
@@ -224,11 +222,10 @@
     const id = parseTaskKey(key)
     const job = id === undefined ? undefined : this.#jobs.get(id.jobId)
     if (id === undefined || job === undefined) return undefined
-    const step = job.occurrences[id.occurrence]?.steps[id.step]
-    const task = step?.tasks[id.index]
+    const step = job.occurrences.at(id.occurrence)?.steps[id.step]
     const stepSpec = job.spec.steps[id.step]
-    if (step === undefined || task === undefined || stepSpec === undefined) return undefined
-    return { job, stepSpec, step, task }
+    if (step === undefined || stepSpec === undefined || id.index >= step.taskCount) return undefined
+    return new TaskContext({ job, stepSpec, step, id })
   }
 
   /** Applies a committed command. */
@@ -284,19 +281,15 @@
   #assignOne (assignment: Assignment, logTimeMs: number): void {
     const { run, workerId, incarnation } = assignment
     const id = parseTaskKey(assignment.taskKey)
-    const task = id === undefined ? undefined : this.#findOrCreateTask(id)
-    if (task === undefined || task.isDone || run <= task.lastRun) return
+    const step = id === undefined ? undefined : this.#startedStep(id)
+    if (id === undefined || step?.addRun(id.index, { run, workerId, incarnation }) === undefined) return
     this.#useWorker({ workerId, incarnation }, logTimeMs)
-    task.lastRun = run
-    task.active.push({ run, workerId, incarnation })
     this.#indexRun(assignment)
   }
 
-  #findOrCreateTask (id: TaskId): TaskRecord | undefined {
-    const job = this.#jobs.getOpen(id.jobId)
-    if (job === undefined || id.occurrence >= job.occurrences.length) return undefined
-    const occurrence: OccurrenceRecord = job.occurrences[id.occurrence] ??= createOccurrence(job.spec)
-    return occurrence.steps[id.step]?.tasks[id.index]
+  /** The step of a task of an open job, whose occurrence counts as started from now on. */
+  #startedStep ({ jobId, occurrence, step }: TaskId): StepRecord | undefined {
+    return this.#jobs.getOpen(jobId)?.occurrences.start(occurrence)?.steps[step]
   }
 
   /** A run may have been freed and its task assigned again since the command was proposed: its end is left out then. */
@@ -322,11 +315,11 @@
     this.#workers.removeCounted(worker, taskRunKey(run))
     const context = this.findTask(end.taskKey)
     if (context === undefined) return
-    const { job, stepSpec, step, task } = context
+    const { job } = context
     if (!this.#removeRun(run)) return this.#recordFreedRunEnd(run, end.reason, context, logTimeMs, countsFreedRuns)
     if (job.state !== 'open') return
     job.hasStarted = true
-    this.#saveCheckpoint(stepSpec, step, task, end.checkpoint)
+    this.#saveCheckpoint(context, end.checkpoint)
     if (end.reason === 'done') this.#taskDone(context, logTimeMs)
     if (end.reason === 'failed') this.#taskFailed(context, end.run, worker.workerId, logTimeMs)
   }
@@ -341,26 +334,30 @@
     if (reason === 'done' && countsFreedRuns && !mayHaveStartedSince(context, run.run)) this.#taskDone(context, logTimeMs)
   }
 
-  #taskDone ({ job, stepSpec, step, task }: TaskContext, logTimeMs: number): void {
+  #taskDone ({ job, stepSpec, step, id }: TaskContext, logTimeMs: number): void {
     if (stepSpec.isLasting) return
-    for (const member of stepSpec.isGang ? step.tasks : [task]) member.isDone = true
-    if (isJobDone(job)) this.#jobs.end(job, 'completed', logTimeMs)
+    if (stepSpec.isGang) step.completeAll()
+    else step.complete(id.index)
+    job.occurrences.settle(id.occurrence, { logTimeMs, retentionMs: this.#options.endedJobRetentionMs })
+    if (job.occurrences.isDone) this.#jobs.end(job, 'completed', logTimeMs)
   }
 
-  #taskFailed ({ job, stepSpec, step, task }: TaskContext, run: number, workerId: string, logTimeMs: number): void {
-    task.failedOn = [...task.failedOn, workerId].slice(-MAX_FAILED_WORKERS_PER_TASK)
+  #taskFailed (context: TaskContext, run: number, workerId: string, logTimeMs: number): void {
+    const { job, stepSpec, step, id } = context
+    step.addFailedWorker(id.index, workerId)
     if (stepSpec.isLasting) return
     if (stepSpec.isGang && run <= step.lastFailedRun) return
     step.lastFailedRun = Math.max(step.lastFailedRun, run)
-    for (const member of stepSpec.isGang ? step.tasks : [task]) member.failures++
+    for (const index of context.memberIndexes()) step.addFailure(index)
     const maxAttempts = this.queueOf(job)?.maxAttempts ?? Infinity
+    const { task } = context
     if (task.failures >= maxAttempts && !task.isDone) this.#jobs.end(job, 'failed', logTimeMs)
   }
 
   /** A checkpoint of any gang member applies to all members, which must start from the same one. */
-  #saveCheckpoint (stepSpec: StepSpec, step: StepRecord, task: TaskRecord, checkpoint: string): void {
+  #saveCheckpoint (context: TaskContext, checkpoint: string): void {
     if (checkpoint === '') return
-    for (const member of stepSpec.isGang ? step.tasks : [task]) member.checkpoint = checkpoint
+    for (const index of context.memberIndexes()) context.step.saveCheckpoint(index, checkpoint)
   }
 
   #release ({ runs }: CommandOf<'release'>): CommandResult {
@@ -389,7 +386,7 @@
 
   #restoreCheckpoint ({ taskKey, checkpoint }: TaskCheckpoint): void {
     const context = this.findTask(taskKey)
-    if (context !== undefined) this.#saveCheckpoint(context.stepSpec, context.step, context.task, checkpoint)
+    if (context !== undefined) this.#saveCheckpoint(context, checkpoint)
   }
 
   #startWave ({ wave, startedWallMs }: CommandOf<'start_wave'>): CommandResult {
@@ -437,23 +434,18 @@
     const runs = this.#runsByWorker.get(assignment.workerId)
     if (runs === undefined || !runs.delete(assignmentKey(assignment))) return false
     if (runs.size === 0) this.#runsByWorker.delete(assignment.workerId)
-    const task = this.findTask(assignment.taskKey)?.task
-    if (task !== undefined) task.active = task.active.filter(active => !isSameRun(active, assignment))
-    if (task === undefined || task.active.length === 0) this.#activeTasks.delete(assignment.taskKey)
+    const context = this.findTask(assignment.taskKey)
+    context?.step.removeRun(context.id.index, assignment)
+    if (context === undefined || context.task.active.length === 0) this.#activeTasks.delete(assignment.taskKey)
     return true
   }
 }
 
 /** Whether a later run of a task was assigned; for a member of a gang, of any member. */
 function mayHaveStartedSince ({ stepSpec, step, task }: TaskContext, run: number): boolean {
-  return (stepSpec.isGang ? step.tasks : [task]).some(member => member.lastRun > run)
+  return (stepSpec.isGang ? step.highestRun : task.lastRun) > run
 }
 
 function canStartAgain ({ job, task }: TaskContext): boolean {
   return job.state === 'open' && !task.isDone
 }
-
-function isSameRun (active: ActiveRun, assignment: Assignment): boolean {
-  return active.run === assignment.run && active.workerId === assignment.workerId &&
-    active.incarnation === assignment.incarnation
-}
--- a/packages/batch/src/broken-gangs.ts
+++ b/packages/batch/src/broken-gangs.ts
@@ -1,5 +1,6 @@
 /** Gangs that have lost a member whose worker has not reported its end. */
-import type { BatchState, TaskContext } from './batch-state.js'
+import type { BatchState } from './batch-state.js'
+import type { TaskContext } from './task-context.js'
 import { gangRunKey } from './run-keys.js'
 import type { Assignment } from './commands.js'
 import { jobIdOf, stepKeyOf } from './jobs.js'
@@ -50,9 +51,7 @@
 }
 
 function activeMembers ({ step }: TaskContext, stepKey: string, run: number): Assignment[] {
-  return step.tasks.flatMap((task, index) => task.active
-    .filter(active => active.run === run)
-    .map(active => ({ ...active, taskKey: `${stepKey}.${index}` })))
+  return step.activeMembers(run).map(({ index, active }) => ({ ...active, taskKey: `${stepKey}.${index}` }))
 }
 
 function areOnOneWorker ([first, ...others]: readonly Assignment[]): boolean {
--- a/packages/batch/src/disruption-budget.ts
+++ b/packages/batch/src/disruption-budget.ts
@@ -2,7 +2,8 @@
  * Limits how many tasks of a lasting step the leader makes unavailable at once for maintenance. Other stops are not
  * limited: evictions from leaving workers, and stops of runs without a valid ticket.
  */
-import type { BatchState, TaskContext } from './batch-state.js'
+import type { BatchState } from './batch-state.js'
+import type { TaskContext } from './task-context.js'
 import type { Assignment } from './commands.js'
 import { stepKeyOf } from './jobs.js'
 import { FULL_PROGRESS_PERCENT } from './worker-messages.js'
@@ -61,12 +62,13 @@
   }
 
   #allows (stepKey: string, { context: { step, stepSpec }, taskKeys }: StepStop): boolean {
-    const unavailable = step.tasks.filter((task, index) => {
+    let availableCount = 0
+    for (const [index, { active }] of step.startedTasks()) {
       const taskKey = `${stepKey}.${index}`
-      const isAvailable = task.active.some(active => this.#availability({ ...active, taskKey }) === 'available')
-      return taskKeys.has(taskKey) || !isAvailable
-    })
-    return unavailable.length <= (stepSpec.maxUnavailable ?? Infinity)
+      if (taskKeys.has(taskKey)) continue
+      if (active.some(run => this.#availability({ ...run, taskKey }) === 'available')) availableCount++
+    }
+    return step.taskCount - availableCount <= (stepSpec.maxUnavailable ?? Infinity)
   }
 
   /** The task of a worker that does not report any more may have ended, or go on. */
--- a/packages/batch/src/job-record.ts
+++ b/packages/batch/src/job-record.ts
@@ -1,37 +1,10 @@
-/** Replicated records of jobs, steps and tasks. */
-import { occurrenceCount, type JobSpec, type JobState, type StepSpec } from './jobs.js'
-import type { WorkerIncarnation } from './commands.js'
+/** Replicated records of jobs. */
+import type { JobSpec, JobState } from './jobs.js'
+import { restoreFullRecords, type FullOccurrence } from './full-records.js'
+import { OccurrenceTable, type OccurrencesSnapshot } from './occurrence-table.js'
 
-/** A run that may still be on its worker. */
-export interface ActiveRun extends WorkerIncarnation {
-  readonly run: number
-}
-
-/** One task of an occurrence. */
-export interface TaskRecord {
-  lastRun: number
-  failures: number
-  isDone: boolean
-  checkpoint: string
-  /** Workers on which the task failed, newest last. */
-  failedOn: string[]
-  active: ActiveRun[]
-}
-
-/** One step of an occurrence. */
-export interface StepRecord {
-  tasks: TaskRecord[]
-  /** Latest failed run of a gang, so that failures of several members in one run count once. */
-  lastFailedRun: number
-}
-
-/** One occurrence of a job's schedule; a job without a schedule has one. */
-export interface OccurrenceRecord {
-  steps: StepRecord[]
-}
-
-/** An accepted job. */
-export interface JobRecord {
+/** What a job was accepted with, and its state. */
+interface JobFields {
   readonly spec: JobSpec
   readonly queueAddress: string
   /** Service of the queue in the latest configuration that contained the queue. */
@@ -46,39 +19,50 @@
    * the leader alone (`WorkerRegistry.hasStarted`).
    */
   hasStarted: boolean
-  /** An occurrence is null until a run of it is assigned. */
-  occurrences: Array<OccurrenceRecord | null>
+}
+
+/** An accepted job. */
+export interface JobRecord extends JobFields {
+  /** Without its payload once the job has ended. */
+  spec: JobSpec
+  readonly occurrences: OccurrenceTable
+}
+
+/** A job in serialisable form. */
+export interface JobSnapshot extends JobFields {
+  /** Absent from snapshots of older versions, which have `occurrences`. */
+  readonly progress?: OccurrencesSnapshot
+  /** Only in snapshots of older versions: null for an occurrence of which no run was assigned. */
+  readonly occurrences?: ReadonlyArray<FullOccurrence | null>
 }
 
 /** Creates the record of an accepted job. */
 export function createJobRecord (
   fields: Pick<JobRecord, 'spec' | 'queueAddress' | 'service' | 'organisation' | 'acceptedWallMs'>
 ): JobRecord {
-  const occurrences = Array.from({ length: occurrenceCount(fields.spec) }, () => null)
+  const occurrences = new OccurrenceTable(fields.spec)
   return { ...fields, endedLogMs: 0, state: 'open', hasStarted: false, occurrences }
 }
 
-/** Creates the record of an occurrence without any run. */
-export function createOccurrence (spec: JobSpec): OccurrenceRecord {
-  return { steps: spec.steps.map(createStep) }
-}
-
-function createStep (step: StepSpec): StepRecord {
-  return { tasks: Array.from({ length: step.taskCount }, createTask), lastFailedRun: 0 }
-}
-
-function createTask (): TaskRecord {
-  return { lastRun: 0, failures: 0, isDone: false, checkpoint: '', failedOn: [], active: [] }
+/** Restores a record, also from the snapshot of an older version, which had a record of every task. */
+export function restoreJobRecord (
+  { progress, occurrences: fullOccurrences, ...fields }: JobSnapshot
+): JobRecord {
+  const snapshot = progress ?? restoreFullRecords(fullOccurrences ?? [], fields.endedLogMs)
+  const occurrences = new OccurrenceTable(fields.spec, snapshot)
+  const job = { ...fields, occurrences }
+  if (job.state !== 'open') settleEndedJob(job)
+  return job
 }
 
-/** Whether all tasks of a step are done. */
-export function isStepDone (step: StepRecord): boolean {
-  return step.tasks.every(task => task.isDone)
+export function snapshotJobRecord ({ occurrences, ...fields }: JobRecord): JobSnapshot {
+  return { ...fields, progress: occurrences.toSnapshot() }
 }
 
-/** Whether every task of every occurrence is done. */
-export function isJobDone (job: JobRecord): boolean {
-  return job.occurrences.every(occurrence => occurrence?.steps.every(isStepDone) ?? false)
+/** Drops what an ended job does not need any more: no run of it starts, so the payload is not sent again. */
+export function settleEndedJob (job: JobRecord): void {
+  job.spec = { ...job.spec, payload: '' }
+  job.occurrences.endJob()
 }
 
 /**
--- a/packages/batch/src/job-table.ts
+++ b/packages/batch/src/job-table.ts
@@ -1,5 +1,5 @@
 /** Replicated jobs: the open ones, and those that have ended within the retention. */
-import type { JobRecord } from './job-record.js'
+import { settleEndedJob, type JobRecord } from './job-record.js'
 
 /**
  * Jobs by ID, and in the order of their end.
@@ -55,6 +55,7 @@
     job.endedLogMs = logTimeMs
     this.#openJobs.delete(job.spec.jobId)
     this.#endedJobs.push(job)
+    settleEndedJob(job)
   }
 
   /** Removes jobs that ended longer ago than the retention. */
--- a/packages/batch/src/order-planner.ts
+++ b/packages/batch/src/order-planner.ts
@@ -1,7 +1,8 @@
 /** Orders for workers, which are sent in the answers to their heartbeats. */
 import type { Clock, EventLog } from '@comfreygrade/core'
 import type { TicketCache } from './advice-tickets.js'
-import type { BatchState, TaskContext } from './batch-state.js'
+import type { BatchState } from './batch-state.js'
+import type { TaskContext } from './task-context.js'
 import { assignmentKey, taskRunKey } from './run-keys.js'
 import type { Assignment } from './commands.js'
 import type { GangAssembly } from './gang-assembly.js'
@@ -69,9 +70,8 @@
     const context = this.#options.state.findTask(assignment.taskKey)
     if (context === undefined || !context.stepSpec.isGang) return [assignment]
     const prefix = stepKeyOf(assignment.taskKey)
-    return context.step.tasks.flatMap((task, index) => task.active
-      .filter(active => active.run === assignment.run)
-      .map(active => ({ ...active, taskKey: `${prefix}.${index}` })))
+    return context.step.activeMembers(assignment.run)
+      .map(({ index, active }) => ({ ...active, taskKey: `${prefix}.${index}` }))
   }
 
   /** Runs to start that the worker certainly does not have, and that must not start there. */
@@ -259,7 +259,7 @@
 /** Whether a run should continue. A gang that has lost a member cannot, and its other members must not wait for it. */
 function shouldRun ({ job, stepSpec, step, task }: TaskContext, run: number): boolean {
   if (job.state !== 'open' || task.isDone) return false
-  return !stepSpec.isGang || step.tasks.every(member => member.active.some(active => active.run === run))
+  return !stepSpec.isGang || step.isGangActive(run)
 }
 
 function isReported (view: WorkerView, { taskKey, run }: Assignment): boolean {
--- a/packages/batch/src/run-samples.ts
+++ b/packages/batch/src/run-samples.ts
@@ -1,6 +1,7 @@
 /** Collects what the ends of runs say about run times. */
 import type { Metrics } from '@comfreygrade/core'
-import type { BatchState, TaskContext } from './batch-state.js'
+import type { BatchState } from './batch-state.js'
+import type { TaskContext } from './task-context.js'
 import type { Assignment, EndReason, RunEnd } from './commands.js'
 import { jobIdOf } from './jobs.js'
 import { gangRunKey, taskRunKey } from './run-keys.js'
--- a/packages/batch/src/run-time-predictor.ts
+++ b/packages/batch/src/run-time-predictor.ts
@@ -1,5 +1,5 @@
 /** Expected run times of tasks, from the callers' estimates and from runs that have ended. */
-import type { TaskContext } from './batch-state.js'
+import type { TaskContext } from './task-context.js'
 import type { JobRecord } from './job-record.js'
 
 /** How long a task of a step is expected to run on a worker of typical speed. */
--- a/packages/batch/src/waiting-steps.ts
+++ b/packages/batch/src/waiting-steps.ts
@@ -2,8 +2,10 @@
 import type { Clock } from '@comfreygrade/core'
 import type { BatchSettings } from './settings.js'
 import type { BatchState } from './batch-state.js'
-import { isStepDone, createOccurrence, type JobRecord, type OccurrenceRecord } from './job-record.js'
+import type { JobRecord } from './job-record.js'
 import { occurrenceDueMs, type StepSpec } from './jobs.js'
+import type { OccurrenceRecord } from './occurrence-table.js'
+import { StepRecord } from './step-record.js'
 import { criticalPathMs, remainingPathMs, type StepRunMs } from './critical-path.js'
 import { GuaranteeCoverage } from './guarantee-coverage.js'
 import type { BatchPolicies } from './policies.js'
@@ -72,11 +74,12 @@
   for (const job of state.openJobs()) {
     const queue = state.queueOf(job)
     const isGuaranteed = guarantees.covers(job)
-    job.occurrences.forEach((record, occurrence) => {
-      if (occurrenceDueMs(job.spec, occurrence) > latestDueMs) return
-      const known = record ?? createOccurrence(job.spec)
-      collectSteps({ nowWallMs, job, occurrence, record: known, queue, isGuaranteed, policies }, waiting)
-    })
+    for (let occurrence = 0; occurrence < job.occurrences.count; occurrence++) {
+      if (occurrenceDueMs(job.spec, occurrence) > latestDueMs) continue
+      const record = job.occurrences.at(occurrence) ??
+        { steps: job.spec.steps.map(step => new StepRecord(step.taskCount)) }
+      collectSteps({ nowWallMs, job, occurrence, record, queue, isGuaranteed, policies }, waiting)
+    }
   }
   return waiting
 }
@@ -96,22 +99,22 @@
   const stepRunMs: StepRunMs = index => policies.runTimes.predict(job, index).objectiveMs
   job.spec.steps.forEach((spec, stepIndex) => {
     const step = record.steps[stepIndex]
-    if (step === undefined || isStepDone(step)) return
-    if (!spec.dependsOn.every(index => isStepDoneAt(record, index))) return
-    const taskIndexes = listWaitingTasks(record, stepIndex, spec)
+    if (step === undefined || step.isDone) return
+    if (!spec.dependsOn.every(index => record.steps[index]?.isDone === true)) return
+    const taskIndexes = listWaitingTasks(step, spec)
     if (taskIndexes.length === 0) return
     const waitingSinceWallMs = Math.max(job.acceptedWallMs, occurrenceDueMs(job.spec, occurrence))
     const jobCriticalPathMs = criticalPathMs(job.spec, stepRunMs)
     const estimateScaledObjectiveMs = jobCriticalPathMs * (queue?.slackFactor ?? DEFAULT_SLACK_FACTOR)
-    const gangRun = Math.max(0, ...step.tasks.map(task => task.lastRun)) + 1
+    const gangRun = step.highestRun + 1
     waiting.push({
       job,
       occurrence,
       stepIndex,
       spec,
       taskIndexes,
-      nextRunOf: index => spec.isGang ? gangRun : (step.tasks[index]?.lastRun ?? 0) + 1,
-      failedOn: index => step.tasks[index]?.failedOn ?? [],
+      nextRunOf: index => spec.isGang ? gangRun : (step.task(index)?.lastRun ?? 0) + 1,
+      failedOn: index => step.task(index)?.failedOn ?? [],
       priority: queue?.priority ?? MISSING_QUEUE_PRIORITY,
       waitingSinceWallMs,
       waitedMs: nowWallMs - waitingSinceWallMs,
@@ -126,14 +129,8 @@
   })
 }
 
-function isStepDoneAt (record: OccurrenceRecord, index: number): boolean {
-  const step = record.steps[index]
-  return step !== undefined && isStepDone(step)
-}
-
 /** A gang starts again only once no member has an active run. */
-function listWaitingTasks (record: OccurrenceRecord, stepIndex: number, spec: StepSpec): number[] {
-  const tasks = record.steps[stepIndex]?.tasks ?? []
-  if (spec.isGang && tasks.some(task => task.active.length > 0 || task.isDone)) return []
-  return tasks.flatMap((task, index) => task.isDone || task.active.length > 0 ? [] : [index])
+function listWaitingTasks (step: StepRecord, spec: StepSpec): number[] {
+  const indexes = step.waitingIndexes(Infinity)
+  return spec.isGang && indexes.length < step.taskCount ? [] : indexes
 }
--- a/packages/batch/src/zone-moves.ts
+++ b/packages/batch/src/zone-moves.ts
@@ -5,7 +5,8 @@
  * Failure: a zone that is lost while runs are in it which could go on elsewhere from a checkpoint.
  */
 import type { Clock, Metrics } from '@comfreygrade/core'
-import type { BatchState, TaskContext } from './batch-state.js'
+import type { BatchState } from './batch-state.js'
+import type { TaskContext } from './task-context.js'
 import type { Assignment } from './commands.js'
 import { compareValues } from './compare-values.js'
 import type { Eviction } from './evictions.js'
