Let a pass take memory and time for the steps that it considers, not for all that wait

Each pass created the records of every due occurrence and an index of each waiting task.

A pass now draws steps from a queue that holds, of the occurrences of a job that have not started, the first one of each class of the scheduling order; the next one follows once it was considered. Tasks are listed only for a step that is considered, as many as the pass may still place. A pass places 1,000 tasks at most, since its time and its command grew without a bound as well. No task starts for the first time while the setting maxStartedTasks is reached, since tasks that start and are stopped again keep a record each.

The lead that an earlier occurrence always goes first does not hold: one that is late comes after one that can still meet its objective, so the queue has a head for each of the three classes.

--- a/packages/batch/src/admission-policy.ts
+++ b/packages/batch/src/admission-policy.ts
@@ -3,7 +3,7 @@
 import type { JobSpec } from './jobs.js'
 import type { QueueConfiguration } from './queues.js'
 import type { PassDecision } from './scheduler.js'
-import type { WaitingStep } from './waiting-steps.js'
+import type { QueuedStep } from './waiting-steps.js'
 import type { WorkerView } from './worker-view.js'
 
 /** A job that is about to be accepted. */
@@ -28,8 +28,8 @@
   /** The reason for which the job is refused; undefined where it is accepted. */
   abstract refusalOf (request: AdmissionRequest): Failure | undefined
 
-  /** Takes the result of a scheduling pass, and the steps that waited before it. */
-  abstract recordPass (steps: readonly WaitingStep[], decision: PassDecision, nowMs: number): void
+  /** Takes the result of a scheduling pass; `listWork` lists the steps that waited before it, and is costly. */
+  abstract recordPass (listWork: () => readonly QueuedStep[], decision: PassDecision, nowMs: number): void
 }
 
 /** Accepts every job. */
--- a/packages/batch/src/backlog-admission.ts
+++ b/packages/batch/src/backlog-admission.ts
@@ -13,7 +13,7 @@
 import type { PassDecision } from './scheduler.js'
 import { USEFUL_OBJECTIVE_FACTOR } from './scheduling-order.js'
 import { ShapeAdmission, type ShapeAdmissionOptions } from './shape-admission.js'
-import type { WaitingStep } from './waiting-steps.js'
+import type { QueuedStep } from './waiting-steps.js'
 import type { WorkerCapacity } from './worker-capacity.js'
 
 /** Options of {@link BacklogAdmission}. */
@@ -25,7 +25,7 @@
 interface LoadedPass {
   readonly atMs: number
   readonly atWallMs: number
-  readonly steps: readonly WaitingStep[]
+  readonly listWork: () => readonly QueuedStep[]
   readonly workers: readonly WorkerCapacity[]
 }
 
@@ -65,10 +65,10 @@
     this.#options = options
   }
 
-  override recordPass (steps: readonly WaitingStep[], decision: PassDecision, nowMs: number): void {
+  override recordPass (listWork: () => readonly QueuedStep[], decision: PassDecision, nowMs: number): void {
     const isLoaded = decision.isFleetKnown && decision.waits.length > 0
     const atWallMs = this.#options.clock.wallMs()
-    this.#pass = isLoaded ? { atMs: nowMs, atWallMs, steps, workers: decision.workers } : undefined
+    this.#pass = isLoaded ? { atMs: nowMs, atWallMs, listWork, workers: decision.workers } : undefined
     this.#logEndsOfRefusals(nowMs)
   }
 
@@ -99,11 +99,11 @@
    * that could be preempted for it.
    */
   #backlogAheadOf (
-    { service, priority }: QueueConfiguration, organisation: string, { atWallMs, steps, workers }: LoadedPass
+    { service, priority }: QueueConfiguration, organisation: string, { atWallMs, listWork, workers }: LoadedPass
   ): Backlog {
     const runs = workers.filter(worker => worker.view.latest.service === service).flatMap(worker => worker.runs)
     const unpreemptable = priority === 0 ? runs.filter(run => run.priority === 0) : runs
-    const ahead = steps.filter(({ job, isGuaranteed, isOverShare }) => job.service === service &&
+    const ahead = listWork().filter(({ job, isGuaranteed, isOverShare }) => job.service === service &&
       (job.organisation === organisation || isGuaranteed || !isOverShare))
     return {
       atWallMs,
@@ -171,9 +171,9 @@
   }
 }
 
-function toBacklogStep (step: WaitingStep): BacklogStep {
+function toBacklogStep (step: QueuedStep): BacklogStep {
   const { priority, objectiveWallMs, waitingSinceWallMs, remainingCriticalPathMs, isGuaranteed, spec } = step
-  const run = toBacklogRun(spec, step.taskIndexes.length, step.runTime.typicalMs)
+  const run = toBacklogRun(spec, step.waitingTaskCount, step.runTime.typicalMs)
   return { ...run, priority, objectiveWallMs, waitingSinceWallMs, remainingCriticalPathMs, isGuaranteed, spec }
 }
 
--- a/packages/batch/src/index-set.ts
+++ b/packages/batch/src/index-set.ts
@@ -1,4 +1,5 @@
 /** Sets of indexes that are mostly contiguous. */
+import { lowestIndex } from './binary-search.js'
 
 /**
  * A set of non-negative integers, kept as ranges: it takes memory for each gap, not for each index.
@@ -57,13 +58,6 @@
 
   /** Number of bounds that are not above an index; it is odd where a range contains the index. */
   #boundsUpTo (index: number): number {
-    let low = 0
-    let high = this.#bounds.length
-    while (low < high) {
-      const middle = (low + high) >> 1
-      if ((this.#bounds[middle] as number) <= index) low = middle + 1
-      else high = middle
-    }
-    return low
+    return lowestIndex(this.#bounds.length, at => (this.#bounds[at] as number) > index)
   }
 }
--- a/packages/batch/src/jobs.ts
+++ b/packages/batch/src/jobs.ts
@@ -1,5 +1,6 @@
 /** Jobs as callers submit them: steps of identical tasks, with dependencies between steps. */
 import { fail, succeed, type Result } from '@comfreygrade/core'
+import { lowestIndex } from './binary-search.js'
 
 /** Resources of one task, or of a worker. */
 export interface TaskShape {
@@ -144,7 +145,9 @@
   if (occurrences > MAX_OCCURRENCES) return `the job has ${occurrences} occurrences, the limit is ${MAX_OCCURRENCES}`
   const estimateMs = Math.max(...steps.map(step => step.estimateMs))
   if (!(estimateMs <= MAX_ESTIMATE_MS)) return `a step has an estimate of ${estimateMs} ms, the limit is ${MAX_ESTIMATE_MS}`
-  return schedule === undefined || isWithinDates(schedule) ? undefined : 'the schedule reaches beyond the dates'
+  if (schedule === undefined) return undefined
+  if (schedule.intervalMs < 0) return `the schedule has an interval of ${schedule.intervalMs} ms`
+  return isWithinDates(schedule) ? undefined : 'the schedule reaches beyond the dates'
 }
 
 function isWithinDates ({ firstDueMs, intervalMs, occurrences }: JobSchedule): boolean {
@@ -235,3 +238,13 @@
   const { schedule } = spec
   return schedule === undefined ? 0 : schedule.firstDueMs + occurrence * schedule.intervalMs
 }
+
+/**
+ * Number of occurrences that are due by a time; these are the first ones, since intervals are not negative.
+ *
+ * @example
+ * countDue({ ...spec, schedule: { firstDueMs: 0, intervalMs: 1_000, occurrences: 5 } }, 2_500) // 3
+ */
+export function countDue (spec: JobSpec, latestDueMs: number): number {
+  return lowestIndex(occurrenceCount(spec), occurrence => occurrenceDueMs(spec, occurrence) > latestDueMs)
+}
--- a/packages/batch/src/leader.ts
+++ b/packages/batch/src/leader.ts
@@ -236,6 +236,7 @@
     this.#assign(decision.assignments)
     const durationMs = this.#options.clock.monotonicMs() - nowMs
     this.#options.metrics.timing('leader.pass', durationMs)
+    this.#options.metrics.gauge('leader.started_tasks', decision.startedTaskCount)
     this.#nextPassMs = nowMs + Math.max(this.#options.settings.passIntervalMs, durationMs * MIN_PASS_INTERVAL_FACTOR)
   }
 
--- a/packages/batch/src/scheduler.ts
+++ b/packages/batch/src/scheduler.ts
@@ -23,7 +23,8 @@
 import { RackExpectations } from './rack-expectations.js'
 import { LazyReservation, reserve, reserveAgain, type Reservation } from './reservation.js'
 import type { BatchSettings } from './settings.js'
-import { listWaitingSteps, type WaitingStep } from './waiting-steps.js'
+import { WaitingQueue, type QueueEntry } from './waiting-queue.js'
+import { isStepWaiting, withTasks, type QueuedStep, type WaitingStep } from './waiting-steps.js'
 import type { UnschedulableReason } from './worker-registry.js'
 import type { WorkerView } from './worker-view.js'
 
@@ -50,9 +51,11 @@
 /**
  * Why tasks of a step were not placed: the step needs tickets, no worker could ever hold a task, no such worker is in a
  * region that the step may run in, all racks that could hold the gang or that have the data are in use, runs are being
- * stopped for it, capacity is reserved for it, or it has to wait for any capacity.
+ * stopped for it, capacity is reserved for it, it has to wait for any capacity, or so many tasks have started and are
+ * not done that the state takes no further ones.
  */
-export type WaitReason = 'ticket' | 'no_worker' | 'region' | 'rack' | 'data_rack' | 'reclaim' | 'reservation' | 'capacity'
+export type WaitReason =
+  | 'ticket' | 'no_worker' | 'region' | 'rack' | 'data_rack' | 'reclaim' | 'reservation' | 'capacity' | 'state_limit'
 
 /** A step with tasks that were not placed in a pass. */
 export interface StepWait {
@@ -78,6 +81,8 @@
   readonly waits: readonly StepWait[]
   /** Number of workers that could not get new runs, by reason; empty where no step waited. */
   readonly unschedulableWorkers: ReadonlyMap<UnschedulableReason, number>
+  /** Number of tasks of open jobs that had started before the pass and were not done. */
+  readonly startedTaskCount: number
 }
 
 /** Working state of a pass. */
@@ -94,8 +99,18 @@
   reservationCount: number
   /** Number of steps that were tried and did not fit completely. */
   unplacedStepCount: number
+  /** Number of steps that waited for tickets. */
+  ticketWaitCount: number
+  /** Number of tasks that have not started before and may start in this pass. */
+  newTaskRoom: number
 }
 
+/**
+ * What became of a step in a pass. Of a job's further occurrences, the next one is considered only where it may fare
+ * otherwise: not where no worker or no capacity for such a task is known (`excluded`).
+ */
+type StepOutcome = 'placed' | 'tried' | 'ticket' | 'excluded'
+
 type UnplacedReason = Pick<StepWait, 'reason' | 'expectedStartMs'>
 
 /**
@@ -103,6 +118,13 @@
  * short with a long queue. The latter go on in the next pass where those of this one end.
  */
 const MAX_UNPLACED_STEPS_PER_PASS = 64
+/**
+ * Most tasks that a pass places before it ends, unless the last step is a gang; the next pass follows at once. It
+ * bounds the time of a pass and the size of the command that records it.
+ */
+const MAX_ASSIGNMENTS_PER_PASS = 1_000
+/** Most steps without a ticket in a pass after which further occurrences of their jobs are considered. */
+const MAX_TICKET_WAITS_PER_PASS = 256
 /** Most steps of a pass whose reason to wait is reported, for the log. */
 const MAX_REPORTED_WAITS = 64
 /**
@@ -144,10 +166,11 @@
     const nowWallMs = this.#clock.wallMs()
     this.#reservations = []
     this.#removeExpiredClaims()
-    const listed = listWaitingSteps(state, this.#clock, this.#settings, this.#policies)
+    const queue = this.#createQueue(state)
     const unschedulableWorkers = new Map<UnschedulableReason, number>()
-    const workers = listed.length === 0 ? [] : this.#listSchedulable(state, fleet, unschedulableWorkers)
-    const steps = this.#withShares(listed, workers)
+    const workers = queue.isEmpty ? [] : this.#listSchedulable(state, fleet, unschedulableWorkers)
+    this.#updateShares(queue, workers)
+    queue.sort((left, right) => this.#compare(left, right, nowWallMs))
     const isFleetKnown = this.#clock.monotonicMs() - this.#termStartedAtMs >= this.#settings.fleetDiscoveryMs
     const pass: Pass = {
       workers,
@@ -161,19 +184,25 @@
       waits: [],
       unschedulableWorkers,
       failed: new FailedPlacements(),
+      startedTaskCount: queue.startedTaskCount,
       reservationCount: 0,
-      unplacedStepCount: 0
+      unplacedStepCount: 0,
+      ticketWaitCount: 0,
+      newTaskRoom: this.#settings.maxStartedTasks - queue.startedTaskCount
     }
-    const waitingKeys = new Set(steps.map(waitingStepKey))
-    this.#rackExpectations.retain(key => waitingKeys.has(key))
-    steps.sort((left, right) => this.#compare(left, right, nowWallMs))
-    const remaining = this.#placeSteps(steps, MAX_UNPLACED_STEPS_PER_PASS, fleet, pass)
-    const resumed = this.#placeSteps(this.#fromResumption(remaining), 2 * MAX_UNPLACED_STEPS_PER_PASS, fleet, pass)
-    this.#resumeAtStep = resumed[0] === undefined ? undefined : waitingStepKey(resumed[0])
-    this.#policies.admission.recordPass(steps, pass, this.#clock.monotonicMs())
+    this.#rackExpectations.retain(key => isStepWaiting(state, key))
+    this.#placeInOrder(queue, fleet, pass)
+    this.#placeFromResumption(queue, fleet, pass)
+    this.#policies.admission.recordPass(() => queue.work(), pass, this.#clock.monotonicMs())
     return pass
   }
 
+  #createQueue (state: BatchState): WaitingQueue {
+    return new WaitingQueue({
+      state, clock: this.#clock, settings: this.#settings, policies: this.#policies, order: this.#schedulingOrder
+    })
+  }
+
   /** Returns the workers that may get new runs, with the reservations of the latest pass, for decisions outside one. */
   schedulableWorkers (state: BatchState, fleet: FleetView): WorkerCapacity[] {
     const workers = this.#listSchedulable(state, fleet, new Map())
@@ -182,32 +211,53 @@
   }
 
   /** Updates the attained service of all organisations. Usage does not count while no step waits. */
-  #withShares (steps: readonly WaitingStep[], workers: readonly WorkerCapacity[]): WaitingStep[] {
-    const { shares } = this.#policies
-    const waiting = new Set(steps.map(step => step.job.organisation))
-    shares.update(usageByOrganisation(workers), waiting, this.#clock.monotonicMs())
-    return steps.map(step => ({ ...step, isOverShare: shares.isOverShare(step.job.organisation) }))
+  #updateShares (queue: WaitingQueue, workers: readonly WorkerCapacity[]): void {
+    this.#policies.shares.update(usageByOrganisation(workers), queue.organisations(), this.#clock.monotonicMs())
   }
 
-  /** Tries steps until the given number of them did not fit in the pass; returns those that were not tried. */
-  #placeSteps (
-    steps: readonly WaitingStep[], maxUnplaced: number, fleet: FleetView, pass: Pass
-  ): readonly WaitingStep[] {
-    for (const [index, step] of steps.entries()) {
-      if (pass.unplacedStepCount >= maxUnplaced) return steps.slice(index)
-      this.#placeStep(step, fleet, pass)
+  /** Tries steps in their order. */
+  #placeInOrder (queue: WaitingQueue, fleet: FleetView, pass: Pass): void {
+    while (mayContinue(pass, MAX_UNPLACED_STEPS_PER_PASS)) {
+      const entry = queue.take()
+      if (entry === undefined) return
+      const following = this.#placeEntry(entry, queue, fleet, pass)
+      if (following !== undefined) queue.push(following)
     }
-    return []
   }
 
-  /** Steps from the one on at which the last pass ended, and then those before it. */
-  #fromResumption (steps: readonly WaitingStep[]): readonly WaitingStep[] {
-    const index = steps.findIndex(step => waitingStepKey(step) === this.#resumeAtStep)
-    return index <= 0 ? steps : [...steps.slice(index), ...steps.slice(0, index)]
+  /** Tries the steps that are left, from the one on at which the last pass ended, and then those before it. */
+  #placeFromResumption (queue: WaitingQueue, fleet: FleetView, pass: Pass): void {
+    const maxUnplaced = 2 * MAX_UNPLACED_STEPS_PER_PASS
+    // The steps after the last task that a pass places are tried in order by the next one.
+    if (!mayContinue(pass, maxUnplaced)) return
+    const entries = this.#fromResumption(queue.takeAll())
+    this.#resumeAtStep = undefined
+    for (const first of entries) {
+      for (let entry: QueueEntry | undefined = first; entry !== undefined;) {
+        if (!mayContinue(pass, maxUnplaced)) {
+          this.#resumeAtStep = waitingStepKey(entry.step)
+          return
+        }
+        entry = this.#placeEntry(entry, queue, fleet, pass)
+      }
+    }
+  }
+
+  /** Tries a step; returns the same step of the next occurrence where that is to be considered as well. */
+  #placeEntry (entry: QueueEntry, queue: WaitingQueue, fleet: FleetView, pass: Pass): QueueEntry | undefined {
+    const outcome = this.#placeStep(entry.step, fleet, pass)
+    if (outcome === 'ticket') pass.ticketWaitCount++
+    const isLast = outcome === 'excluded' || pass.ticketWaitCount > MAX_TICKET_WAITS_PER_PASS
+    return isLast ? undefined : queue.following(entry)
+  }
+
+  #fromResumption (entries: readonly QueueEntry[]): readonly QueueEntry[] {
+    const index = entries.findIndex(({ step }) => waitingStepKey(step) === this.#resumeAtStep)
+    return index <= 0 ? entries : [...entries.slice(index), ...entries.slice(0, index)]
   }
 
   /** Steps for which runs were stopped go first, so that no other step takes the capacity freed for them. */
-  #compare (left: WaitingStep, right: WaitingStep, nowWallMs: number): number {
+  #compare (left: QueuedStep, right: QueuedStep, nowWallMs: number): number {
     return Number(this.#claims.has(waitingStepKey(right))) - Number(this.#claims.has(waitingStepKey(left))) ||
       this.#schedulingOrder.compare(left, right, nowWallMs)
   }
@@ -217,27 +267,41 @@
     for (const [key, expiresAtMs] of this.#claims) if (expiresAtMs <= nowMs) this.#claims.delete(key)
   }
 
-  #placeStep (step: WaitingStep, fleet: FleetView, pass: Pass): void {
+  #placeStep (queued: QueuedStep, fleet: FleetView, pass: Pass): StepOutcome {
+    const step = withTasks(queued, {
+      maxTasks: MAX_ASSIGNMENTS_PER_PASS - pass.assignments.length, maxNewTasks: pass.newTaskRoom
+    })
+    if (step.taskIndexes.length === 0) return this.#exclude(step, 'state_limit', pass)
     const permitted = step.hasAdvicePolicy ? fleet.permittedWorkers(waitingStepKey(step)) : undefined
-    if (permitted?.size === 0) return this.#recordWait(step, { reason: 'ticket' }, pass)
+    if (permitted?.size === 0) {
+      this.#recordWait(step, { reason: 'ticket' }, pass)
+      return 'ticket'
+    }
     const knownReason = this.#mayOnlyBePlaced(step, pass) ? pass.failed.reasonFor(step) : undefined
-    if (knownReason !== undefined) return this.#recordWait(step, { reason: knownReason }, pass)
+    if (knownReason !== undefined) return this.#exclude(step, knownReason, pass)
     const regions = pass.regions.ofJob(step.job)
     const eligible = pass.workers.filter(worker => mayRun(worker, step, permitted) &&
       pass.regions.includesZone(regions, worker.view.latest.availabilityZone))
     if (eligible.length === 0) {
       // Steps that may run in other regions still find workers.
       if (regions === undefined) pass.failed.add(step, asSingleGroup(eligible), 'no_worker')
-      return this.#recordWait(step, { reason: regions === undefined ? 'no_worker' : 'region' }, pass)
+      return this.#exclude(step, regions === undefined ? 'no_worker' : 'region', pass)
     }
     const pools = workersByWarmth(step, eligible, this.#clock.monotonicMs())
     const { unplaced, candidates } = this.#placeOn(pools, step, pass)
-    if (unplaced.taskIndexes.length === 0) return
+    if (unplaced.taskIndexes.length === 0) return 'placed'
     const reason = this.#reclaimOrReserve(unplaced, candidates, pass)
-    if (reason === undefined) return
+    if (reason === undefined) return 'placed'
     // A placement that was tried on only some of the workers says nothing about other steps.
     if (regions === undefined && pools.includes(eligible)) pass.failed.add(step, candidates, lackOf(step, candidates))
     this.#recordWait(unplaced, reason, pass)
+    return 'tried'
+  }
+
+  #exclude (step: WaitingStep, reason: WaitReason, pass: Pass): StepOutcome {
+    this.#recordWait(step, { reason }, pass)
+    // Workers that are eligible for an advised step depend on its tickets, so other occurrences may have some.
+    return step.hasAdvicePolicy && reason === 'no_worker' ? 'ticket' : 'excluded'
   }
 
   /** Places the tasks of a step on sets of workers in turn; returns those that did not fit, and the last candidates. */
@@ -251,7 +315,11 @@
       const placements = placeTasks(unplaced, candidates)
       this.#assign(unplaced, placements, pass)
       const placed = new Set(placements.map(placement => placement.taskIndex))
-      unplaced = { ...unplaced, taskIndexes: unplaced.taskIndexes.filter(index => !placed.has(index)) }
+      unplaced = {
+        ...unplaced,
+        taskIndexes: unplaced.taskIndexes.filter(index => !placed.has(index)),
+        waitingTaskCount: unplaced.waitingTaskCount - placed.size
+      }
       if (unplaced.taskIndexes.length === 0) break
     }
     return { unplaced, candidates }
@@ -265,11 +333,14 @@
 
   #recordWait (step: WaitingStep, reason: UnplacedReason, pass: Pass): void {
     if (step.hasAdvicePolicy) pass.stepsNeedingTickets.push(step)
-    if (pass.waits.length < MAX_REPORTED_WAITS) pass.waits.push({ step, taskCount: step.taskIndexes.length, ...reason })
+    if (pass.waits.length < MAX_REPORTED_WAITS) pass.waits.push({ step, taskCount: step.waitingTaskCount, ...reason })
   }
 
   #assign (step: WaitingStep, placements: readonly TaskPlacement[], pass: Pass): void {
-    pass.assignments.push(...placements.map(placement => toAssignment(step, placement)))
+    for (const placement of placements) {
+      pass.assignments.push(toAssignment(step, placement))
+      if (step.record?.hasRecord(placement.taskIndex) !== true) pass.newTaskRoom--
+    }
   }
 
   /** Returns why the step waits, or undefined if it was placed. */
@@ -356,6 +427,10 @@
   }
 }
 
+function mayContinue (pass: Pass, maxUnplaced: number): boolean {
+  return pass.unplacedStepCount < maxUnplaced && pass.assignments.length < MAX_ASSIGNMENTS_PER_PASS
+}
+
 /** What a step lacks that no capacity could be found for. */
 function lackOf ({ spec }: WaitingStep, { workers, groups }: Candidates): WaitReason {
   if (spec.isGang && spec.isSameRack) return 'rack'
--- a/packages/batch/src/scheduling-order.ts
+++ b/packages/batch/src/scheduling-order.ts
@@ -1,10 +1,16 @@
 /** The order in which a scheduling pass considers waiting steps. */
-import type { WaitingStep } from './waiting-steps.js'
+import type { QueuedStep } from './waiting-steps.js'
 
 /** Scheduling order; each policy is a subclass. */
 export abstract class SchedulingOrder {
   /** Negative where `left` comes first. */
-  abstract compare (left: WaitingStep, right: WaitingStep, nowWallMs: number): number
+  abstract compare (left: QueuedStep, right: QueuedStep, nowWallMs: number): number
+
+  /**
+   * Class of a step: a lower one comes first. Of two occurrences of a job, the later one has no higher class, and
+   * within a class the earlier one comes first, so that a queue need not hold all of them.
+   */
+  abstract classOf (step: QueuedStep, nowWallMs: number): number
 }
 
 /** A result that is later than this multiple of its objective is of no use to the caller. */
@@ -17,22 +23,26 @@
  * the others; guaranteed steps do not.
  */
 export class ObjectiveSchedulingOrder extends SchedulingOrder {
-  override compare (left: WaitingStep, right: WaitingStep, nowWallMs: number): number {
+  override compare (left: QueuedStep, right: QueuedStep, nowWallMs: number): number {
     return latenessClass(left, nowWallMs) - latenessClass(right, nowWallMs) ||
       left.priority - right.priority ||
       Number(yieldsToOthers(left)) - Number(yieldsToOthers(right)) ||
       left.objectiveWallMs - right.objectiveWallMs
   }
+
+  override classOf (step: QueuedStep, nowWallMs: number): number {
+    return latenessClass(step, nowWallMs)
+  }
 }
 
-function yieldsToOthers ({ isGuaranteed, isOverShare }: WaitingStep): boolean {
+function yieldsToOthers ({ isGuaranteed, isOverShare }: QueuedStep): boolean {
   return isOverShare && !isGuaranteed
 }
 
 /** What the lateness class of a step depends on. */
 export type StepDeadlines = Pick<
-  WaitingStep, 'objectiveWallMs' | 'waitingSinceWallMs' | 'remainingCriticalPathMs' | 'isGuaranteed'
-> & { readonly spec: Pick<WaitingStep['spec'], 'isLasting'> }
+  QueuedStep, 'objectiveWallMs' | 'waitingSinceWallMs' | 'remainingCriticalPathMs' | 'isGuaranteed'
+> & { readonly spec: Pick<QueuedStep['spec'], 'isLasting'> }
 
 /** 0 while a step goes first or can meet its objective, 1 while it is late but still useful, 2 afterwards. */
 export function latenessClass (step: StepDeadlines, nowWallMs: number): 0 | 1 | 2 {
--- a/packages/batch/src/settings.ts
+++ b/packages/batch/src/settings.ts
@@ -124,6 +124,11 @@
   readonly evacuateMs: number
   /** Time for which ended jobs are kept. */
   readonly endedJobRetentionMs: number
+  /**
+   * Most tasks that have started and are not done. No further task starts while there are as many, so that the state of
+   * tasks that start and are stopped again and again stays within the memory of a process.
+   */
+  readonly maxStartedTasks: number
   /** Most workers that one request to the advice service may name. */
   readonly maxAdviceWorkers: number
 }
@@ -173,5 +178,6 @@
   maxMaintenanceDrainMs: 10_000,
   evacuateMs: 5_000,
   endedJobRetentionMs: 240_000,
+  maxStartedTasks: 100_000,
   maxAdviceWorkers: 100
 }
--- a/packages/batch/src/shape-admission.ts
+++ b/packages/batch/src/shape-admission.ts
@@ -5,7 +5,7 @@
 import { KnownFleet } from './known-fleet.js'
 import type { PassDecision } from './scheduler.js'
 import type { BatchSettings } from './settings.js'
-import type { WaitingStep } from './waiting-steps.js'
+import type { QueuedStep } from './waiting-steps.js'
 
 /** Options of {@link ShapeAdmission}. */
 export interface ShapeAdmissionOptions {
@@ -30,7 +30,7 @@
     this.#startedAtMs = options.clock.monotonicMs()
   }
 
-  override recordPass (_steps: readonly WaitingStep[], _decision: PassDecision, _nowMs: number): void {}
+  override recordPass (_listWork: () => readonly QueuedStep[], _decision: PassDecision, _nowMs: number): void {}
 
   override refusalOf (request: AdmissionRequest): Failure | undefined {
     const { spec, queue, nowMs, views, isConfigurationPending } = request
--- a/packages/batch/src/step-record.ts
+++ b/packages/batch/src/step-record.ts
@@ -89,6 +89,11 @@
     return false
   }
 
+  /** Whether a task has started and is not settled. */
+  hasRecord (index: number): boolean {
+    return this.#records.has(index)
+  }
+
   /** A task; undefined where the step has no such task. */
   task (index: number): TaskRecord | undefined {
     if (index >= this.taskCount) return undefined
@@ -132,12 +137,15 @@
     return count
   }
 
-  /** The first tasks that are not done and have no active run, at most `limit` of them. */
-  waitingIndexes (limit: number): number[] {
+  /** The first tasks that are not done and have no active run: at most `limit`, and `maxNew` without a record. */
+  waitingIndexes (limit: number, maxNew = Infinity): number[] {
     const indexes: number[] = []
+    let newCount = 0
     let index = this.#done.firstMissing(0)
     while (index < this.taskCount && indexes.length < limit) {
-      if ((this.#records.get(index)?.active.length ?? 0) === 0) indexes.push(index)
+      const record = this.#records.get(index)
+      const isWaiting = record === undefined ? ++newCount <= maxNew : record.active.length === 0
+      if (isWaiting) indexes.push(index)
       index = this.#done.firstMissing(index + 1)
     }
     return indexes
--- a/packages/batch/src/waiting-steps.ts
+++ b/packages/batch/src/waiting-steps.ts
@@ -1,25 +1,23 @@
 /** Steps that are ready to run: their dependencies are done, and some of their tasks have no run. */
-import type { Clock } from '@comfreygrade/core'
-import type { BatchSettings } from './settings.js'
 import type { BatchState } from './batch-state.js'
 import type { JobRecord } from './job-record.js'
-import { occurrenceDueMs, type StepSpec } from './jobs.js'
-import type { OccurrenceRecord } from './occurrence-table.js'
-import { StepRecord } from './step-record.js'
+import { occurrenceDueMs, parseTaskKey, type StepSpec } from './jobs.js'
 import { criticalPathMs, remainingPathMs, type StepRunMs } from './critical-path.js'
-import { GuaranteeCoverage } from './guarantee-coverage.js'
 import type { BatchPolicies } from './policies.js'
 import type { QueueConfiguration } from './queues.js'
 import type { RunTimePrediction } from './run-time-predictor.js'
+import type { StepRecord } from './step-record.js'
 
-/** A step of one occurrence with the tasks that wait for workers. */
-export interface WaitingStep {
+/** A step of one occurrence with tasks that wait for workers. */
+export interface QueuedStep {
   readonly job: JobRecord
   readonly occurrence: number
   readonly stepIndex: number
   readonly spec: StepSpec
-  /** Indexes of the waiting tasks; of a gang, all tasks. */
-  readonly taskIndexes: readonly number[]
+  /** Undefined where no run of the occurrence was ever assigned. */
+  readonly record: StepRecord | undefined
+  /** Number of the waiting tasks; of a gang, all tasks. */
+  readonly waitingTaskCount: number
   /** Next run number of a task; the same for all members of a gang. */
   readonly nextRunOf: (index: number) => number
   /** Workers of the task's latest recorded failures. */
@@ -48,6 +46,30 @@
   readonly isGuaranteed: boolean
 }
 
+/** A step with the tasks that a pass may place now. */
+export interface WaitingStep extends QueuedStep {
+  /** Indexes of the first waiting tasks; of a gang, all tasks. */
+  readonly taskIndexes: readonly number[]
+}
+
+/** Where a step is, and what its job has in common. */
+export interface StepLocation {
+  readonly job: JobRecord
+  readonly queue: QueueConfiguration | undefined
+  readonly isGuaranteed: boolean
+  readonly occurrence: number
+  readonly stepIndex: number
+  readonly spec: StepSpec
+  readonly record: StepRecord | undefined
+}
+
+/** Limits of the tasks that a pass takes of a step; a gang is taken as a whole. */
+export interface TaskLimits {
+  readonly maxTasks: number
+  /** Most tasks that have not started before. */
+  readonly maxNewTasks: number
+}
+
 /**
  * Priority at which steps wait whose queue is not known, see {@link BatchState.queueOf}. Their active runs have no
  * priority and so can be preempted for any urgent step.
@@ -56,81 +78,62 @@
 /** Slack factor of such steps. */
 const DEFAULT_SLACK_FACTOR = 3
 
-type StepPolicies = Pick<BatchPolicies, 'runTimes' | 'shares'>
-
-/**
- * Lists the steps that wait for workers.
- *
- * @example
- * for (const step of listWaitingSteps(state, clock, settings, policies)) consider(step)
- */
-export function listWaitingSteps (
-  state: BatchState, clock: Clock, settings: BatchSettings, policies: StepPolicies
-): WaitingStep[] {
-  const waiting: WaitingStep[] = []
-  const nowWallMs = clock.wallMs()
-  const latestDueMs = nowWallMs - settings.dueMarginMs
-  const guarantees = new GuaranteeCoverage(state)
-  for (const job of state.openJobs()) {
-    const queue = state.queueOf(job)
-    const isGuaranteed = guarantees.covers(job)
-    for (let occurrence = 0; occurrence < job.occurrences.count; occurrence++) {
-      if (occurrenceDueMs(job.spec, occurrence) > latestDueMs) continue
-      const record = job.occurrences.at(occurrence) ??
-        { steps: job.spec.steps.map(step => new StepRecord(step.taskCount)) }
-      collectSteps({ nowWallMs, job, occurrence, record, queue, isGuaranteed, policies }, waiting)
-    }
+/** Describes a step that waits, for its place in the order; without its tasks, of which there may be many. */
+export function queuedStep (
+  location: StepLocation, nowWallMs: number, policies: Pick<BatchPolicies, 'runTimes' | 'shares'>
+): QueuedStep {
+  const { job, queue, occurrence, stepIndex, spec, record, isGuaranteed } = location
+  const stepRunMs: StepRunMs = index => policies.runTimes.predict(job, index).objectiveMs
+  const waitingSinceWallMs = Math.max(job.acceptedWallMs, occurrenceDueMs(job.spec, occurrence))
+  const jobCriticalPathMs = criticalPathMs(job.spec, stepRunMs)
+  const estimateScaledObjectiveMs = jobCriticalPathMs * (queue?.slackFactor ?? DEFAULT_SLACK_FACTOR)
+  return {
+    job,
+    occurrence,
+    stepIndex,
+    spec,
+    record,
+    waitingTaskCount: record?.waitingCount ?? spec.taskCount,
+    nextRunOf: index => (spec.isGang ? record?.highestRun ?? 0 : record?.task(index)?.lastRun ?? 0) + 1,
+    failedOn: index => record?.task(index)?.failedOn ?? [],
+    priority: queue?.priority ?? MISSING_QUEUE_PRIORITY,
+    waitingSinceWallMs,
+    waitedMs: nowWallMs - waitingSinceWallMs,
+    objectiveWallMs: waitingSinceWallMs + estimateScaledObjectiveMs + (queue?.targetLatencyMs ?? 0),
+    remainingCriticalPathMs: remainingPathMs(job.spec, stepIndex, stepRunMs),
+    estimateScaledSlackMs: estimateScaledObjectiveMs - jobCriticalPathMs,
+    hasAdvicePolicy: queue?.advice !== undefined,
+    runTime: policies.runTimes.predict(job, stepIndex),
+    isOverShare: policies.shares.isOverShare(job.organisation),
+    isGuaranteed
   }
-  return waiting
 }
 
-interface OpenOccurrence {
-  readonly nowWallMs: number
-  readonly job: JobRecord
-  readonly occurrence: number
-  readonly record: OccurrenceRecord
-  readonly queue: QueueConfiguration | undefined
-  readonly isGuaranteed: boolean
-  readonly policies: StepPolicies
+/** Takes the first waiting tasks of a step; none of a gang whose members may not all start. */
+export function withTasks (step: QueuedStep, { maxTasks, maxNewTasks }: TaskLimits): WaitingStep {
+  const { spec, record } = step
+  const limit = spec.isGang ? Infinity : maxTasks
+  const taskIndexes = record === undefined
+    ? firstIndexes(Math.min(spec.taskCount, limit, Math.max(0, maxNewTasks)))
+    : record.waitingIndexes(limit, maxNewTasks)
+  return { ...step, taskIndexes: spec.isGang && taskIndexes.length < spec.taskCount ? [] : taskIndexes }
 }
 
-function collectSteps (open: OpenOccurrence, waiting: WaitingStep[]): void {
-  const { nowWallMs, job, occurrence, record, queue, isGuaranteed, policies } = open
-  const stepRunMs: StepRunMs = index => policies.runTimes.predict(job, index).objectiveMs
-  job.spec.steps.forEach((spec, stepIndex) => {
-    const step = record.steps[stepIndex]
-    if (step === undefined || step.isDone) return
-    if (!spec.dependsOn.every(index => record.steps[index]?.isDone === true)) return
-    const taskIndexes = listWaitingTasks(step, spec)
-    if (taskIndexes.length === 0) return
-    const waitingSinceWallMs = Math.max(job.acceptedWallMs, occurrenceDueMs(job.spec, occurrence))
-    const jobCriticalPathMs = criticalPathMs(job.spec, stepRunMs)
-    const estimateScaledObjectiveMs = jobCriticalPathMs * (queue?.slackFactor ?? DEFAULT_SLACK_FACTOR)
-    const gangRun = step.highestRun + 1
-    waiting.push({
-      job,
-      occurrence,
-      stepIndex,
-      spec,
-      taskIndexes,
-      nextRunOf: index => spec.isGang ? gangRun : (step.task(index)?.lastRun ?? 0) + 1,
-      failedOn: index => step.task(index)?.failedOn ?? [],
-      priority: queue?.priority ?? MISSING_QUEUE_PRIORITY,
-      waitingSinceWallMs,
-      waitedMs: nowWallMs - waitingSinceWallMs,
-      objectiveWallMs: waitingSinceWallMs + estimateScaledObjectiveMs + (queue?.targetLatencyMs ?? 0),
-      remainingCriticalPathMs: remainingPathMs(job.spec, stepIndex, stepRunMs),
-      estimateScaledSlackMs: estimateScaledObjectiveMs - jobCriticalPathMs,
-      hasAdvicePolicy: queue?.advice !== undefined,
-      runTime: policies.runTimes.predict(job, stepIndex),
-      isOverShare: policies.shares.isOverShare(job.organisation),
-      isGuaranteed
-    })
-  })
+function firstIndexes (count: number): number[] {
+  return Array.from({ length: count }, (_unused, index) => index)
+}
+
+/** Whether tasks of a step wait, apart from its dependencies. A gang starts again only once no member has a run. */
+export function hasWaitingTasks (spec: StepSpec, record: StepRecord | undefined): boolean {
+  const waitingCount = record?.waitingCount ?? spec.taskCount
+  return spec.isGang ? waitingCount > 0 && waitingCount === spec.taskCount : waitingCount > 0
 }
 
-/** A gang starts again only once no member has an active run. */
-function listWaitingTasks (step: StepRecord, spec: StepSpec): number[] {
-  const indexes = step.waitingIndexes(Infinity)
-  return spec.isGang && indexes.length < step.taskCount ? [] : indexes
+/** Whether tasks of the step with a key wait. */
+export function isStepWaiting (state: BatchState, stepKey: string): boolean {
+  const id = parseTaskKey(`${stepKey}.0`)
+  const job = id === undefined ? undefined : state.job(id.jobId)
+  if (id === undefined || job?.state !== 'open') return false
+  const spec = job.spec.steps[id.step]
+  return spec !== undefined && hasWaitingTasks(spec, job.occurrences.at(id.occurrence)?.steps[id.step])
 }
--- a/packages/batch/src/worker-selection.ts
+++ b/packages/batch/src/worker-selection.ts
@@ -2,7 +2,7 @@
 import { stepKey } from './jobs.js'
 import { SPEED_TIERS, speedTiers } from './speed-tiers.js'
 import { tasksThatFit, type WorkerCapacity } from './worker-capacity.js'
-import type { WaitingStep } from './waiting-steps.js'
+import type { QueuedStep, WaitingStep } from './waiting-steps.js'
 
 /** A task and the worker that it is placed on. */
 export interface TaskPlacement {
@@ -70,7 +70,7 @@
   return taskCapacity >= taskIndexes.length
 }
 
-export function waitingStepKey (step: WaitingStep): string {
+export function waitingStepKey (step: QueuedStep): string {
   return stepKey(step.job.spec.jobId, step.occurrence, step.stepIndex)
 }
 
