Refuse a job for which the replicas have no memory, before it is accepted

Limits existed for one job and one occurrence, none for all jobs together: what was accepted could exhaust the heap of every control process, with no way back since the state is on the disk.

The leader adds up the estimated memory of all stored jobs and of submissions that are not committed yet. A job beyond the limit is answered 429 at once, without a proposal. Retry-After follows the removal of ended jobs, or the rate at which memory became free since it is full, and is spread by job.

Tests: job-storage-limit.test.ts; before, nothing was refused.

--- a/packages/batch/src/backlog-admission.ts
+++ b/packages/batch/src/backlog-admission.ts
@@ -10,6 +10,8 @@
 import { criticalPathMs } from './critical-path.js'
 import { NO_RESOURCES, occupiedShape, type JobSpec, type StepSpec } from './jobs.js'
 import type { QueueConfiguration } from './queues.js'
+import { RecentRefusals } from './recent-refusals.js'
+import { shareOfJob } from './retry-spread.js'
 import type { PassDecision } from './scheduler.js'
 import { USEFUL_OBJECTIVE_FACTOR } from './scheduling-order.js'
 import { ShapeAdmission, type ShapeAdmissionOptions } from './shape-admission.js'
@@ -33,11 +35,6 @@
 const MAX_ESTIMATE_ERROR = Math.exp(0.9)
 /** A pass older than this says nothing about the load, since the leader may have been suspended. */
 const PASS_VALIDITY_MS = 1_000
-/**
- * Time for which a refused job stays refused. Entry nodes repeat a refusal for 500 ms, during which no job may be
- * accepted by way of another node; callers are asked to retry later than this.
- */
-const REFUSAL_VALIDITY_MS = 600
 /** The shortest delay that a Retry-After header can state. */
 const MIN_RETRY_AFTER_MS = 1_000
 /** The earliest retry is at most this far ahead, since the load may have changed by then. */
@@ -56,8 +53,7 @@
   readonly #options: BacklogAdmissionOptions
   /** Time of the latest refusal, by queue. */
   readonly #refusedAtMs = new Map<string, number>()
-  /** Refusals that still hold, by job, in the order of their time. */
-  readonly #refusals = new Map<string, { readonly refusal: Failure, readonly atMs: number }>()
+  readonly #refusals = new RecentRefusals()
   #pass: LoadedPass | undefined
 
   constructor (options: BacklogAdmissionOptions) {
@@ -73,8 +69,7 @@
   }
 
   override refusalOf (request: AdmissionRequest): Failure | undefined {
-    this.#removeExpiredRefusals(request.nowMs)
-    return super.refusalOf(request) ?? this.#refusals.get(request.spec.jobId)?.refusal ??
+    return super.refusalOf(request) ?? this.#refusals.find(request.spec.jobId, request.nowMs) ??
       this.#backlogRefusalOf(request)
   }
 
@@ -123,17 +118,10 @@
     this.#refusedAtMs.set(queue.name, nowMs)
     const refusal = failure('queue_full', `the work ahead of the job takes at least ${Math.round(backlogMs)} ms, ` +
       `and the job has no value if it starts later than ${Math.round(latestStartMs)} ms from now`, retryAfterMs)
-    this.#refusals.set(spec.jobId, { refusal, atMs: nowMs })
+    this.#refusals.record(spec.jobId, refusal, nowMs)
     return refusal
   }
 
-  #removeExpiredRefusals (nowMs: number): void {
-    for (const [jobId, { atMs }] of this.#refusals) {
-      if (nowMs - atMs < REFUSAL_VALIDITY_MS) return
-      this.#refusals.delete(jobId)
-    }
-  }
-
   #logEndsOfRefusals (nowMs: number): void {
     for (const [queue, refusedAtMs] of this.#refusedAtMs) {
       if (nowMs - refusedAtMs < REFUSALS_END_MS) continue
@@ -209,11 +197,3 @@
   const earliestMs = Math.min(MAX_FIRST_RETRY_MS, Math.max(MIN_RETRY_AFTER_MS, backlogMs - latestStartMs))
   return earliestMs + shareOfJob(jobId) * latestStartMs
 }
-
-/** A number from 0 to 1 that is spread evenly over job IDs, also where they are numbered (FNV-1a with a final mix). */
-function shareOfJob (jobId: string): number {
-  let hash = 0x811c9dc5
-  for (let index = 0; index < jobId.length; index++) hash = Math.imul(hash ^ jobId.charCodeAt(index), 0x01000193)
-  hash = Math.imul(hash ^ (hash >>> 16), 0x85ebca6b)
-  return ((hash ^ (hash >>> 13)) >>> 0) / 2 ** 32
-}
--- a/packages/batch/src/batch-state.ts
+++ b/packages/batch/src/batch-state.ts
@@ -129,6 +129,21 @@
     return this.#jobs.open()
   }
 
+  /** Estimated memory of all jobs, also ended ones that are kept; without tasks that have started. */
+  get storedJobBytes (): number {
+    return this.#jobs.storedBytes
+  }
+
+  /** Memory that ended and removed jobs have freed since this process has the state. */
+  get freedJobBytes (): number {
+    return this.#jobs.freedBytes
+  }
+
+  /** Time until the removal of ended jobs has freed so much; `Infinity` where it will not. */
+  timeUntilFreedMs (bytes: number): number {
+    return this.#jobs.timeUntilFreedMs(bytes)
+  }
+
   /** Runs that may be on a worker, of any of its incarnations. */
   runsOf (workerId: string): Iterable<Assignment> {
     return this.#runsByWorker.get(workerId)?.values() ?? []
--- a/packages/batch/src/job-table.ts
+++ b/packages/batch/src/job-table.ts
@@ -1,5 +1,6 @@
 /** Replicated jobs: the open ones, and those that have ended within the retention. */
 import { settleEndedJob, type JobRecord } from './job-record.js'
+import { estimateJobBytes } from './job-size.js'
 
 /**
  * Jobs by ID, and in the order of their end.
@@ -15,6 +16,9 @@
   readonly #openJobs = new Map<string, JobRecord>()
   /** In order of their end. */
   readonly #endedJobs: JobRecord[]
+  #storedBytes = 0
+  #freedBytes = 0
+  #logTimeMs = 0
 
   /** `jobs` are those of a snapshot, in order of acceptance. */
   constructor (options: { readonly endedJobRetentionMs: number }, jobs: readonly JobRecord[]) {
@@ -23,6 +27,27 @@
     for (const job of jobs) if (job.state === 'open') this.#openJobs.set(job.spec.jobId, job)
     this.#endedJobs = jobs.filter(job => job.state !== 'open')
       .sort((left, right) => left.endedLogMs - right.endedLogMs)
+    for (const { spec } of jobs) this.#storedBytes += estimateJobBytes(spec)
+  }
+
+  /** Estimated memory of all jobs. */
+  get storedBytes (): number {
+    return this.#storedBytes
+  }
+
+  /** Memory that ended and removed jobs have freed since this table was created. */
+  get freedBytes (): number {
+    return this.#freedBytes
+  }
+
+  /** Time from the latest command until the removal of ended jobs has freed so much; `Infinity` where it will not. */
+  timeUntilFreedMs (bytes: number): number {
+    let freedBytes = 0
+    for (const job of this.#endedJobs) {
+      freedBytes += estimateJobBytes(job.spec)
+      if (freedBytes >= bytes) return Math.max(0, job.endedLogMs + this.#endedJobRetentionMs - this.#logTimeMs)
+    }
+    return Infinity
   }
 
   /** All jobs in order of acceptance. */
@@ -47,6 +72,7 @@
   add (job: JobRecord): void {
     this.#jobs.set(job.spec.jobId, job)
     this.#openJobs.set(job.spec.jobId, job)
+    this.#storedBytes += estimateJobBytes(job.spec)
   }
 
   /** Ends an open job. */
@@ -55,16 +81,25 @@
     job.endedLogMs = logTimeMs
     this.#openJobs.delete(job.spec.jobId)
     this.#endedJobs.push(job)
+    const openBytes = estimateJobBytes(job.spec)
     settleEndedJob(job)
+    this.#free(openBytes - estimateJobBytes(job.spec))
   }
 
   /** Removes jobs that ended longer ago than the retention. */
   removeExpired (logTimeMs: number): void {
+    this.#logTimeMs = logTimeMs
     let first = this.#endedJobs[0]
     while (first !== undefined && logTimeMs - first.endedLogMs > this.#endedJobRetentionMs) {
       this.#jobs.delete(first.spec.jobId)
+      this.#free(estimateJobBytes(first.spec))
       this.#endedJobs.shift()
       first = this.#endedJobs[0]
     }
   }
+
+  #free (bytes: number): void {
+    this.#storedBytes -= bytes
+    this.#freedBytes += bytes
+  }
 }
--- a/packages/batch/src/leader.ts
+++ b/packages/batch/src/leader.ts
@@ -237,6 +237,7 @@
     const durationMs = this.#options.clock.monotonicMs() - nowMs
     this.#options.metrics.timing('leader.pass', durationMs)
     this.#options.metrics.gauge('leader.started_tasks', decision.startedTaskCount)
+    this.#options.metrics.gauge('leader.job_bytes', this.#options.state.storedJobBytes)
     this.#nextPassMs = nowMs + Math.max(this.#options.settings.passIntervalMs, durationMs * MIN_PASS_INTERVAL_FACTOR)
   }
 
--- a/packages/batch/src/operation-handler.ts
+++ b/packages/batch/src/operation-handler.ts
@@ -5,6 +5,7 @@
 import type { BatchCommand, CommandResult, MaintenanceWave } from './commands.js'
 import { EvacuationRequests } from './evacuation-requests.js'
 import { GuaranteeCoverage } from './guarantee-coverage.js'
+import { JobStorageLimit } from './job-storage-limit.js'
 import { visibleState } from './job-record.js'
 import { isValidJobId, MAX_JOB_ID_LENGTH, validateJob, type JobSpec, type StepSpec } from './jobs.js'
 import type { BatchOperation, BatchResult, QueueRequest } from './operations.js'
@@ -49,6 +50,7 @@
   readonly #options: OperationHandlerOptions
   readonly #evacuations: EvacuationRequests
   readonly #regions: PermittedRegions
+  readonly #storage: JobStorageLimit
   /** Configurations that are proposed and not settled yet. */
   readonly #proposedDirectories = new Set<QueueDirectory>()
   /** Number of submissions of each job that are proposed and not settled yet. */
@@ -57,6 +59,7 @@
   constructor (options: OperationHandlerOptions) {
     this.#options = options
     this.#regions = new PermittedRegions(options.state, options.settings)
+    this.#storage = new JobStorageLimit(options)
     this.#evacuations = new EvacuationRequests({
       ...options,
       refuse: (requestId, failure) => { this.#refuse(requestId, failure) },
@@ -97,6 +100,7 @@
     const refusal = this.#refusalOf(spec, resolved)
     if (refusal !== undefined) return this.#refuse(requestId, refusal)
     this.#proposedJobs.set(jobId, (this.#proposedJobs.get(jobId) ?? 0) + 1)
+    this.#storage.reserve(spec)
     this.#options.propose({
       kind: 'submit_job',
       spec,
@@ -105,6 +109,7 @@
       acceptedWallMs: this.#options.clock.wallMs()
     }, outcome => {
       this.#settleProposedJob(jobId)
+      this.#storage.release(spec)
       this.#options.log.info('job submission settled', {
         jobId,
         queue: queue.name,
@@ -121,7 +126,7 @@
   #refusalOf (spec: JobSpec, { queue, organisation }: ResolvedRequest): Failure | undefined {
     const { admission, clock, registry, state } = this.#options
     if (this.#proposedJobs.has(spec.jobId)) return undefined
-    return admission.refusalOf({
+    const refusal = admission.refusalOf({
       spec,
       queue,
       organisation,
@@ -131,6 +136,7 @@
       isConfigurationPending: this.#proposedDirectories.size > 0,
       isWithinGuarantee: () => new GuaranteeCoverage(state).wouldCover(spec, queue, organisation)
     })
+    return refusal ?? this.#storage.refusalOf(spec)
   }
 
   #settleProposedJob (jobId: string): void {
--- a/packages/batch/src/settings.ts
+++ b/packages/batch/src/settings.ts
@@ -124,6 +124,8 @@
   readonly evacuateMs: number
   /** Time for which ended jobs are kept. */
   readonly endedJobRetentionMs: number
+  /** Most memory of all stored jobs, without their tasks that have started; further jobs are refused. */
+  readonly maxJobBytes: number
   /**
    * Most tasks that have started and are not done. No further task starts while there are as many, so that the state of
    * tasks that start and are stopped again and again stays within the memory of a process.
@@ -178,6 +180,7 @@
   maxMaintenanceDrainMs: 10_000,
   evacuateMs: 5_000,
   endedJobRetentionMs: 240_000,
+  maxJobBytes: 67_108_864,
   maxStartedTasks: 100_000,
   maxAdviceWorkers: 100
 }
