Call the advice service one call at a time, and count its tickets from the sending

Four calls were open, two connections carried them and the service handles one at a time, while the validity of the tickets ran from the decision to ask and the limit of 5 s from the wait for a connection. Each answer came 2.0 s after the decision, its tickets of 2 s counted as expired, and the same four steps asked again. Ruled out: a service too slow for its own validity (500 ms of 2,000 once a call is taken up), and refusals of workers (no start order was sent).

The planner opens one call, and a port waits for one of an earlier term of its process. So the time of sending is before the service takes the call up, and the validity counted from it holds. How many workers a call names, when it is given up and how long the next one waits behind it follow from the configured durations and from what the step needs; before, these were not used. Steps take turns, urgent ones earlier, those that could not start a task now later but not for long. Tickets are renewed before they expire while tasks wait.

--- a/packages/batch-node/src/port-calls.ts
+++ b/packages/batch-node/src/port-calls.ts
@@ -23,6 +23,8 @@
 /** Carries out the effects of the batch leader that leave the system, and returns the answers as events. */
 export class PortCalls {
   readonly #options: PortCallsOptions
+  /** Ends with the latest call to the advice service. */
+  #adviceCalls: Promise<void> = Promise.resolve()
 
   constructor (options: PortCallsOptions) {
     this.#options = options
@@ -43,11 +45,19 @@
     dispatch({ kind: 'maintenance_answered', call, answer })
   }
 
-  /** Requests tickets; tickets that no start order uses have no effect, so this call needs no permission. */
-  async requestTickets ({ stepKey, workerIds }: EffectOf<'ask_advice'>): Promise<void> {
+  /**
+   * Requests tickets; tickets that no start order uses have no effect, so this call needs no permission. The service
+   * handles the calls of one caller in turn, so a call waits for one of an earlier term of this node.
+   */
+  async requestTickets (effect: EffectOf<'ask_advice'>): Promise<void> {
+    this.#adviceCalls = this.#adviceCalls.then(async () => { await this.#callAdvice(effect) })
+    await this.#adviceCalls
+  }
+
+  async #callAdvice ({ stepKey, workerIds, timeoutMs }: EffectOf<'ask_advice'>): Promise<void> {
     const { advice, clock, dispatch } = this.#options
     const requestedAtMs = clock.monotonicMs()
-    const tickets = await advice.requestTickets(stepKey, workerIds)
+    const tickets = await advice.requestTickets(stepKey, workerIds, timeoutMs)
       .catch((error: unknown) => this.#handlePortError('advice', error, undefined))
     dispatch({ kind: 'advice', stepKey, tickets, requestedAtMs })
   }
--- a/packages/batch-node/src/ports.ts
+++ b/packages/batch-node/src/ports.ts
@@ -6,8 +6,13 @@
  * which is sent to the worker with the order to start a task of the step.
  */
 export abstract class AdvicePort {
-  /** Requests tickets of a step for the given workers; resolves to undefined if the call failed. */
-  abstract requestTickets (stepKey: string, workerIds: readonly string[]): Promise<readonly Ticket[] | undefined>
+  /**
+   * Requests tickets of a step for the given workers; resolves to undefined if the call failed, or had no answer after
+   * `timeoutMs`.
+   */
+  abstract requestTickets (
+    stepKey: string, workerIds: readonly string[], timeoutMs: number
+  ): Promise<readonly Ticket[] | undefined>
 }
 
 /** Used in processes that do not call an advice service: every call fails. */
--- a/packages/batch/src/advice-tickets.ts
+++ b/packages/batch/src/advice-tickets.ts
@@ -14,25 +14,30 @@
   readonly incarnation: number
   /** Undefined where the service granted none. */
   readonly ticket: string | undefined
-  readonly requestedAtMs: number
+  readonly answeredAtMs: number
   readonly expiresAtMs: number
 }
 
-interface StepAdvice {
-  readonly answers: Map<string, WorkerAdvice>
-  /** Incarnations of the workers that the open request names; undefined without an open request. */
-  requested: ReadonlyMap<string, number> | undefined
-  nextRequestAtMs: number
+/** An answer of the service. */
+export interface Advice {
+  /** The workers that were asked for, with the incarnations that the tickets count for. */
+  readonly asked: readonly WorkerIncarnation[]
+  readonly tickets: readonly Ticket[]
+  readonly expiresAtMs: number
 }
 
-/** Validity that a ticket must have left to be considered in placement, since the start order takes time to arrive. */
-const TICKET_EXPIRY_MARGIN_MS = 400
-
-/** Time until a failed request is repeated. */
-const RETRY_INTERVAL_MS = 500
+/** Workers to ask for, and how many of all candidates were granted a ticket before. */
+export interface AskableWorkers {
+  /** Those that were granted a ticket before come first. */
+  readonly workers: readonly WorkerIncarnation[]
+  /** Workers with a ticket that is valid for longer. */
+  readonly permitted: readonly WorkerIncarnation[]
+  readonly answeredCount: number
+  readonly grantedCount: number
+}
 
-/** Time until a step is considered again for which no worker was left to ask for. */
-const CANDIDATE_CHECK_INTERVAL_MS = 100
+/** Validity that a ticket must have left to be considered in placement, since the start order takes time to arrive. */
+export const TICKET_EXPIRY_MARGIN_MS = 400
 
 /**
  * Time after which workers that were denied are asked for again where no worker is permitted. The service does not
@@ -41,40 +46,25 @@
 const DENIAL_RETRY_MS = 10_000
 
 /**
- * Most open requests of all steps. The service answers the requests of one caller one after the other, so more of them
- * would only wait there, where a later step that is more urgent cannot overtake them.
- */
-const MAX_OPEN_REQUESTS = 4
-
-/** Options of {@link TicketCache}. */
-export interface TicketCacheOptions {
-  readonly clock: Clock
-  /** Most workers that one request may name. */
-  readonly maxWorkersPerRequest: number
-}
-
-/**
- * Tickets by step. A fleet larger than one request may name is asked for in several requests, one after the other, so
- * that every worker that could run the step is asked for once.
+ * Tickets by step.
  *
  * @example
- * const workerIds = cache.startRequest('5c0e.0.0', () => registry.adviceCandidates(step))
- * cache.completeRequest('5c0e.0.0', { tickets, requestedAtMs, validMs })
+ * cache.record('5c0e.0.0', { asked, tickets, expiresAtMs })
+ * cache.permittedWorkers('5c0e.0.0') // Map { 'w1' => 1000 }
  */
 export class TicketCache {
-  readonly #options: TicketCacheOptions
-  readonly #steps = new Map<string, StepAdvice>()
-  readonly #openRequests = new Set<string>()
+  readonly #clock: Clock
+  readonly #steps = new Map<string, Map<string, WorkerAdvice>>()
 
-  constructor (options: TicketCacheOptions) {
-    this.#options = options
+  constructor (clock: Clock) {
+    this.#clock = clock
   }
 
   /** Incarnations of the workers with a valid ticket for a step, by worker. */
   permittedWorkers (key: string): ReadonlyMap<string, number> {
     const permitted = new Map<string, number>()
-    const minExpiryMs = this.#options.clock.monotonicMs() + TICKET_EXPIRY_MARGIN_MS
-    for (const [workerId, advice] of this.#steps.get(key)?.answers ?? []) {
+    const minExpiryMs = this.#clock.monotonicMs() + TICKET_EXPIRY_MARGIN_MS
+    for (const [workerId, advice] of this.#steps.get(key) ?? []) {
       if (hasTicketUntil(advice, minExpiryMs)) permitted.set(workerId, advice.incarnation)
     }
     return permitted
@@ -82,59 +72,44 @@
 
   /** The valid ticket for a run of a step on this incarnation of a worker. */
   ticketFor (key: string, { workerId, incarnation }: WorkerIncarnation): string | undefined {
-    const advice = this.#steps.get(key)?.answers.get(workerId)
+    const advice = this.#steps.get(key)?.get(workerId)
     if (advice === undefined || advice.incarnation !== incarnation) return undefined
-    return advice.expiresAtMs > this.#options.clock.monotonicMs() ? advice.ticket : undefined
+    return advice.expiresAtMs > this.#clock.monotonicMs() ? advice.ticket : undefined
   }
 
   /**
-   * Begins the next request for a step; returns the workers that it names, none where no request is due. `candidates`
-   * lists the workers that could run the step and is called only where a request may be made.
+   * The workers to ask for among those that could run a step: first those whose tickets expire within `renewLeadMs`,
+   * since they are permitted, then those that were not asked for in this incarnation. Those that were denied follow
+   * only where no candidate is permitted.
    */
-  startRequest (key: string, candidates: () => readonly WorkerIncarnation[]): string[] {
-    const nowMs = this.#options.clock.monotonicMs()
-    const step = this.#stepAdvice(key)
-    if (step.requested !== undefined || nowMs < step.nextRequestAtMs) return []
-    if (this.#openRequests.size >= MAX_OPEN_REQUESTS) return []
-    const chosen = chooseWorkers(step.answers, candidates(), nowMs).slice(0, this.#options.maxWorkersPerRequest)
-    if (chosen.length === 0) {
-      step.nextRequestAtMs = nowMs + CANDIDATE_CHECK_INTERVAL_MS
-      return []
+  askableWorkers (key: string, candidates: readonly WorkerIncarnation[], renewLeadMs: number): AskableWorkers {
+    const nowMs = this.#clock.monotonicMs()
+    const minExpiryMs = nowMs + TICKET_EXPIRY_MARGIN_MS + renewLeadMs
+    const answers = this.#steps.get(key)
+    const expiring: WorkerIncarnation[] = []
+    const permitted: WorkerIncarnation[] = []
+    const unasked: WorkerIncarnation[] = []
+    const denied: WorkerIncarnation[] = []
+    for (const worker of candidates) {
+      const advice = answers?.get(worker.workerId)
+      if (advice === undefined || advice.incarnation !== worker.incarnation) unasked.push(worker)
+      else if (advice.ticket !== undefined) (hasTicketUntil(advice, minExpiryMs) ? permitted : expiring).push(worker)
+      else if (nowMs - advice.answeredAtMs >= DENIAL_RETRY_MS) denied.push(worker)
     }
-    step.requested = new Map(chosen.map(({ workerId, incarnation }) => [workerId, incarnation]))
-    this.#openRequests.add(key)
-    return chosen.map(({ workerId }) => workerId)
+    const grantedCount = expiring.length + permitted.length
+    const workers = grantedCount > 0 ? [...expiring, ...unasked] : [...unasked, ...denied]
+    return { workers, permitted, grantedCount, answeredCount: candidates.length - unasked.length }
   }
 
-  #stepAdvice (key: string): StepAdvice {
-    const known = this.#steps.get(key)
-    if (known !== undefined) return known
-    const step: StepAdvice = { answers: new Map(), requested: undefined, nextRequestAtMs: -Infinity }
-    this.#steps.set(key, step)
-    return step
-  }
-
-  /** Stores the answer to the open request of a step; `tickets` is undefined where the call failed. */
-  completeRequest (
-    key: string,
-    answer: {
-      readonly tickets: readonly Ticket[] | undefined
-      readonly requestedAtMs: number
-      /** Time for which the tickets are valid after the request. */
-      readonly validMs: number
-    }
-  ): void {
-    const { tickets, requestedAtMs, validMs } = answer
-    this.#openRequests.delete(key)
-    const step = this.#steps.get(key)
-    if (step?.requested === undefined) return
-    const granted = new Map(tickets?.map(({ workerId, ticket }) => [workerId, ticket]))
-    for (const [workerId, incarnation] of tickets === undefined ? [] : step.requested) {
-      const ticket = granted.get(workerId)
-      step.answers.set(workerId, { incarnation, ticket, requestedAtMs, expiresAtMs: requestedAtMs + validMs })
+  /** Stores an answer; a worker that was asked for and has no ticket was denied. */
+  record (key: string, { asked, tickets, expiresAtMs }: Advice): void {
+    const answers = this.#steps.get(key) ?? new Map<string, WorkerAdvice>()
+    this.#steps.set(key, answers)
+    const answeredAtMs = this.#clock.monotonicMs()
+    const granted = new Map(tickets.map(({ workerId, ticket }) => [workerId, ticket]))
+    for (const { workerId, incarnation } of asked) {
+      answers.set(workerId, { incarnation, ticket: granted.get(workerId), answeredAtMs, expiresAtMs })
     }
-    step.requested = undefined
-    if (tickets === undefined) step.nextRequestAtMs = this.#options.clock.monotonicMs() + RETRY_INTERVAL_MS
   }
 
   /** Removes the steps of jobs that have ended. */
@@ -148,27 +123,3 @@
 function hasTicketUntil ({ ticket, expiresAtMs }: WorkerAdvice, minExpiryMs: number): boolean {
   return ticket !== undefined && expiresAtMs > minExpiryMs
 }
-
-/**
- * The workers to ask for: first those whose tickets have expired, since they are permitted, then those that were not
- * asked for in this incarnation. Those that were denied follow only where no candidate is permitted.
- */
-function chooseWorkers (
-  answers: ReadonlyMap<string, WorkerAdvice>, candidates: readonly WorkerIncarnation[], nowMs: number
-): WorkerIncarnation[] {
-  const expired: WorkerIncarnation[] = []
-  const unasked: WorkerIncarnation[] = []
-  const denied: WorkerIncarnation[] = []
-  let isAnyPermitted = false
-  for (const worker of candidates) {
-    const advice = answers.get(worker.workerId)
-    if (advice === undefined || advice.incarnation !== worker.incarnation) unasked.push(worker)
-    else if (advice.ticket === undefined) {
-      if (nowMs - advice.requestedAtMs >= DENIAL_RETRY_MS) denied.push(worker)
-    } else {
-      isAnyPermitted = true
-      if (!hasTicketUntil(advice, nowMs + TICKET_EXPIRY_MARGIN_MS)) expired.push(worker)
-    }
-  }
-  return isAnyPermitted ? [...expired, ...unasked] : [...unasked, ...denied]
-}
--- a/packages/batch/src/leader.ts
+++ b/packages/batch/src/leader.ts
@@ -1,5 +1,6 @@
 /** The batch leader: handles heartbeats and operations, and schedules runs, on top of the replicated state. */
 import { fail, UNEXPECTED_ERROR, type Clock, type EventLog, type Metrics } from '@comfreygrade/core'
+import { AdvicePlanner, type AdviceNeed, type AdviceRequest } from './advice-planner.js'
 import { TicketCache, type Ticket } from './advice-tickets.js'
 import type { BatchState } from './batch-state.js'
 import { assignmentKey } from './run-keys.js'
@@ -8,7 +9,6 @@
 import { GangAssembly } from './gang-assembly.js'
 import { jobIdOf } from './jobs.js'
 import { planDrain, planEvictions, type Eviction } from './evictions.js'
-import { waitingStepKey } from './worker-selection.js'
 import { DisruptionBudget } from './disruption-budget.js'
 import { MaintenancePlanner, type MaintenanceAnswer, type MaintenanceCall } from './maintenance.js'
 import { OperationHandler, type ProposalOutcome } from './operation-handler.js'
@@ -18,9 +18,8 @@
 import { ObjectiveSchedulingOrder } from './scheduling-order.js'
 import { StartRules } from './start-rules.js'
 import { ReportHandler } from './report-handler.js'
-import { BatchScheduler, type FleetView, type Reclaim } from './scheduler.js'
+import { BatchScheduler, type FleetView, type PassDecision, type Reclaim } from './scheduler.js'
 import type { BatchSettings } from './settings.js'
-import type { WaitingStep } from './waiting-steps.js'
 import type { WorkerOrders, WorkerReport } from './worker-messages.js'
 import { WaitLog } from './wait-log.js'
 import { ZoneMoves } from './zone-moves.js'
@@ -38,6 +37,7 @@
     readonly kind: 'advice'
     readonly stepKey: string
     readonly tickets: readonly Ticket[] | undefined
+    /** Time at which the call was sent. */
     readonly requestedAtMs: number
   }
   | { readonly kind: 'maintenance_answered', readonly call: MaintenanceCall, readonly answer: MaintenanceAnswer }
@@ -50,7 +50,7 @@
   /** `orders` is undefined where the report was ignored or replaced, and for the message of a worker that has left. */
   | { readonly kind: 'reply_worker', readonly requestId: string, readonly orders: WorkerOrders | undefined }
   | { readonly kind: 'begin_maintenance', readonly call: MaintenanceCall, readonly fencingToken: number }
-  | { readonly kind: 'ask_advice', readonly stepKey: string, readonly workerIds: readonly string[] }
+  | ({ readonly kind: 'ask_advice' } & AdviceRequest)
 
 /** Options of {@link BatchLeader}. */
 export interface BatchLeaderOptions {
@@ -83,6 +83,7 @@
   readonly #registry: WorkerRegistry
   readonly #orders: OrderPlanner
   readonly #tickets: TicketCache
+  readonly #advice: AdvicePlanner
   readonly #assembly: GangAssembly
   readonly #brokenGangs: BrokenGangs
   readonly #scheduler: BatchScheduler
@@ -105,7 +106,10 @@
     const { state, settings, clock, log, policies = plainPolicies() } = options
     this.#options = options
     this.#registry = new WorkerRegistry(state, settings, clock, log)
-    this.#tickets = new TicketCache({ clock, maxWorkersPerRequest: settings.maxAdviceWorkers })
+    this.#tickets = new TicketCache(clock)
+    this.#advice = new AdvicePlanner({
+      clock, metrics: options.metrics, log, tickets: this.#tickets, maxWorkersPerRequest: settings.maxAdviceWorkers
+    })
     this.#waitLog = new WaitLog(clock, log)
     this.#policies = policies
     this.#assembly = new GangAssembly(clock, settings.gangAssemblyMs)
@@ -231,7 +235,7 @@
     this.#isPassDue = false
     const decision = this.#scheduler.runPass(this.#options.state, this.#fleetView())
     this.#waitLog.record(decision)
-    for (const step of decision.stepsNeedingTickets) this.#requestAdvice(step)
+    this.#requestAdvice(decision)
     for (const reclaim of decision.reclaims) this.#reclaim(reclaim)
     this.#assign(decision.assignments)
     const durationMs = this.#options.clock.monotonicMs() - nowMs
@@ -358,19 +362,17 @@
     })
   }
 
-  #requestAdvice (step: WaitingStep): void {
-    const key = waitingStepKey(step)
-    const workerIds = this.#tickets.startRequest(key, () => this.#registry.adviceCandidates(step))
-    if (workerIds.length === 0) return
-    this.#effects.push({ kind: 'ask_advice', stepKey: key, workerIds })
+  #requestAdvice ({ stepsNeedingTickets, workers }: PassDecision): void {
+    const needs = stepsNeedingTickets.flatMap((step): AdviceNeed[] => {
+      const policy = this.#options.state.queueOf(step.job)?.advice
+      return policy === undefined ? [] : [{ step, policy, candidates: () => this.#registry.adviceCandidates(step) }]
+    })
+    const request = this.#advice.next(needs, workers)
+    if (request !== undefined) this.#effects.push({ kind: 'ask_advice', ...request })
   }
 
-  #handleAdvice ({ stepKey: key, tickets, requestedAtMs }: Extract<LeaderEvent, { kind: 'advice' }>): void {
-    const job = this.#options.state.job(jobIdOf(key))
-    const queue = job === undefined ? undefined : this.#options.state.queueOf(job)
-    const validMs = queue?.advice?.ticketValidMs ?? 0
-    this.#options.log.info('advice answered', { stepKey: key, granted: tickets?.length ?? null })
-    this.#tickets.completeRequest(key, { tickets, requestedAtMs, validMs })
+  #handleAdvice (answer: Extract<LeaderEvent, { kind: 'advice' }>): void {
+    this.#advice.complete(answer)
     this.#isPassDue = true
   }
 
@@ -396,7 +398,9 @@
 
   #removeStale (): void {
     const { state } = this.#options
-    this.#tickets.retainOpenJobs(jobId => state.job(jobId)?.state === 'open')
+    const isOpen = (jobId: string): boolean => state.job(jobId)?.state === 'open'
+    this.#tickets.retainOpenJobs(isOpen)
+    this.#advice.retainOpenJobs(isOpen)
     this.#orders.removeCompletedStops()
     this.#assembly.removeOverdue()
     this.#brokenGangs.retainJobs(jobId => state.job(jobId) !== undefined)
--- a/packages/batch/src/queues.ts
+++ b/packages/batch/src/queues.ts
@@ -2,8 +2,8 @@
 import { fail, succeed, type Result } from '@comfreygrade/core'
 
 /**
- * Advice service of a queue, which grants the tickets that starts need. `decideMs` and `perWorkerMs`, the durations of
- * its calls, are accepted and kept, but the scheduler does not use them.
+ * Advice service of a queue, which grants the tickets that starts need. A call takes `decideMs` and `perWorkerMs` for
+ * each worker that it names.
  */
 export interface AdvicePolicy {
   readonly decideMs: number
