Try other jobs where the due occurrences of one job do not fit

A small job behind two recurring jobs of gangs that do not fit stayed queued beside idle workers. In that part of a pass further occurrences now follow only after one that was placed.

Test: 'a job behind any number of due occurrences that do not fit is tried within a few passes'; it failed before (0 runs of the small job).

--- a/packages/batch/src/scheduler.ts
+++ b/packages/batch/src/scheduler.ts
@@ -220,35 +220,39 @@
     while (mayContinue(pass, MAX_UNPLACED_STEPS_PER_PASS)) {
       const entry = queue.take()
       if (entry === undefined) return
-      const following = this.#placeEntry(entry, queue, fleet, pass)
+      const outcome = this.#placeStep(entry.step, fleet, pass)
+      const following = mayFollow(outcome, pass) ? queue.following(entry) : undefined
       if (following !== undefined) queue.push(following)
     }
   }
 
-  /** Tries the steps that are left, from the one on at which the last pass ended, and then those before it. */
+  /**
+   * Tries the steps that are left, from the one on at which the last pass ended, and then those before it. Further
+   * occurrences of a job follow only after one that was placed, so that none of the other jobs has to wait for them.
+   */
   #placeFromResumption (queue: WaitingQueue, fleet: FleetView, pass: Pass): void {
     const maxUnplaced = 2 * MAX_UNPLACED_STEPS_PER_PASS
     // The steps after the last task that a pass places are tried in order by the next one.
     if (!mayContinue(pass, maxUnplaced)) return
     const entries = this.#fromResumption(queue.takeAll())
     this.#resumeAtStep = undefined
-    for (const first of entries) {
-      for (let entry: QueueEntry | undefined = first; entry !== undefined;) {
-        if (!mayContinue(pass, maxUnplaced)) {
-          this.#resumeAtStep = waitingStepKey(entry.step)
-          return
-        }
-        entry = this.#placeEntry(entry, queue, fleet, pass)
+    for (const entry of entries) {
+      if (!mayContinue(pass, maxUnplaced)) {
+        this.#resumeAtStep = waitingStepKey(entry.step)
+        return
       }
+      this.#placeOccurrences(entry, queue, fleet, pass)
     }
   }
 
-  /** Tries a step; returns the same step of the next occurrence where that is to be considered as well. */
-  #placeEntry (entry: QueueEntry, queue: WaitingQueue, fleet: FleetView, pass: Pass): QueueEntry | undefined {
-    const outcome = this.#placeStep(entry.step, fleet, pass)
-    if (outcome === 'ticket') pass.ticketWaitCount++
-    const isLast = outcome === 'excluded' || pass.ticketWaitCount > MAX_TICKET_WAITS_PER_PASS
-    return isLast ? undefined : queue.following(entry)
+  /** Tries a step, and the same one of the next occurrences for as long as they are placed. */
+  #placeOccurrences (first: QueueEntry, queue: WaitingQueue, fleet: FleetView, pass: Pass): void {
+    let entry: QueueEntry | undefined = first
+    while (entry !== undefined && pass.assignments.length < MAX_ASSIGNMENTS_PER_PASS) {
+      const outcome = this.#placeStep(entry.step, fleet, pass)
+      if (outcome === 'tried' || !mayFollow(outcome, pass)) return
+      entry = queue.following(entry)
+    }
   }
 
   #fromResumption (entries: readonly QueueEntry[]): readonly QueueEntry[] {
@@ -273,10 +277,7 @@
     })
     if (step.taskIndexes.length === 0) return this.#exclude(step, 'state_limit', pass)
     const permitted = step.hasAdvicePolicy ? fleet.permittedWorkers(waitingStepKey(step)) : undefined
-    if (permitted?.size === 0) {
-      this.#recordWait(step, { reason: 'ticket' }, pass)
-      return 'ticket'
-    }
+    if (permitted?.size === 0) return this.#awaitTicket(step, 'ticket', pass)
     const knownReason = this.#mayOnlyBePlaced(step, pass) ? pass.failed.reasonFor(step) : undefined
     if (knownReason !== undefined) return this.#exclude(step, knownReason, pass)
     const regions = pass.regions.ofJob(step.job)
@@ -299,9 +300,16 @@
   }
 
   #exclude (step: WaitingStep, reason: WaitReason, pass: Pass): StepOutcome {
-    this.#recordWait(step, { reason }, pass)
     // Workers that are eligible for an advised step depend on its tickets, so other occurrences may have some.
-    return step.hasAdvicePolicy && reason === 'no_worker' ? 'ticket' : 'excluded'
+    if (step.hasAdvicePolicy && reason === 'no_worker') return this.#awaitTicket(step, reason, pass)
+    this.#recordWait(step, { reason }, pass)
+    return 'excluded'
+  }
+
+  #awaitTicket (step: WaitingStep, reason: WaitReason, pass: Pass): StepOutcome {
+    this.#recordWait(step, { reason }, pass)
+    pass.ticketWaitCount++
+    return 'ticket'
   }
 
   /** Places the tasks of a step on sets of workers in turn; returns those that did not fit, and the last candidates. */
@@ -427,6 +435,11 @@
   }
 }
 
+/** Whether the next occurrence of a step's job may be considered. */
+function mayFollow (outcome: StepOutcome, { ticketWaitCount }: Pass): boolean {
+  return outcome !== 'excluded' && ticketWaitCount <= MAX_TICKET_WAITS_PER_PASS
+}
+
 function mayContinue (pass: Pass, maxUnplaced: number): boolean {
   return pass.unplacedStepCount < maxUnplaced && pass.assignments.length < MAX_ASSIGNMENTS_PER_PASS
 }
--- a/packages/batch/test/waiting-tasks.test.ts
+++ b/packages/batch/test/waiting-tasks.test.ts
@@ -3,7 +3,7 @@
 import { fileURLToPath } from 'node:url'
 import test from 'ava'
 import { LeaderFixture, runningTasks } from './leader-fixture.js'
-import { step } from './sample-data.js'
+import { HOST, KEY, step } from './sample-data.js'
 import type { WorkerReport } from '../src/index.js'
 
 /** A small part of what a process on a control node has. */
@@ -35,6 +35,21 @@
   t.is(sizes.reduce((sum, size) => sum + size, 0), 4_500)
 })
 
+// Guards against a pass that spends all its tries on the occurrences of one job, and begins with them again.
+test('a job behind any number of due occurrences that do not fit is tried within a few passes', t => {
+  const fixture = new LeaderFixture()
+  for (const workerId of ['w1', 'w2']) fixture.heartbeat(workerId)
+  const gang = step({ taskCount: 3, isGang: true, shape: { cpuMillicores: 1, memoryMb: 1, acceleratorCount: 8 } })
+  const schedule = { firstDueMs: 0, intervalMs: 1_000, occurrences: 1_000 }
+  const request = (jobId: string) => ({ host: HOST, path: `/normal/${jobId}`, apiKey: KEY })
+  for (const jobId of ['gangs', 'others']) {
+    fixture.execute({ kind: 'submit', request: request(jobId), spec: { payload: '', steps: [gang], schedule } })
+  }
+  fixture.submit('small', [step({ taskCount: 1, estimateMs: 60_000 })])
+  for (let pass = 0; pass < 5; pass++) fixture.advance(25)
+  t.is(fixture.state.activeRunsOf('small').length, 1)
+})
+
 test('a gang that is larger than the limit of a pass is placed as a whole', t => {
   const fixture = new LeaderFixture()
   fixture.heartbeat('w1', LARGE_WORKER)
