Drop what the leader keeps for a step once the step is done, not only once its job has ended

The same cause on related paths: tickets, turns at the advice service and broken gangs were kept until their job ended, so a recurring job added an entry for each worker and done occurrence. They now go with the step, and broken gangs with the last active member of their run.

Test: 'a step of a done occurrence does not count as open, so that what the leader keeps for it can go'.

--- a/packages/batch/src/advice-planner.ts
+++ b/packages/batch/src/advice-planner.ts
@@ -3,7 +3,6 @@
 import { callDurationMs, callSize, isUsableFromCall } from './advice-call-size.js'
 import { TicketCache, type Ticket } from './advice-tickets.js'
 import type { WorkerIncarnation } from './commands.js'
-import { jobIdOf } from './jobs.js'
 import type { AdvicePolicy } from './queues.js'
 import type { WaitingStep } from './waiting-steps.js'
 import { tasksThatFit, type WorkerCapacity } from './worker-capacity.js'
@@ -138,9 +137,9 @@
     cache.record(stepKey, { asked: call.workers, tickets, expiresAtMs })
   }
 
-  /** Removes the steps of jobs that have ended. */
-  retainOpenJobs (isOpen: (jobId: string) => boolean): void {
-    for (const key of this.#turns.keys()) if (!isOpen(jobIdOf(key))) this.#turns.delete(key)
+  /** Removes the steps that need no tickets any more. */
+  retainSteps (isOpen: (key: string) => boolean): void {
+    for (const key of this.#turns.keys()) if (!isOpen(key)) this.#turns.delete(key)
   }
 
   #turnOf (step: WaitingStep, nowMs: number): Turn {
--- a/packages/batch/src/advice-tickets.ts
+++ b/packages/batch/src/advice-tickets.ts
@@ -1,7 +1,6 @@
 /** Cache of the tickets that the advice service grants for queues whose policy lets only some workers run a step. */
 import type { Clock } from '@comfreygrade/core'
 import type { WorkerIncarnation } from './commands.js'
-import { jobIdOf } from './jobs.js'
 
 /** Permission to run a step on one worker. */
 export interface Ticket {
@@ -112,11 +111,9 @@
     }
   }
 
-  /** Removes the steps of jobs that have ended. */
-  retainOpenJobs (isOpen: (jobId: string) => boolean): void {
-    for (const key of this.#steps.keys()) {
-      if (!isOpen(jobIdOf(key))) this.#steps.delete(key)
-    }
+  /** Removes the steps that need no tickets any more. */
+  retainSteps (isOpen: (key: string) => boolean): void {
+    for (const key of this.#steps.keys()) if (!isOpen(key)) this.#steps.delete(key)
   }
 }
 
--- a/packages/batch/src/broken-gangs.ts
+++ b/packages/batch/src/broken-gangs.ts
@@ -3,7 +3,7 @@
 import type { TaskContext } from './task-context.js'
 import { gangRunKey } from './run-keys.js'
 import type { Assignment } from './commands.js'
-import { jobIdOf, stepKeyOf } from './jobs.js'
+import { stepKeyOf } from './jobs.js'
 
 /**
  * A member of a gang ends as broken only after another member has ended. Where all members but those of one worker have
@@ -14,8 +14,8 @@
  */
 export class BrokenGangs {
   readonly #state: BatchState
-  /** Tasks reported as broken, by run of a gang. */
-  readonly #brokenTasks = new Map<string, Set<string>>()
+  /** Runs of gangs with the tasks that were reported as broken. */
+  readonly #brokenRuns = new Map<string, { readonly taskKeys: Set<string>, readonly run: number }>()
 
   constructor (state: BatchState) {
     this.#state = state
@@ -31,16 +31,20 @@
     const context = this.#state.findTask(taskKey)
     if (context === undefined || !context.stepSpec.isGang || context.job.state !== 'open') return []
     const key = gangRunKey({ taskKey, run })
-    const broken = this.#brokenTasks.get(key) ?? new Set<string>()
-    this.#brokenTasks.set(key, broken.add(taskKey))
+    const broken = this.#brokenRuns.get(key)?.taskKeys ?? new Set<string>()
+    this.#brokenRuns.set(key, { taskKeys: broken.add(taskKey), run })
     const others = activeMembers(context, stepKeyOf(taskKey), run)
     if (broken.size + others.length !== context.stepSpec.taskCount) return []
     return areOnOneWorker(others) && this.#mayStartAgain(context) ? others : []
   }
 
-  /** Removes the gangs of jobs that the state no longer has. */
-  retainJobs (isKnown: (jobId: string) => boolean): void {
-    for (const key of this.#brokenTasks.keys()) if (!isKnown(jobIdOf(key))) this.#brokenTasks.delete(key)
+  /** Removes the runs of which no member is active any more. */
+  removeEnded (): void {
+    for (const [key, { taskKeys, run }] of this.#brokenRuns) {
+      const [taskKey = ''] = taskKeys
+      const members = this.#state.findTask(taskKey)?.step.activeMembers(run) ?? []
+      if (members.length === 0) this.#brokenRuns.delete(key)
+    }
   }
 
   /** The end that is not reported yet may be a failure, which must not have been the last attempt. */
--- a/packages/batch/src/leader.ts
+++ b/packages/batch/src/leader.ts
@@ -22,6 +22,7 @@
 import type { BatchSettings } from './settings.js'
 import type { WorkerOrders, WorkerReport } from './worker-messages.js'
 import { WaitLog } from './wait-log.js'
+import { isStepOpen } from './waiting-steps.js'
 import { ZoneMoves } from './zone-moves.js'
 import { WorkerRegistry } from './worker-registry.js'
 
@@ -398,12 +399,12 @@
 
   #removeStale (): void {
     const { state } = this.#options
-    const isOpen = (jobId: string): boolean => state.job(jobId)?.state === 'open'
-    this.#tickets.retainOpenJobs(isOpen)
-    this.#advice.retainOpenJobs(isOpen)
+    const isOpen = (stepKey: string): boolean => isStepOpen(state, stepKey)
+    this.#tickets.retainSteps(isOpen)
+    this.#advice.retainSteps(isOpen)
     this.#orders.removeCompletedStops()
     this.#assembly.removeOverdue()
-    this.#brokenGangs.retainJobs(jobId => state.job(jobId) !== undefined)
+    this.#brokenGangs.removeEnded()
     this.#reports.removeStale()
   }
 
--- a/packages/batch/src/waiting-steps.ts
+++ b/packages/batch/src/waiting-steps.ts
@@ -131,9 +131,23 @@
 
 /** Whether tasks of the step with a key wait. */
 export function isStepWaiting (state: BatchState, stepKey: string): boolean {
+  const found = findOpenStep(state, stepKey)
+  return found !== undefined && hasWaitingTasks(found.spec, found.record)
+}
+
+/** Whether tasks of the step with a key are not done, and its job is open. */
+export function isStepOpen (state: BatchState, stepKey: string): boolean {
+  const found = findOpenStep(state, stepKey)
+  return found !== undefined && found.record?.isDone !== true
+}
+
+/** A step of an open job; `record` is undefined where its occurrence has not started. */
+function findOpenStep (
+  state: BatchState, stepKey: string
+): { readonly spec: StepSpec, readonly record: StepRecord | undefined } | undefined {
   const id = parseTaskKey(`${stepKey}.0`)
   const job = id === undefined ? undefined : state.job(id.jobId)
-  if (id === undefined || job?.state !== 'open') return false
+  if (id === undefined || job?.state !== 'open') return undefined
   const spec = job.spec.steps[id.step]
-  return spec !== undefined && hasWaitingTasks(spec, job.occurrences.at(id.occurrence)?.steps[id.step])
+  return spec === undefined ? undefined : { spec, record: job.occurrences.at(id.occurrence)?.steps[id.step] }
 }
--- a/packages/batch/test/state-size.test.ts
+++ b/packages/batch/test/state-size.test.ts
@@ -1,6 +1,9 @@
 /** The replicated state takes memory for tasks that have started and are not done, not for all that were accepted. */
 import test from 'ava'
+import { ManualClock } from '@comfreygrade/core'
 import { BatchState, type BatchCommand, type JobSpec, type RunEnd, type StepSpec } from '../src/index.js'
+import { TicketCache } from '../src/advice-tickets.js'
+import { isStepOpen } from '../src/waiting-steps.js'
 import { document, HOST, step } from './sample-data.js'
 
 const LIFE = { workerId: 'w1', incarnation: 1_000 }
@@ -140,6 +143,21 @@
   })
 }
 
+// Guards against tickets and turns that a leader keeps for each done occurrence until the end of a recurring job.
+test('a step of a done occurrence does not count as open, so that what the leader keeps for it can go', t => {
+  const fixture = new StateFixture([step({ taskCount: 2 })], 3)
+  fixture.runOccurrence(0, 2)
+  fixture.assign(['j1.1.0.0'])
+  const keys = ['j1.0.0', 'j1.1.0', 'j1.2.0', 'j2.0.0']
+  t.deepEqual(keys.map(key => isStepOpen(fixture.state, key)), [false, true, true, false])
+  const clock = new ManualClock(0, 0)
+  const cache = new TicketCache(clock)
+  const advice = { asked: [LIFE], tickets: [{ workerId: 'w1', ticket: 't' }], expiresAtMs: 10_000 }
+  for (const key of ['j1.0.0', 'j1.1.0']) cache.record(key, advice)
+  cache.retainSteps(key => isStepOpen(fixture.state, key))
+  t.deepEqual(['j1.0.0', 'j1.1.0'].map(key => cache.permittedWorkers(key).size), [0, 1])
+})
+
 // Guards against memory for the run numbers of all done occurrences of a job that never ends.
 test('the run numbers of done occurrences are dropped after the retention', t => {
   const fixture = new StateFixture([step({ taskCount: 1 })], 1_000)
