Move the types of a pass and the leader's events out of the two largest modules

The input, working state and result of a pass are in scheduling-pass.ts, events and effects of the leader in leader-events.ts, and `explain` names the new reason to wait. No statement is changed.

--- a/packages/batch/src/admission-policy.ts
+++ b/packages/batch/src/admission-policy.ts
@@ -2,7 +2,7 @@
 import type { Failure } from '@comfreygrade/core'
 import type { JobSpec } from './jobs.js'
 import type { QueueConfiguration } from './queues.js'
-import type { PassDecision } from './scheduler.js'
+import type { PassDecision } from './scheduling-pass.js'
 import type { QueuedStep } from './waiting-steps.js'
 import type { WorkerView } from './worker-view.js'
 
--- a/packages/batch/src/backlog-admission.ts
+++ b/packages/batch/src/backlog-admission.ts
@@ -12,7 +12,7 @@
 import type { QueueConfiguration } from './queues.js'
 import { RecentRefusals } from './recent-refusals.js'
 import { shareOfJob } from './retry-spread.js'
-import type { PassDecision } from './scheduler.js'
+import type { PassDecision } from './scheduling-pass.js'
 import { USEFUL_OBJECTIVE_FACTOR } from './scheduling-order.js'
 import { ShapeAdmission, type ShapeAdmissionOptions } from './shape-admission.js'
 import type { QueuedStep } from './waiting-steps.js'
--- a/packages/batch/src/failed-placements.ts
+++ b/packages/batch/src/failed-placements.ts
@@ -1,6 +1,6 @@
 /** Placements that failed in a scheduling pass, so that steps which need at least as much are not tried again. */
 import { occupiedShape } from './jobs.js'
-import type { WaitReason } from './scheduler.js'
+import type { WaitReason } from './scheduling-pass.js'
 import type { WaitingStep } from './waiting-steps.js'
 import type { Candidates } from './worker-selection.js'
 
--- a/packages/batch/src/leader.ts
+++ b/packages/batch/src/leader.ts
@@ -1,58 +1,31 @@
 /** The batch leader: handles heartbeats and operations, and schedules runs, on top of the replicated state. */
 import { fail, UNEXPECTED_ERROR, type Clock, type EventLog, type Metrics } from '@comfreygrade/core'
-import { AdvicePlanner, type AdviceNeed, type AdviceRequest } from './advice-planner.js'
-import { TicketCache, type Ticket } from './advice-tickets.js'
+import { AdvicePlanner, type AdviceNeed } from './advice-planner.js'
+import { TicketCache } from './advice-tickets.js'
 import type { BatchState } from './batch-state.js'
 import { assignmentKey } from './run-keys.js'
-import type { Assignment, BatchCommand, CommandResult, RunEnd } from './commands.js'
+import type { Assignment, BatchCommand, RunEnd } from './commands.js'
 import { BrokenGangs } from './broken-gangs.js'
 import { GangAssembly } from './gang-assembly.js'
+import type { LeaderEffect, LeaderEvent } from './leader-events.js'
 import { jobIdOf } from './jobs.js'
 import { planDrain, planEvictions, type Eviction } from './evictions.js'
 import { DisruptionBudget } from './disruption-budget.js'
 import { MaintenancePlanner, type MaintenanceAnswer, type MaintenanceCall } from './maintenance.js'
 import { OperationHandler, type ProposalOutcome } from './operation-handler.js'
-import type { BatchOperation, BatchResult } from './operations.js'
 import { OrderPlanner } from './order-planner.js'
 import { plainPolicies, type BatchPolicies } from './policies.js'
 import { ObjectiveSchedulingOrder } from './scheduling-order.js'
 import { StartRules } from './start-rules.js'
 import { ReportHandler } from './report-handler.js'
-import { BatchScheduler, type FleetView, type PassDecision, type Reclaim } from './scheduler.js'
+import { BatchScheduler } from './scheduler.js'
+import type { FleetView, PassDecision, Reclaim } from './scheduling-pass.js'
 import type { BatchSettings } from './settings.js'
-import type { WorkerOrders, WorkerReport } from './worker-messages.js'
 import { WaitLog } from './wait-log.js'
 import { isStepOpen } from './waiting-steps.js'
 import { ZoneMoves } from './zone-moves.js'
 import { WorkerRegistry } from './worker-registry.js'
 
-/** Input of the leader. */
-export type LeaderEvent =
-  | { readonly kind: 'operation', readonly requestId: string, readonly operation: BatchOperation }
-  | { readonly kind: 'report', readonly requestId: string, readonly report: WorkerReport }
-  | { readonly kind: 'worker_left', readonly requestId: string, readonly workerId: string }
-  | { readonly kind: 'applied', readonly proposalId: string, readonly result: CommandResult }
-  /** `isCertain` where the command can never take effect; otherwise it may still be committed. */
-  | { readonly kind: 'rejected', readonly proposalId: string, readonly isCertain: boolean }
-  | {
-    readonly kind: 'advice'
-    readonly stepKey: string
-    readonly tickets: readonly Ticket[] | undefined
-    /** Time at which the call was sent. */
-    readonly requestedAtMs: number
-  }
-  | { readonly kind: 'maintenance_answered', readonly call: MaintenanceCall, readonly answer: MaintenanceAnswer }
-  | { readonly kind: 'tick' }
-
-/** Output of the leader, which its adapters carry out. */
-export type LeaderEffect =
-  | { readonly kind: 'propose', readonly proposalId: string, readonly command: BatchCommand }
-  | { readonly kind: 'reply', readonly requestId: string, readonly result: BatchResult }
-  /** `orders` is undefined where the report was ignored or replaced, and for the message of a worker that has left. */
-  | { readonly kind: 'reply_worker', readonly requestId: string, readonly orders: WorkerOrders | undefined }
-  | { readonly kind: 'begin_maintenance', readonly call: MaintenanceCall, readonly fencingToken: number }
-  | ({ readonly kind: 'ask_advice' } & AdviceRequest)
-
 /** Options of {@link BatchLeader}. */
 export interface BatchLeaderOptions {
   readonly term: number
--- a/packages/batch/src/shape-admission.ts
+++ b/packages/batch/src/shape-admission.ts
@@ -3,7 +3,7 @@
 import { AdmissionPolicy, type AdmissionRequest } from './admission-policy.js'
 import type { StepSpec } from './jobs.js'
 import { KnownFleet } from './known-fleet.js'
-import type { PassDecision } from './scheduler.js'
+import type { PassDecision } from './scheduling-pass.js'
 import type { BatchSettings } from './settings.js'
 import type { QueuedStep } from './waiting-steps.js'
 
--- a/packages/batch/src/wait-log.ts
+++ b/packages/batch/src/wait-log.ts
@@ -1,6 +1,6 @@
 /** Log lines that say why steps wait. */
 import type { Clock, EventLog } from '@comfreygrade/core'
-import type { PassDecision, StepWait, WaitReason } from './scheduler.js'
+import type { PassDecision, StepWait, WaitReason } from './scheduling-pass.js'
 import type { WaitingStep } from './waiting-steps.js'
 import { waitingStepKey } from './worker-selection.js'
 
--- a/packages/cli/src/log-explainer.ts
+++ b/packages/cli/src/log-explainer.ts
@@ -29,7 +29,8 @@
   ['data_rack', 'the rack that has its data has no room'],
   ['reclaim', 'runs of lower priority are being stopped for it'],
   ['reservation', 'capacity is reserved for it, which other runs still use'],
-  ['capacity', 'there is no free capacity for it, and other steps come first']
+  ['capacity', 'there is no free capacity for it, and other steps come first'],
+  ['state_limit', 'so many tasks have started and are not done that no further one may start']
 ])
 
 /**
