Do not take the answer to a call of an earlier term for that to the open one

Found while reading the planner: after a change of leader and back in one process, the answer to a call of the earlier term reached the new leader. Where its open call was for the same step, the answer was taken for that one: workers that only the new call names counted as denied, for 10 s or for as long as others are permitted. A call that was queued in the process and not sent was still sent. The port now drops both when the node ceases to lead; the next call still waits for the one that the service may be handling.

Test: 'after a change of leader and back, a call waits for the one before, whose answer is not passed on'; it fails without the check.

--- a/packages/batch-node/src/batch-service.ts
+++ b/packages/batch-node/src/batch-service.ts
@@ -174,6 +174,7 @@
 
   override leadershipEnded (): void {
     this.#leader = undefined
+    this.#portCalls.endLeadership()
     clearTimeout(this.#tickTimer)
     const pending = [...this.#pendingRequests.values()]
     this.#pendingRequests.clear()
--- a/packages/batch-node/src/port-calls.ts
+++ b/packages/batch-node/src/port-calls.ts
@@ -25,6 +25,8 @@
   readonly #options: PortCallsOptions
   /** Ends with the latest call to the advice service. */
   #adviceCalls: Promise<void> = Promise.resolve()
+  /** Number of times that this node has ceased to lead. */
+  #leadershipCount = 0
 
   constructor (options: PortCallsOptions) {
     this.#options = options
@@ -50,16 +52,25 @@
    * handles the calls of one caller in turn, so a call waits for one of an earlier term of this node.
    */
   async requestTickets (effect: EffectOf<'ask_advice'>): Promise<void> {
-    this.#adviceCalls = this.#adviceCalls.then(async () => { await this.#callAdvice(effect) })
+    const leadership = this.#leadershipCount
+    this.#adviceCalls = this.#adviceCalls.then(async () => { await this.#callAdvice(effect, leadership) })
     await this.#adviceCalls
   }
 
-  async #callAdvice ({ stepKey, workerIds, timeoutMs }: EffectOf<'ask_advice'>): Promise<void> {
+  /** Answers to requests for tickets that are open now are not passed on: a later leader has not asked for them. */
+  endLeadership (): void {
+    this.#leadershipCount++
+  }
+
+  async #callAdvice (
+    { stepKey, workerIds, timeoutMs }: EffectOf<'ask_advice'>, leadership: number
+  ): Promise<void> {
     const { advice, clock, dispatch } = this.#options
+    if (leadership !== this.#leadershipCount) return
     const requestedAtMs = clock.monotonicMs()
     const tickets = await advice.requestTickets(stepKey, workerIds, timeoutMs)
       .catch((error: unknown) => this.#handlePortError('advice', error, undefined))
-    dispatch({ kind: 'advice', stepKey, tickets, requestedAtMs })
+    if (leadership === this.#leadershipCount) dispatch({ kind: 'advice', stepKey, tickets, requestedAtMs })
   }
 
   /** An unexpected error of a port counts as a failed call, which is repeated. */
--- a/packages/batch-node/test/port-calls.test.ts
+++ b/packages/batch-node/test/port-calls.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import type { LeaderEvent } from '@comfreygrade/batch'
+import type { LeaderEvent, Ticket } from '@comfreygrade/batch'
 import { ManualClock, NullEventLog, NullMetrics } from '@comfreygrade/core'
 import { AdvicePort, VmPort, type CallerIdentity } from '../src/index.js'
 import { PortCalls } from '../src/port-calls.js'
@@ -27,11 +27,24 @@
   }
 }
 
-function createCalls (vms: VmPort, leadsInTerm: (term: number) => boolean) {
+/** Answers when the test says so. */
+class WaitingAdvicePort extends AdvicePort {
+  readonly asked: string[] = []
+  answer = (): void => {}
+
+  override async requestTickets (stepKey: string): Promise<readonly Ticket[]> {
+    this.asked.push(stepKey)
+    return await new Promise(resolve => { this.answer = () => { resolve([{ workerId: 'w', ticket: stepKey }]) } })
+  }
+}
+
+function createCalls (
+  vms: VmPort, leadsInTerm: (term: number) => boolean, advice: AdvicePort = new FailingAdvicePort()
+) {
   const events: LeaderEvent[] = []
   const calls = new PortCalls({
     nodeId: 'a',
-    advice: new FailingAdvicePort(),
+    advice,
     vms,
     clock: new ManualClock(0, 0),
     metrics: new NullMetrics(),
@@ -77,3 +90,29 @@
     { kind: 'advice', stepKey: 'j.0.0', tickets: undefined, requestedAtMs: 0 }
   ])
 })
+
+const settle = async (): Promise<void> => { await new Promise(resolve => { setImmediate(resolve) }) }
+const askFor = (stepKey: string) => ({ kind: 'ask_advice', stepKey, workerIds: ['w'], timeoutMs: 5_000 }) as const
+
+// Guards against tickets that count from a time at which their call still waits for that of an earlier leader, and
+// against workers that count as denied because the answer to that call is taken for the one to the new call.
+test('after a change of leader and back, a call waits for the one before, whose answer is not passed on', async t => {
+  const advice = new WaitingAdvicePort()
+  const { calls, events } = createCalls(new RecordingVmPort(), () => true, advice)
+  const first = calls.requestTickets(askFor('j.0.0'))
+  const unsent = calls.requestTickets(askFor('j.0.1'))
+  await settle()
+  calls.endLeadership()
+  const second = calls.requestTickets(askFor('j.0.0'))
+  await settle()
+  t.deepEqual(advice.asked, ['j.0.0'])
+  advice.answer()
+  await first
+  await unsent
+  await settle()
+  t.deepEqual(events, [])
+  t.deepEqual(advice.asked, ['j.0.0', 'j.0.0'])
+  advice.answer()
+  await second
+  t.is(events.length, 1)
+})
--- a/packages/batch/src/advice-planner.ts
+++ b/packages/batch/src/advice-planner.ts
@@ -112,15 +112,14 @@
     return plan === undefined ? undefined : this.#start(plan)
   }
 
-  /** Takes the outcome of the open call; that of a call of an earlier leader is ignored. */
+  /** Takes the outcome of the open call. */
   complete ({ stepKey, tickets, requestedAtMs }: AdviceAnswer): void {
     const call = this.#open
     if (call?.stepKey !== stepKey) return
     const { clock, metrics, log, tickets: cache } = this.#options
     const nowMs = clock.monotonicMs()
     this.#open = undefined
-    const turn = this.#turns.get(stepKey)
-    if (turn !== undefined) Object.assign(turn, { sinceMs: nowMs, deferredSinceMs: undefined })
+    this.#turns.set(stepKey, { sinceMs: nowMs, deferredSinceMs: undefined, nextCheckMs: -Infinity })
     const validFromMs = isUsableFromCall(call.policy) ? requestedAtMs : nowMs
     const expiresAtMs = validFromMs + call.policy.ticketValidMs
     metrics.timing('advice.call', nowMs - requestedAtMs, { outcome: tickets === undefined ? 'failed' : 'answered' })
--- a/packages/batch/test/advised-fleet.ts
+++ b/packages/batch/test/advised-fleet.ts
@@ -86,6 +86,7 @@
 
   /** The next term begins, without the calls and tickets of the one before. */
   changeLeader (): void {
+    this.#openCalls.clear()
     this.fixture.changeLeader()
   }
 
