Let a gang start at the limit of started tasks, and refuse one that is larger than the limit

Found while reading the limit: at the limit, a gang needs room for all its members at once, while smaller steps behind it took each place that became free, so it could wait for good. A step that the limit keeps from starting now holds the room for itself. A gang of more tasks than may have started at all is refused at its submission, since it could never run; with the heap of a control process the limit is above the most tasks that a job may have.

Tests: 'a gang starts at the limit of started tasks before steps that come after it' (fails without the change) and 'a gang beyond the limit of started tasks is refused for good'.

--- a/packages/batch/src/job-storage-limit.ts
+++ b/packages/batch/src/job-storage-limit.ts
@@ -2,7 +2,7 @@
 import { failure, type Clock, type EventLog, type Failure, type Metrics } from '@comfreygrade/core'
 import type { BatchState } from './batch-state.js'
 import { estimateJobBytes } from './job-size.js'
-import type { JobSpec } from './jobs.js'
+import type { JobSpec, StepSpec } from './jobs.js'
 import { RecentRefusals } from './recent-refusals.js'
 import { shareOfJob } from './retry-spread.js'
 import type { BatchSettings } from './settings.js'
@@ -54,6 +54,8 @@
     this.#endFullPeriod(nowMs)
     const known = this.#refusals.find(spec.jobId, nowMs)
     if (known !== undefined) return known
+    const gang = spec.steps.find(step => step.isGang && step.taskCount > settings.maxStartedTasks)
+    if (gang !== undefined) return gangIsTooLarge(gang, settings)
     const excessBytes = state.storedJobBytes + this.#reservedBytes + estimateJobBytes(spec) - settings.maxJobBytes
     return excessBytes > 0 ? this.#refuse(spec, excessBytes, nowMs) : undefined
   }
@@ -108,3 +110,8 @@
     })
   }
 }
+
+/** A gang whose members could never all start. */
+function gangIsTooLarge ({ taskCount }: StepSpec, { maxStartedTasks }: BatchSettings): Failure {
+  return failure('impossible_shape', `a gang has ${taskCount} tasks, and at most ${maxStartedTasks} tasks may have started`)
+}
--- a/packages/batch/src/scheduler.ts
+++ b/packages/batch/src/scheduler.ts
@@ -187,7 +187,11 @@
     const step = withTasks(queued, {
       maxTasks: MAX_ASSIGNMENTS_PER_PASS - pass.assignments.length, maxNewTasks: pass.newTaskRoom
     })
-    if (step.taskIndexes.length === 0) return this.#exclude(step, 'state_limit', pass)
+    if (step.taskIndexes.length === 0) {
+      // Later steps would take the room that becomes free, and a gang would never have enough of it.
+      pass.newTaskRoom = 0
+      return this.#exclude(step, 'state_limit', pass)
+    }
     const permitted = step.hasAdvicePolicy ? fleet.permittedWorkers(waitingStepKey(step)) : undefined
     if (permitted?.size === 0) return this.#awaitTicket(step, 'ticket', pass)
     const knownReason = this.#mayOnlyBePlaced(step, pass) ? pass.failed.reasonFor(step) : undefined
--- a/packages/batch/test/job-storage-limit.test.ts
+++ b/packages/batch/test/job-storage-limit.test.ts
@@ -95,6 +95,14 @@
   t.is(fixture.state.job('old')?.state, 'completed')
 })
 
+// Guards against an accepted gang that can never start, since it needs more tasks than may have started at once.
+test('a gang beyond the limit of started tasks is refused for good', t => {
+  const fixture = new LeaderFixture(undefined, { maxStartedTasks: 10 })
+  const refused = fixture.submit('gang', [step({ taskCount: 11, isGang: true })])
+  t.like(refused, { ok: false, failure: { kind: 'impossible_shape' } })
+  t.true(fixture.submit('wide', [step({ taskCount: 11 })])?.ok)
+})
+
 test('the limits follow from the heap', t => {
   const small = deriveStateLimits(200 * 1_048_576)
   const large = deriveStateLimits(400 * 1_048_576)
--- a/packages/batch/test/waiting-tasks.test.ts
+++ b/packages/batch/test/waiting-tasks.test.ts
@@ -61,6 +61,8 @@
 /** Starts as many tasks as the leader allows, and ends those that run. */
 class StoppingWorker {
   readonly fixture = new LeaderFixture(undefined, { maxLongPollMs: 60, gangAssemblyMs: 0, maxStartedTasks: 10 })
+  /** Keys of all tasks that have started. */
+  readonly started: string[] = []
   #running: ReturnType<typeof runningTasks> = []
   #ends: WorkerReport['ends'] = []
   #endCount = 0
@@ -70,16 +72,43 @@
     const orders = this.fixture.heartbeat('w1', { ...LARGE_WORKER, running: this.#running, ends: this.#ends })
     const starts = orders?.starts ?? []
     this.#running = [...this.#running, ...runningTasks(starts)]
+    this.started.push(...starts.map(start => start.taskKey))
     return starts.map(start => start.taskKey)
   }
 
   endAll (reason: 'done' | 'stopped'): void {
-    this.#ends = this.#running.map(({ taskKey, run }) =>
+    this.#end(this.#running.length, reason)
+  }
+
+  /** The first runs end. */
+  endSome (count: number): void {
+    this.#end(count, 'done')
+  }
+
+  #end (count: number, reason: 'done' | 'stopped'): void {
+    this.#ends = this.#running.slice(0, count).map(({ taskKey, run }) =>
       ({ sequence: ++this.#endCount, taskKey, run, reason, checkpoint: '' }))
-    this.#running = []
+    this.#running = this.#running.slice(count)
   }
 }
 
+// Guards against a gang that waits for good at the limit of started tasks, since smaller steps take what becomes free.
+test('a gang starts at the limit of started tasks before steps that come after it', t => {
+  const worker = new StoppingWorker()
+  worker.report()
+  worker.fixture.submit('first', [step({ taskCount: 8 })])
+  t.is(worker.report().length, 8)
+  worker.fixture.submit('gang', [step({ taskCount: 9, isGang: true })])
+  for (let index = 0; index < 20; index++) worker.fixture.submit(`later${index}`, [step({ taskCount: 1 })])
+  worker.endSome(4)
+  const starts = [...worker.report(), ...worker.report()]
+  t.deepEqual(starts.filter(key => key.startsWith('later')), [])
+  worker.endAll('done')
+  worker.report()
+  worker.report()
+  t.is(worker.started.filter(key => key.startsWith('gang')).length, 9)
+})
+
 // Guards against records that grow with each task that starts and is stopped again: tasks without a record wait then,
 // and those that have one go on.
 test('no further task starts while the limit of started tasks is reached, and all tasks end', t => {
