--- a/packages/batch/src/advice-call-size.ts
+++ b/packages/batch/src/advice-call-size.ts
@@ -19,13 +19,14 @@
 const MIN_PLACEMENT_MS = 400
 
 /**
- * Time that the service takes for a call.
+ * Time that the service takes for a call. Not below 0, since a log may hold a policy with a negative duration, which an
+ * earlier version accepted.
  *
  * @example
  * callDurationMs({ decideMs: 200, perWorkerMs: 10, ticketValidMs: 2_000 }, 30) // 500
  */
 export function callDurationMs ({ decideMs, perWorkerMs }: AdvicePolicy, workerCount: number): number {
-  return decideMs + perWorkerMs * workerCount
+  return Math.max(0, decideMs + perWorkerMs * workerCount)
 }
 
 /**
--- a/packages/batch/test/advice.test.ts
+++ b/packages/batch/test/advice.test.ts
@@ -135,3 +135,14 @@
   t.deepEqual(fleet.fixture.adviceRequests, [])
   t.deepEqual(fleet.settle(), ['w0'])
 })
+
+// Guards against calls that are given up at once, under a policy that an earlier version accepted.
+test('a call is given time for its answer also where the durations of the policy are negative', t => {
+  const advice = { decideMs: -5_000, perWorkerMs: -10, ticketValidMs: TICKET_VALID_MS }
+  const fixture = new LeaderFixture(document(1, [queue({ advice })]))
+  fixture.heartbeat('w0')
+  fixture.submit('j1', [step()])
+  fixture.heartbeat('w0')
+  const [request] = fixture.adviceRequests
+  t.true((request?.timeoutMs ?? 0) > 1_000, `given up after ${request?.timeoutMs} ms`)
+})
