--- a/packages/cli/src/job-commands.ts
+++ b/packages/cli/src/job-commands.ts
@@ -1,7 +1,7 @@
 /** `jobs` and `job submit|show|cancel|explain|watch`. */
-import { setTimeout as delay } from 'node:timers/promises'
 import type { JobExplanation, JobPhase, JobSpec } from '@comfreygrade/core'
 import type { ValidationResult } from '@comfreygrade/documents'
+import { pause } from '@comfreygrade/timers'
 import type { JobResponse, JobListResponse } from './api-types.js'
 import { Command, type CommandContext, FileCommand, SingleCallCommand } from './command.js'
 import type { ExitReason } from './exit.js'
@@ -99,7 +99,7 @@
       if (line !== previousLine) output.writeResult(job, () => line)
       previousLine = line
       if (job.phase === 'ended') return job.outcome === 'completed' ? 'done' : 'refused'
-      await delay(options.intervalMs)
+      await pause(options.intervalMs)
     }
   }
 }
--- a/packages/cli/src/node-transport.ts
+++ b/packages/cli/src/node-transport.ts
@@ -1,4 +1,5 @@
 /** Sends HTTP requests to a list of nodes, with failover. */
+import { timeoutSignal } from '@comfreygrade/timers'
 import { Agent, type Dispatcher, request } from 'undici'
 import { ClientError, type ClientProblem, parseErrorBody } from './client-error.js'
 
@@ -77,7 +78,7 @@
 
   async #attempt (nodeUrl: string, { method, path, headers, body, timeoutMs }: NodeCall): Promise<AttemptResult> {
     try {
-      const signal = AbortSignal.timeout(timeoutMs ?? this.#timeoutMs)
+      const signal = timeoutSignal(timeoutMs ?? this.#timeoutMs)
       const response = await request(nodeUrl + path, { method, headers, body, signal, dispatcher: this.#agent })
       return { kind: 'answered', response: await readResponse(response) }
     } catch (error) {
