Let control nodes wait for intervals that are longer than a timer of Node.js lasts

The numeric defaults of the consensus and control sections can be set to any number of at least 0. With an interval of more than 2,147,483,647 ms the timer of the next tick fired after 1 ms, found nothing due and was set again: the process woke up once a millisecond for good. Delays that are fractions are rounded up now, so a tick no longer comes just before it is due and once more after it.

The tick of the control leader uses the same function and has no test of its own.

--- a/packages/node/src/control-service.ts
+++ b/packages/node/src/control-service.ts
@@ -9,6 +9,7 @@
   type ControlEffect, type ControlEvent, type ControlOperation, type ControlResult, type ControlSettings,
   type ControlSnapshot, type GuaranteeValidator, type JobScheduler
 } from '@comfreygrade/control'
+import { startTimer } from '@comfreygrade/timers'
 import { ConfigurationFeed } from './configuration-feed.js'
 import type { PeerMessage } from './peer-messages.js'
 import { ReplicatedStateMachine, StateMachine } from './replica-host.js'
@@ -257,7 +258,7 @@
     const wakeAtMs = this.#leader?.nextWakeAtMs()
     if (wakeAtMs === undefined || wakeAtMs === Infinity) return
     const delayMs = Math.max(1, wakeAtMs - this.#options.clock.monotonicMs())
-    this.#leaderTimer = setTimeout(() => { this.#handleEvent({ kind: 'tick' }) }, delayMs)
+    this.#leaderTimer = startTimer(delayMs, () => { this.#handleEvent({ kind: 'tick' }) })
   }
 
   #replaceVoterWithNewDisk (announced: VoterId): void {
--- a/packages/node/src/replica-runner.ts
+++ b/packages/node/src/replica-runner.ts
@@ -1,6 +1,7 @@
 /** Drives one consensus replica: timers, storage and effects, one event at a time. */
 import type { Clock } from '@comfreygrade/core'
 import type { LogStorage, Replica, ReplicaEffect, ReplicaEvent } from '@comfreygrade/consensus'
+import { startTimer } from '@comfreygrade/timers'
 
 /** Handlers for the effects of a replica, except `persist`, which goes to the storage. */
 export interface ReplicaEffectHandlers<Command> {
@@ -92,10 +93,9 @@
   #scheduleTick (): void {
     clearTimeout(this.#timer)
     if (this.#isStopped) return
-    // A replica without a due time waits for a message; setTimeout would treat Infinity as 1 ms.
+    // A replica without a due time waits for a message.
     const wakeAtMs = this.replica.nextWakeAtMs()
     if (wakeAtMs === Infinity) return
-    const delayMs = Math.max(0, wakeAtMs - this.#clock.monotonicMs())
-    this.#timer = setTimeout(() => { this.step({ kind: 'tick' }) }, delayMs)
+    this.#timer = startTimer(wakeAtMs - this.#clock.monotonicMs(), () => { this.step({ kind: 'tick' }) })
   }
 }
