--- a/packages/batch-node/src/batch-node.ts
+++ b/packages/batch-node/src/batch-node.ts
@@ -3,6 +3,7 @@
 import { fail } from '@comfreygrade/core'
 import type { VoterId } from '@comfreygrade/consensus'
 import { PeerLinks, type LinkMessage, type PeerAddress } from '@comfreygrade/node/adapters'
+import { pause, startInterval } from '@comfreygrade/timers'
 import { BatchService, type BatchServiceOptions, type KnownLeader } from './batch-service.js'
 import type { ControlDisk } from './control-disk.js'
 import { ControlMembership } from './control-membership.js'
@@ -90,7 +91,7 @@
   /** Starts listening and dials the seeds. */
   async start (): Promise<void> {
     await this.#links.start()
-    this.#helloTimer = setInterval(() => { this.#runPeriodicTasks() }, HELLO_INTERVAL_MS)
+    this.#helloTimer = startInterval(HELLO_INTERVAL_MS, () => { this.#runPeriodicTasks() })
   }
 
   /** Executes an operation of a client or an operator on the leader. */
@@ -152,9 +153,7 @@
     const voter = this.#ownControlInfo()?.voter
     if (voter !== undefined) this.#links.broadcast({ kind: 'leaving', voter })
     this.#service?.stepDown()
-    await new Promise<void>(resolve => {
-      setTimeout(resolve, this.#service === undefined ? 0 : LEADERSHIP_TRANSFER_MS)
-    })
+    await pause(this.#service === undefined ? 0 : LEADERSHIP_TRANSFER_MS)
     await this.#service?.stop()
     await this.#links.stop()
   }
--- a/packages/batch-node/src/batch-service.ts
+++ b/packages/batch-node/src/batch-service.ts
@@ -10,6 +10,7 @@
 import type { LogStorage, RecoveredLog, Replica, ReplicaSettings, VoterId } from '@comfreygrade/consensus'
 import { fail, type Clock, type EventLog, type Metrics, type Random } from '@comfreygrade/core'
 import { ReplicatedStateMachine, StateMachine } from '@comfreygrade/node/adapters'
+import { startTimer } from '@comfreygrade/timers'
 import type { LeaderRequest, LeaderResponse, BatchMessage, VersionedClientLimits } from './messages.js'
 import { PortCalls } from './port-calls.js'
 import type { AdvicePort, VmPort } from './ports.js'
@@ -194,7 +195,7 @@
   #scheduleTick (): void {
     clearTimeout(this.#tickTimer)
     if (this.#leader === undefined) return
-    this.#tickTimer = setTimeout(() => { this.#dispatch({ kind: 'tick' }) }, this.#leader.nextTickMs())
+    this.#tickTimer = startTimer(this.#leader.nextTickMs(), () => { this.#dispatch({ kind: 'tick' }) })
   }
 
   #performEffect (effect: LeaderEffect): void {
--- a/packages/batch-node/src/disk-probe.ts
+++ b/packages/batch-node/src/disk-probe.ts
@@ -1,9 +1,9 @@
 /** Waits at startup while the disk is full. */
 import { open, rm } from 'node:fs/promises'
 import { join } from 'node:path'
-import { setTimeout as pause } from 'node:timers/promises'
 import type { EventLog } from '@comfreygrade/core'
 import { isDiskFullError } from '@comfreygrade/node/adapters'
+import { pause } from '@comfreygrade/timers'
 
 /** Exceeds the first writes of a control node, which follow the probe. */
 const PROBE_BYTES = 65_536
--- a/packages/batch-node/src/leader-client.ts
+++ b/packages/batch-node/src/leader-client.ts
@@ -2,6 +2,7 @@
 import { randomUUID } from 'node:crypto'
 import { errorTable, fail, type Clock, type ErrorKind, type Failure, type Metrics } from '@comfreygrade/core'
 import type { BatchOperation, BatchResult } from '@comfreygrade/batch'
+import { pause, startTimer } from '@comfreygrade/timers'
 import type { LeaderRequest, LeaderResponse, BatchMessage } from './messages.js'
 
 /** Options of {@link LeaderClient}. */
@@ -88,7 +89,7 @@
       })
       const result = round.kind === 'done' ? this.#resultOf(round.outcome) : undefined
       if (result !== undefined) return result
-      if (round.kind === 'exhausted') await this.#pause(Math.min(ROUND_INTERVAL_MS, deadlineMs - this.#nowMs))
+      if (round.kind === 'exhausted') await pause(Math.min(ROUND_INTERVAL_MS, deadlineMs - this.#nowMs))
     }
     return mayHaveTakenEffect
       ? fail('outcome_unknown', 'no control leader answered in time; an attempt may have taken effect')
@@ -139,7 +140,7 @@
   async #requestFromPeer (nodeId: string, request: LeaderRequest, timeoutMs: number): Promise<AttemptOutcome> {
     const requestId = randomUUID()
     return await new Promise<AttemptOutcome>(resolve => {
-      const timer = setTimeout(() => { settle({ kind: 'unknown' }) }, timeoutMs)
+      const timer = startTimer(timeoutMs, () => { settle({ kind: 'unknown' }) })
       const settle = (outcome: AttemptOutcome): void => {
         clearTimeout(timer)
         this.#pendingRequests.delete(requestId)
@@ -152,10 +153,6 @@
     })
   }
 
-  async #pause (durationMs: number): Promise<void> {
-    await new Promise<void>(resolve => { setTimeout(resolve, Math.max(1, durationMs)) })
-  }
-
   get #nowMs (): number {
     return this.#options.clock.monotonicMs()
   }
@@ -194,7 +191,7 @@
 /** Resolves to the outcome `unknown` if there is no response within the time limit. */
 async function outcomeWithin (response: Promise<LeaderResponse>, timeoutMs: number): Promise<AttemptOutcome> {
   return await new Promise<AttemptOutcome>(resolve => {
-    const timer = setTimeout(() => { resolve({ kind: 'unknown' }) }, timeoutMs)
+    const timer = startTimer(timeoutMs, () => { resolve({ kind: 'unknown' }) })
     const settle = (outcome: AttemptOutcome): void => {
       clearTimeout(timer)
       resolve(outcome)
--- a/packages/bench/src/capacity-changes-bench.ts
+++ b/packages/bench/src/capacity-changes-bench.ts
@@ -1,7 +1,7 @@
 /** Resource use and latency of configuration changes at several rates. */
 import { performance } from 'node:perf_hooks'
-import { setTimeout as delay } from 'node:timers/promises'
 import { build } from 'hdr-histogram-js'
+import { pause } from '@comfreygrade/timers'
 import type { BenchTable } from './format.js'
 import { meanOfRole, measureResourceUse, measureIdleResourceUse, type ResourceUse } from './capacity-cost.js'
 import { awaitVersion, loadInventory, createChange } from './capacity-inventory.js'
@@ -60,7 +60,7 @@
   const uses = await measureResourceUse(cluster, async () => {
     const startedMs = performance.now()
     while (performance.now() - startedMs < durationMs) {
-      if (rate !== undefined) await delay(startedMs + acceptLatenciesMs.length * 1_000 / rate - performance.now())
+      if (rate !== undefined) await pause(startedMs + acceptLatenciesMs.length * 1_000 / rate - performance.now())
       const sentMs = performance.now()
       version = (await cluster.client(NODES - 1).applyChange(createChange(version, 'organisation'))).version
       acceptLatenciesMs.push(performance.now() - sentMs)
--- a/packages/bench/src/capacity-cost.ts
+++ b/packages/bench/src/capacity-cost.ts
@@ -1,6 +1,6 @@
 /** Resource use of nodes: the difference between two readings of their status. */
-import { setTimeout as delay } from 'node:timers/promises'
 import type { StatusResponse } from '@comfreygrade/cli'
+import { pause } from '@comfreygrade/timers'
 import type { LocalCluster } from './capacity-system.js'
 
 /** The leader, any other control node (`voter`), or a node without a replica (`entry`), at the end of a measurement. */
@@ -32,8 +32,8 @@
 
 /** Measures the nodes without load, after a warm-up. */
 export async function measureIdleResourceUse (cluster: LocalCluster, durationMs: number): Promise<ResourceUse[]> {
-  await delay(WARM_UP_MS)
-  return await measureResourceUse(cluster, async () => { await delay(durationMs) })
+  await pause(WARM_UP_MS)
+  return await measureResourceUse(cluster, async () => { await pause(durationMs) })
 }
 
 /** Returns the mean over the nodes of one role; undefined if there are none. */
--- a/packages/bench/src/capacity-inventory.ts
+++ b/packages/bench/src/capacity-inventory.ts
@@ -1,11 +1,11 @@
 /** Inventories of a given number of workers, and functions to load them into a cluster. */
 import { performance } from 'node:perf_hooks'
-import { setTimeout as delay } from 'node:timers/promises'
 import type { NodeClient } from '@comfreygrade/cli'
 import {
   defaultRules, diffDocument, emptyConfiguration, type ConfigurationChange, type ConfigurationDocument, type Upsert
 } from '@comfreygrade/core'
 import { waitFor } from '@comfreygrade/standins'
+import { pause } from '@comfreygrade/timers'
 import type { LocalCluster } from './capacity-system.js'
 
 const WORKERS_PER_RACK = 8
@@ -54,7 +54,7 @@
   while (performance.now() < deadlineMs) {
     const statuses = await cluster.statuses()
     if (statuses.every(status => status.configurationVersion >= version && status.hasConfigurationLease)) return
-    await delay(POLL_INTERVAL_MS)
+    await pause(POLL_INTERVAL_MS)
   }
   throw new Error(`configuration version ${version} was not in force on all nodes within ${TIMEOUT_MS} ms`)
 }
--- a/packages/bench/src/capacity-urgent-bench.ts
+++ b/packages/bench/src/capacity-urgent-bench.ts
@@ -3,9 +3,9 @@
  * on lent capacity.
  */
 import { performance } from 'node:perf_hooks'
-import { setTimeout as delay } from 'node:timers/promises'
 import type { JobPriority, JobSpec, Preemption } from '@comfreygrade/core'
 import { FixedRunTime, StandInWorker, waitFor } from '@comfreygrade/standins'
+import { pause } from '@comfreygrade/timers'
 import { createInventory, loadInventory } from './capacity-inventory.js'
 import { LocalCluster } from './capacity-system.js'
 import type { BenchTable } from './format.js'
@@ -68,7 +68,7 @@
     const id = `urgent-${label}-${sample}`
     times.push(await measureStartMs(cluster, id))
     await cluster.client(4).cancelJob(id)
-    await delay(SETTLE_AFTER_CANCEL_MS)
+    await pause(SETTLE_AFTER_CANCEL_MS)
   }
   return times
 }
@@ -79,7 +79,7 @@
   await client.submitJob(createJobSpec(id, GANG_TASKS, 'urgent', 'none'))
   while ((await client.job(id)).phase !== 'running') {
     if (performance.now() - startedMs > TIMEOUT_MS) throw new Error(`${id} did not run within ${TIMEOUT_MS} ms`)
-    await delay(POLL_INTERVAL_MS)
+    await pause(POLL_INTERVAL_MS)
   }
   return performance.now() - startedMs
 }
--- a/packages/bench/src/capacity-workers-bench.ts
+++ b/packages/bench/src/capacity-workers-bench.ts
@@ -1,8 +1,8 @@
 /** Resource use of workers' reports at several numbers of workers. */
 import { Agent, request } from 'node:http'
 import type { Socket } from 'node:net'
-import { setTimeout as delay } from 'node:timers/promises'
 import { encodeFrame } from '@comfreygrade/node'
+import { pause, startInterval, startTimer } from '@comfreygrade/timers'
 import type { BenchTable } from './format.js'
 import { meanOfRole, measureResourceUse, measureIdleResourceUse, type MeasuredRole, type ResourceUse } from './capacity-cost.js'
 import { loadInventory } from './capacity-inventory.js'
@@ -44,10 +44,10 @@
   /** Starts the reports of the workers, spread evenly over the interval. */
   start (workers: number): void {
     for (let worker = 0; worker < workers; worker += 1) {
-      this.#timers.push(setTimeout(() => {
+      this.#timers.push(startTimer(REPORT_INTERVAL_MS * worker / workers, () => {
         this.#report(worker)
-        this.#timers.push(setInterval(() => { this.#report(worker) }, REPORT_INTERVAL_MS))
-      }, REPORT_INTERVAL_MS * worker / workers))
+        this.#timers.push(startInterval(REPORT_INTERVAL_MS, () => { this.#report(worker) }))
+      }))
     }
   }
 
@@ -104,9 +104,9 @@
 ): Promise<string[]> {
   const reportingWorkers = new ReportingWorkers(cluster.addresses.slice(3))
   reportingWorkers.start(workers)
-  await delay(WARM_UP_MS)
+  await pause(WARM_UP_MS)
   const before = reportingWorkers.traffic
-  const uses = await measureResourceUse(cluster, async () => { await delay(DURATION_MS) })
+  const uses = await measureResourceUse(cluster, async () => { await pause(DURATION_MS) })
   const after = reportingWorkers.traffic
   reportingWorkers.stop()
   const answered = after.answered - before.answered
--- a/packages/bench/src/consensus-cluster.ts
+++ b/packages/bench/src/consensus-cluster.ts
@@ -6,6 +6,7 @@
   type ReplicaEvent, type VoterId
 } from '@comfreygrade/consensus'
 import { Random } from '@comfreygrade/core'
+import { pause, startTimer } from '@comfreygrade/timers'
 import { createBenchCommand, type BenchCommand, type ConsensusBenchAdapters } from './consensus-adapters.js'
 
 const REGIONS = 3
@@ -45,7 +46,7 @@
     for (const effect of this.#replica.step(event, performance.now())) this.#execute(effect)
     clearTimeout(this.#timer)
     const delayMs = this.#replica.nextWakeAtMs() - performance.now()
-    this.#timer = setTimeout(() => this.step({ kind: 'tick' }), Math.max(0, delayMs))
+    this.#timer = startTimer(delayMs, () => this.step({ kind: 'tick' }))
   }
 
   #execute (effect: ReplicaEffect<BenchCommand>): void {
@@ -87,7 +88,7 @@
       await cluster.#addNode(join(folder, id.nodeId), id, voters, number, adapters)
     }
     for (const node of cluster.#nodes.values()) node.step({ kind: 'tick' })
-    while (cluster.#leader === undefined) await new Promise(resolve => setTimeout(resolve, 20))
+    while (cluster.#leader === undefined) await pause(20)
     return cluster
   }
 
@@ -111,7 +112,7 @@
   #deliver (from: VoterId, to: VoterId, message: ConsensusMessage<BenchCommand>): void {
     const isSameRegion = regionOf(from) === regionOf(to)
     const delayMs = isSameRegion ? SAME_REGION_DELAY_MS : CROSS_REGION_DELAY_MS
-    setTimeout(() => this.#nodes.get(voterKey(to))?.step({ kind: 'message', from, message }), delayMs)
+    startTimer(delayMs, () => this.#nodes.get(voterKey(to))?.step({ kind: 'message', from, message }))
   }
 
   #recordCommit (proposalId: string): void {
@@ -139,7 +140,7 @@
       if (performance.now() < endMs) this.#propose()
     }
     for (let number = 0; number < inFlight; number++) this.#propose()
-    await new Promise(resolve => setTimeout(resolve, durationMs + 500))
+    await pause(durationMs + 500)
     return latenciesMs
   }
 
--- a/packages/bench/src/load-run.ts
+++ b/packages/bench/src/load-run.ts
@@ -2,6 +2,7 @@
 import type { Random } from '@comfreygrade/core'
 import { build, type Histogram } from 'hdr-histogram-js'
 import { Agent, request } from 'undici'
+import { pause, timeoutSignal } from '@comfreygrade/timers'
 
 /** How a request ended: status below 400, any other status, or no response. */
 export type LoadOutcome = 'answered' | 'refused' | 'failed'
@@ -60,7 +61,7 @@
         },
         body,
         dispatcher: this.#agent,
-        signal: AbortSignal.timeout(timeoutMs)
+        signal: timeoutSignal(timeoutMs)
       })
       await response.body.dump()
       return response.statusCode < 400 ? 'answered' : 'refused'
@@ -188,5 +189,5 @@
 /** Returns at once for waits below the timer resolution of one millisecond, so such requests are sent together. */
 async function sleepUntil (atMs: number): Promise<void> {
   const waitMs = atMs - performance.now()
-  if (waitMs >= 1) await new Promise(resolve => setTimeout(resolve, waitMs))
+  if (waitMs >= 1) await pause(waitMs)
 }
--- a/packages/node/src/backend-client.ts
+++ b/packages/node/src/backend-client.ts
@@ -2,6 +2,7 @@
 import { Agent, type Dispatcher } from 'undici'
 import type { BackendServerRecord, SendProgress } from '@comfreygrade/core'
 import type { AttemptFailureReason } from '@comfreygrade/routing'
+import { startTimer } from '@comfreygrade/timers'
 import type { AnswerCollector, ClientGuard } from './client-guard.js'
 
 /** Complete answer of a backend server. */
@@ -65,7 +66,7 @@
   /** Starts an attempt. */
   send (attempt: Attempt): PendingAttempt {
     const handler = new AttemptHandler(this.#options)
-    const timer = setTimeout(() => { handler.abort('attempt_timeout') }, attempt.timeoutMs)
+    const timer = startTimer(attempt.timeoutMs, () => { handler.abort('attempt_timeout') })
     this.#agent.dispatch({
       origin: attempt.backendServer.address,
       path: `/${encodeURIComponent(attempt.service)}`,
--- a/packages/node/src/backend-state-broadcast.ts
+++ b/packages/node/src/backend-state-broadcast.ts
@@ -1,6 +1,7 @@
 /** Broadcasts backend server records and load reports to the other nodes. */
 import type { BackendServerRecord, Clock } from '@comfreygrade/core'
 import type { BackendRegistry, RequestRouter } from '@comfreygrade/routing'
+import { startInterval } from '@comfreygrade/timers'
 import type { PeerMessage } from './peer-messages.js'
 
 /** Options of {@link BackendStateBroadcast}. */
@@ -35,8 +36,8 @@
 
   start (): void {
     const { recordIntervalMs, loadIntervalMs } = this.#options
-    this.#recordTimer = setInterval(() => { this.#broadcastRecords() }, recordIntervalMs)
-    this.#loadTimer = setInterval(() => { this.#broadcastLoad() }, loadIntervalMs)
+    this.#recordTimer = startInterval(recordIntervalMs, () => { this.#broadcastRecords() })
+    this.#loadTimer = startInterval(loadIntervalMs, () => { this.#broadcastLoad() })
   }
 
   /** Registers a record that a backend server announced to this node, and queues a new one for the broadcast. */
--- a/packages/node/src/client-guard.ts
+++ b/packages/node/src/client-guard.ts
@@ -8,6 +8,7 @@
   ClientAdmission, failure, type Admission, type AdmittedBody, type ClientAdmissionLimits, type ClientLimit, type Clock,
   type ConnectionPool, type EventLog, type Failure, type Metrics
 } from '@comfreygrade/core'
+import { startInterval, startTimer } from '@comfreygrade/timers'
 import { SegmentedBody } from './segmented-body.js'
 
 /** Limits of the requests of a server. They may change while it runs. */
@@ -178,7 +179,7 @@
     }
     this.#binding.set(limit, { lastMs, count: 1 })
     this.#options.log.warn('client limit reached', { limit })
-    this.#clearTimer ??= setInterval(() => { this.#logCleared() }, LIMIT_CLEAR_MS).unref()
+    this.#clearTimer ??= startInterval(LIMIT_CLEAR_MS, () => { this.#logCleared() }).unref()
   }
 
   #logCleared (): void {
@@ -335,7 +336,7 @@
       this.#response.end()
       socket.destroySoon()
     }
-    const timer = setTimeout(end, LINGER_MS)
+    const timer = startTimer(LINGER_MS, end)
     request.on('data', (chunk: Buffer) => {
       discardedBytes += chunk.length
       if (discardedBytes > MAX_LINGER_BYTES) socket.destroy()
--- a/packages/node/src/control-client.ts
+++ b/packages/node/src/control-client.ts
@@ -1,8 +1,8 @@
 /** Executes operations on the control leader for the callers, workers and operators of this node. */
 import { randomUUID } from 'node:crypto'
-import { setTimeout as delay } from 'node:timers/promises'
 import { fail, type Clock, type Metrics } from '@comfreygrade/core'
 import type { ControlOperation, ControlResult } from '@comfreygrade/control'
+import { pause, startTimer } from '@comfreygrade/timers'
 import type { PeerMessage } from './peer-messages.js'
 
 /** Options of {@link ControlClient}. */
@@ -64,7 +64,7 @@
       // `leader_silent`: the outcome is unknown, also when the leader lost its role or the link to it broke.
       // `leader_unknown`: not applied, also when the link was down before or the node asked does not lead.
       this.#options.metrics.increment('retry', { reason: outcome.kind === 'unknown' ? 'leader_silent' : 'leader_unknown' })
-      await delay(RETRY_DELAY_MS)
+      await pause(RETRY_DELAY_MS)
     }
   }
 
@@ -92,7 +92,7 @@
   async #requestPeer (nodeId: string, operation: ControlOperation, timeoutMs: number): Promise<AttemptOutcome> {
     const requestId = randomUUID()
     return await new Promise<AttemptOutcome>(resolve => {
-      const timer = setTimeout(() => { finish({ kind: 'unknown', detail: 'no response within the timeout' }) }, timeoutMs)
+      const timer = startTimer(timeoutMs, () => { finish({ kind: 'unknown', detail: 'no response within the timeout' }) })
       const finish = (outcome: AttemptOutcome): void => {
         clearTimeout(timer)
         this.#pendingRequests.delete(requestId)
@@ -122,7 +122,7 @@
 
 async function withTimeout (result: Promise<ControlResult>, timeoutMs: number): Promise<AttemptOutcome> {
   return await new Promise<AttemptOutcome>(resolve => {
-    const timer = setTimeout(() => { resolve({ kind: 'unknown', detail: 'no response within the timeout' }) }, timeoutMs)
+    const timer = startTimer(timeoutMs, () => { resolve({ kind: 'unknown', detail: 'no response within the timeout' }) })
     result.then(controlResult => {
       clearTimeout(timer)
       resolve(classifyResult(controlResult))
--- a/packages/node/src/full-disk-retry.ts
+++ b/packages/node/src/full-disk-retry.ts
@@ -1,5 +1,5 @@
 /** File system of the log that waits for free space while the disk is full, instead of failing. */
-import { setTimeout as pause } from 'node:timers/promises'
+import { pause } from '@comfreygrade/timers'
 import { LogFile, LogFileSystem, isDiskFullError } from './log-files.js'
 
 /** Options of {@link FullDiskRetry}. */
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -1,11 +1,11 @@
 /** Wires the components of a node together and manages its lifecycle: start, serving, graceful shutdown. */
-import { setTimeout as delay } from 'node:timers/promises'
 import {
   fail, failure, succeed, type BackendServerRecord, type Clock, type Configuration, type EventLog, type Failure,
   type Random, type RequestSpec, type Result, type Rules
 } from '@comfreygrade/core'
 import type { ControlOperation, ControlResult, Drain } from '@comfreygrade/control'
 import { BackendRegistry, LocalityPolicy, RequestRouter, type RoutingSettings } from '@comfreygrade/routing'
+import { pause, startInterval } from '@comfreygrade/timers'
 import { Application, type BackendServerAnnouncement, type HeartbeatIntervals, type NodeStatus } from './application.js'
 import { BackendClient } from './backend-client.js'
 import { ConfigurationCopy } from './configuration-copy.js'
@@ -123,8 +123,8 @@
     const { timing } = this.#options.settings
     await this.#links.start()
     this.#backendBroadcast.start()
-    this.#feedTimer = setInterval(() => { this.#requestFeed() }, timing.feedIntervalMs)
-    this.#helloTimer = setInterval(() => { this.#broadcastHello() }, HELLO_INTERVAL_MS)
+    this.#feedTimer = startInterval(timing.feedIntervalMs, () => { this.#requestFeed() })
+    this.#helloTimer = startInterval(HELLO_INTERVAL_MS, () => { this.#broadcastHello() })
     await this.#http.start()
     this.#phase = 'serving'
     this.#options.log.info('node is serving', { http: this.#options.settings.http })
@@ -141,7 +141,7 @@
     this.#requests.handleEvent({ kind: 'drain_started' })
     await this.#awaitOpenRequests()
     this.#control?.stepDown()
-    await delay(STEP_DOWN_DELAY_MS)
+    await pause(STEP_DOWN_DELAY_MS)
     await this.#closeAll()
     this.#options.log.info('graceful shutdown ended', { openRequests: this.#requests.openRequests })
     await this.#options.metrics.close()
@@ -381,8 +381,8 @@
   /** Waits up to the shutdown limit for open requests, and then for the settlements of their claims. */
   async #awaitOpenRequests (): Promise<void> {
     const deadlineAtMs = this.nowMs() + this.#options.settings.limits.shutdownLimitMs
-    while (this.#requests.openRequests > 0 && this.nowMs() < deadlineAtMs) await delay(SHUTDOWN_POLL_INTERVAL_MS)
-    await Promise.race([this.#requests.awaitSettlements(), delay(Math.max(0, deadlineAtMs - this.nowMs()))])
+    while (this.#requests.openRequests > 0 && this.nowMs() < deadlineAtMs) await pause(SHUTDOWN_POLL_INTERVAL_MS)
+    await Promise.race([this.#requests.awaitSettlements(), pause(Math.max(0, deadlineAtMs - this.nowMs()))])
   }
 
   async #closeAll (): Promise<void> {
--- a/packages/node/src/peer-links.ts
+++ b/packages/node/src/peer-links.ts
@@ -1,6 +1,7 @@
 /** TCP links between nodes: each node dials every peer, and accepts the links that peers dial. */
 import { createConnection, createServer, type Server, type Socket } from 'node:net'
 import { ClientAdmission, type AdmittedBody, type Clock, type EventLog, type Metrics } from '@comfreygrade/core'
+import { startInterval, startTimer } from '@comfreygrade/timers'
 import {
   encodeFrame, FrameDecoder, MAX_FRAME_BYTES, type FrameFormat, type HelloMessage, type LinkMessage, type PeerMessage
 } from './peer-messages.js'
@@ -92,7 +93,7 @@
       this.#server.listen(this.#options.port, this.#options.host, resolve)
     })
     for (const link of this.#outgoing.values()) link.dial()
-    this.#livenessTimer = setInterval(() => { this.#checkLinks() }, this.#options.pingIntervalMs)
+    this.#livenessTimer = startInterval(this.#options.pingIntervalMs, () => { this.#checkLinks() })
   }
 
   /**
@@ -300,7 +301,7 @@
       this.#options.log.warn('peer link is down', { peerId: this.#peer.nodeId })
       this.#options.onDisconnect(this.#peer.nodeId)
     }
-    if (!this.#isClosed) this.#redialTimer = setTimeout(() => { this.dial() }, this.#options.redialDelayMs)
+    if (!this.#isClosed) this.#redialTimer = startTimer(this.#options.redialDelayMs, () => { this.dial() })
   }
 }
 
--- a/packages/node/src/request-service.ts
+++ b/packages/node/src/request-service.ts
@@ -6,6 +6,7 @@
 import { failure, type Clock, type Failure, type Metrics, type RequestSpec, type Result } from '@comfreygrade/core'
 import type { ControlOperation, ControlResult, RecordedAnswer } from '@comfreygrade/control'
 import type { ClaimDecision, ClaimOutcome, RequestRouter, RoutingEffect, RoutingEvent } from '@comfreygrade/routing'
+import { startTimer } from '@comfreygrade/timers'
 import type { BackendAnswer, BackendClient, PendingAttempt } from './backend-client.js'
 
 /** Answer to a short request, with details of its execution for the caller. */
@@ -44,8 +45,6 @@
 
 /** Time for which the settlement of a claim is retried. */
 const SETTLEMENT_TIMEOUT_MS = 30_000
-/** Longest delay that `setTimeout` accepts. */
-const MAX_TIMER_DELAY_MS = 2_147_483_647
 
 /**
  * Executes short requests through the router, with a claim for each request that has an idempotency key.
@@ -254,11 +253,10 @@
     clearTimeout(this.#timer)
     this.#timerDueAtMs = wakeAtMs
     if (wakeAtMs === Infinity) return
-    const delayMs = Math.min(MAX_TIMER_DELAY_MS, Math.max(0, wakeAtMs - this.#options.clock.monotonicMs()))
-    this.#timer = setTimeout(() => {
+    this.#timer = startTimer(wakeAtMs - this.#options.clock.monotonicMs(), () => {
       this.#timerDueAtMs = Infinity
       this.handleEvent({ kind: 'tick' })
-    }, delayMs)
+    })
   }
 }
 
--- a/packages/node/src/worker-client.ts
+++ b/packages/node/src/worker-client.ts
@@ -2,6 +2,7 @@
 import { Agent, request } from 'undici'
 import { z } from 'zod'
 import type { OrderResult, WorkerOrder } from '@comfreygrade/control'
+import { timeoutSignal } from '@comfreygrade/timers'
 
 /** With `stale_term` the worker refuses an order of an older leader term; `term` is the latest that it knows. */
 const answerSchema = z.object({
@@ -31,7 +32,7 @@
         dispatcher: this.#agent,
         headers: { 'content-type': 'application/json' },
         body: JSON.stringify({ term, orders }),
-        signal: AbortSignal.timeout(this.#timeoutMs)
+        signal: timeoutSignal(this.#timeoutMs)
       })
       const answer = answerSchema.parse(await response.body.json())
       return answer.results.length === orders.length ? answer.results : undefined
--- a/packages/standins/src/backend-behaviour.ts
+++ b/packages/standins/src/backend-behaviour.ts
@@ -1,5 +1,5 @@
 /** Behaviours of a stand-in backend server: normal service, or one of the faults that tests inject. */
-import { setTimeout as delay } from 'node:timers/promises'
+import { pause } from '@comfreygrade/timers'
 
 /** Actions that a behaviour can take on one request. */
 export interface BackendExchange {
@@ -72,7 +72,7 @@
 
   override async handle (exchange: BackendExchange): Promise<void> {
     await exchange.execute()
-    await delay(this.#delayMs)
+    await pause(this.#delayMs)
     exchange.respond()
   }
 }
--- a/packages/standins/src/backend-server.ts
+++ b/packages/standins/src/backend-server.ts
@@ -1,7 +1,7 @@
 /** A stand-in for a user's backend server: registers itself, executes short requests and records each execution. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { setTimeout as delay } from 'node:timers/promises'
 import type { BackendServerRecord, Clock } from '@comfreygrade/core'
+import { pause } from '@comfreygrade/timers'
 import { type BackendBehaviour, type BackendExchange, ServeBehaviour } from './backend-behaviour.js'
 import { EntryClient } from './entry-client.js'
 import { Heartbeat } from './heartbeat.js'
@@ -224,7 +224,7 @@
     await this.#slotSemaphore.acquire()
     try {
       const startedMs = this.#clock.monotonicMs()
-      if (serviceMs > 0) await delay(serviceMs)
+      if (serviceMs > 0) await pause(serviceMs)
       this.#executions.push({
         ...readRequestHeaders(request), service, body, startedMs, endedMs: this.#clock.monotonicMs()
       })
--- a/packages/standins/src/demo-workload.ts
+++ b/packages/standins/src/demo-workload.ts
@@ -1,9 +1,9 @@
 /** Workload of the demo: gang jobs and short requests, with checks of their results. */
-import { setTimeout as delay } from 'node:timers/promises'
 import type { ErrorBody, JobSpec } from '@comfreygrade/core'
 import {
   ClientError, type JobResponse, type NodeClient, type ShortRequest, type ShortRequestResponse, uuidV7
 } from '@comfreygrade/cli'
+import { pause } from '@comfreygrade/timers'
 import type { StandInBackendServer } from './backend-server.js'
 import { waitFor } from './waiting.js'
 
@@ -148,7 +148,7 @@
     } catch (error) {
       const refusal = error instanceof ClientError && error.problem.kind === 'refused' ? error.problem.body : undefined
       if (refusal === undefined || !isRetryable(refusal, request) || performance.now() > retryUntilMs) throw error
-      await delay(refusal.retryAfterMs)
+      await pause(refusal.retryAfterMs)
     }
   }
 }
--- a/packages/standins/src/entry-client.ts
+++ b/packages/standins/src/entry-client.ts
@@ -1,5 +1,6 @@
 /** HTTP client of the stand-ins that fails over between the addresses of several entry nodes. */
 import { Agent, request } from 'undici'
+import { timeoutSignal } from '@comfreygrade/timers'
 
 /** The response of an entry node, or why there was none. */
 export type EntryResponse =
@@ -50,7 +51,7 @@
       const response = await request(address + path, {
         method,
         dispatcher: this.#agent,
-        signal: AbortSignal.timeout(this.#timeoutMs),
+        signal: timeoutSignal(this.#timeoutMs),
         ...(body === undefined ? {} : { headers: { 'content-type': 'application/json' }, body: JSON.stringify(body) })
       })
       return { kind: 'answered', status: response.statusCode, body: parseJson(await response.body.text()) }
--- a/packages/standins/src/heartbeat.ts
+++ b/packages/standins/src/heartbeat.ts
@@ -1,4 +1,5 @@
 /** Sends heartbeats periodically, never two concurrently. */
+import { startTimer } from '@comfreygrade/timers'
 
 /**
  * Calls `send` at once, then again `intervalMs()` after each call has completed.
@@ -49,6 +50,6 @@
       await this.#send()
     }
     this.#sending = undefined
-    if (this.#isRunning) this.#timer = setTimeout(() => this.sendNow(), this.#intervalMs())
+    if (this.#isRunning) this.#timer = startTimer(this.#intervalMs(), () => this.sendNow())
   }
 }
--- a/packages/standins/src/node-process.ts
+++ b/packages/standins/src/node-process.ts
@@ -1,6 +1,7 @@
 /** Starts and stops a node as a child process, for demos and failure tests. */
 import { type ChildProcess, spawn } from 'node:child_process'
 import { createInterface } from 'node:readline'
+import { startTimer } from '@comfreygrade/timers'
 
 /** Latest log lines kept to explain a failure. */
 const MAX_LOG_LINES = 20
@@ -95,7 +96,7 @@
 async function withTimeout<T> (promise: Promise<T>, timeoutMs: number, message: string): Promise<T> {
   let timer: NodeJS.Timeout | undefined
   const timeout = new Promise<never>((_resolve, reject) => {
-    timer = setTimeout(() => reject(new Error(message)), timeoutMs)
+    timer = startTimer(timeoutMs, () => reject(new Error(message)))
   })
   try {
     return await Promise.race([promise, timeout])
--- a/packages/standins/src/waiting.ts
+++ b/packages/standins/src/waiting.ts
@@ -1,5 +1,5 @@
 /** Polls for a condition, in demos and tests. */
-import { setTimeout as delay } from 'node:timers/promises'
+import { pause } from '@comfreygrade/timers'
 
 const POLL_INTERVAL_MS = 100
 
@@ -23,7 +23,7 @@
     } catch (error) {
       lastErrorText = `: ${String(error)}`
     }
-    await delay(POLL_INTERVAL_MS)
+    await pause(POLL_INTERVAL_MS)
   }
   throw new Error(`timed out after ${timeoutMs} ms waiting for ${condition}${lastErrorText}`)
 }
--- a/packages/standins/src/worker.ts
+++ b/packages/standins/src/worker.ts
@@ -1,6 +1,7 @@
 /** A stand-in for a worker VM: registers itself, accepts orders and simulates tasks with timers. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Clock } from '@comfreygrade/core'
+import { startTimer } from '@comfreygrade/timers'
 import { EntryClient } from './entry-client.js'
 import { Heartbeat } from './heartbeat.js'
 import { LoopbackServer, readBody, sendJson } from './loopback-server.js'
@@ -172,6 +173,6 @@
     if (dueMs === undefined || this.#isFrozen || this.#isStopped) return
     // A timer can fire up to 1 ms early; rounding up avoids a second wake-up.
     const delayMs = Math.max(0, Math.ceil(dueMs - this.#clock.monotonicMs()))
-    this.#dueTimer = setTimeout(() => this.#endDueTasks(), delayMs)
+    this.#dueTimer = startTimer(delayMs, () => this.#endDueTasks())
   }
 }
