Serve clients under a configuration whose timeouts are longer than 49 days

A server of Node.js takes headersTimeout and requestTimeout modulo 2^32 ms, without a warning.

The timeouts are bounded where they are set on a server, by the same function as those of timers.

--- a/packages/node/src/client-guard.ts
+++ b/packages/node/src/client-guard.ts
@@ -8,7 +8,7 @@
   ClientAdmission, failure, type Admission, type AdmittedBody, type ClientAdmissionLimits, type ClientLimit, type Clock,
   type ConnectionPool, type EventLog, type Failure, type Metrics
 } from '@comfreygrade/core'
-import { startInterval, startTimer } from '@comfreygrade/timers'
+import { startInterval, startTimer, toDelayMs } from '@comfreygrade/timers'
 import { SegmentedBody } from './segmented-body.js'
 
 /** Limits of the requests of a server. They may change while it runs. */
@@ -96,13 +96,16 @@
     server.on('timeout', (socket: Socket) => { this.#closeIdle(socket) })
   }
 
-  /** Applies to connections and requests that arrive from now on, the timeouts to those in progress too. */
+  /**
+   * Applies to connections and requests that arrive from now on, the timeouts to those in progress too. A server takes
+   * the first two timeouts modulo 2^32 ms.
+   */
   setLimits (server: Server, limits: RequestLimits): void {
     Object.assign(server, {
       maxHeaderSize: limits.maxHeaderBytes,
-      headersTimeout: limits.headerTimeoutMs,
-      requestTimeout: limits.bodyTimeoutMs,
-      timeout: limits.idleTimeoutMs
+      headersTimeout: toDelayMs(limits.headerTimeoutMs),
+      requestTimeout: toDelayMs(limits.bodyTimeoutMs),
+      timeout: toDelayMs(limits.idleTimeoutMs)
     })
   }
 
