Tell a service that failed from a call that could not be made

The leader's port logs `unexpected error of a port`, on which the soak fails, and counts `port.failed`; such a call shows as `not_made` among the calls for advice, does not count towards the pauses, and leaves the turn to other steps after 500 ms.

The line `port failed unexpectedly` is `unexpected error of a port` now, and a test of the port expects the new event.

--- a/packages/batch-node/src/port-calls.ts
+++ b/packages/batch-node/src/port-calls.ts
@@ -1,6 +1,6 @@
 /** Calls of the control leader to the advice service and to the VM interface. */
 import type { LeaderEffect, LeaderEvent, MaintenanceAnswer } from '@comfreygrade/batch'
-import type { Clock, EventLog, Metrics } from '@comfreygrade/core'
+import { UNEXPECTED_ERROR, type Clock, type EventLog, type Metrics } from '@comfreygrade/core'
 import type { AdvicePort, VmPort } from './ports.js'
 
 type EffectOf<K extends LeaderEffect['kind']> = Extract<LeaderEffect, { kind: K }>
@@ -68,15 +68,19 @@
     const { advice, clock, dispatch } = this.#options
     if (leadership !== this.#leadershipCount) return
     const requestedAtMs = clock.monotonicMs()
-    const tickets = await advice.requestTickets(stepKey, workerIds, timeoutMs)
-      .catch((error: unknown) => this.#handlePortError('advice', error, undefined))
-    if (leadership === this.#leadershipCount) dispatch({ kind: 'advice', stepKey, tickets, requestedAtMs })
+    const event = await advice.requestTickets(stepKey, workerIds, timeoutMs).then(
+      (tickets): LeaderEvent => ({ kind: 'advice', stepKey, tickets, requestedAtMs }),
+      (error: unknown): LeaderEvent => {
+        const tickets = this.#handlePortError('advice', error, undefined)
+        return { kind: 'advice', stepKey, tickets, requestedAtMs, failedBy: 'program' }
+      })
+    if (leadership === this.#leadershipCount) dispatch(event)
   }
 
-  /** An unexpected error of a port counts as a failed call, which is repeated. */
+  /** The call could not be made, which is a fault of the program and not of the service; it is repeated. */
   #handlePortError<Answer> (port: 'advice' | 'vms', error: unknown, answer: Answer): Answer {
     this.#options.metrics.increment('port.failed', { port })
-    this.#options.log.warn('port failed unexpectedly', { port, detail: String(error) })
+    this.#options.log.warn(`${UNEXPECTED_ERROR} of a port`, { port, detail: String(error) })
     return answer
   }
 }
--- a/packages/batch-node/src/ports.ts
+++ b/packages/batch-node/src/ports.ts
@@ -8,7 +8,7 @@
 export abstract class AdvicePort {
   /**
    * Requests tickets of a step for the given workers; resolves to undefined if the call failed, or had no answer after
-   * `timeoutMs`.
+   * `timeoutMs`. Rejects if the call could not be made.
    */
   abstract requestTickets (
     stepKey: string, workerIds: readonly string[], timeoutMs: number
@@ -41,7 +41,8 @@
 export abstract class VmPort {
   /**
    * Requests that the maintenance of a VM begins; resolves to whether it has begun, or why not. Nothing is sent once
-   * the caller is not permitted any more, or later than `MAX_CALL_MS` after the start of the call.
+   * the caller is not permitted any more, or later than `MAX_CALL_MS` after the start of the call. Rejects if the call
+   * could not be made.
    */
   abstract beginMaintenance (call: MaintenanceCall, caller: CallerIdentity): Promise<MaintenanceAnswer>
 }
--- a/packages/batch-node/test/port-calls.test.ts
+++ b/packages/batch-node/test/port-calls.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava'
 import type { LeaderEvent, Ticket } from '@comfreygrade/batch'
-import { ManualClock, NullEventLog, NullMetrics } from '@comfreygrade/core'
+import { EventLog, ManualClock, NullMetrics, UNEXPECTED_ERROR } from '@comfreygrade/core'
 import { AdvicePort, VmPort, type CallerIdentity } from '../src/index.js'
 import { PortCalls } from '../src/port-calls.js'
 
@@ -38,21 +38,32 @@
   }
 }
 
+class RecordingLog extends EventLog {
+  readonly warnings: string[] = []
+
+  override info (): void {}
+
+  override warn (message: string): void {
+    this.warnings.push(message)
+  }
+}
+
 function createCalls (
   vms: VmPort, leadsInTerm: (term: number) => boolean, advice: AdvicePort = new FailingAdvicePort()
 ) {
   const events: LeaderEvent[] = []
+  const log = new RecordingLog()
   const calls = new PortCalls({
     nodeId: 'a',
     advice,
     vms,
     clock: new ManualClock(0, 0),
     metrics: new NullMetrics(),
-    log: new NullEventLog(),
+    log,
     leadsInTerm,
     dispatch: event => { events.push(event) }
   })
-  return { calls, events }
+  return { calls, events, warnings: log.warnings }
 }
 
 test('a leader calls the VM interface with its term as fencing token, and returns the answer', async t => {
@@ -81,14 +92,16 @@
   t.false(vms.callers[0]?.isPermitted())
 })
 
-test('an unexpected error of a port counts as a failed call, and does not end the process', async t => {
-  const { calls, events } = createCalls(new FailingVmPort(), () => true)
+test('an unexpected error of a port counts as a call that was not made, and does not end the process', async t => {
+  const { calls, events, warnings } = createCalls(new FailingVmPort(), () => true)
   await calls.beginMaintenance({ kind: 'begin_maintenance', call, fencingToken: 7 })
   await calls.requestTickets({ kind: 'ask_advice', stepKey: 'j.0.0', workerIds: ['w'], timeoutMs: 5_000 })
   t.deepEqual(events, [
     { kind: 'maintenance_answered', call, answer: 'failed' },
-    { kind: 'advice', stepKey: 'j.0.0', tickets: undefined, requestedAtMs: 0 }
+    { kind: 'advice', stepKey: 'j.0.0', tickets: undefined, requestedAtMs: 0, failedBy: 'program' }
   ])
+  // The runs that look for faults of the program find it by the beginning of the line.
+  t.true(warnings.length === 2 && warnings.every(message => message.startsWith(UNEXPECTED_ERROR)))
 })
 
 const settle = async (): Promise<void> => { await new Promise(resolve => { setImmediate(resolve) }) }
--- a/packages/batch/src/advice-planner.ts
+++ b/packages/batch/src/advice-planner.ts
@@ -24,6 +24,9 @@
   readonly timeoutMs: number
 }
 
+/** What a failed call failed by; `program` where it could not be made. */
+export type AdviceFailure = 'service' | 'program'
+
 /** The outcome of a call. */
 export interface AdviceAnswer {
   readonly stepKey: string
@@ -31,6 +34,8 @@
   readonly tickets: readonly Ticket[] | undefined
   /** Time at which the call was sent. */
   readonly requestedAtMs: number
+  /** `service` if absent; without a meaning where there are tickets. */
+  readonly failedBy?: AdviceFailure
 }
 
 /** Options of {@link AdvicePlanner}. */
@@ -73,10 +78,12 @@
 const MAX_DEFERRAL_MS = 10_000
 /** A call is given up when its answer is this late; the time doubles with each failure in a row. */
 const LATE_ANSWER_MS = 2_500
-/** Pause after a failed call; it doubles with each further failure in a row. */
+/** Pause after a failed call; it doubles with each further failure of the service in a row. */
 const RETRY_INTERVAL_MS = 500
 /** The pauses and times double this often at most. */
 const MAX_DOUBLINGS = 4
+/** How failed calls show in the log and in the metrics. */
+const FAILURE_OUTCOMES: Readonly<Record<AdviceFailure, string>> = { service: 'failed', program: 'not_made' }
 /** Assumed share of granted workers for a step of which nothing is known. */
 const DEFAULT_GRANT_SHARE = 0.5
 /** Weight of the assumed share, in workers. */
@@ -113,7 +120,7 @@
   }
 
   /** Takes the outcome of the open call. */
-  complete ({ stepKey, tickets, requestedAtMs }: AdviceAnswer): void {
+  complete ({ stepKey, tickets, requestedAtMs, failedBy = 'service' }: AdviceAnswer): void {
     const call = this.#open
     if (call?.stepKey !== stepKey) return
     const { clock, metrics, log, tickets: cache } = this.#options
@@ -122,15 +129,18 @@
     this.#turns.set(stepKey, { sinceMs: nowMs, deferredSinceMs: undefined, nextCheckMs: -Infinity })
     const validFromMs = isUsableFromCall(call.policy) ? requestedAtMs : nowMs
     const expiresAtMs = validFromMs + call.policy.ticketValidMs
-    metrics.timing('advice.call', nowMs - requestedAtMs, { outcome: tickets === undefined ? 'failed' : 'answered' })
+    const outcome = tickets === undefined ? FAILURE_OUTCOMES[failedBy] : 'answered'
+    metrics.timing('advice.call', nowMs - requestedAtMs, { outcome })
     log.info('advice answered', {
       stepKey,
+      outcome,
       granted: tickets?.length ?? null,
       asked: call.workers.length,
       tookMs: Math.round(nowMs - requestedAtMs),
       expectedMs: call.expectedMs,
       validMs: tickets === undefined ? undefined : Math.round(expiresAtMs - nowMs)
     })
+    if (tickets === undefined && failedBy === 'program') return this.#deferNextCall(nowMs)
     if (tickets === undefined) return this.#recordFailure(requestedAtMs + call.expectedMs, nowMs)
     this.#failures = 0
     cache.record(stepKey, { asked: call.workers, tickets, expiresAtMs })
@@ -210,6 +220,11 @@
     return { stepKey, workerIds: workers.map(({ workerId }) => workerId), timeoutMs }
   }
 
+  /** The service does not know of the call and may be sound; the next call is that of another step, if one asks. */
+  #deferNextCall (nowMs: number): void {
+    this.#nextCallMs = nowMs + RETRY_INTERVAL_MS
+  }
+
   /** A call that was given up may still occupy the service, and the next one would wait behind it. */
   #recordFailure (occupiedUntilMs: number, nowMs: number): void {
     const pauseMs = RETRY_INTERVAL_MS * 2 ** Math.min(this.#failures, MAX_DOUBLINGS)
--- a/packages/batch/src/leader-events.ts
+++ b/packages/batch/src/leader-events.ts
@@ -1,6 +1,5 @@
 /** Events that the leader handles, and effects that its adapters carry out. */
-import type { AdviceRequest } from './advice-planner.js'
-import type { Ticket } from './advice-tickets.js'
+import type { AdviceAnswer, AdviceRequest } from './advice-planner.js'
 import type { BatchCommand, CommandResult } from './commands.js'
 import type { MaintenanceAnswer, MaintenanceCall } from './maintenance.js'
 import type { BatchOperation, BatchResult } from './operations.js'
@@ -14,13 +13,7 @@
   | { readonly kind: 'applied', readonly proposalId: string, readonly result: CommandResult }
   /** `isCertain` where the command can never take effect; otherwise it may still be committed. */
   | { readonly kind: 'rejected', readonly proposalId: string, readonly isCertain: boolean }
-  | {
-    readonly kind: 'advice'
-    readonly stepKey: string
-    readonly tickets: readonly Ticket[] | undefined
-    /** Time at which the call was sent. */
-    readonly requestedAtMs: number
-  }
+  | ({ readonly kind: 'advice' } & AdviceAnswer)
   | { readonly kind: 'maintenance_answered', readonly call: MaintenanceCall, readonly answer: MaintenanceAnswer }
   | { readonly kind: 'tick' }
 
--- a/packages/batch/test/advice.test.ts
+++ b/packages/batch/test/advice.test.ts
@@ -146,3 +146,18 @@
   const [request] = fixture.adviceRequests
   t.true((request?.timeoutMs ?? 0) > 1_000, `given up after ${request?.timeoutMs} ms`)
 })
+
+// Guards against a step whose calls cannot be made and that keeps those of other steps waiting for seconds.
+test('after calls that could not be made the next one follows soon, without the pauses for a failing service', t => {
+  const advice = { decideMs: 10, perWorkerMs: 1, ticketValidMs: TICKET_VALID_MS }
+  const fixture = new LeaderFixture(document(1, [queue({ advice })]))
+  fixture.heartbeat('w0')
+  fixture.submit('j1', [step()])
+  for (let count = 0; count < 6; count++) {
+    for (let round = 0; round < 12 && fixture.adviceRequests.length === 0; round++) fixture.heartbeat('w0')
+    const requests = fixture.adviceRequests.splice(0)
+    t.is(requests.length, 1, `no call ${count} within a second`)
+    const requestedAtMs = fixture.clock.monotonicMs()
+    fixture.deliver({ kind: 'advice', stepKey: 'j1.0.0', tickets: undefined, requestedAtMs, failedBy: 'program' })
+  }
+})
