--- a/packages/node/src/control-service.ts
+++ b/packages/node/src/control-service.ts
@@ -1,6 +1,6 @@
 /** Control role of a node: replicated log, control state, and the control leader while this node leads. */
 import { randomUUID } from 'node:crypto'
-import { fail, type Clock, type EventLog, type Metrics, type Random } from '@comfreygrade/core'
+import { fail, UNEXPECTED_ERROR, type Clock, type EventLog, type Metrics, type Random } from '@comfreygrade/core'
 import {
   Replica, type LogStorage, type RecoveredLog, type ReplicaEffect, type ReplicaSettings, type VoterId
 } from '@comfreygrade/consensus'
@@ -248,11 +248,18 @@
   async #sendOrders (effect: Extract<ControlEffect, { kind: 'send_orders' }>): Promise<void> {
     const { messageId, address, term, orders } = effect
     const results = await this.#options.workerClient.send(address, term, orders)
+      .catch((error: unknown) => this.#recordUnsentOrders(address, error))
     this.#handleEvent(results === undefined
       ? { kind: 'orders_failed', messageId }
       : { kind: 'orders_answered', messageId, results })
   }
 
+  /** The orders could not be sent, which is a fault of the program; they are sent again like those of a lost answer. */
+  #recordUnsentOrders (address: string, error: unknown): undefined {
+    this.#options.metrics.increment('port.failed', { port: 'worker' })
+    this.#options.log.warn(`${UNEXPECTED_ERROR} of the worker client`, { address, detail: String(error) })
+  }
+
   #scheduleLeaderTick (): void {
     clearTimeout(this.#leaderTimer)
     const wakeAtMs = this.#leader?.nextWakeAtMs()
--- a/packages/node/src/worker-client.ts
+++ b/packages/node/src/worker-client.ts
@@ -1,6 +1,7 @@
 /** Sends orders of the control leader, such as to prepare, start or stop a task, to workers over HTTP. */
 import { Agent, request } from 'undici'
 import { z } from 'zod'
+import { isProgramError } from '@comfreygrade/core'
 import type { OrderResult, WorkerOrder } from '@comfreygrade/control'
 import { timeoutSignal } from '@comfreygrade/timers'
 
@@ -24,6 +25,7 @@
    * Sends orders to one worker.
    *
    * @returns one result per order, or undefined if no complete answer arrived within the timeout
+   * @throws the error of the program because of which the orders could not be sent
    */
   async send (address: string, term: number, orders: readonly WorkerOrder[]): Promise<OrderResult[] | undefined> {
     try {
@@ -36,7 +38,8 @@
       })
       const answer = answerSchema.parse(await response.body.json())
       return answer.results.length === orders.length ? answer.results : undefined
-    } catch {
+    } catch (error) {
+      if (isProgramError(error)) throw error
       return undefined
     }
   }
