Use tickets that are valid for less than the margin for start orders

Placement considers a ticket only while 400 ms of its validity are left. For tickets that are valid for less than 800 ms the margin is half of their validity now; for others nothing changes.

Test: two in advice-bursts.test.ts, with 400 and 250.5 ms; both failed before.

--- a/packages/batch/src/advice-planner.ts
+++ b/packages/batch/src/advice-planner.ts
@@ -143,7 +143,7 @@
     if (tickets === undefined && failedBy === 'program') return this.#deferNextCall(nowMs)
     if (tickets === undefined) return this.#recordFailure(requestedAtMs + call.expectedMs, nowMs)
     this.#failures = 0
-    cache.record(stepKey, { asked: call.workers, tickets, expiresAtMs })
+    cache.record(stepKey, { asked: call.workers, tickets, expiresAtMs, validityMs: call.policy.ticketValidMs })
   }
 
   /** Removes the steps that need no tickets any more. */
--- a/packages/batch/src/advice-tickets.ts
+++ b/packages/batch/src/advice-tickets.ts
@@ -15,6 +15,8 @@
   readonly ticket: string | undefined
   readonly answeredAtMs: number
   readonly expiresAtMs: number
+  /** Time until which placement considers the ticket. */
+  readonly usableUntilMs: number
 }
 
 /** An answer of the service. */
@@ -23,6 +25,8 @@
   readonly asked: readonly WorkerIncarnation[]
   readonly tickets: readonly Ticket[]
   readonly expiresAtMs: number
+  /** How long each ticket is valid in all. */
+  readonly validityMs: number
 }
 
 /** Workers to ask for, and how many of all candidates were granted a ticket before. */
@@ -35,7 +39,10 @@
   readonly grantedCount: number
 }
 
-/** Validity that a ticket must have left to be considered in placement, since the start order takes time to arrive. */
+/**
+ * Validity that a ticket must have left to be considered in placement, since the start order takes time to arrive. For
+ * tickets that are valid for less than twice this time it is half of their validity, or none could ever be used.
+ */
 export const TICKET_EXPIRY_MARGIN_MS = 400
 
 /**
@@ -48,7 +55,7 @@
  * Tickets by step.
  *
  * @example
- * cache.record('5c0e.0.0', { asked, tickets, expiresAtMs })
+ * cache.record('5c0e.0.0', { asked, tickets, expiresAtMs, validityMs })
  * cache.permittedWorkers('5c0e.0.0') // Map { 'w1' => 1000 }
  */
 export class TicketCache {
@@ -62,9 +69,9 @@
   /** Incarnations of the workers with a valid ticket for a step, by worker. */
   permittedWorkers (key: string): ReadonlyMap<string, number> {
     const permitted = new Map<string, number>()
-    const minExpiryMs = this.#clock.monotonicMs() + TICKET_EXPIRY_MARGIN_MS
+    const nowMs = this.#clock.monotonicMs()
     for (const [workerId, advice] of this.#steps.get(key) ?? []) {
-      if (hasTicketUntil(advice, minExpiryMs)) permitted.set(workerId, advice.incarnation)
+      if (isUsableAt(advice, nowMs)) permitted.set(workerId, advice.incarnation)
     }
     return permitted
   }
@@ -83,7 +90,7 @@
    */
   askableWorkers (key: string, candidates: readonly WorkerIncarnation[], renewLeadMs: number): AskableWorkers {
     const nowMs = this.#clock.monotonicMs()
-    const minExpiryMs = nowMs + TICKET_EXPIRY_MARGIN_MS + renewLeadMs
+    const renewedAtMs = nowMs + renewLeadMs
     const answers = this.#steps.get(key)
     const expiring: WorkerIncarnation[] = []
     const permitted: WorkerIncarnation[] = []
@@ -92,7 +99,7 @@
     for (const worker of candidates) {
       const advice = answers?.get(worker.workerId)
       if (advice === undefined || advice.incarnation !== worker.incarnation) unasked.push(worker)
-      else if (advice.ticket !== undefined) (hasTicketUntil(advice, minExpiryMs) ? permitted : expiring).push(worker)
+      else if (advice.ticket !== undefined) (isUsableAt(advice, renewedAtMs) ? permitted : expiring).push(worker)
       else if (nowMs - advice.answeredAtMs >= DENIAL_RETRY_MS) denied.push(worker)
     }
     const grantedCount = expiring.length + permitted.length
@@ -101,13 +108,15 @@
   }
 
   /** Stores an answer; a worker that was asked for and has no ticket was denied. */
-  record (key: string, { asked, tickets, expiresAtMs }: Advice): void {
+  record (key: string, { asked, tickets, expiresAtMs, validityMs }: Advice): void {
     const answers = this.#steps.get(key) ?? new Map<string, WorkerAdvice>()
     this.#steps.set(key, answers)
     const answeredAtMs = this.#clock.monotonicMs()
+    const usableUntilMs = expiresAtMs - Math.min(TICKET_EXPIRY_MARGIN_MS, validityMs / 2)
     const granted = new Map(tickets.map(({ workerId, ticket }) => [workerId, ticket]))
     for (const { workerId, incarnation } of asked) {
-      answers.set(workerId, { incarnation, ticket: granted.get(workerId), answeredAtMs, expiresAtMs })
+      const ticket = granted.get(workerId)
+      answers.set(workerId, { incarnation, ticket, answeredAtMs, expiresAtMs, usableUntilMs })
     }
   }
 
@@ -117,6 +126,6 @@
   }
 }
 
-function hasTicketUntil ({ ticket, expiresAtMs }: WorkerAdvice, minExpiryMs: number): boolean {
-  return ticket !== undefined && expiresAtMs > minExpiryMs
+function isUsableAt ({ ticket, usableUntilMs }: WorkerAdvice, atMs: number): boolean {
+  return ticket !== undefined && usableUntilMs > atMs
 }
--- a/packages/batch/test/advice-bursts.test.ts
+++ b/packages/batch/test/advice-bursts.test.ts
@@ -50,6 +50,17 @@
   })
 }
 
+// Guards against a queue of which no task ever starts, since its tickets are valid for less than the margin for the way
+// of a start order.
+for (const ticketValidMs of [400, 250.5]) {
+  test(`tasks run though tickets are valid for ${ticketValidMs} ms only`, t => {
+    const fleet = new AdvisedFleet({ workerCount: 4, policy: policyOf(5, 0.1, ticketValidMs) })
+    fleet.submit('first')
+    fleet.passTimeUntil(() => fleet.isCompleted('first'), RUN_MS + SLACK_MS)
+    t.true(fleet.isCompleted('first'))
+  })
+}
+
 const CASE_POLICY = policyOf(200, 10, 2_000)
 
 // Guards against a fleet that can never use a ticket, since naming all of it takes longer than tickets are valid.
--- a/packages/batch/test/state-size.test.ts
+++ b/packages/batch/test/state-size.test.ts
@@ -152,7 +152,7 @@
   t.deepEqual(keys.map(key => isStepOpen(fixture.state, key)), [false, true, true, false])
   const clock = new ManualClock(0, 0)
   const cache = new TicketCache(clock)
-  const advice = { asked: [LIFE], tickets: [{ workerId: 'w1', ticket: 't' }], expiresAtMs: 10_000 }
+  const advice = { asked: [LIFE], tickets: [{ workerId: 'w1', ticket: 't' }], expiresAtMs: 10_000, validityMs: 10_000 }
   for (const key of ['j1.0.0', 'j1.1.0']) cache.record(key, advice)
   cache.retainSteps(key => isStepOpen(fixture.state, key))
   t.deepEqual(['j1.0.0', 'j1.1.0'].map(key => cache.permittedWorkers(key).size), [0, 1])
