--- a/packages/standins/src/leased-runs.ts
+++ b/packages/standins/src/leased-runs.ts
@@ -12,6 +12,8 @@
   readonly drawStopMs?: () => number
   /** Without it, the members of a gang run each by itself. */
   readonly gangs?: GangMeetings
+  /** Whether the worker takes a start order; one that it does not take ends as refused. */
+  readonly acceptsStart?: (start: WorkerOrders['starts'][number]) => boolean
 }
 
 /**
@@ -99,7 +101,7 @@
     for (const { taskKey, run } of orders.stops) this.#stopRun(taskKey, run)
     if (orders.leaseMs === undefined) return true
     this.#leaseEndMs = Math.max(this.#leaseEndMs, sentMs + orders.leaseMs)
-    for (const { taskKey, run, payload } of orders.starts) this.#startRun(taskKey, run, payload)
+    for (const start of orders.starts) this.#startRun(start)
     return true
   }
 
@@ -122,17 +124,22 @@
   }
 
   #endRun (taskKey: string, leasedRun: LeasedRun, reason: EndReason): void {
-    const { run } = leasedRun
     this.#runs.delete(taskKey)
     leasedRun.end(reason)
+    this.#recordEnd(taskKey, leasedRun.run, reason)
+  }
+
+  #recordEnd (taskKey: string, run: number, reason: EndReason): void {
     this.#lastEndedRunByTask.set(taskKey, Math.max(run, this.#lastEndedRunByTask.get(taskKey) ?? 0))
     const end = { sequence: ++this.#lastEndSequence, taskKey, run, reason, checkpoint: '' }
     this.#ends.push(end)
     this.#history.recordRunEnded(end, this.#workerId)
   }
 
-  #startRun (taskKey: string, run: number, payload: string): void {
+  #startRun (start: WorkerOrders['starts'][number]): void {
+    const { taskKey, run, payload } = start
     if (this.#runs.has(taskKey) || run <= (this.#lastEndedRunByTask.get(taskKey) ?? 0)) return
+    if (this.#options.acceptsStart?.(start) === false) return this.#recordEnd(taskKey, run, 'refused')
     this.#runs.set(taskKey, this.#createRun(taskKey, run, payload))
     this.#history.recordRunStarted(taskKey, this.#workerId)
   }
