End the workers of a failed test, so that the run reports it instead of waiting for good

AVA waits for a process that does not exit.

The fixture ends with its test now, also with one that fails; the checks are the same.

--- a/packages/standins/test/worker.test.ts
+++ b/packages/standins/test/worker.test.ts
@@ -1,4 +1,4 @@
-import test from 'ava'
+import test, { type ExecutionContext } from 'ava'
 import { request } from 'undici'
 import { ManualClock, type Clock } from '@comfreygrade/core'
 import { FailTasksBehaviour, FixedRunTime, type OrderKind, RefusePrepareBehaviour, StandInWorker } from '../src/index.js'
@@ -19,11 +19,14 @@
   return await response.body.json() as { results: string[] }
 }
 
-async function startWorker (runMs: number, clock?: Clock): Promise<WorkerFixture> {
+/** The worker and the entry node end with their test, also with one that fails, or its process would not exit. */
+async function startWorker (t: ExecutionContext, runMs: number, clock?: Clock): Promise<WorkerFixture> {
   const entry = new FakeEntryNode()
   await entry.start()
+  t.teardown(async () => { await entry.stop() })
   const worker = new StandInWorker({ entryAddresses: [entry.address], runTimes: new FixedRunTime(runMs) }, clock)
   await worker.start()
+  t.teardown(async () => { await worker.kill() })
   // A worker refuses orders until its first heartbeat has obtained a lease.
   await pollUntil(() => worker.acceptedHeartbeats > 0)
   return { entry, worker }
@@ -37,7 +40,7 @@
 test('heartbeats renew the lease, so that a task that runs longer than one lease completes', async t => {
   // Time advances only after an accepted heartbeat, so that a pause of this process cannot expire the lease.
   const clock = new ManualClock(1_000)
-  const fixture = await startWorker(600, clock)
+  const fixture = await startWorker(t, 600, clock)
   await sendOrders(fixture, 'prepare', 'start')
   while (fixture.worker.runs[0]?.endedMs === undefined) {
     const acceptedBefore = fixture.worker.acceptedHeartbeats
@@ -49,7 +52,7 @@
 })
 
 test('a worker without an entry node stops its task when the lease expires, so that its accelerators can be reassigned', async t => {
-  const fixture = await startWorker(5_000)
+  const fixture = await startWorker(t, 5_000)
   const { entry, worker } = fixture
   await sendOrders(fixture, 'prepare', 'start')
   await entry.stop()
@@ -59,7 +62,7 @@
 })
 
 test('a frozen worker responds to no order and stops its task when it resumes, so that the gang can run elsewhere', async t => {
-  const fixture = await startWorker(5_000)
+  const fixture = await startWorker(t, 5_000)
   await sendOrders(fixture, 'prepare', 'start')
   fixture.worker.freeze()
   await t.throwsAsync(sendOrders(fixture, 'stop'), { any: true, name: 'TimeoutError' })
@@ -69,7 +72,7 @@
 })
 
 test('a failed task is reported as failed to an entry node, so that its gang does not wait for it', async t => {
-  const fixture = await startWorker(5_000)
+  const fixture = await startWorker(t, 5_000)
   fixture.entry.leaseMs = 60_000
   fixture.worker.setBehaviour(new FailTasksBehaviour())
   await sendOrders(fixture, 'prepare', 'start')
@@ -80,7 +83,7 @@
 })
 
 test('a worker that refuses a prepare order reserves no accelerators, so that the leader requeues the gang', async t => {
-  const fixture = await startWorker(5_000)
+  const fixture = await startWorker(t, 5_000)
   fixture.worker.setBehaviour(new RefusePrepareBehaviour())
   t.deepEqual((await sendOrders(fixture, 'prepare')).results, ['refused'])
   t.is(fixture.worker.runs.length, 0)
